--- /dev/null
+++ b/dispatch/dispatch.go
@@ -0,0 +1,724 @@
+// Package dispatch holds every decision of a scheduler: which worker an op is pushed to, when it is
+// pushed again, and how it ends. It does no input or output and reads no clock.
+//
+// How it is called: New makes the dispatcher of one scheduler. The inputs (Clock, List..., Entry, Op,
+// Report, Unanswered, Note, Begun, Outcome, Left) only update what is known. After them the host pulls
+// decisions with Next, one by one, until Nothing comes. Workers and ops are small indices that the host
+// gives out; an op's index is free again after Forget. Times are tenths of a millisecond.
+//
+// The interface is the exported names of this file; docs/design.md says what is kept of the paper's
+// mechanism and when each departure acts.
+package dispatch
+
+import (
+	"fmt"
+	"math"
+	"slices"
+)
+
+// Time is a moment or a span in tenths of a millisecond.
+type Time int64
+
+const second Time = 10_000
+
+// Verb is what Next decided: with an op, a worker and a span where the verb needs them.
+type Verb int
+
+// Retract names the push in the worker's place; the span is a push's time-out, a nack's pause or a wake's delay.
+const (
+	Nothing Verb = iota
+	Push
+	Probe
+	Retract
+	Nack
+	DeadLetter
+	Subscribe
+	Wake
+	Forget
+)
+
+// Outcome is how a push ended.
+type Outcome int
+
+// Refused, Unreached and Unsent prove that the push never ran; after the others it may have.
+const (
+	Served Outcome = iota
+	Errored
+	Refused
+	TimedOut
+	Unreached
+	Broke
+	Withdrawn
+	Unsent
+)
+
+// Load is a worker's report; a value below 0 was not reported.
+type Load struct{ Jobs, Waiting, Free, Memory float64 }
+
+const (
+	maxCount  = 15          // T_m: longer queues count as this long
+	ageing    = 10 * second // the counters halve this often
+	lastFew   = 32          // samples kept of each measurement
+	healthMax = 15 * second // a verdict on a worker older than this says nothing about now
+)
+
+type category struct {
+	target, ttl, window Time
+	stretch, benefit    float64
+	effect, scope       string
+}
+
+type reading struct {
+	load   Load
+	at     Time // when the probe was answered
+	asked  Time // when it was sent
+	paired bool
+}
+
+type verdict struct {
+	at Time
+	ok bool
+}
+
+type worker struct {
+	known, ready      bool
+	listed            bool
+	zone, cell, shape int
+	since             Time
+	readings          []reading // the last few, newest last
+	verdicts          []verdict // the last few, newest last
+	nextCold          Time      // while cold: when the budget allows the next push
+}
+
+type op struct {
+	index           int
+	cat, tenant     int
+	ttl, came       Time
+	slots, memory   float64
+	work            Time
+	pair            []int // the workers probed
+	got             []bool
+	asked           int // probes sent
+	askedAt         Time
+	legs            int
+	out             bool // a push is out
+	worker          int  // of the last push
+	sentAt          Time
+	started         Time // when the last push was said to start, 0 before
+	retracted       bool
+	ran             bool // some push may have run
+	ranAt           Time // when the first such push was sent
+	ranZone, ranGrp int
+	begun, over     bool
+}
+
+// Dispatcher is one scheduler's decisions and what they rest on.
+type Dispatcher struct {
+	chance     uint64
+	terms      map[string]any
+	categories []category
+	now        Time
+	workers    []worker
+	ops        []*op // by index
+	live       []*op // in order of arrival
+	at         int   // where Next goes on in live
+	a, b       [maxCount + 1]float64
+	halved     Time
+	taus       []Time // from probe to start, the last few
+	trips      []Time // probe round trips, the last few
+	runs       [][]Time
+	subscribed bool
+	callAt     Time
+	woken      Time
+}
+
+// New starts a scheduler's dispatcher from its seed and the site's terms.
+func New(seed uint64, terms map[string]any) *Dispatcher {
+	d := &Dispatcher{chance: seed&0xffffffff | 1<<32, terms: terms}
+	for i := 0; ; i++ {
+		at := fmt.Sprintf("categories.%d.", i)
+		if _, ok := terms[at+"ttl"]; !ok {
+			break
+		}
+		c := category{
+			target:  Time(d.num(at+"targetLatency", 0)),
+			ttl:     Time(d.num(at+"ttl", 0)),
+			window:  Time(d.num(at+"window", 0)),
+			stretch: d.num(fmt.Sprintf("extra.classStretch.%d", i), 0),
+			benefit: d.num(at+"benefit", 1),
+		}
+		c.effect, _ = terms[at+"effect"].(string)
+		c.scope, _ = terms[at+"dedupScope"].(string)
+		d.categories = append(d.categories, c)
+	}
+	d.runs = make([][]Time, len(d.categories))
+	return d
+}
+
+func (d *Dispatcher) num(name string, otherwise float64) float64 {
+	if v, ok := d.terms[name].(float64); ok {
+		return v
+	}
+	return otherwise
+}
+
+// draw is a multiply-with-carry generator: a number below n.
+func (d *Dispatcher) draw(n int) int {
+	d.chance = 4294957665*(d.chance&0xffffffff) + d.chance>>32
+	return int(d.chance & 0xffffffff * uint64(n) >> 32)
+}
+
+func (d *Dispatcher) uniform() float64 { return float64(d.draw(1<<30)) / (1 << 30) }
+
+func keep[T any](few []T, v T, n int) []T {
+	if few = append(few, v); len(few) > n {
+		few = few[1:]
+	}
+	return few
+}
+
+func quantile(few []Time, q float64) Time {
+	s := slices.Sorted(slices.Values(few))
+	return s[int(q*float64(len(s)-1)+0.5)]
+}
+
+func mean(few []Time) Time {
+	var sum Time
+	for _, t := range few {
+		sum += t
+	}
+	return sum / Time(max(len(few), 1))
+}
+
+// Clock tells the time; it never goes back.
+func (d *Dispatcher) Clock(now Time) {
+	d.now = max(d.now, now)
+	d.at = 0
+}
+
+// ListWhole begins a whole list: a worker that it does not name is gone.
+func (d *Dispatcher) ListWhole() {
+	for i := range d.workers {
+		d.workers[i].listed = false
+	}
+}
+
+// Entry is one line of a list.
+func (d *Dispatcher) Entry(i, zone, cell, shape int, ready bool, since Time) {
+	for len(d.workers) <= i {
+		d.workers = append(d.workers, worker{})
+	}
+	w := &d.workers[i]
+	if !w.known || since > w.since {
+		// A restarted process is another worker under the same id: nothing learned of the old one holds.
+		*w = worker{known: true, since: since}
+	}
+	w.zone, w.cell, w.shape, w.ready, w.listed = zone, cell, shape, ready, true
+}
+
+// ListEnd ends a list. A remembered list is no answer to a subscription.
+func (d *Dispatcher) ListEnd(remembered bool) {
+	for i := range d.workers {
+		if !d.workers[i].listed {
+			d.workers[i].ready = false
+		}
+	}
+	if !remembered {
+		d.subscribed = true
+	}
+}
+
+// ListRefused says that the subscription failed or broke.
+func (d *Dispatcher) ListRefused() {
+	d.subscribed = false
+	// Calls are refused when discovery is crowded: schedulers that came back together must not call together.
+	wait := d.num("safety.askEvery", float64(10*second)) / 8
+	d.callAt = d.now + Time(wait*(0.5+d.uniform()))
+}
+
+// Op is a new op. It returns false for a category that the terms do not name.
+func (d *Dispatcher) Op(i, cat, tenant int, ttl Time, slots, memory float64, work Time) bool {
+	if cat < 0 || cat >= len(d.categories) {
+		return false
+	}
+	for len(d.ops) <= i {
+		d.ops = append(d.ops, nil)
+	}
+	o := &op{index: i, cat: cat, tenant: tenant, ttl: ttl, came: d.now, slots: slots, memory: memory, work: work}
+	d.ops[i] = o
+	d.live = append(d.live, o)
+	return true
+}
+
+func (d *Dispatcher) op(i int) *op {
+	if i < 0 || i >= len(d.ops) {
+		return nil
+	}
+	return d.ops[i]
+}
+
+// Report is the answer to a probe.
+func (d *Dispatcher) Report(i int, elapsed Time, load Load) {
+	d.trips = keep(d.trips, elapsed, lastFew)
+	d.answered(i, elapsed)
+	w := &d.workers[i]
+	r := reading{load: load, at: d.now, asked: d.now - elapsed}
+	d.pairUp(w, r)
+	w.readings = keep(w.readings, r, lastFew)
+}
+
+// Unanswered is a probe that failed.
+func (d *Dispatcher) Unanswered(i int, elapsed Time) {}
+
+func (d *Dispatcher) answered(i int, elapsed Time) {
+	for _, o := range d.live {
+		if o.out || o.over {
+			continue
+		}
+		for k, w := range o.pair {
+			if w == i && d.now-elapsed >= o.askedAt {
+				o.got[k] = true
+			}
+		}
+	}
+}
+
+// pairUp counts each reading with the next one that comes 0.5 tau to 2 tau later (design: a_l, b_l).
+func (d *Dispatcher) pairUp(w *worker, next reading) {
+	if len(d.taus) == 0 {
+		return
+	}
+	d.age()
+	tau := mean(d.taus)
+	for k := range w.readings {
+		r := &w.readings[k]
+		if gap := next.at - r.at; r.paired || 2*gap < tau || gap > 2*tau {
+			continue
+		}
+		r.paired = true
+		l := cell(r.load)
+		d.a[l]++
+		if cell(next.load) == 0 {
+			d.b[l]++
+		}
+	}
+}
+
+func (d *Dispatcher) age() {
+	for ; d.now-d.halved >= ageing; d.halved += ageing {
+		for l := range d.a {
+			d.a[l] /= 2
+			d.b[l] /= 2
+		}
+		if d.a == [maxCount + 1]float64{} {
+			d.halved = d.now - (d.now-d.halved)%ageing - ageing
+		}
+	}
+}
+
+func cell(l Load) int { return min(max(int(math.Round(l.Jobs)), 0), maxCount) }
+
+func entropy(b, a float64) float64 {
+	s := 0.0
+	for _, p := range [2]float64{b / a, 1 - b/a} {
+		if p > 0 { // 0 ln 0 is 0
+			s -= p * math.Log(p)
+		}
+	}
+	return s
+}
+
+// threshold is T: the count that parts the readings with the least conditional entropy.
+func (d *Dispatcher) threshold() int {
+	d.age()
+	var allA, allB, a, b float64
+	for l := range d.a {
+		allA += d.a[l]
+		allB += d.b[l]
+	}
+	best, t := math.Inf(1), 0
+	for l := range d.a {
+		a += d.a[l]
+		b += d.b[l]
+		if allA == 0 {
+			break
+		}
+		h := 0.0
+		if a > 0 {
+			h += a / allA * entropy(b, a)
+		}
+		if allA-a > 0 {
+			h += (allA - a) / allA * entropy(allB-b, allA-a)
+		}
+		if h < best-1e-12 {
+			best, t = h, l
+		}
+	}
+	return t
+}
+
+// Note is word of a push that is out: it has started, or how far it is.
+func (d *Dispatcher) Note(i, leg int, started bool, done float64) {
+	o := d.op(i)
+	if o == nil || !o.out || leg != o.legs-1 {
+		return
+	}
+	if started && o.started == 0 {
+		o.started = d.now
+		d.taus = keep(d.taus, d.now-o.askedAt, lastFew)
+		d.judge(o.worker, true)
+	}
+}
+
+// Begun says that a stream has begun: the op is the client's from here on.
+func (d *Dispatcher) Begun(i, leg int) {
+	if o := d.op(i); o != nil && o.out && leg == o.legs-1 {
+		o.begun = true
+	}
+}
+
+// Outcome ends a push.
+func (d *Dispatcher) Outcome(i, leg int, how Outcome, elapsed Time, over bool) {
+	o := d.op(i)
+	if o == nil || !o.out || leg != o.legs-1 {
+		return
+	}
+	o.out = false
+	o.over = o.over || over
+	w := &d.workers[o.worker]
+	switch how {
+	case Served:
+		if o.started > 0 {
+			d.runs[o.cat] = keep(d.runs[o.cat], d.now-o.started, lastFew)
+		} else if d.terms["extra.tellsStart"] != true {
+			d.taus = keep(d.taus, d.now-o.askedAt, lastFew)
+		}
+		d.judge(o.worker, true)
+	case Refused, Unsent, Unreached:
+	default:
+		if !o.ran {
+			// The first push that may have run fixes the group and the window for every further one.
+			o.ran, o.ranAt, o.ranZone, o.ranGrp = true, o.sentAt, w.zone, w.cell
+		}
+	}
+	if how == Errored || how == TimedOut || how == Broke || how == Unreached {
+		d.judge(o.worker, false)
+	}
+	o.pair, o.got, o.asked = nil, nil, 0
+}
+
+// Left says that the client has gone; nothing is owed.
+func (d *Dispatcher) Left(i int) {
+	if o := d.op(i); o != nil {
+		o.over = true
+	}
+}
+
+func (d *Dispatcher) judge(i int, ok bool) {
+	w := &d.workers[i]
+	w.verdicts = keep(w.verdicts, verdict{d.now, ok}, lastFew)
+}
+
+// doubtful is a sequential test on a worker's outcomes: an ordinary chance of failure against a high one.
+func (d *Dispatcher) doubtful(w *worker) bool {
+	const p0, p1, accept = 0.05, 0.5, 2.9 // 2.9 is ln((1-beta)/alpha) for both errors near 0.05
+	s := 0.0
+	for _, v := range w.verdicts {
+		if d.now-v.at > healthMax {
+			continue
+		}
+		if v.ok {
+			s += math.Log((1 - p1) / (1 - p0))
+		} else {
+			s += math.Log(p1 / p0)
+		}
+		s = max(s, 0)
+	}
+	return s >= accept
+}
+
+// admitted draws a doubtful worker's chance of success from its posterior, so that it is never forgotten.
+func (d *Dispatcher) admitted(w *worker) bool {
+	if !d.doubtful(w) {
+		return true
+	}
+	good, bad := 1, 1
+	for _, v := range w.verdicts {
+		if d.now-v.at > healthMax {
+			continue
+		}
+		if v.ok {
+			good++
+		} else {
+			bad++
+		}
+	}
+	// Beta(good, bad) is the good-th smallest of good+bad-1 uniform draws.
+	draws := make([]float64, good+bad-1)
+	for i := range draws {
+		draws[i] = d.uniform()
+	}
+	slices.Sort(draws)
+	return d.uniform() < draws[good-1]
+}
+
+// allowed keeps rules 2, 3 and 4: may this op be pushed to this worker now?
+func (d *Dispatcher) allowed(o *op, i int) bool {
+	w := &d.workers[i]
+	if !w.ready || o.out || o.over || !d.repeatable(o) {
+		return false
+	}
+	if o.ran && d.categories[o.cat].effect == "deduplicated" {
+		switch d.categories[o.cat].scope {
+		case "all":
+		case "zone":
+			if w.zone != o.ranZone {
+				return false
+			}
+		default:
+			if w.zone != o.ranZone || w.cell != o.ranGrp {
+				return false
+			}
+		}
+	}
+	return !d.cold(w) || d.now >= d.coldFrom(o, w)
+}
+
+// repeatable tells whether a further push may be sent at all.
+func (d *Dispatcher) repeatable(o *op) bool {
+	c := &d.categories[o.cat]
+	if o.legs >= int(d.num("bounds.maxPushes", 1)) {
+		return false
+	}
+	if !o.ran || c.effect == "redeliverable" {
+		return true
+	}
+	return c.effect == "deduplicated" && d.now < o.ranAt+c.window
+}
+
+// harmless tells whether a nack keeps its promise.
+func (d *Dispatcher) harmless(o *op) bool {
+	c := &d.categories[o.cat]
+	if !o.ran || c.effect == "redeliverable" {
+		return true
+	}
+	return c.effect == "deduplicated" && c.scope == "all" && d.now < o.ranAt+c.window
+}
+
+func (d *Dispatcher) cold(w *worker) bool {
+	return w.since > 0 && d.now < w.since+Time(d.num("safety.warmAfter", 0))
+}
+
+// coldSpan is how long one such op keeps this scheduler's share of a cold worker's budget busy.
+func (d *Dispatcher) coldSpan(o *op, w *worker) Time {
+	from, warm := d.num("safety.coldFrom", 1), d.num("safety.warmAfter", 1)
+	share := from + (1-from)*min(float64(d.now-w.since)/warm, 1)
+	// Half the stated multiple leaves room for what the other schedulers do not know of this one's luck.
+	rate := d.num("safety.overloadFactor", 1) / 2 * share * d.width(w) / d.num("instances", 1)
+	return Time(math.Ceil(float64(d.length(o)) * o.slots / rate))
+}
+
+func (d *Dispatcher) coldFrom(o *op, w *worker) Time {
+	if w.nextCold > 0 {
+		return w.nextCold
+	}
+	// All schedulers hear of a cold worker at about one time: each begins at its own place in the span.
+	at := (d.num("myNumber", 0) + 0.5) / d.num("instances", 1)
+	return w.since + Time(at*float64(d.coldSpan(o, w)))
+}
+
+// width is how many jobs a worker runs at once, from its reports or those of its like.
+func (d *Dispatcher) width(w *worker) float64 {
+	n := 0.0
+	for _, r := range w.readings {
+		if r.load.Free >= 0 && r.load.Jobs >= 0 {
+			n = max(n, r.load.Jobs-max(r.load.Waiting, 0)+r.load.Free)
+		}
+	}
+	return max(n, 1)
+}
+
+// length is how long an op like this ran of late.
+func (d *Dispatcher) length(o *op) Time {
+	if few := d.runs[o.cat]; len(few) > 0 {
+		return mean(few)
+	}
+	if o.work > 0 {
+		return o.work
+	}
+	return d.categories[o.cat].target
+}
+
+// candidates are the workers that the op may be pushed to; the doubtful among them by lot.
+func (d *Dispatcher) candidates(o *op) []int {
+	var may, sound []int
+	for i := range d.workers {
+		if d.allowed(o, i) {
+			may = append(may, i)
+			if (o.legs == 0 || i != o.worker) && d.admitted(&d.workers[i]) {
+				sound = append(sound, i)
+			}
+		}
+	}
+	if len(sound) > 0 {
+		return sound
+	}
+	return may
+}
+
+// shortWait is how long an op waits for its probes: what they took of late, and a little more.
+func (d *Dispatcher) shortWait() Time {
+	least := Time(math.MaxInt64)
+	for _, c := range d.categories {
+		least = min(least, c.target)
+	}
+	if len(d.trips) == 0 {
+		return least / 4
+	}
+	return min(2*quantile(d.trips, 0.5)+Time(d.num("step", 0)), least/2)
+}
+
+// margin is kept before the TTL for the final answer: a time-out and the answer to it take a step each.
+func (d *Dispatcher) margin() Time { return 2*Time(d.num("step", 0)) + 1 }
+
+// Next decides one thing; the host calls it until it says Nothing.
+func (d *Dispatcher) Next() (do Verb, op, worker int, span Time) {
+	if d.terms["discovery"] == "on_request" && !d.subscribed && d.now >= d.callAt {
+		// An unanswered call must not be the last: without a list the drains can't be kept.
+		d.callAt = d.now + Time(d.num("safety.askEvery", float64(10*second))/2)
+		return Subscribe, 0, 0, 0
+	}
+	for ; d.at < len(d.live); d.at++ {
+		o := d.live[d.at]
+		if do, worker, span := d.decide(o); do != Nothing {
+			if do == Forget {
+				d.ops[o.index] = nil
+				d.live = slices.Delete(d.live, d.at, d.at+1)
+			}
+			return do, o.index, worker, span
+		}
+	}
+	if at := d.due(); at > d.now && (d.woken <= d.now || at < d.woken) && at < math.MaxInt64 {
+		d.woken = at
+		return Wake, 0, 0, at - d.now
+	}
+	return Nothing, 0, 0, 0
+}
+
+// due is the next moment at which something may be decided without an input.
+func (d *Dispatcher) due() Time {
+	at := Time(math.MaxInt64)
+	if d.terms["discovery"] == "on_request" && !d.subscribed {
+		at = d.callAt
+	}
+	for _, o := range d.live {
+		switch {
+		case o.out || o.over:
+		case o.pair == nil:
+			at = min(at, d.now+second/20, max(o.ttl-d.margin(), d.now+1))
+		default:
+			at = min(at, o.askedAt+d.shortWait())
+		}
+	}
+	return at
+}
+
+func (d *Dispatcher) decide(o *op) (do Verb, worker int, span Time) {
+	switch {
+	case o.over && !o.out:
+		return Forget, 0, 0
+	case o.over || o.out:
+		return Nothing, 0, 0
+	case d.now >= o.ttl-d.margin() || !d.repeatable(o):
+		return d.giveUp(o)
+	}
+	if o.pair == nil {
+		from := d.candidates(o)
+		if len(from) == 0 {
+			if d.now > o.came+d.categories[o.cat].target {
+				return d.giveUp(o)
+			}
+			return Nothing, 0, 0
+		}
+		for k := 0; k < 2 && k < len(from); k++ {
+			j := k + d.draw(len(from)-k)
+			from[k], from[j] = from[j], from[k]
+		}
+		o.pair = from[:min(2, len(from))]
+		o.got = make([]bool, len(o.pair))
+		o.askedAt = d.now
+	}
+	if d.terms["bounds.probes"] == true && o.asked < len(o.pair) {
+		o.asked++
+		return Probe, o.pair[o.asked-1], 0
+	}
+	if slices.Contains(o.got, false) && d.now < o.askedAt+d.shortWait() {
+		return Nothing, 0, 0
+	}
+	i := d.choose(o)
+	if i < 0 {
+		o.pair, o.got, o.asked = nil, nil, 0
+		return Nothing, 0, 0
+	}
+	w := &d.workers[i]
+	if d.cold(w) {
+		w.nextCold = max(d.now, d.coldFrom(o, w)) + d.coldSpan(o, w)
+	}
+	o.out, o.worker, o.sentAt, o.started, o.retracted = true, i, d.now, 0, false
+	o.legs++
+	return Push, i, max(o.ttl-d.now-d.margin()+Time(d.num("step", 0)), 1)
+}
+
+// choose is the design's placement: Low before High, random among two Low; else the lower count; else
+// the worker that answered; else a random ready one.
+func (d *Dispatcher) choose(o *op) int {
+	var may []int
+	for k, i := range o.pair {
+		if o.got[k] && d.allowed(o, i) {
+			may = append(may, i)
+		}
+	}
+	switch len(may) {
+	case 0:
+		if from := d.candidates(o); len(from) > 0 {
+			return from[d.draw(len(from))]
+		}
+		return -1
+	case 1:
+		return may[0]
+	}
+	t := float64(d.threshold())
+	x, y := d.count(may[0]), d.count(may[1])
+	switch {
+	case x <= t && y <= t || x == y:
+		return may[d.draw(2)]
+	case x <= t || y > t && x < y:
+		return may[0]
+	}
+	return may[1]
+}
+
+// count is a worker's jobs: its last report and this scheduler's own pushes since.
+func (d *Dispatcher) count(i int) float64 {
+	w := &d.workers[i]
+	if len(w.readings) == 0 {
+		return 0
+	}
+	r := w.readings[len(w.readings)-1]
+	n := math.Round(r.load.Jobs)
+	for _, o := range d.live {
+		if o.out && o.worker == i && o.sentAt >= r.asked {
+			n++
+		}
+	}
+	return n
+}
+
+// giveUp answers at once: a nack where trying again is harmless, else a dead letter.
+func (d *Dispatcher) giveUp(o *op) (Verb, int, Time) {
+	o.over = true
+	if d.harmless(o) {
+		return Nack, 0, 0
+	}
+	return DeadLetter, 0, 0
+}
--- /dev/null
+++ b/internal/simwire/simwire.go
@@ -0,0 +1,392 @@
+// Package simwire speaks the bench's wire: it reads batches, calls a dispatcher for each scheduler
+// and writes what the dispatcher decides.
+package simwire
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+
+	"woaddyke/dispatch"
+)
+
+const tenth = 100_000 // nanoseconds in a tenth of a millisecond
+
+// Limits are rounded towards the safe side: what must not be overstepped down, the clock up.
+func down(ns int64) dispatch.Time {
+	q := ns / tenth
+	if ns%tenth < 0 {
+		q--
+	}
+	return dispatch.Time(q)
+}
+
+func up(ns int64) dispatch.Time { return -down(-ns) }
+
+type batch struct {
+	WallNs *int64  `json:"wallNs"`
+	Groups []group `json:"groups"`
+}
+
+type group struct {
+	SchedulerID string            `json:"schedulerId"`
+	Items       []json.RawMessage `json:"items"`
+}
+
+type item struct {
+	M          string         `json:"m"`
+	Prng       json.Number    `json:"prng"`
+	Setup      map[string]any `json:"setup"`
+	Scope      string         `json:"scope"`
+	Records    []record       `json:"records"`
+	Req        string         `json:"req"`
+	Lane       int            `json:"lane"`
+	Team       int            `json:"team"`
+	ValidUntil int64          `json:"validUntilNs"`
+	Slots      float64        `json:"slots"`
+	Retry      bool           `json:"retry"`
+	Memory     float64        `json:"memory"`
+	WorkNs     int64          `json:"workNs"`
+	Leg        int            `json:"leg"`
+	Worker     string         `json:"worker"`
+	How        int            `json:"how"`
+	ElapsedNs  int64          `json:"elapsedNs"`
+	Over       bool           `json:"over"`
+	Level      float64        `json:"level"`
+	Topic      int            `json:"topic"`
+	HealthInfo []float64      `json:"healthInfo"`
+}
+
+type record struct {
+	Locality     int     `json:"locality"`
+	Worker       string  `json:"worker"`
+	Availability string  `json:"availability"`
+	CapacityHint float64 `json:"capacityHint"`
+	UnitGroup    int     `json:"unitGroup"`
+	SinceNs      int64   `json:"sinceNs"`
+	ClassOfHost  int     `json:"classOfHost"`
+}
+
+type scheduler struct {
+	d       *dispatch.Dispatcher
+	fields  []string
+	workers map[string]int
+	names   []string
+	ops     map[string]int
+	reqs    []string // by op index; empty when the index is free
+	free    []int
+}
+
+// Serve answers batches until the end of input.
+func Serve(in io.Reader, out io.Writer) error {
+	r := bufio.NewReaderSize(in, 1<<20)
+	w := bufio.NewWriterSize(out, 1<<16)
+	hosts := map[string]*scheduler{}
+	for n := 1; ; n++ {
+		line, err := r.ReadBytes('\n')
+		if err != nil && !errors.Is(err, io.EOF) {
+			return fmt.Errorf("reading batch %d: %w", n, err)
+		}
+		if len(bytes.TrimSpace(line)) > 0 {
+			if e := answer(hosts, line, w); e != nil {
+				return fmt.Errorf("batch %d: %w", n, e)
+			}
+			if e := w.Flush(); e != nil {
+				return fmt.Errorf("writing reply %d: %w", n, e)
+			}
+		}
+		if err != nil {
+			return nil
+		}
+	}
+}
+
+func answer(hosts map[string]*scheduler, line []byte, w *bufio.Writer) error {
+	var b batch
+	if err := json.Unmarshal(line, &b); err != nil {
+		return fmt.Errorf("malformed: %w", err)
+	}
+	if b.WallNs == nil {
+		return errors.New("no wallNs")
+	}
+	reply := []byte(`{"groups":[`)
+	for i, g := range b.Groups {
+		if g.SchedulerID == "" {
+			return fmt.Errorf("group %d: no schedulerId", i)
+		}
+		for _, raw := range g.Items {
+			var it item
+			if err := json.Unmarshal(raw, &it); err != nil {
+				return fmt.Errorf("%s: malformed item: %w", g.SchedulerID, err)
+			}
+			if err := take(hosts, g.SchedulerID, *b.WallNs, &it); err != nil {
+				return fmt.Errorf("%s: %s: %w", g.SchedulerID, it.M, err)
+			}
+		}
+		s := hosts[g.SchedulerID]
+		if s == nil {
+			continue
+		}
+		s.d.Clock(up(*b.WallNs))
+		box := s.outbox(nil)
+		if len(box) == 0 {
+			continue
+		}
+		if reply[len(reply)-1] == '}' {
+			reply = append(reply, ',')
+		}
+		reply = fmt.Appendf(reply, `{"schedulerId":%s,"outbox":[%s]}`, quote(g.SchedulerID), box)
+	}
+	reply = append(reply, "]}\n"...)
+	_, err := w.Write(reply)
+	return err
+}
+
+func quote(s string) []byte {
+	b, _ := json.Marshal(s) // a string always marshals
+	return b
+}
+
+// take turns one item into one call.
+func take(hosts map[string]*scheduler, id string, wall int64, it *item) error {
+	s := hosts[id]
+	switch it.M {
+	case "PowerOn":
+		return powerOn(hosts, id, wall, it)
+	case "Exit":
+		delete(hosts, id)
+		return nil
+	case "":
+		return errors.New("item without m")
+	}
+	if s == nil {
+		return errors.New("scheduler was not powered on")
+	}
+	s.d.Clock(up(wall))
+	switch it.M {
+	case "Topology":
+		return s.topology(it)
+	case "WorkItem":
+		if it.Req == "" {
+			return errors.New("no req")
+		}
+		if _, twice := s.ops[it.Req]; twice {
+			return fmt.Errorf("req %s came twice", it.Req)
+		}
+		if !s.d.Op(s.opIndex(it.Req), it.Lane, it.Team, down(it.ValidUntil), max(it.Slots, 1), it.Memory,
+			up(it.WorkNs)) {
+			return fmt.Errorf("lane %d is in no settings", it.Lane)
+		}
+	case "Settled", "Headers", "UpdateOf", "Dropped":
+		op, ok := s.ops[it.Req]
+		if !ok {
+			return nil // the op ended and was forgotten; late items about it say nothing new
+		}
+		switch it.M {
+		case "Settled":
+			s.d.Outcome(op, it.Leg, outcomeOf(it.How), down(it.ElapsedNs), it.Over)
+			if wi, known := s.workers[it.Worker]; known && len(it.HealthInfo) > 0 {
+				s.report(wi, down(it.ElapsedNs), it.HealthInfo)
+			}
+		case "Headers":
+			s.d.Begun(op, it.Leg)
+		case "UpdateOf":
+			s.d.Note(op, it.Leg, it.Topic == 1, it.Level)
+		case "Dropped":
+			s.d.Left(op)
+		}
+	case "StatusBack":
+		wi, ok := s.workers[it.Worker]
+		if !ok {
+			return fmt.Errorf("worker %q was in no list", it.Worker)
+		}
+		if it.How == 10 {
+			s.report(wi, down(it.ElapsedNs), it.HealthInfo)
+		} else {
+			s.d.Unanswered(wi, down(it.ElapsedNs))
+		}
+	}
+	return nil // TickDue, Message and items of later wires only move the clock
+}
+
+func (s *scheduler) report(wi int, elapsed dispatch.Time, row []float64) {
+	load := dispatch.Load{Jobs: -1, Waiting: -1, Free: -1, Memory: -1}
+	for i, f := range s.fields {
+		if i >= len(row) {
+			break
+		}
+		switch f {
+		case "busy_reqs":
+			load.Jobs = row[i]
+		case "pending":
+			load.Waiting = row[i]
+		case "free slots":
+			load.Free = row[i]
+		case "free memory":
+			load.Memory = row[i]
+		}
+	}
+	s.d.Report(wi, elapsed, load)
+}
+
+func powerOn(hosts map[string]*scheduler, id string, wall int64, it *item) error {
+	if it.Setup == nil {
+		return errors.New("no setup")
+	}
+	seed, err := strconv.ParseUint(it.Prng.String(), 10, 64)
+	if err != nil {
+		if i, e := strconv.ParseInt(it.Prng.String(), 10, 64); e == nil {
+			seed = uint64(i)
+		} else {
+			return fmt.Errorf("prng: %w", err)
+		}
+	}
+	terms := map[string]any{}
+	flatten(terms, "", it.Setup)
+	s := &scheduler{workers: map[string]int{}, ops: map[string]int{}}
+	for i := 0; ; i++ {
+		f, ok := terms[fmt.Sprintf("report.fields.%d", i)].(string)
+		if !ok {
+			break
+		}
+		if f == "x0" || f == "x1" {
+			f, _ = terms["extra.report"+strings.ToUpper(f)].(string)
+		}
+		s.fields = append(s.fields, f)
+	}
+	s.d = dispatch.New(seed, terms)
+	s.d.Clock(up(wall))
+	hosts[id] = s
+	return nil
+}
+
+// flatten names each value by its path; durations lose their unit suffix and become tenths of a millisecond.
+func flatten(terms map[string]any, path string, v any) {
+	switch v := v.(type) {
+	case map[string]any:
+		for k, e := range v {
+			flatten(terms, strings.TrimPrefix(path+"."+k, "."), e)
+		}
+	case []any:
+		for i, e := range v {
+			flatten(terms, fmt.Sprintf("%s.%d", path, i), e)
+		}
+	case float64:
+		if name, isTime := strings.CutSuffix(path, "Ns"); isTime {
+			terms[name] = float64(down(int64(v)))
+		} else {
+			terms[path] = v
+		}
+	case string:
+		switch v {
+		case "retryable":
+			v = "redeliverable"
+		case "dedup":
+			v = "deduplicated"
+		case "fragile":
+			v = "at-most-once"
+		}
+		terms[path] = v
+	default:
+		terms[path] = v
+	}
+}
+
+func (s *scheduler) topology(it *item) error {
+	if it.Scope == "refused" {
+		s.d.ListRefused()
+		return nil
+	}
+	whole := it.Scope != "changes"
+	if whole {
+		s.d.ListWhole()
+	}
+	for _, r := range it.Records {
+		if r.Worker == "" {
+			return errors.New("record without worker")
+		}
+		wi, ok := s.workers[r.Worker]
+		if !ok {
+			wi = len(s.names)
+			s.workers[r.Worker] = wi
+			s.names = append(s.names, r.Worker)
+		}
+		ready := r.Availability == "ready"
+		s.d.Entry(wi, r.Locality, r.UnitGroup, r.ClassOfHost, ready, up(r.SinceNs))
+	}
+	s.d.ListEnd(it.Scope == "remembered")
+	return nil
+}
+
+func (s *scheduler) opIndex(req string) int {
+	i := len(s.reqs)
+	if n := len(s.free); n > 0 {
+		i, s.free = s.free[n-1], s.free[:n-1]
+		s.reqs[i] = req
+	} else {
+		s.reqs = append(s.reqs, req)
+	}
+	s.ops[req] = i
+	return i
+}
+
+func outcomeOf(how int) dispatch.Outcome {
+	switch how {
+	case 10:
+		return dispatch.Served
+	case 30:
+		return dispatch.Refused
+	case 40:
+		return dispatch.TimedOut
+	case 50:
+		return dispatch.Unreached
+	case 60:
+		return dispatch.Broke
+	case 70:
+		return dispatch.Withdrawn
+	case 80:
+		return dispatch.Unsent
+	}
+	return dispatch.Errored // an outcome not known here may have run
+}
+
+func (s *scheduler) outbox(box []byte) []byte {
+	for {
+		do, i, worker, span := s.d.Next()
+		if do == dispatch.Nothing {
+			return box
+		}
+		if do == dispatch.Forget {
+			delete(s.ops, s.reqs[i])
+			s.reqs[i] = ""
+			s.free = append(s.free, i)
+			continue
+		}
+		if len(box) > 0 {
+			box = append(box, ',')
+		}
+		ns := int64(span) * tenth
+		switch do {
+		case dispatch.Push:
+			box = fmt.Appendf(box, `{"m":"Send","req":%s,"worker":%s,"withinNs":%d}`,
+				quote(s.reqs[i]), quote(s.names[worker]), ns)
+		case dispatch.Probe:
+			box = fmt.Appendf(box, `{"m":"Test","worker":%s}`, quote(s.names[worker]))
+		case dispatch.Retract:
+			box = fmt.Appendf(box, `{"m":"Retract","req":%s,"leg":%d}`, quote(s.reqs[i]), worker)
+		case dispatch.Nack:
+			box = fmt.Appendf(box, `{"m":"Decline","req":%s,"pauseNs":%d}`, quote(s.reqs[i]), ns)
+		case dispatch.DeadLetter:
+			box = fmt.Appendf(box, `{"m":"Surrender","req":%s}`, quote(s.reqs[i]))
+		case dispatch.Subscribe:
+			box = append(box, `{"m":"KeepInformed","on":true}`...)
+		case dispatch.Wake:
+			box = fmt.Appendf(box, `{"m":"WakeAt","fromNowNs":%d,"ctx":"due"}`, ns)
+		}
+	}
+}
