--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -98,7 +98,8 @@
 	work            Time
 	pair            []int // the workers probed
 	got             []bool
-	asked           int // probes sent
+	asked           int  // probes sent
+	next            Time // held until then before another pair is probed
 	askedAt         Time
 	legs            int
 	out             bool // a push is out
@@ -549,6 +550,32 @@
 	return d.categories[o.cat].target
 }
 
+// spare is how long the op may still wait and end in time, if it runs like the middle one of its category.
+func (d *Dispatcher) spare(o *op) Time {
+	c := &d.categories[o.cat]
+	run := o.work
+	if run == 0 && len(d.runs[o.cat]) > 0 {
+		run = quantile(d.runs[o.cat], 0.5)
+	}
+	return o.came + c.target + Time(max(c.stretch-1, 0)*float64(run)) - d.now
+}
+
+// wait is how long a worker's queue lasts: jobs that wait there, as long as jobs ran of late.
+func (d *Dispatcher) wait(i int) Time {
+	w := &d.workers[i]
+	if len(w.readings) == 0 {
+		return 0
+	}
+	var sum, n Time
+	for _, few := range d.runs {
+		for _, t := range few {
+			sum, n = sum+t, n+1
+		}
+	}
+	width := d.width(w)
+	return Time(max(d.count(i)-width, 0) / width * float64(sum/max(n, 1)))
+}
+
 // candidates are the workers that the op may be pushed to; the doubtful among them by lot.
 func (d *Dispatcher) candidates(o *op) []int {
 	var may, sound []int
@@ -615,7 +642,7 @@
 		switch {
 		case o.out || o.over:
 		case o.pair == nil:
-			at = min(at, d.now+second/20, max(o.ttl-d.margin(), d.now+1))
+			at = min(at, max(o.next, d.now+second/20), max(o.ttl-d.margin(), d.now+1))
 		default:
 			at = min(at, o.askedAt+d.shortWait())
 		}
@@ -633,6 +660,9 @@
 		return d.giveUp(o)
 	}
 	if o.pair == nil {
+		if d.now < o.next {
+			return Nothing, 0, 0
+		}
 		from := d.candidates(o)
 		if len(from) == 0 {
 			if d.now > o.came+d.categories[o.cat].target {
@@ -660,6 +690,15 @@
 		o.pair, o.got, o.asked = nil, nil, 0
 		return Nothing, 0, 0
 	}
+	if spare := d.spare(o); d.wait(i) > max(spare, 0) {
+		// A queue that outlasts the op's time only makes it late there: hold it and look again, or say no.
+		if spare <= 0 {
+			return d.giveUp(o)
+		}
+		o.pair, o.got, o.asked = nil, nil, 0
+		o.next = d.now + spare/4 + 1
+		return Nothing, 0, 0
+	}
 	w := &d.workers[i]
 	if d.cold(w) {
 		w.nextCold = max(d.now, d.coldFrom(o, w)) + d.coldSpan(o, w)
