T over free-slot idleness; a wide op needs its slots free to call a worker Low

Cause: workers of several slots hardly ever hold no job, so b stayed empty and T at 0; wide ops went to workers without room for them.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -59,6 +59,7 @@
 	maxCount  = 15          // T_m: longer queues count as this long
 	ageing    = 10 * second // the counters halve this often
 	lastFew   = 32          // samples kept of each measurement
+	reportLag = 0           // a report may not yet show pushes younger than this
 	healthMax = 15 * second // a verdict on a worker older than this says nothing about now
 )
 
@@ -299,7 +300,7 @@
 		r.paired = true
 		l := cell(r.load)
 		d.a[l]++
-		if cell(next.load) == 0 {
+		if idle(next.load) {
 			d.b[l]++
 		}
 	}
@@ -317,6 +318,14 @@
 	}
 }
 
+// idle extends "holds no jobs" to workers of several slots, which hardly ever hold none: a job would start at once.
+func idle(l Load) bool {
+	if l.Free < 0 {
+		return l.Jobs < 0.5
+	}
+	return l.Free >= 0.5 && l.Waiting < 0.5
+}
+
 func cell(l Load) int { return min(max(int(math.Round(l.Jobs)), 0), maxCount) }
 
 func entropy(b, a float64) float64 {
@@ -728,29 +737,49 @@
 	}
 	t := float64(d.threshold())
 	x, y := d.count(may[0]), d.count(may[1])
+	lowX, lowY := x <= t && d.fits(o, may[0]), y <= t && d.fits(o, may[1])
 	switch {
-	case x <= t && y <= t || x == y:
+	case lowX && lowY || lowX == lowY && x == y:
 		return may[d.draw(2)]
-	case x <= t || y > t && x < y:
+	case lowX || !lowY && x < y:
 		return may[0]
 	}
 	return may[1]
 }
 
-// count is a worker's jobs: its last report and this scheduler's own pushes since.
-func (d *Dispatcher) count(i int) float64 {
+// fits guards against Low workers on which a wide op must wait for slots or memory while others wait behind it.
+func (d *Dispatcher) fits(o *op, i int) bool {
 	w := &d.workers[i]
 	if len(w.readings) == 0 {
-		return 0
+		return true
 	}
 	r := w.readings[len(w.readings)-1]
-	n := math.Round(r.load.Jobs)
+	free, memory := r.load.Free, r.load.Memory
+	for _, p := range d.since(i, r.asked) {
+		free, memory = free-p.slots, memory-p.memory
+	}
+	return (r.load.Free < 0 || free > o.slots-0.5) && (r.load.Memory < 0 || memory >= o.memory) &&
+		r.load.Waiting < 0.5
+}
+
+// since are this scheduler's pushes to a worker that a report asked for then need not show.
+func (d *Dispatcher) since(i int, asked Time) (out []*op) {
 	for _, o := range d.live {
-		if o.out && o.worker == i && o.sentAt >= r.asked {
-			n++
+		if o.out && o.worker == i && o.sentAt >= asked-reportLag {
+			out = append(out, o)
 		}
 	}
-	return n
+	return out
+}
+
+// count is a worker's jobs: its last report and this scheduler's own pushes since.
+func (d *Dispatcher) count(i int) float64 {
+	w := &d.workers[i]
+	if len(w.readings) == 0 {
+		return 0
+	}
+	r := w.readings[len(w.readings)-1]
+	return math.Round(r.load.Jobs) + float64(len(d.since(i, r.asked)))
 }
 
 // giveUp answers at once: a nack where trying again is harmless, else a dead letter.
