Waits learned from queue places; three pairs at most before an op is given up

Cause: jobs in line over worker width foretold a third of the true wait (wide ops block the queue), so every push in overload was late, and each op was probed two dozen times.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -59,6 +59,7 @@
 	maxCount  = 15          // T_m: longer queues count as this long
 	ageing    = 10 * second // the counters halve this often
 	lastFew   = 32          // samples kept of each measurement
+	maxLooks  = 3           // pairs probed before an op without a place in time is given up
 	reportLag = 0           // a report may not yet show pushes younger than this
 	healthMax = 15 * second // a verdict on a worker older than this says nothing about now
 )
@@ -81,12 +82,19 @@
 	ok bool
 }
 
+// place is where a push stood in a worker's queue, and how long it took to start.
+type place struct {
+	place float64
+	took  Time
+}
+
 type worker struct {
 	known, ready      bool
 	listed            bool
 	zone, cell, shape int
 	since             Time
 	readings          []reading // the last few, newest last
+	places            []place
 	verdicts          []verdict // the last few, newest last
 	nextCold          Time      // while cold: when the budget allows the next push
 }
@@ -99,8 +107,10 @@
 	work            Time
 	pair            []int // the workers probed
 	got             []bool
-	asked           int  // probes sent
-	next            Time // held until then before another pair is probed
+	asked           int     // probes sent
+	looks           int     // pairs probed in vain
+	place           float64 // in the worker's queue when it was pushed
+	next            Time    // held until then before another pair is probed
 	askedAt         Time
 	legs            int
 	out             bool // a push is out
@@ -377,6 +387,10 @@
 		o.started = d.now
 		d.taus = keep(d.taus, d.now-o.askedAt, lastFew)
 		d.judge(o.worker, true)
+		if o.place > 0 {
+			w := &d.workers[o.worker]
+			w.places = keep(w.places, place{o.place, d.now - o.sentAt}, lastFew)
+		}
 	}
 }
 
@@ -569,20 +583,30 @@
 	return o.came + c.target + Time(max(c.stretch-1, 0)*float64(run)) - d.now
 }
 
-// wait is how long a worker's queue lasts: jobs that wait there, as long as jobs ran of late.
-func (d *Dispatcher) wait(i int) Time {
+// wait is how long an op would wait at a worker: its place in the queue, and how long a place took of late.
+func (d *Dispatcher) wait(o *op, i int) Time {
+	var took Time
+	n := 0.0
+	for j := range d.workers {
+		weight := 1
+		if j == i {
+			weight = 4 // its own places tell more than those of the others, but there are few
+		}
+		for _, p := range d.workers[j].places {
+			took, n = took+Time(weight)*p.took, n+float64(weight)*p.place
+		}
+	}
+	return Time(d.place(o, i) / max(n, 1) * float64(took))
+}
+
+// place is where in a worker's queue the op would stand; 0 if it starts at once.
+func (d *Dispatcher) place(o *op, i int) float64 {
 	w := &d.workers[i]
-	if len(w.readings) == 0 {
+	if len(w.readings) == 0 || d.fits(o, i) {
 		return 0
 	}
-	var sum, n Time
-	for _, few := range d.runs {
-		for _, t := range few {
-			sum, n = sum+t, n+1
-		}
-	}
-	width := d.width(w)
-	return Time(max(d.count(i)-width, 0) / width * float64(sum/max(n, 1)))
+	r := w.readings[len(w.readings)-1]
+	return math.Round(max(r.load.Waiting, 0)) + float64(len(d.since(i, r.asked))) + 1
 }
 
 // candidates are the workers that the op may be pushed to; the doubtful among them by lot.
@@ -699,15 +723,16 @@
 		o.pair, o.got, o.asked = nil, nil, 0
 		return Nothing, 0, 0
 	}
-	if spare := d.spare(o); d.wait(i) > max(spare, 0) {
-		// A queue that outlasts the op's time only makes it late there: hold it and look again, or say no.
-		if spare <= 0 {
+	if spare := d.spare(o); d.wait(o, i) > max(spare, 0) {
+		// A queue that outlasts the op's time only makes it late there, and others after it: look again, or say no.
+		if o.looks++; spare <= 0 || o.looks >= maxLooks {
 			return d.giveUp(o)
 		}
 		o.pair, o.got, o.asked = nil, nil, 0
 		o.next = d.now + spare/4 + 1
 		return Nothing, 0, 0
 	}
+	o.place = d.place(o, i)
 	w := &d.workers[i]
 	if d.cold(w) {
 		w.nextCold = max(d.now, d.coldFrom(o, w)) + d.coldSpan(o, w)
