--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -60,7 +60,7 @@
 	ageing    = 10 * second // the counters halve this often
 	lastFew   = 32          // samples kept of each measurement
 	maxLooks  = 3           // pairs probed before an op without a place in time is given up
-	reportLag = 0           // a report may not yet show pushes younger than this
+	reportLag = second / 10 // a report may not yet show pushes younger than this
 	healthMax = 15 * second // a verdict on a worker older than this says nothing about now
 )
 
