--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -60,6 +60,7 @@
 	ageing    = 10 * second // the counters halve this often
 	lastFew   = 32          // samples kept of each measurement
 	maxLooks  = 3           // pairs probed before an op without a place in time is given up
+	telling   = 1.3         // finishes closer than this are noise, and the draw decides
 	reportLag = second / 10 // a report may not yet show pushes younger than this
 	healthMax = 15 * second // a verdict on a worker older than this says nothing about now
 )
@@ -95,6 +96,7 @@
 	since             Time
 	readings          []reading // the last few, newest last
 	places            []place
+	strides           []float64 // how long jobs ran, over what was expected
 	verdicts          []verdict // the last few, newest last
 	nextCold          Time      // while cold: when the budget allows the next push
 }
@@ -413,6 +415,7 @@
 	switch how {
 	case Served:
 		if o.started > 0 {
+			w.strides = keep(w.strides, float64(d.now-o.started)/float64(max(d.expected(o), 1)), lastFew)
 			d.runs[o.cat] = keep(d.runs[o.cat], d.now-o.started, lastFew)
 		} else if d.terms["extra.tellsStart"] != true {
 			d.taus = keep(d.taus, d.now-o.askedAt, lastFew)
@@ -763,6 +766,13 @@
 	t := float64(d.threshold())
 	x, y := d.count(may[0]), d.count(may[1])
 	lowX, lowY := x <= t && d.fits(o, may[0]), y <= t && d.fits(o, may[1])
+	if lowX == lowY {
+		// A slow worker with a short queue still counts as Low, and what it takes finishes late (design's own worry).
+		x, y := d.finish(o, may[0]), d.finish(o, may[1])
+		if float64(max(x, y)) > telling*float64(min(x, y)) {
+			return may[btoi(y < x)]
+		}
+	}
 	switch {
 	case lowX && lowY || lowX == lowY && x == y:
 		return may[d.draw(2)]
@@ -772,6 +782,47 @@
 	return may[1]
 }
 
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// finish is when the op would end on a worker, from now.
+func (d *Dispatcher) finish(o *op, i int) Time {
+	return d.wait(o, i) + Time(d.slow(i)*float64(d.expected(o)))
+}
+
+// expected is how long the op would run on an ordinary worker.
+func (d *Dispatcher) expected(o *op) Time {
+	if o.work > 0 {
+		return o.work
+	}
+	if few := d.runs[o.cat]; len(few) > 0 {
+		return quantile(few, 0.5)
+	}
+	return d.categories[o.cat].target
+}
+
+// slow is how much longer than expected jobs run on a worker: the middle of its samples, and of the others' while few.
+func (d *Dispatcher) slow(i int) float64 {
+	var all []float64
+	for j := range d.workers {
+		all = append(all, d.workers[j].strides...)
+	}
+	few := d.workers[i].strides
+	if len(all) == 0 {
+		return 1
+	}
+	slices.Sort(all)
+	for range 3 {
+		few = append(few[:len(few):len(few)], all[len(all)/2])
+	}
+	few = slices.Sorted(slices.Values(few))
+	return few[len(few)/2]
+}
+
 // fits guards against Low workers on which a wide op must wait for slots or memory while others wait behind it.
 func (d *Dispatcher) fits(o *op, i int) bool {
 	w := &d.workers[i]
