--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -503,7 +503,7 @@
 				return false
 			}
 		default:
-			if w.zone != o.ranZone || w.cell != o.ranGrp {
+			if w.cell != o.ranGrp { // no two zones share a cell
 				return false
 			}
 		}
--- /dev/null
+++ b/dispatch/dispatch_test.go
@@ -0,0 +1,242 @@
+package dispatch
+
+import (
+	"slices"
+	"testing"
+)
+
+func TestThresholdByHand(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		a, b []float64
+		want int
+	}{
+		{"nothing seen", nil, nil, 0},
+		{"0 and 1 always idle, 2 and 3 never", []float64{4, 4, 4, 4}, []float64{4, 4, 0, 0}, 1},
+		{"only 0 idle", []float64{5, 5, 5}, []float64{5, 0, 0}, 0},
+		{"mostly idle up to 2", []float64{10, 10, 10, 10}, []float64{10, 9, 8, 1}, 2},
+		{"all the same: the lowest", []float64{3, 3, 3}, []float64{0, 0, 0}, 0},
+		{"one side empty", []float64{0, 0, 6}, []float64{0, 0, 3}, 0},
+	} {
+		d := fleet(2, nil)
+		d.halved = d.now
+		copy(d.a[:], c.a)
+		copy(d.b[:], c.b)
+		if got := d.threshold(); got != c.want {
+			t.Errorf("%s: T = %d, want %d", c.name, got, c.want)
+		}
+	}
+}
+
+func TestPairingWindowEnds(t *testing.T) {
+	for gap, want := range map[Time]float64{49: 0, 50: 1, 200: 1, 201: 0} {
+		d := fleet(2, nil)
+		d.halved, d.taus = d.now, []Time{100}
+		d.Report(0, 0, jobs(3))
+		d.Clock(d.now + gap)
+		d.Report(0, 0, jobs(1))
+		if d.a[3] != want || d.b[3] != want {
+			t.Errorf("gap %d: a = %v, b = %v, want %v", gap, d.a[3], d.b[3], want)
+		}
+	}
+	d := fleet(2, nil)
+	d.halved, d.taus = d.now, []Time{100}
+	d.Report(0, 0, jobs(3))
+	d.Clock(d.now + 100)
+	d.Report(0, 0, jobs(5))
+	if d.a[3] != 1 || d.b[3] != 0 {
+		t.Errorf("a queue is no idleness: a = %v, b = %v", d.a[3], d.b[3])
+	}
+}
+
+func TestCountersHalve(t *testing.T) {
+	d := fleet(2, nil)
+	d.halved, d.a[2], d.b[2] = d.now, 8, 4
+	d.Clock(d.now + 2*ageing)
+	if d.age(); d.a[2] != 2 || d.b[2] != 1 {
+		t.Errorf("after two spans a = %v, b = %v, want 2 and 1", d.a[2], d.b[2])
+	}
+}
+
+func TestPlacement(t *testing.T) {
+	low := func(d *Dispatcher) { // T = 1
+		d.halved = d.now
+		copy(d.a[:], []float64{4, 4, 4, 4})
+		copy(d.b[:], []float64{4, 4, 0, 0})
+	}
+	for _, c := range []struct {
+		name   string
+		jx, jy float64
+		want   int // 0 for x, 1 for y, 2 for either
+	}{{"Low before High", 1, 3, 0}, {"High after Low", 2, 0, 1}, {"lower count", 3, 2, 1}, {"two Low", 0, 1, 2}} {
+		took := map[bool]int{}
+		for i := range 40 {
+			d := fleet(6, nil)
+			d.chance += uint64(i) * 7919
+			low(d)
+			x, y := probed(t, d, 0, 0)
+			took[pushed(t, d, x, jobs(c.jx), y, jobs(c.jy)) == y]++
+		}
+		if c.want == 2 && (took[true] < 8 || took[false] < 8) || c.want < 2 && took[c.want == 1] != 40 {
+			t.Errorf("%s: went to y %v", c.name, took)
+		}
+	}
+}
+
+func TestFallbacks(t *testing.T) {
+	d := fleet(6, nil)
+	x, _ := probed(t, d, 0, 0)
+	d.Clock(d.now + 50)
+	d.Report(x, 50, jobs(9))
+	if all := decisions(d); len(all) != 0 {
+		t.Fatalf("decided before the short wait was over: %v", all)
+	}
+	d.Clock(d.now + d.shortWait())
+	if got := push(t, d); got != x {
+		t.Errorf("pushed to %d, not to the worker that answered, %d", got, x)
+	}
+	probed(t, d, 1, 0)
+	d.Clock(d.now + d.shortWait())
+	if got := push(t, d); got < 0 || got >= 6 {
+		t.Errorf("nobody answered: pushed to %d", got)
+	}
+}
+
+// Wide ops went to Low workers without room for them and blocked the queue.
+func TestWideOpNeedsRoom(t *testing.T) {
+	d := fleet(2, nil)
+	d.halved = d.now
+	copy(d.a[:], []float64{4, 4, 4, 4})
+	copy(d.b[:], []float64{4, 4, 4, 0})
+	d.Op(0, 0, 0, d.now+50_000, 4, 0, 0)
+	decisions(d)
+	if got := pushed(t, d, 0, jobs(2), 1, jobs(0)); got != 1 {
+		t.Errorf("an op of four slots went to worker %d with two free", got)
+	}
+}
+
+// Queues that outlast an op's time: each op was probed two dozen times and pushed late all the same.
+func TestHopelessOpIsNackedSoon(t *testing.T) {
+	d := fleet(6, nil)
+	for i := range d.workers {
+		d.workers[i].places = []place{{1, 4_000}}
+	}
+	d.Op(0, 0, 0, d.now+50_000, 1, 0, 0)
+	probes := 0
+	for range 400 {
+		for _, a := range decisions(d) {
+			switch a.do {
+			case Probe:
+				probes++
+				d.Report(a.worker, 0, jobs(30))
+			case Nack:
+				if probes > 2*maxLooks {
+					t.Errorf("%d probes for one op", probes)
+				}
+				return
+			case Push:
+				t.Fatal("pushed behind a queue that outlasts the op")
+			}
+		}
+		d.Clock(d.now + 50)
+	}
+	t.Fatal("never answered")
+}
+
+// A busy scheduler saw one idle worker twice before any report showed its own push.
+func TestOwnPushesCount(t *testing.T) {
+	d := fleet(2, nil)
+	probed(t, d, 0, 0)
+	first := pushed(t, d, 0, jobs(0), 1, jobs(0))
+	probed(t, d, 1, 0)
+	if second := pushed(t, d, 0, jobs(0), 1, jobs(0)); second == first {
+		t.Errorf("both ops went to worker %d", first)
+	}
+}
+
+// A slow worker with a short queue kept taking ops that then ended late.
+func TestClearlySlowerWorkerIsPassedOver(t *testing.T) {
+	d := fleet(2, nil)
+	for range 12 {
+		d.workers[0].strides = append(d.workers[0].strides, 2)
+		d.workers[1].strides = append(d.workers[1].strides, 1)
+	}
+	probed(t, d, 0, 0)
+	if got := pushed(t, d, 0, jobs(0), 1, jobs(0)); got != 1 {
+		t.Errorf("went to the slow worker")
+	}
+}
+
+func TestDoubtfulWorkerIsSeldomButStillGivenWork(t *testing.T) {
+	d := fleet(2, nil)
+	for range 3 {
+		d.judge(0, false)
+	}
+	if !d.doubtful(&d.workers[0]) || d.doubtful(&d.workers[1]) {
+		t.Fatal("three failures in a row must make a worker doubtful, and only that one")
+	}
+	n := 0
+	for range 1000 {
+		if d.admitted(&d.workers[0]) {
+			n++
+		}
+	}
+	if n < 50 || n > 500 {
+		t.Errorf("admitted %d times in 1000", n)
+	}
+	d.Clock(d.now + healthMax + 1)
+	if d.doubtful(&d.workers[0]) {
+		t.Error("old verdicts still count")
+	}
+}
+
+func TestNoReadyWorker(t *testing.T) {
+	d := fleet(0, nil)
+	d.Op(0, 4, 0, d.now+50_000, 1, 0, 0)
+	if all := decisions(d); len(all) != 0 {
+		t.Fatalf("held at first, got %v", all)
+	}
+	d.Clock(d.now + 5_001)
+	if all := decisions(d); len(all) == 0 || all[0].do != Nack {
+		t.Errorf("nothing was sent, so a nack is harmless: got %v", all)
+	}
+	d.Op(1, 0, 0, d.now+10, 1, 0, 0)
+	if all := decisions(d); !slices.ContainsFunc(all, func(a decision) bool { return a.do == Nack && a.op == 1 }) {
+		t.Errorf("an op that comes with no time left is answered at once: %v", all)
+	}
+}
+
+func TestListIsFollowed(t *testing.T) {
+	d := fleet(3, map[string]any{"discovery": "on_request"})
+	asks := func() (n int) {
+		for {
+			do, _, _, _ := d.Next()
+			if do == Nothing {
+				return n
+			}
+			if do == Subscribe {
+				n++
+			}
+		}
+	}
+	if asks() != 1 {
+		t.Fatal("a remembered list is no subscription")
+	}
+	d.ListRefused()
+	if asks() != 0 {
+		t.Fatal("asked again at once")
+	}
+	d.Clock(d.now + 100_000)
+	if asks() != 1 {
+		t.Fatal("a refused call must be made again")
+	}
+	d.Entry(0, 0, 0, 0, false, 0)
+	d.ListEnd(false)
+	d.ListWhole()
+	d.Entry(2, 0, 2, 0, true, 0)
+	d.ListEnd(false)
+	d.Op(0, 0, 0, d.now+50_000, 1, 0, 0)
+	if all := decisions(d); len(all) != 1 || all[0].worker != 2 {
+		t.Errorf("only worker 2 is ready, got %v", all)
+	}
+}
