Push only where the foretold wait is under half the time to spare

Cause: schedulers together fill queues up to whatever each lets pass; waits then end above what was foretold, and half of what was pushed in overload ended late.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -726,7 +726,7 @@
 		o.pair, o.got, o.asked = nil, nil, 0
 		return Nothing, 0, 0
 	}
-	if spare := d.spare(o); d.wait(o, i) > max(spare, 0) {
+	if spare := d.spare(o); d.wait(o, i) > max(spare/2, 0) {
 		// A queue that outlasts the op's time only makes it late there, and others after it: look again, or say no.
 		if o.looks++; spare <= 0 || o.looks >= maxLooks {
 			return d.giveUp(o)
