--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -586,6 +586,24 @@
 	return o.came + c.target + Time(max(c.stretch-1, 0)*float64(run)) - d.now
 }
 
+// rank is an op's benefit for the work it takes, over that of the dearest category.
+func (d *Dispatcher) rank(o *op) float64 {
+	most, own := 0.0, 0.0
+	for i, c := range d.categories {
+		b := c.benefit
+		if d.terms["benefitPer"] != "work" {
+			b /= float64(max(mean(d.runs[i]), 1))
+			if len(d.runs[i]) == 0 {
+				return 1
+			}
+		}
+		if most = max(most, b); i == o.cat {
+			own = b
+		}
+	}
+	return math.Sqrt(own / most)
+}
+
 // wait is how long an op would wait at a worker: its place in the queue, and how long a place took of late.
 func (d *Dispatcher) wait(o *op, i int) Time {
 	var took Time
@@ -726,7 +744,7 @@
 		o.pair, o.got, o.asked = nil, nil, 0
 		return Nothing, 0, 0
 	}
-	if spare := d.spare(o); d.wait(o, i) > max(spare/2, 0) {
+	if spare := d.spare(o); d.wait(o, i) > max(Time(d.rank(o)/2*float64(spare)), 0) {
 		// A queue that outlasts the op's time only makes it late there, and others after it: look again, or say no.
 		if o.looks++; spare <= 0 || o.looks >= maxLooks {
 			return d.giveUp(o)
