--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -601,7 +601,7 @@
 			own = b
 		}
 	}
-	return math.Sqrt(own / most)
+	return own / most
 }
 
 // wait is how long an op would wait at a worker: its place in the queue, and how long a place took of late.
