--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -711,7 +711,7 @@
 	case o.over || o.out:
 		return Nothing, 0, 0
 	case d.now >= o.ttl-d.margin() || !d.repeatable(o):
-		return d.giveUp(o)
+		return d.giveUp(o, 0)
 	}
 	if o.pair == nil {
 		if d.now < o.next {
@@ -720,7 +720,7 @@
 		from := d.candidates(o)
 		if len(from) == 0 {
 			if d.now > o.came+d.categories[o.cat].target {
-				return d.giveUp(o)
+				return d.giveUp(o, 0)
 			}
 			return Nothing, 0, 0
 		}
@@ -744,10 +744,11 @@
 		o.pair, o.got, o.asked = nil, nil, 0
 		return Nothing, 0, 0
 	}
-	if spare := d.spare(o); d.wait(o, i) > max(Time(d.rank(o)/2*float64(spare)), 0) {
+	spare := d.spare(o)
+	if excess := d.wait(o, i) - max(Time(d.rank(o)/2*float64(spare)), 0); excess > 0 {
 		// A queue that outlasts the op's time only makes it late there, and others after it: look again, or say no.
 		if o.looks++; spare <= 0 || o.looks >= maxLooks {
-			return d.giveUp(o)
+			return d.giveUp(o, excess)
 		}
 		o.pair, o.got, o.asked = nil, nil, 0
 		o.next = d.now + spare/4 + 1
@@ -876,11 +877,14 @@
 	return math.Round(r.load.Jobs) + float64(len(d.since(i, r.asked)))
 }
 
-// giveUp answers at once: a nack where trying again is harmless, else a dead letter.
-func (d *Dispatcher) giveUp(o *op) (Verb, int, Time) {
+// giveUp answers at once: a nack where trying again is harmless, else a dead letter. A nack says when to come back.
+func (d *Dispatcher) giveUp(o *op, pause Time) (Verb, int, Time) {
 	o.over = true
-	if d.harmless(o) {
-		return Nack, 0, 0
+	if !d.harmless(o) {
+		return DeadLetter, 0, 0
 	}
-	return DeadLetter, 0, 0
+	if d.terms["bounds.retryAfter"] != true {
+		pause = 0
+	}
+	return Nack, 0, min(pause, Time(d.num("bounds.maxRetryAfter", 0)))
 }
