A retry's time is counted from its first try; a nack's pause leaves half the time to spare

Cause: a client's TTL runs over all its tries, so a try that comes with less of it has come before; counted as new, hopeless retries took places.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -69,6 +69,7 @@
 	target, ttl, window Time
 	stretch, benefit    float64
 	effect, scope       string
+	longest             Time // the longest time that a client was seen to give
 }
 
 type reading struct {
@@ -104,7 +105,7 @@
 type op struct {
 	index           int
 	cat, tenant     int
-	ttl, came       Time
+	ttl, came       Time // came: when the client first asked, as far as can be told
 	slots, memory   float64
 	work            Time
 	pair            []int // the workers probed
@@ -258,7 +259,10 @@
 	for len(d.ops) <= i {
 		d.ops = append(d.ops, nil)
 	}
-	o := &op{index: i, cat: cat, tenant: tenant, ttl: ttl, came: d.now, slots: slots, memory: memory, work: work}
+	// A client's TTL runs over all its tries: one that comes with less of it than others has come before.
+	c := &d.categories[cat]
+	c.longest = max(c.longest, ttl-d.now)
+	o := &op{index: i, cat: cat, tenant: tenant, ttl: ttl, came: ttl - c.longest, slots: slots, memory: memory, work: work}
 	d.ops[i] = o
 	d.live = append(d.live, o)
 	return true
@@ -748,7 +752,7 @@
 	if excess := d.wait(o, i) - max(Time(d.rank(o)/2*float64(spare)), 0); excess > 0 {
 		// A queue that outlasts the op's time only makes it late there, and others after it: look again, or say no.
 		if o.looks++; spare <= 0 || o.looks >= maxLooks {
-			return d.giveUp(o, excess)
+			return d.giveUp(o, min(excess, spare/2))
 		}
 		o.pair, o.got, o.asked = nil, nil, 0
 		o.next = d.now + spare/4 + 1
@@ -886,5 +890,5 @@
 	if d.terms["bounds.retryAfter"] != true {
 		pause = 0
 	}
-	return Nack, 0, min(pause, Time(d.num("bounds.maxRetryAfter", 0)))
+	return Nack, 0, min(max(pause, 0), Time(d.num("bounds.maxRetryAfter", 0)))
 }
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -240,3 +240,17 @@
 		t.Errorf("only worker 2 is ready, got %v", all)
 	}
 }
+
+// Clients that were turned away came back at once and were given a whole new target each time.
+func TestRetryCountsFromItsFirstTry(t *testing.T) {
+	d := fleet(2, nil)
+	d.Op(0, 0, 0, d.now+50_000, 1, 0, 0)
+	d.Clock(d.now + 1_000)
+	d.Op(1, 0, 0, d.now+46_000, 1, 0, 0)
+	if got := d.spare(d.op(0)); got != 4_000 {
+		t.Errorf("the first try has %d to spare, want 4000", got)
+	}
+	if got := d.spare(d.op(1)); got != 1_000 {
+		t.Errorf("a try with 4000 of its TTL used has %d to spare, want 1000", got)
+	}
+}
