--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -142,7 +142,6 @@
 	taus       []Time // from probe to start, the last few
 	trips      []Time // probe round trips, the last few
 	runs       [][]Time
-	full       []bool // whether a pair had no place in time, the last few
 	subscribed bool
 	callAt     Time
 	woken      Time
@@ -606,12 +605,7 @@
 			own = b
 		}
 	}
-	// Cheap ops give way only as far as places are scarce: of late, how often a pair had none in time.
-	scarce := 0.0
-	for _, f := range d.full {
-		scarce += float64(btoi(f)) / float64(len(d.full))
-	}
-	return 1 - min(2*scarce, 1)*(1-own/most)
+	return own / most
 }
 
 // wait is how long an op would wait at a worker: its place in the queue, and how long a place took of late.
@@ -754,9 +748,8 @@
 		o.pair, o.got, o.asked = nil, nil, 0
 		return Nothing, 0, 0
 	}
-	spare, wait := d.spare(o), d.wait(o, i)
-	d.full = keep(d.full, wait > max(spare/2, 0), lastFew)
-	if excess := wait - max(Time(d.rank(o)/2*float64(spare)), 0); excess > 0 {
+	spare := d.spare(o)
+	if excess := d.wait(o, i) - max(Time(d.rank(o)/2*float64(spare)), 0); excess > 0 {
 		// A queue that outlasts the op's time only makes it late there, and others after it: look again, or say no.
 		if o.looks++; spare <= 0 || o.looks >= maxLooks {
 			return d.giveUp(o, min(excess, spare/2))
