--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -59,7 +59,7 @@
 	maxCount  = 15          // T_m: longer queues count as this long
 	ageing    = 10 * second // the counters halve this often
 	lastFew   = 32          // samples kept of each measurement
-	maxLooks  = 6           // pairs probed before an op without a place in time is given up
+	maxLooks  = 3           // pairs probed before an op without a place in time is given up
 	telling   = 1.3         // finishes closer than this are noise, and the draw decides
 	reportLag = second / 10 // a report may not yet show pushes younger than this
 	healthMax = 15 * second // a verdict on a worker older than this says nothing about now
