Second looks skip workers just seen full; with none left the op is answered

Cause: in overload each op probed queues that had been seen a moment ago; a probe costs the price and worker time.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -590,6 +590,18 @@
 	return o.came + c.target + Time(max(c.stretch-1, 0)*float64(run)) - d.now
 }
 
+// patience is the longest wait worth a push. Half the time to spare, since other schedulers fill queues unseen;
+// less for cheap ops, since each place they take is one that a dear op lacks.
+func (d *Dispatcher) patience(o *op) Time {
+	return max(Time(d.rank(o)/2*float64(d.spare(o))), 0)
+}
+
+// hopeless tells of a worker that was read too lately for its queue to be short enough by now.
+func (d *Dispatcher) hopeless(o *op, i int) bool {
+	few := d.workers[i].readings
+	return len(few) > 0 && d.now < few[len(few)-1].at+d.wait(o, i)-d.patience(o)
+}
+
 // rank is an op's benefit for the work it takes, over that of the dearest category.
 func (d *Dispatcher) rank(o *op) float64 {
 	most, own := 0.0, 0.0
@@ -722,6 +734,13 @@
 			return Nothing, 0, 0
 		}
 		from := d.candidates(o)
+		if o.looks > 0 {
+			// Looking again where a queue was just seen costs probes and finds it still there.
+			from = slices.DeleteFunc(from, func(i int) bool { return d.hopeless(o, i) })
+			if len(from) == 0 {
+				return d.giveUp(o, d.spare(o)/2)
+			}
+		}
 		if len(from) == 0 {
 			if d.now > o.came+d.categories[o.cat].target {
 				return d.giveUp(o, 0)
@@ -749,7 +768,7 @@
 		return Nothing, 0, 0
 	}
 	spare := d.spare(o)
-	if excess := d.wait(o, i) - max(Time(d.rank(o)/2*float64(spare)), 0); excess > 0 {
+	if excess := d.wait(o, i) - d.patience(o); excess > 0 {
 		// A queue that outlasts the op's time only makes it late there, and others after it: look again, or say no.
 		if o.looks++; spare <= 0 || o.looks >= maxLooks {
 			return d.giveUp(o, min(excess, spare/2))
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -254,3 +254,21 @@
 		t.Errorf("a try with 4000 of its TTL used has %d to spare, want 1000", got)
 	}
 }
+
+// Second looks at queues seen a moment ago cost two probes each and found them still there.
+func TestSecondLookSkipsWhatWasJustSeenFull(t *testing.T) {
+	d := fleet(5, nil)
+	for i := range d.workers {
+		d.workers[i].places = []place{{1, 4_000}}
+	}
+	x, y := probed(t, d, 0, 0)
+	d.Report(x, 0, jobs(9))
+	d.Report(y, 0, jobs(9))
+	decisions(d)
+	d.Clock(d.op(0).next)
+	for _, a := range decisions(d) {
+		if a.do == Probe && (a.worker == x || a.worker == y) {
+			t.Errorf("worker %d was probed again", a.worker)
+		}
+	}
+}
