--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -774,7 +774,7 @@
 			return d.giveUp(o, min(excess, spare/2))
 		}
 		o.pair, o.got, o.asked = nil, nil, 0
-		o.next = d.now
+		o.next = d.now + spare/4 + 1
 		return Nothing, 0, 0
 	}
 	o.place = d.place(o, i)
