No cut is T whose right side mostly turned idle

Cause: a quiet fleet's readings all lead to idleness, every cut has the same entropy, and T fell to 0; the paper calls T undefined there.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -376,6 +376,11 @@
 		if allA-a > 0 {
 			h += (allA - a) / allA * entropy(allB-b, allA-a)
 		}
+		// The paper leaves T open where no cut tells much. A cut is no threshold if counts above it mostly lead to
+		// idleness too: a quiet fleet would have T = 0, and call idle workers High.
+		if allA-a > 0 && 2*(allB-b) > allA-a {
+			continue
+		}
 		if h < best-1e-12 {
 			best, t = h, l
 		}
