--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -820,7 +820,10 @@
 			return may[btoi(y < x)]
 		}
 	}
+	nearX, nearY := d.near(may[0]), d.near(may[1])
 	switch {
+	case lowX && lowY && nearX != nearY:
+		return may[btoi(nearY)] // crossing is paid for, and buys nothing while both are Low
 	case lowX && lowY || lowX == lowY && x == y:
 		return may[d.draw(2)]
 	case lowX || !lowY && x < y:
@@ -829,6 +832,10 @@
 	return may[1]
 }
 
+func (d *Dispatcher) near(i int) bool {
+	return d.num("prices.crossZone", 0) == 0 || d.workers[i].zone == int(d.num("myZone", 0))
+}
+
 func btoi(b bool) int {
 	if b {
 		return 1
