--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -119,7 +119,9 @@
 	out             bool // a push is out
 	worker          int  // of the last push
 	sentAt          Time
-	started         Time // when the last push was said to start, 0 before
+	started, heard  Time // when the last push was said to start, 0 before; when anything was heard of it
+	foretold        Time // how long it was to wait
+	silent          bool // it was counted against its worker
 	retracted       bool
 	ran             bool // some push may have run
 	ranAt           Time // when the first such push was sent
@@ -141,6 +143,7 @@
 	halved     Time
 	taus       []Time // from probe to start, the last few
 	trips      []Time // probe round trips, the last few
+	starts     []Time // from push to start where a job was to start at once, the last few
 	runs       [][]Time
 	subscribed bool
 	callAt     Time
@@ -394,8 +397,12 @@
 	if o == nil || !o.out || leg != o.legs-1 {
 		return
 	}
+	o.heard = d.now
 	if started && o.started == 0 {
 		o.started = d.now
+		if o.place == 0 {
+			d.starts = keep(d.starts, d.now-o.sentAt, lastFew)
+		}
 		d.taus = keep(d.taus, d.now-o.askedAt, lastFew)
 		d.judge(o.worker, true)
 		if o.place > 0 {
@@ -440,7 +447,7 @@
 	if how == Errored || how == TimedOut || how == Broke || how == Unreached {
 		d.judge(o.worker, false)
 	}
-	o.pair, o.got, o.asked = nil, nil, 0
+	o.pair, o.got, o.asked, o.looks = nil, nil, 0, 0
 }
 
 // Left says that the client has gone; nothing is owed.
@@ -715,7 +722,11 @@
 	}
 	for _, o := range d.live {
 		switch {
-		case o.out || o.over:
+		case o.over || o.begun:
+		case o.out:
+			if limit := d.overdue(o); !o.silent && limit < o.ttl {
+				at = min(at, max(limit, d.now+1))
+			}
 		case o.pair == nil:
 			at = min(at, max(o.next, d.now+second/20), max(o.ttl-d.margin(), d.now+1))
 		default:
@@ -729,6 +740,14 @@
 	switch {
 	case o.over && !o.out:
 		return Forget, 0, 0
+	case o.out && !o.over && !o.silent && d.now >= d.overdue(o):
+		o.silent = true
+		d.judge(o.worker, false)
+		if d.rescuable(o) {
+			o.retracted = true
+			return Retract, o.legs - 1, 0
+		}
+		return Nothing, 0, 0
 	case o.over || o.out:
 		return Nothing, 0, 0
 	case d.now >= o.ttl-d.margin() || !d.repeatable(o):
@@ -772,8 +791,8 @@
 		o.pair, o.got, o.asked = nil, nil, 0
 		return Nothing, 0, 0
 	}
-	spare := d.spare(o)
-	if excess := d.wait(o, i) - d.patience(o); excess > 0 {
+	spare, wait := d.spare(o), d.wait(o, i)
+	if excess := wait - d.patience(o); excess > 0 {
 		// A queue that outlasts the op's time only makes it late there, and others after it: look again, or say no.
 		if o.looks++; spare <= 0 || o.looks >= maxLooks {
 			return d.giveUp(o, min(excess, spare/2))
@@ -782,16 +801,48 @@
 		o.next = d.now + spare/4 + 1
 		return Nothing, 0, 0
 	}
-	o.place = d.place(o, i)
+	o.place, o.foretold = d.place(o, i), wait
 	w := &d.workers[i]
 	if d.cold(w) {
 		w.nextCold = max(d.now, d.coldFrom(o, w)) + d.coldSpan(o, w)
 	}
-	o.out, o.worker, o.sentAt, o.started, o.retracted = true, i, d.now, 0, false
+	o.out, o.worker, o.sentAt, o.heard, o.started, o.silent, o.retracted = true, i, d.now, d.now, 0, false, false
 	o.legs++
 	return Push, i, max(o.ttl-d.now-d.margin()+Time(d.num("step", 0)), 1)
 }
 
+// overdue is when silence about a push that is out speaks against its worker. It is measured by the longest
+// starts of late, so that pauses and slowness of the whole fleet stretch it and are not read as many sick workers.
+func (d *Dispatcher) overdue(o *op) Time {
+	const never = Time(math.MaxInt64)
+	switch every := Time(d.num("extra.progress", 0)); {
+	case o.begun || d.terms["extra.tellsStart"] != true || len(d.starts) < lastFew/4:
+		return never
+	case o.started == 0:
+		return o.sentAt + 2*slices.Max(d.starts) + 2*o.foretold + second/10
+	case every > 0:
+		return o.heard + 3*every
+	}
+	return never
+}
+
+// rescuable tells whether a push that hangs should be called off: only if the rules let another worker have the op.
+func (d *Dispatcher) rescuable(o *op) bool {
+	if d.terms["bounds.cancel"] != true {
+		return false
+	}
+	w, again := &d.workers[o.worker], *o
+	if again.out = false; !again.ran {
+		again.ran, again.ranAt, again.ranZone, again.ranGrp = true, o.sentAt, w.zone, w.cell
+	}
+	for i := range d.workers {
+		if i != o.worker && d.allowed(&again, i) && !d.doubtful(&d.workers[i]) {
+			return true
+		}
+	}
+	return false
+}
+
 // choose is the design's placement: Low before High, random among two Low; else the lower count; else
 // the worker that answered; else a random ready one.
 func (d *Dispatcher) choose(o *op) int {
