--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -740,10 +740,13 @@
 	switch {
 	case o.over && !o.out:
 		return Forget, 0, 0
-	case o.out && !o.over && !o.silent && d.now >= d.overdue(o):
-		o.silent = true
-		d.judge(o.worker, false)
-		if d.rescuable(o) {
+	case o.out && !o.over && !o.retracted && d.now >= d.overdue(o):
+		if !o.silent {
+			o.silent = true
+			d.judge(o.worker, false)
+		}
+		// One late start is a wide job in front; only a worker that the test doubts loses its pushes.
+		if d.doubtful(&d.workers[o.worker]) && d.rescuable(o) {
 			o.retracted = true
 			return Retract, o.legs - 1, 0
 		}
