Silence is counted from the worker's last word

Cause: a late start behind a heavy or wide job is no sickness while the worker still tells of other jobs.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -99,6 +99,7 @@
 	places            []place
 	strides           []float64 // how long jobs ran, over what was expected
 	verdicts          []verdict // the last few, newest last
+	heard             Time      // when it last said anything of a push
 	nextCold          Time      // while cold: when the budget allows the next push
 }
 
@@ -397,7 +398,7 @@
 	if o == nil || !o.out || leg != o.legs-1 {
 		return
 	}
-	o.heard = d.now
+	o.heard, d.workers[o.worker].heard = d.now, d.now
 	if started && o.started == 0 {
 		o.started = d.now
 		if o.place == 0 {
@@ -428,6 +429,9 @@
 	o.out = false
 	o.over = o.over || over
 	w := &d.workers[o.worker]
+	if how != TimedOut && how != Withdrawn {
+		w.heard = d.now // those two are this side's own word
+	}
 	switch how {
 	case Served:
 		if o.started > 0 {
@@ -822,9 +826,9 @@
 	case o.begun || d.terms["extra.tellsStart"] != true || len(d.starts) < lastFew/4:
 		return never
 	case o.started == 0:
-		return o.sentAt + 2*slices.Max(d.starts) + 2*o.foretold + second/10
+		return max(o.sentAt, d.workers[o.worker].heard) + 2*slices.Max(d.starts) + 2*o.foretold + second/10 + every
 	case every > 0:
-		return o.heard + 3*every
+		return max(o.heard, d.workers[o.worker].heard) + 3*every
 	}
 	return never
 }
