--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -609,7 +609,11 @@
 // patience is the longest wait worth a push. Half the time to spare, since other schedulers fill queues unseen;
 // less for cheap ops, since each place they take is one that a dear op lacks.
 func (d *Dispatcher) patience(o *op) Time {
-	return max(Time(d.rank(o)/2*float64(d.spare(o))), 0)
+	least := Time(math.MaxInt64)
+	for _, c := range d.categories {
+		least = min(least, c.target)
+	}
+	return max(min(Time(d.rank(o)/2*float64(d.spare(o))), 2*least), 0)
 }
 
 // hopeless tells of a worker that was read too lately for its queue to be short enough by now.
