--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -613,7 +613,7 @@
 	for _, c := range d.categories {
 		least = min(least, c.target)
 	}
-	return max(min(Time(d.rank(o)/2*float64(d.spare(o))), 2*least), 0)
+	return max(min(Time(d.rank(o)/2*float64(d.spare(o))), least), 0)
 }
 
 // hopeless tells of a worker that was read too lately for its queue to be short enough by now.
