--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -613,7 +613,7 @@
 	for _, c := range d.categories {
 		least = min(least, c.target)
 	}
-	return max(min(Time(d.rank(o)/2*float64(d.spare(o))), max(least, Time(d.stay(-1)))), 0)
+	return max(min(Time(d.rank(o)/2*float64(d.spare(o))), 2*least), 0)
 }
 
 // hopeless tells of a worker that was read too lately for its queue to be short enough by now.
@@ -641,21 +641,19 @@
 }
 
 // wait is how long an op would wait at a worker: its place in the queue, and how long a place took of late.
-func (d *Dispatcher) wait(o *op, i int) Time { return Time(d.place(o, i) * d.stay(i)) }
-
-// stay is how long a place in a worker's queue took of late; for no worker (-1), that of the fleet.
-func (d *Dispatcher) stay(i int) float64 {
-	took, n := 0.0, 0.0
+func (d *Dispatcher) wait(o *op, i int) Time {
+	var took Time
+	n := 0.0
 	for j := range d.workers {
-		weight := 1.0
+		weight := 1
 		if j == i {
 			weight = 4 // its own places tell more than those of the others, but there are few
 		}
 		for _, p := range d.workers[j].places {
-			took, n = took+weight*float64(p.took), n+weight*p.place
+			took, n = took+Time(weight)*p.took, n+float64(weight)*p.place
 		}
 	}
-	return took / max(n, 1)
+	return Time(d.place(o, i) / max(n, 1) * float64(took))
 }
 
 // place is where in a worker's queue the op would stand; 0 if it starts at once.
