--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -60,7 +60,7 @@
 	ageing    = 10 * second // the counters halve this often
 	lastFew   = 32          // samples kept of each measurement
 	maxLooks  = 3           // pairs probed before an op without a place in time is given up
-	telling   = 1.0         // finishes closer than this are noise, and the draw decides
+	telling   = 1.3         // finishes closer than this are noise, and the draw decides
 	reportLag = second / 10 // a report may not yet show pushes younger than this
 	healthMax = 15 * second // a verdict on a worker older than this says nothing about now
 )
