--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -957,7 +957,7 @@
 // since are this scheduler's pushes to a worker that a report asked for then need not show.
 func (d *Dispatcher) since(i int, asked Time) (out []*op) {
 	for _, o := range d.live {
-		if o.out && o.worker == i && (o.sentAt >= asked-reportLag || d.terms["extra.tellsStart"] == true && o.started == 0) {
+		if o.out && o.worker == i && o.sentAt >= asked-reportLag {
 			out = append(out, o)
 		}
 	}
@@ -971,14 +971,7 @@
 		return 0
 	}
 	r := w.readings[len(w.readings)-1]
-	out := 0.0
-	for _, o := range d.live {
-		if o.out && o.worker == i {
-			out++
-		}
-	}
-	// Reports can be seconds late; what this scheduler has out there is there all the same.
-	return max(math.Round(r.load.Jobs)+float64(len(d.since(i, r.asked))), out)
+	return math.Round(r.load.Jobs) + float64(len(d.since(i, r.asked)))
 }
 
 // giveUp answers at once: a nack where trying again is harmless, else a dead letter. A nack says when to come back.
