--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -274,3 +274,76 @@
 		}
 	}
 }
+
+// Ops with seconds to spare filled queues to seconds, and a category of short targets never found a place.
+func TestPatienceIsCapped(t *testing.T) {
+	d := fleet(2, map[string]any{"categories.1.targetLatency": 100_000.0})
+	d.Op(0, 1, 0, d.now+200_000, 1, 0, 0)
+	if got := d.patience(d.op(0)); got > 2*5_000 {
+		t.Errorf("patience %d, over twice the least target", got)
+	}
+}
+
+// In overload cheap ops took the places of dear ones.
+func TestCheapOpsAreLessPatient(t *testing.T) {
+	d := fleet(2, map[string]any{"benefitPer": "work", "categories.1.benefit": 8.0})
+	d.Op(0, 0, 0, d.now+50_000, 1, 0, 0)
+	d.Op(1, 1, 0, d.now+50_000, 1, 0, 0)
+	if cheap, dear := d.patience(d.op(0)), d.patience(d.op(1)); 4*cheap != dear {
+		t.Errorf("patience %d and %d for benefits 2 and 8", cheap, dear)
+	}
+}
+
+func TestOwnZoneOfTwoLow(t *testing.T) {
+	d := fleet(2, map[string]any{"prices.crossZone": 0.03, "myZone": 1.0})
+	for i := range 10 {
+		probed(t, d, i, 0)
+		if got := pushed(t, d, 0, jobs(0), 1, jobs(0)); got != 1 {
+			t.Fatal("crossed zones between two Low workers")
+		}
+		d.Outcome(i, 0, Served, 0, true)
+	}
+}
+
+// silent pushes n ops to worker 0, which never answers, and returns what is decided well past every start seen.
+func silent(t *testing.T, n int, speaks bool) (calledOff int) {
+	t.Helper()
+	d := fleet(2, nil)
+	for range lastFew {
+		d.starts = append(d.starts, 100)
+	}
+	for i := range n {
+		d.Op(i, 0, 0, d.now+50_000, 1, 0, 0)
+		decisions(d)
+		d.Clock(d.now + d.shortWait())
+		d.Report(0, 0, jobs(float64(i)/4)) // worker 1 does not answer the probe
+		if push(t, d) != 0 {
+			t.Fatal("set-up: not pushed to worker 0")
+		}
+	}
+	for range 40 {
+		d.Clock(d.now + 100)
+		if speaks {
+			d.Note(0, 0, true, 0)
+		}
+		for _, a := range decisions(d) {
+			if a.do == Retract {
+				calledOff++
+			}
+		}
+	}
+	return calledOff
+}
+
+// A hung worker kept what it had taken until the TTL; a worker behind a wide job was taken for a hung one.
+func TestSilentWorkerLosesItsPushesBusyOneDoesNot(t *testing.T) {
+	if n := silent(t, 3, false); n == 0 {
+		t.Error("nothing was called off from a worker silent on three pushes")
+	}
+	if n := silent(t, 3, true); n != 0 {
+		t.Errorf("%d pushes were called off from a worker that still speaks", n)
+	}
+	if n := silent(t, 1, false); n != 0 {
+		t.Error("one silent push is no verdict")
+	}
+}
