--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -122,6 +122,7 @@
 	sentAt          Time
 	started, heard  Time // when the last push was said to start, 0 before; when anything was heard of it
 	foretold        Time // how long it was to wait
+	looked          bool // a report said that it was to start at once
 	silent          bool // it was counted against its worker
 	retracted       bool
 	ran             bool // some push may have run
@@ -401,7 +402,7 @@
 	o.heard, d.workers[o.worker].heard = d.now, d.now
 	if started && o.started == 0 {
 		o.started = d.now
-		if o.place == 0 {
+		if o.looked {
 			d.starts = keep(d.starts, d.now-o.sentAt, lastFew)
 		}
 		d.taus = keep(d.taus, d.now-o.askedAt, lastFew)
@@ -659,6 +660,15 @@
 // place is where in a worker's queue the op would stand; 0 if it starts at once.
 func (d *Dispatcher) place(o *op, i int) float64 {
 	w := &d.workers[i]
+	if d.misled() {
+		n := 0.0
+		for _, p := range d.live {
+			if p.out && p.worker == i && p.started == 0 {
+				n++
+			}
+		}
+		return n
+	}
 	if len(w.readings) == 0 || d.fits(o, i) {
 		return 0
 	}
@@ -812,7 +822,7 @@
 		o.next = d.now + spare/4 + 1
 		return Nothing, 0, 0
 	}
-	o.place, o.foretold = d.place(o, i), wait
+	o.place, o.foretold, o.looked = d.place(o, i), wait, d.fits(o, i)
 	w := &d.workers[i]
 	if d.cold(w) {
 		w.nextCold = max(d.now, d.coldFrom(o, w)) + d.coldSpan(o, w)
@@ -873,6 +883,9 @@
 		return may[0]
 	}
 	t := float64(d.threshold())
+	if d.misled() {
+		t = -1 // nobody is known to be Low: the lower count of own pushes wins, else the draw
+	}
 	x, y := d.count(may[0]), d.count(may[1])
 	lowX, lowY := x <= t && d.fits(o, may[0]), y <= t && d.fits(o, may[1])
 	if lowX == lowY {
@@ -964,9 +977,29 @@
 	return out
 }
 
+// misled guards against reports that are seconds late: all schedulers then run to the workers that look idle.
+// They are taken for late while many of the last pushes that were to start at once did not.
+func (d *Dispatcher) misled() bool {
+	if len(d.starts) < lastFew/2 || len(d.trips) == 0 {
+		return false
+	}
+	late, prompt := 0, 5*quantile(d.trips, 0.5)+4*Time(d.num("step", 0))
+	for _, t := range d.starts {
+		late += btoi(t > prompt)
+	}
+	return 5*late > 2*len(d.starts)
+}
+
 // count is a worker's jobs: its last report and this scheduler's own pushes since.
 func (d *Dispatcher) count(i int) float64 {
 	w := &d.workers[i]
+	if d.misled() {
+		n := 0.0
+		for _, o := range d.live {
+			n += float64(btoi(o.out && o.worker == i))
+		}
+		return n
+	}
 	if len(w.readings) == 0 {
 		return 0
 	}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -347,3 +347,24 @@
 		t.Error("one silent push is no verdict")
 	}
 }
+
+// Reports seconds late sent all schedulers to the workers that looked idle; starts then came a second late.
+func TestLateReportsAreSetAside(t *testing.T) {
+	d := fleet(2, nil)
+	d.trips = []Time{100}
+	for i := range lastFew {
+		d.starts = append(d.starts, []Time{100, 9_000}[i%2])
+	}
+	probed(t, d, 0, 0)
+	first := pushed(t, d, 0, jobs(0), 1, jobs(0))
+	probed(t, d, 1, 0)
+	loads := []Load{jobs(2), jobs(2)}
+	loads[first] = jobs(0)
+	if second := pushed(t, d, 0, loads[0], 1, loads[1]); second == first {
+		t.Error("followed a late report to the worker that has this scheduler's own push")
+	}
+	d.starts = slices.Repeat([]Time{100}, lastFew)
+	if d.misled() {
+		t.Error("reports that hold again are still set aside")
+	}
+}
