--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -11,6 +11,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -90,6 +91,9 @@
 	took  Time
 }
 
+// start is when a job started and how long after its push.
+type start struct{ at, took Time }
+
 type worker struct {
 	known, ready      bool
 	listed            bool
@@ -143,9 +147,9 @@
 	at         int   // where Next goes on in live
 	a, b       [maxCount + 1]float64
 	halved     Time
-	taus       []Time // from probe to start, the last few
-	trips      []Time // probe round trips, the last few
-	starts     []Time // from push to start where a job was to start at once, the last few
+	taus       []Time  // from probe to start, the last few
+	trips      []Time  // probe round trips, the last few
+	starts     []start // of jobs that were to start at once, the last few
 	runs       [][]Time
 	subscribed bool
 	callAt     Time
@@ -403,7 +407,7 @@
 	if started && o.started == 0 {
 		o.started = d.now
 		if o.looked {
-			d.starts = keep(d.starts, d.now-o.sentAt, lastFew)
+			d.starts = keep(d.starts, start{d.now, d.now - o.sentAt}, lastFew)
 		}
 		d.taus = keep(d.taus, d.now-o.askedAt, lastFew)
 		d.judge(o.worker, true)
@@ -840,7 +844,8 @@
 	case o.begun || d.terms["extra.tellsStart"] != true || len(d.starts) < lastFew/4:
 		return never
 	case o.started == 0:
-		return max(o.sentAt, d.workers[o.worker].heard) + 2*slices.Max(d.starts) + 2*o.foretold + second/10 + every
+		longest := slices.MaxFunc(d.starts, func(x, y start) int { return cmp.Compare(x.took, y.took) }).took
+		return max(o.sentAt, d.workers[o.worker].heard) + 2*(longest+o.foretold) + second/10 + every
 	case every > 0:
 		return max(o.heard, d.workers[o.worker].heard) + 3*every
 	}
@@ -980,14 +985,17 @@
 // misled guards against reports that are seconds late: all schedulers then run to the workers that look idle.
 // They are taken for late while many of the last pushes that were to start at once did not.
 func (d *Dispatcher) misled() bool {
-	if len(d.starts) < lastFew/2 || len(d.trips) == 0 {
+	if len(d.trips) == 0 {
 		return false
 	}
-	late, prompt := 0, 5*quantile(d.trips, 0.5)+4*Time(d.num("step", 0))
-	for _, t := range d.starts {
-		late += btoi(t > prompt)
+	late, n, prompt := 0, 0, 5*quantile(d.trips, 0.5)+4*Time(d.num("step", 0))
+	for _, s := range d.starts {
+		if d.now-s.at < healthMax/3 {
+			late, n = late+btoi(s.took > prompt), n+1
+		}
 	}
-	return 5*late > 2*len(d.starts)
+	// In overload few are to start at once: old lateness must not keep reports out that hold again.
+	return n >= lastFew/4 && 5*late > 2*n
 }
 
 // count is a worker's jobs: its last report and this scheduler's own pushes since.
