--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -25,7 +25,7 @@
 // Verb is what Next decided: with an op, a worker and a span where the verb needs them.
 type Verb int
 
-// Retract names the push in the worker's place; the span is a push's time-out, a nack's pause or a wake's delay.
+// Retract names the push in the worker's place. The span is a time-out, a nack's pause or a wake's delay.
 const (
 	Nothing Verb = iota
 	Push
@@ -95,21 +95,21 @@
 type start struct{ at, took Time }
 
 type worker struct {
-	known, ready      bool
-	listed            bool
-	zone, cell, shape int
-	since             Time
-	readings          []reading // the last few, newest last
-	places            []place
-	strides           []float64 // how long jobs ran, over what was expected
-	verdicts          []verdict // the last few, newest last
-	heard             Time      // when it last said anything of a push
-	nextCold          Time      // while cold: when the budget allows the next push
+	known, ready bool
+	listed       bool
+	zone, cell   int
+	since        Time
+	readings     []reading // the last few, newest last
+	places       []place
+	strides      []float64 // how long jobs ran, over what was expected
+	verdicts     []verdict // the last few, newest last
+	heard        Time      // when it last said anything of a push
+	nextCold     Time      // while cold: when the budget allows the next push
 }
 
 type op struct {
 	index           int
-	cat, tenant     int
+	cat             int
 	ttl, came       Time // came: when the client first asked, as far as can be told
 	slots, memory   float64
 	work            Time
@@ -228,7 +228,7 @@
 }
 
 // Entry is one line of a list.
-func (d *Dispatcher) Entry(i, zone, cell, shape int, ready bool, since Time) {
+func (d *Dispatcher) Entry(i, zone, cell int, ready bool, since Time) {
 	for len(d.workers) <= i {
 		d.workers = append(d.workers, worker{})
 	}
@@ -237,7 +237,7 @@
 		// A restarted process is another worker under the same id: nothing learned of the old one holds.
 		*w = worker{known: true, since: since}
 	}
-	w.zone, w.cell, w.shape, w.ready, w.listed = zone, cell, shape, ready, true
+	w.zone, w.cell, w.ready, w.listed = zone, cell, ready, true
 }
 
 // ListEnd ends a list. A remembered list is no answer to a subscription.
@@ -261,7 +261,7 @@
 }
 
 // Op is a new op. It returns false for a category that the terms do not name.
-func (d *Dispatcher) Op(i, cat, tenant int, ttl Time, slots, memory float64, work Time) bool {
+func (d *Dispatcher) Op(i, cat int, ttl Time, slots, memory float64, work Time) bool {
 	if cat < 0 || cat >= len(d.categories) {
 		return false
 	}
@@ -271,7 +271,7 @@
 	// A client's TTL runs over all its tries: one that comes with less of it than others has come before.
 	c := &d.categories[cat]
 	c.longest = max(c.longest, ttl-d.now)
-	o := &op{index: i, cat: cat, tenant: tenant, ttl: ttl, came: ttl - c.longest, slots: slots, memory: memory, work: work}
+	o := &op{index: i, cat: cat, ttl: ttl, came: ttl - c.longest, slots: slots, memory: memory, work: work}
 	d.ops[i] = o
 	d.live = append(d.live, o)
 	return true
@@ -287,7 +287,7 @@
 // Report is the answer to a probe.
 func (d *Dispatcher) Report(i int, elapsed Time, load Load) {
 	d.trips = keep(d.trips, elapsed, lastFew)
-	d.answered(i, elapsed)
+	d.answered(i, elapsed, true)
 	w := &d.workers[i]
 	r := reading{load: load, at: d.now, asked: d.now - elapsed}
 	d.pairUp(w, r)
@@ -295,17 +295,17 @@
 }
 
 // Unanswered is a probe that failed.
-func (d *Dispatcher) Unanswered(i int, elapsed Time) {}
+func (d *Dispatcher) Unanswered(i int, elapsed Time) { d.answered(i, elapsed, false) }
 
-func (d *Dispatcher) answered(i int, elapsed Time) {
+func (d *Dispatcher) answered(i int, elapsed Time, report bool) {
 	for _, o := range d.live {
-		if o.out || o.over {
+		k := slices.Index(o.pair, i)
+		if o.out || o.over || k < 0 || d.now-elapsed < o.askedAt {
 			continue
 		}
-		for k, w := range o.pair {
-			if w == i && d.now-elapsed >= o.askedAt {
-				o.got[k] = true
-			}
+		if o.got[k] = report; !report {
+			// Waiting on for an answer that has failed only holds the op.
+			o.pair, o.got, o.asked = slices.Delete(o.pair, k, k+1), slices.Delete(o.got, k, k+1), o.asked-1
 		}
 	}
 }
@@ -343,7 +343,7 @@
 	}
 }
 
-// idle extends "holds no jobs" to workers of several slots, which hardly ever hold none: a job would start at once.
+// idle extends "holds no jobs" to workers of several slots, which hardly ever hold none.
 func idle(l Load) bool {
 	if l.Free < 0 {
 		return l.Jobs < 0.5
@@ -611,8 +611,7 @@
 	return o.came + c.target + Time(max(c.stretch-1, 0)*float64(run)) - d.now
 }
 
-// patience is the longest wait worth a push. Half the time to spare, since other schedulers fill queues unseen;
-// less for cheap ops, since each place they take is one that a dear op lacks.
+// patience is the longest wait worth a push. Half the time to spare: other schedulers fill queues unseen; less for cheap ops, since each place they take is one that a dear op lacks.
 func (d *Dispatcher) patience(o *op) Time {
 	least := Time(math.MaxInt64)
 	for _, c := range d.categories {
@@ -818,7 +817,7 @@
 	}
 	spare, wait := d.spare(o), d.wait(o, i)
 	if excess := wait - d.patience(o); excess > 0 {
-		// A queue that outlasts the op's time only makes it late there, and others after it: look again, or say no.
+		// A queue that outlasts the op's time only makes it late there, and others too: look again, or say no.
 		if o.looks++; spare <= 0 || o.looks >= maxLooks {
 			return d.giveUp(o, min(excess, spare/2))
 		}
@@ -837,7 +836,7 @@
 }
 
 // overdue is when silence about a push that is out speaks against its worker. It is measured by the longest
-// starts of late, so that pauses and slowness of the whole fleet stretch it and are not read as many sick workers.
+// starts of late, so that pauses and slowness of the whole fleet aren't read as many sick workers.
 func (d *Dispatcher) overdue(o *op) Time {
 	const never = Time(math.MaxInt64)
 	switch every := Time(d.num("extra.progress", 0)); {
@@ -852,7 +851,7 @@
 	return never
 }
 
-// rescuable tells whether a push that hangs should be called off: only if the rules let another worker have the op.
+// rescuable tells whether a push that hangs should be called off: only if the rules let another have the op.
 func (d *Dispatcher) rescuable(o *op) bool {
 	if d.terms["bounds.cancel"] != true {
 		return false
@@ -894,7 +893,7 @@
 	x, y := d.count(may[0]), d.count(may[1])
 	lowX, lowY := x <= t && d.fits(o, may[0]), y <= t && d.fits(o, may[1])
 	if lowX == lowY {
-		// A slow worker with a short queue still counts as Low, and what it takes finishes late (design's own worry).
+		// A slow worker with a short queue still counts as Low, and what it takes finishes late.
 		x, y := d.finish(o, may[0]), d.finish(o, may[1])
 		if float64(max(x, y)) > telling*float64(min(x, y)) {
 			return may[btoi(y < x)]
@@ -939,7 +938,7 @@
 	return d.categories[o.cat].target
 }
 
-// slow is how much longer than expected jobs run on a worker: the middle of its samples, and of the others' while few.
+// slow is how much longer than expected jobs run on a worker; while samples are few, the fleet's weigh in.
 func (d *Dispatcher) slow(i int) float64 {
 	var all []float64
 	for j := range d.workers {
@@ -957,7 +956,7 @@
 	return few[len(few)/2]
 }
 
-// fits guards against Low workers on which a wide op must wait for slots or memory while others wait behind it.
+// fits guards against Low workers on which a wide op must wait for room while others wait behind it.
 func (d *Dispatcher) fits(o *op, i int) bool {
 	w := &d.workers[i]
 	if len(w.readings) == 0 {
@@ -1015,7 +1014,7 @@
 	return math.Round(r.load.Jobs) + float64(len(d.since(i, r.asked)))
 }
 
-// giveUp answers at once: a nack where trying again is harmless, else a dead letter. A nack says when to come back.
+// giveUp answers at once: a nack where trying again is harmless, with when to come back; else a dead letter.
 func (d *Dispatcher) giveUp(o *op, pause Time) (Verb, int, Time) {
 	o.over = true
 	if !d.harmless(o) {
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -70,7 +70,8 @@
 		name   string
 		jx, jy float64
 		want   int // 0 for x, 1 for y, 2 for either
-	}{{"Low before High", 1, 3, 0}, {"High after Low", 2, 0, 1}, {"lower count", 3, 2, 1}, {"two Low", 0, 1, 2}} {
+	}{{"Low before High", 1, 3, 0}, {"High after Low", 2, 0, 1}, {"lower count", 3, 2, 1},
+		{"two Low", 0, 1, 2}} {
 		took := map[bool]int{}
 		for i := range 40 {
 			d := fleet(6, nil)
@@ -110,7 +111,7 @@
 	d.halved = d.now
 	copy(d.a[:], []float64{4, 4, 4, 4})
 	copy(d.b[:], []float64{4, 4, 4, 0})
-	d.Op(0, 0, 0, d.now+50_000, 4, 0, 0)
+	d.Op(0, 0, d.now+50_000, 4, 0, 0)
 	decisions(d)
 	if got := pushed(t, d, 0, jobs(2), 1, jobs(0)); got != 1 {
 		t.Errorf("an op of four slots went to worker %d with two free", got)
@@ -123,7 +124,7 @@
 	for i := range d.workers {
 		d.workers[i].places = []place{{1, 4_000}}
 	}
-	d.Op(0, 0, 0, d.now+50_000, 1, 0, 0)
+	d.Op(0, 0, d.now+50_000, 1, 0, 0)
 	probes := 0
 	for range 400 {
 		for _, a := range decisions(d) {
@@ -194,7 +195,7 @@
 
 func TestNoReadyWorker(t *testing.T) {
 	d := fleet(0, nil)
-	d.Op(0, 4, 0, d.now+50_000, 1, 0, 0)
+	d.Op(0, 4, d.now+50_000, 1, 0, 0)
 	if all := decisions(d); len(all) != 0 {
 		t.Fatalf("held at first, got %v", all)
 	}
@@ -202,8 +203,9 @@
 	if all := decisions(d); len(all) == 0 || all[0].do != Nack {
 		t.Errorf("nothing was sent, so a nack is harmless: got %v", all)
 	}
-	d.Op(1, 0, 0, d.now+10, 1, 0, 0)
-	if all := decisions(d); !slices.ContainsFunc(all, func(a decision) bool { return a.do == Nack && a.op == 1 }) {
+	d.Op(1, 0, d.now+10, 1, 0, 0)
+	all := decisions(d)
+	if !slices.ContainsFunc(all, func(a decision) bool { return a.do == Nack && a.op == 1 }) {
 		t.Errorf("an op that comes with no time left is answered at once: %v", all)
 	}
 }
@@ -232,12 +234,12 @@
 	if asks() != 1 {
 		t.Fatal("a refused call must be made again")
 	}
-	d.Entry(0, 0, 0, 0, false, 0)
+	d.Entry(0, 0, 0, false, 0)
 	d.ListEnd(false)
 	d.ListWhole()
-	d.Entry(2, 0, 2, 0, true, 0)
+	d.Entry(2, 0, 2, true, 0)
 	d.ListEnd(false)
-	d.Op(0, 0, 0, d.now+50_000, 1, 0, 0)
+	d.Op(0, 0, d.now+50_000, 1, 0, 0)
 	if all := decisions(d); len(all) != 1 || all[0].worker != 2 {
 		t.Errorf("only worker 2 is ready, got %v", all)
 	}
@@ -246,9 +248,9 @@
 // Clients that were turned away came back at once and were given a whole new target each time.
 func TestRetryCountsFromItsFirstTry(t *testing.T) {
 	d := fleet(2, nil)
-	d.Op(0, 0, 0, d.now+50_000, 1, 0, 0)
+	d.Op(0, 0, d.now+50_000, 1, 0, 0)
 	d.Clock(d.now + 1_000)
-	d.Op(1, 0, 0, d.now+46_000, 1, 0, 0)
+	d.Op(1, 0, d.now+46_000, 1, 0, 0)
 	if got := d.spare(d.op(0)); got != 4_000 {
 		t.Errorf("the first try has %d to spare, want 4000", got)
 	}
@@ -278,7 +280,7 @@
 // Ops with seconds to spare filled queues to seconds, and a category of short targets never found a place.
 func TestPatienceIsCapped(t *testing.T) {
 	d := fleet(2, map[string]any{"categories.1.targetLatency": 100_000.0})
-	d.Op(0, 1, 0, d.now+200_000, 1, 0, 0)
+	d.Op(0, 1, d.now+200_000, 1, 0, 0)
 	if got := d.patience(d.op(0)); got > 2*5_000 {
 		t.Errorf("patience %d, over twice the least target", got)
 	}
@@ -287,8 +289,8 @@
 // In overload cheap ops took the places of dear ones.
 func TestCheapOpsAreLessPatient(t *testing.T) {
 	d := fleet(2, map[string]any{"benefitPer": "work", "categories.1.benefit": 8.0})
-	d.Op(0, 0, 0, d.now+50_000, 1, 0, 0)
-	d.Op(1, 1, 0, d.now+50_000, 1, 0, 0)
+	d.Op(0, 0, d.now+50_000, 1, 0, 0)
+	d.Op(1, 1, d.now+50_000, 1, 0, 0)
 	if cheap, dear := d.patience(d.op(0)), d.patience(d.op(1)); 4*cheap != dear {
 		t.Errorf("patience %d and %d for benefits 2 and 8", cheap, dear)
 	}
@@ -305,7 +307,7 @@
 	}
 }
 
-// silent pushes n ops to worker 0, which never answers, and returns what is decided well past every start seen.
+// silent pushes n ops to worker 0, which never answers, and counts what is called off well past any start.
 func silent(t *testing.T, n int, speaks bool) (calledOff int) {
 	t.Helper()
 	d := fleet(2, nil)
@@ -313,7 +315,7 @@
 		d.starts = append(d.starts, start{d.now, 100})
 	}
 	for i := range n {
-		d.Op(i, 0, 0, d.now+50_000, 1, 0, 0)
+		d.Op(i, 0, d.now+50_000, 1, 0, 0)
 		decisions(d)
 		d.Clock(d.now + d.shortWait())
 		d.Report(0, 0, jobs(float64(i)/4)) // worker 1 does not answer the probe
@@ -368,3 +370,15 @@
 		t.Error("old lateness still sets reports aside")
 	}
 }
+
+// A failed probe held its op for the whole short wait.
+func TestFailedProbeIsNotWaitedFor(t *testing.T) {
+	d := fleet(6, nil)
+	x, y := probed(t, d, 0, 0)
+	d.Clock(d.now + 50)
+	d.Report(x, 50, jobs(3))
+	d.Unanswered(y, 50)
+	if got := push(t, d); got != x {
+		t.Errorf("pushed to %d, not to %d", got, x)
+	}
+}
--- a/dispatch/helpers_test.go
+++ b/dispatch/helpers_test.go
@@ -29,7 +29,7 @@
 	d.Clock(1_000_000)
 	d.ListWhole()
 	for i := range n {
-		d.Entry(i, i%2, i%4, 0, true, 0)
+		d.Entry(i, i%2, i%4, true, 0)
 	}
 	d.ListEnd(true)
 	return d
@@ -56,7 +56,7 @@
 // probed gives an op to the dispatcher and returns the two workers that it asks.
 func probed(t *testing.T, d *Dispatcher, op, cat int) (x, y int) {
 	t.Helper()
-	d.Op(op, cat, 0, d.now+50_000, 1, 0, 0)
+	d.Op(op, cat, d.now+50_000, 1, 0, 0)
 	all := decisions(d)
 	if len(all) != 2 || all[0].do != Probe || all[1].do != Probe || all[0].worker == all[1].worker {
 		t.Fatalf("a new op must probe two workers, got %v", all)
--- a/dispatch/rules_test.go
+++ b/dispatch/rules_test.go
@@ -71,8 +71,9 @@
 	o := m.ops[op]
 	at := "categories." + string(rune('0'+o.cat)) + "."
 	for _, p := range o.pushes {
+		past := now >= p.at+Time(t[at+"window"].(float64))
 		if p.mayHaveRun() && t[at+"effect"] != "redeliverable" &&
-			(t[at+"effect"] == "at-most-once" || t[at+"dedupScope"] != "all" || now >= p.at+Time(t[at+"window"].(float64))) {
+			(t[at+"effect"] == "at-most-once" || t[at+"dedupScope"] != "all" || past) {
 			return false
 		}
 	}
@@ -90,7 +91,8 @@
 func storm(t *testing.T, seed int64) bool {
 	r := rand.New(rand.NewSource(seed))
 	mode := [2]string{"pushed", "on_request"}[r.Intn(2)]
-	terms := terms(map[string]any{"discovery": mode, "bounds.probes": r.Intn(5) > 0, "bounds.secondCopies": r.Intn(2) == 0})
+	terms := terms(map[string]any{"discovery": mode, "bounds.probes": r.Intn(5) > 0,
+		"bounds.secondCopies": r.Intn(2) == 0})
 	d := New(uint64(seed), terms)
 	m := &plain{map[int]bool{}, map[int][2]int{}, map[int]Time{}, map[int]*plainOp{}, map[int][]sent{}}
 	now, next := Time(1_000_000), 0
@@ -104,7 +106,7 @@
 		if r.Intn(8) == 0 {
 			m.since[i] = now
 		}
-		d.Entry(i, m.where[i][0], m.where[i][1], 0, m.ready[i], m.since[i])
+		d.Entry(i, m.where[i][0], m.where[i][1], m.ready[i], m.since[i])
 	}
 	for step := range 400 {
 		if step == 0 || r.Intn(60) == 0 {
@@ -131,7 +133,7 @@
 			names[i] = next
 			o := &plainOp{cat: r.Intn(5), ttl: now + Time(r.Intn(30_000))}
 			m.ops[next] = o
-			d.Op(i, o.cat, 0, o.ttl, float64(1+r.Intn(2)), 0, 0)
+			d.Op(i, o.cat, o.ttl, float64(1+r.Intn(2)), 0, 0)
 		}
 		for i, name := range names {
 			if name == 0 || len(m.ops[name].pushes) == 0 {
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -46,10 +46,8 @@
 	Records    []record       `json:"records"`
 	Req        string         `json:"req"`
 	Lane       int            `json:"lane"`
-	Team       int            `json:"team"`
 	ValidUntil int64          `json:"validUntilNs"`
 	Slots      float64        `json:"slots"`
-	Retry      bool           `json:"retry"`
 	Memory     float64        `json:"memory"`
 	WorkNs     int64          `json:"workNs"`
 	Leg        int            `json:"leg"`
@@ -63,13 +61,11 @@
 }
 
 type record struct {
-	Locality     int     `json:"locality"`
-	Worker       string  `json:"worker"`
-	Availability string  `json:"availability"`
-	CapacityHint float64 `json:"capacityHint"`
-	UnitGroup    int     `json:"unitGroup"`
-	SinceNs      int64   `json:"sinceNs"`
-	ClassOfHost  int     `json:"classOfHost"`
+	Locality     int    `json:"locality"`
+	Worker       string `json:"worker"`
+	Availability string `json:"availability"`
+	UnitGroup    int    `json:"unitGroup"`
+	SinceNs      int64  `json:"sinceNs"`
 }
 
 type scheduler struct {
@@ -178,7 +174,7 @@
 		if _, twice := s.ops[it.Req]; twice {
 			return fmt.Errorf("req %s came twice", it.Req)
 		}
-		if !s.d.Op(s.opIndex(it.Req), it.Lane, it.Team, down(it.ValidUntil), max(it.Slots, 1), it.Memory,
+		if !s.d.Op(s.opIndex(it.Req), it.Lane, down(it.ValidUntil), max(it.Slots, 1), it.Memory,
 			up(it.WorkNs)) {
 			return fmt.Errorf("lane %d is in no settings", it.Lane)
 		}
@@ -317,7 +313,7 @@
 			s.names = append(s.names, r.Worker)
 		}
 		ready := r.Availability == "ready"
-		s.d.Entry(wi, r.Locality, r.UnitGroup, r.ClassOfHost, ready, up(r.SinceNs))
+		s.d.Entry(wi, r.Locality, r.UnitGroup, ready, up(r.SinceNs))
 	}
 	s.d.ListEnd(it.Scope == "remembered")
 	return nil
