--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -611,7 +611,9 @@
 	return o.came + c.target + Time(max(c.stretch-1, 0)*float64(run)) - d.now
 }
 
-// patience is the longest wait worth a push. Half the time to spare: other schedulers fill queues unseen; less for cheap ops, since each place they take is one that a dear op lacks.
+// patience is the longest wait worth a push: half the time to spare, as other schedulers fill queues unseen;
+// less for cheap ops, since each place they take is one that a dear op lacks; and little enough that ops with
+// much time to spare don't fill the queues that short ones need.
 func (d *Dispatcher) patience(o *op) Time {
 	least := Time(math.MaxInt64)
 	for _, c := range d.categories {
@@ -994,7 +996,7 @@
 		}
 	}
 	// In overload few are to start at once: old lateness must not keep reports out that hold again.
-	return n >= lastFew/4 && 5*late > 2*n
+	return n >= lastFew/4 && 5*late > 3*n
 }
 
 // count is a worker's jobs: its last report and this scheduler's own pushes since.
