--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -448,17 +448,25 @@
 		d.judge(o.worker, true)
 	case Refused, Unsent, Unreached:
 	default:
-		if !o.ran {
-			// The first push that may have run fixes the group and the window for every further one.
-			o.ran, o.ranAt, o.ranZone, o.ranGrp = true, o.sentAt, w.zone, w.cell
-		}
+		o.mayHaveRun(w)
 	}
 	if how == Errored || how == TimedOut || how == Broke || how == Unreached {
 		d.judge(o.worker, false)
 	}
-	o.pair, o.got, o.asked, o.looks = nil, nil, 0, 0
+	o.looks = 0
+	o.unask()
 }
 
+// mayHaveRun marks the first push that may have run: it fixes group and window for every further one.
+func (o *op) mayHaveRun(w *worker) {
+	if !o.ran {
+		o.ran, o.ranAt, o.ranZone, o.ranGrp = true, o.sentAt, w.zone, w.cell
+	}
+}
+
+// unask lets the next pair be drawn.
+func (o *op) unask() { o.pair, o.got, o.asked = nil, nil, 0 }
+
 // Left says that the client has gone; nothing is owed.
 func (d *Dispatcher) Left(i int) {
 	if o := d.op(i); o != nil {
@@ -579,7 +587,7 @@
 	return w.since + Time(at*float64(d.coldSpan(o, w)))
 }
 
-// width is how many jobs a worker runs at once, from its reports or those of its like.
+// width is how many jobs a worker runs at once, from its reports; 1 while it has sent none.
 func (d *Dispatcher) width(w *worker) float64 {
 	n := 0.0
 	for _, r := range w.readings {
@@ -611,15 +619,19 @@
 	return o.came + c.target + Time(max(c.stretch-1, 0)*float64(run)) - d.now
 }
 
-// patience is the longest wait worth a push: half the time to spare, as other schedulers fill queues unseen;
-// less for cheap ops, since each place they take is one that a dear op lacks; and little enough that ops with
-// much time to spare don't fill the queues that short ones need.
-func (d *Dispatcher) patience(o *op) Time {
+func (d *Dispatcher) leastTarget() Time {
 	least := Time(math.MaxInt64)
 	for _, c := range d.categories {
 		least = min(least, c.target)
 	}
-	return max(min(Time(d.rank(o)/2*float64(d.spare(o))), 2*least), 0)
+	return least
+}
+
+// patience is the longest wait worth a push: half the time to spare, as other schedulers fill queues unseen;
+// less for cheap ops, since each place they take is one that a dear op lacks; and little enough that ops with
+// much time to spare don't fill the queues that short ones need.
+func (d *Dispatcher) patience(o *op) Time {
+	return max(min(Time(d.rank(o)/2*float64(d.spare(o))), 2*d.leastTarget()), 0)
 }
 
 // hopeless tells of a worker that was read too lately for its queue to be short enough by now.
@@ -700,10 +712,7 @@
 
 // shortWait is how long an op waits for its probes: what they took of late, and a little more.
 func (d *Dispatcher) shortWait() Time {
-	least := Time(math.MaxInt64)
-	for _, c := range d.categories {
-		least = min(least, c.target)
-	}
+	least := d.leastTarget()
 	if len(d.trips) == 0 {
 		return least / 4
 	}
@@ -814,7 +823,7 @@
 	}
 	i := d.choose(o)
 	if i < 0 {
-		o.pair, o.got, o.asked = nil, nil, 0
+		o.unask()
 		return Nothing, 0, 0
 	}
 	spare, wait := d.spare(o), d.wait(o, i)
@@ -823,7 +832,7 @@
 		if o.looks++; spare <= 0 || o.looks >= maxLooks {
 			return d.giveUp(o, min(excess, spare/2))
 		}
-		o.pair, o.got, o.asked = nil, nil, 0
+		o.unask()
 		o.next = d.now + spare/4 + 1
 		return Nothing, 0, 0
 	}
@@ -859,9 +868,8 @@
 		return false
 	}
 	w, again := &d.workers[o.worker], *o
-	if again.out = false; !again.ran {
-		again.ran, again.ranAt, again.ranZone, again.ranGrp = true, o.sentAt, w.zone, w.cell
-	}
+	again.out = false
+	again.mayHaveRun(w)
 	for i := range d.workers {
 		if i != o.worker && d.allowed(&again, i) && !d.doubtful(&d.workers[i]) {
 			return true
