--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -11,7 +11,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -103,6 +102,8 @@
 	places       []place
 	strides      []float64 // how long jobs ran, over what was expected
 	verdicts     []verdict // the last few, newest last
+	failed       Time      // when the last bad verdict came
+	out          []*op     // this scheduler's pushes that are out there
 	heard        Time      // when it last said anything of a push
 	nextCold     Time      // while cold: when the budget allows the next push
 }
@@ -135,6 +136,14 @@
 	begun, over     bool
 }
 
+// digest is what is worked out of the samples for many decisions: over a large fleet, working it out for each
+// worker of each op took more CPU than a scheduler has.
+type digest struct {
+	trip, longest Time   // the middle probe round trip; the longest start of late
+	misled        bool   // reports come late
+	middle, usual []Time // run of each category: the median, the mean
+}
+
 // Dispatcher is one scheduler's decisions and what they rest on.
 type Dispatcher struct {
 	chance     uint64
@@ -151,6 +160,13 @@
 	trips      []Time  // probe round trips, the last few
 	starts     []start // of jobs that were to start at once, the last few
 	runs       [][]Time
+	least      Time      // the least target latency
+	longRuns   []float64 // all workers' strides, in order
+	placed     float64   // all workers' places and what they took
+	took       Time
+	fresh      bool // the digest holds
+	ranAnew    bool // but for the runs
+	digest     digest
 	subscribed bool
 	callAt     Time
 	woken      Time
@@ -176,6 +192,11 @@
 		d.categories = append(d.categories, c)
 	}
 	d.runs = make([][]Time, len(d.categories))
+	d.digest.middle, d.digest.usual = make([]Time, len(d.categories)), make([]Time, len(d.categories))
+	d.least = math.MaxInt64
+	for _, c := range d.categories {
+		d.least = min(d.least, c.target)
+	}
 	return d
 }
 
@@ -202,7 +223,9 @@
 }
 
 func quantile(few []Time, q float64) Time {
-	s := slices.Sorted(slices.Values(few))
+	var room [lastFew]Time
+	s := append(room[:0], few...)
+	slices.Sort(s)
 	return s[int(q*float64(len(s)-1)+0.5)]
 }
 
@@ -217,7 +240,7 @@
 // Clock tells the time; it never goes back.
 func (d *Dispatcher) Clock(now Time) {
 	d.now = max(d.now, now)
-	d.at = 0
+	d.at, d.fresh = 0, false
 }
 
 // ListWhole begins a whole list: a worker that it does not name is gone.
@@ -235,7 +258,13 @@
 	w := &d.workers[i]
 	if !w.known || since > w.since {
 		// A restarted process is another worker under the same id: nothing learned of the old one holds.
-		*w = worker{known: true, since: since}
+		for _, p := range w.places {
+			d.placed, d.took = d.placed-p.place, d.took-p.took
+		}
+		for len(w.strides) > 0 {
+			d.forgetStride(w)
+		}
+		*w = worker{known: true, since: since, out: w.out}
 	}
 	w.zone, w.cell, w.ready, w.listed = zone, cell, ready, true
 }
@@ -286,7 +315,7 @@
 
 // Report is the answer to a probe.
 func (d *Dispatcher) Report(i int, elapsed Time, load Load) {
-	d.trips = keep(d.trips, elapsed, lastFew)
+	d.trips, d.fresh = keep(d.trips, elapsed, lastFew), false
 	d.answered(i, elapsed, true)
 	w := &d.workers[i]
 	r := reading{load: load, at: d.now, asked: d.now - elapsed}
@@ -403,7 +432,7 @@
 	if o == nil || !o.out || leg != o.legs-1 {
 		return
 	}
-	o.heard, d.workers[o.worker].heard = d.now, d.now
+	o.heard, d.workers[o.worker].heard, d.fresh = d.now, d.now, false
 	if started && o.started == 0 {
 		o.started = d.now
 		if o.looked {
@@ -412,8 +441,7 @@
 		d.taus = keep(d.taus, d.now-o.askedAt, lastFew)
 		d.judge(o.worker, true)
 		if o.place > 0 {
-			w := &d.workers[o.worker]
-			w.places = keep(w.places, place{o.place, d.now - o.sentAt}, lastFew)
+			d.learnPlace(&d.workers[o.worker], place{o.place, d.now - o.sentAt})
 		}
 	}
 }
@@ -431,17 +459,19 @@
 	if o == nil || !o.out || leg != o.legs-1 {
 		return
 	}
-	o.out = false
+	o.out, d.fresh = false, false
 	o.over = o.over || over
 	w := &d.workers[o.worker]
+	w.out = slices.DeleteFunc(w.out, func(p *op) bool { return p == o })
 	if how != TimedOut && how != Withdrawn {
 		w.heard = d.now // those two are this side's own word
 	}
 	switch how {
 	case Served:
 		if o.started > 0 {
-			w.strides = keep(w.strides, float64(d.now-o.started)/float64(max(d.expected(o), 1)), lastFew)
+			d.learnStride(w, float64(d.now-o.started)/float64(max(d.expected(o), 1)))
 			d.runs[o.cat] = keep(d.runs[o.cat], d.now-o.started, lastFew)
+			d.fresh, d.ranAnew = false, true
 		} else if d.terms["extra.tellsStart"] != true {
 			d.taus = keep(d.taus, d.now-o.askedAt, lastFew)
 		}
@@ -457,6 +487,28 @@
 	o.unask()
 }
 
+func (d *Dispatcher) learnPlace(w *worker, p place) {
+	if len(w.places) == lastFew {
+		d.placed, d.took = d.placed-w.places[0].place, d.took-w.places[0].took
+	}
+	w.places = keep(w.places, p, lastFew)
+	d.placed, d.took = d.placed+p.place, d.took+p.took
+}
+
+func (d *Dispatcher) learnStride(w *worker, x float64) {
+	if len(w.strides) == lastFew {
+		d.forgetStride(w)
+	}
+	w.strides = append(w.strides, x)
+	k, _ := slices.BinarySearch(d.longRuns, x)
+	d.longRuns = slices.Insert(d.longRuns, k, x)
+}
+
+func (d *Dispatcher) forgetStride(w *worker) {
+	k, _ := slices.BinarySearch(d.longRuns, w.strides[0])
+	d.longRuns, w.strides = slices.Delete(d.longRuns, k, k+1), w.strides[1:]
+}
+
 // mayHaveRun marks the first push that may have run: it fixes group and window for every further one.
 func (o *op) mayHaveRun(w *worker) {
 	if !o.ran {
@@ -476,13 +528,18 @@
 
 func (d *Dispatcher) judge(i int, ok bool) {
 	w := &d.workers[i]
-	w.verdicts = keep(w.verdicts, verdict{d.now, ok}, lastFew)
+	if w.verdicts = keep(w.verdicts, verdict{d.now, ok}, lastFew); !ok {
+		w.failed = d.now
+	}
 }
 
 // doubtful is a sequential test on a worker's outcomes: an ordinary chance of failure against a high one.
 func (d *Dispatcher) doubtful(w *worker) bool {
 	const p0, p1, accept = 0.05, 0.5, 2.9 // 2.9 is ln((1-beta)/alpha) for both errors near 0.05
 	s := 0.0
+	if w.failed == 0 || d.now-w.failed > healthMax {
+		return false
+	}
 	for _, v := range w.verdicts {
 		if d.now-v.at > healthMax {
 			continue
@@ -600,8 +657,8 @@
 
 // length is how long an op like this ran of late.
 func (d *Dispatcher) length(o *op) Time {
-	if few := d.runs[o.cat]; len(few) > 0 {
-		return mean(few)
+	if len(d.runs[o.cat]) > 0 {
+		return d.figures().usual[o.cat]
 	}
 	if o.work > 0 {
 		return o.work
@@ -614,24 +671,45 @@
 	c := &d.categories[o.cat]
 	run := o.work
 	if run == 0 && len(d.runs[o.cat]) > 0 {
-		run = quantile(d.runs[o.cat], 0.5)
+		run = d.figures().middle[o.cat]
 	}
 	return o.came + c.target + Time(max(c.stretch-1, 0)*float64(run)) - d.now
 }
 
-func (d *Dispatcher) leastTarget() Time {
-	least := Time(math.MaxInt64)
-	for _, c := range d.categories {
-		least = min(least, c.target)
+// figures works the digest out where inputs have come since.
+func (d *Dispatcher) figures() *digest {
+	g := &d.digest
+	if d.fresh {
+		return g
 	}
-	return least
+	d.fresh = true
+	for i, few := range d.runs {
+		if d.ranAnew && len(few) > 0 {
+			g.middle[i], g.usual[i] = quantile(few, 0.5), mean(few)
+		}
+	}
+	if d.ranAnew = false; len(d.trips) > 0 {
+		g.trip = quantile(d.trips, 0.5)
+	}
+	// Reports seconds late send all schedulers to the workers that look idle. They are taken for late while many
+	// of the last pushes that were to start at once did not.
+	late, n, prompt := 0, 0, 5*g.trip+4*Time(d.num("step", 0))
+	g.longest = 0
+	for _, s := range d.starts {
+		if g.longest = max(g.longest, s.took); d.now-s.at < healthMax/3 {
+			late, n = late+btoi(s.took > prompt), n+1
+		}
+	}
+	// In overload few are to start at once: old lateness must not keep reports out that hold again.
+	g.misled = len(d.trips) > 0 && n >= lastFew/4 && 5*late > 3*n
+	return g
 }
 
 // patience is the longest wait worth a push: half the time to spare, as other schedulers fill queues unseen;
 // less for cheap ops, since each place they take is one that a dear op lacks; and little enough that ops with
 // much time to spare don't fill the queues that short ones need.
 func (d *Dispatcher) patience(o *op) Time {
-	return max(min(Time(d.rank(o)/2*float64(d.spare(o))), 2*d.leastTarget()), 0)
+	return max(min(Time(d.rank(o)/2*float64(d.spare(o))), 2*d.least), 0)
 }
 
 // hopeless tells of a worker that was read too lately for its queue to be short enough by now.
@@ -646,7 +724,7 @@
 	for i, c := range d.categories {
 		b := c.benefit
 		if d.terms["benefitPer"] != "work" {
-			b /= float64(max(mean(d.runs[i]), 1))
+			b /= float64(max(d.figures().usual[i], 1))
 			if len(d.runs[i]) == 0 {
 				return 1
 			}
@@ -660,29 +738,24 @@
 
 // wait is how long an op would wait at a worker: its place in the queue, and how long a place took of late.
 func (d *Dispatcher) wait(o *op, i int) Time {
-	var took Time
-	n := 0.0
-	for j := range d.workers {
-		weight := 1
-		if j == i {
-			weight = 4 // its own places tell more than those of the others, but there are few
-		}
-		for _, p := range d.workers[j].places {
-			took, n = took+Time(weight)*p.took, n+float64(weight)*p.place
-		}
+	at := d.place(o, i)
+	if at == 0 {
+		return 0
 	}
-	return Time(d.place(o, i) / max(n, 1) * float64(took))
+	took, n := d.took, d.placed
+	for _, p := range d.workers[i].places {
+		took, n = took+3*p.took, n+3*p.place // its own places tell more than those of the others, but there are few
+	}
+	return Time(at / max(n, 1) * float64(took))
 }
 
 // place is where in a worker's queue the op would stand; 0 if it starts at once.
 func (d *Dispatcher) place(o *op, i int) float64 {
 	w := &d.workers[i]
-	if d.misled() {
+	if d.figures().misled {
 		n := 0.0
-		for _, p := range d.live {
-			if p.out && p.worker == i && p.started == 0 {
-				n++
-			}
+		for _, p := range w.out {
+			n += float64(btoi(p.started == 0))
 		}
 		return n
 	}
@@ -712,11 +785,11 @@
 
 // shortWait is how long an op waits for its probes: what they took of late, and a little more.
 func (d *Dispatcher) shortWait() Time {
-	least := d.leastTarget()
+	least := d.least
 	if len(d.trips) == 0 {
 		return least / 4
 	}
-	return min(2*quantile(d.trips, 0.5)+Time(d.num("step", 0)), least/2)
+	return min(2*d.figures().trip+Time(d.num("step", 0)), least/2)
 }
 
 // margin is kept before the TTL for the final answer: a time-out and the answer to it take a step each.
@@ -843,6 +916,7 @@
 	}
 	o.out, o.worker, o.sentAt, o.heard, o.started, o.silent, o.retracted = true, i, d.now, d.now, 0, false, false
 	o.legs++
+	w.out = append(w.out, o)
 	return Push, i, max(o.ttl-d.now-d.margin()+Time(d.num("step", 0)), 1)
 }
 
@@ -854,8 +928,7 @@
 	case o.begun || d.terms["extra.tellsStart"] != true || len(d.starts) < lastFew/4:
 		return never
 	case o.started == 0:
-		longest := slices.MaxFunc(d.starts, func(x, y start) int { return cmp.Compare(x.took, y.took) }).took
-		return max(o.sentAt, d.workers[o.worker].heard) + 2*(longest+o.foretold) + second/10 + every
+		return max(o.sentAt, d.workers[o.worker].heard) + 2*(d.figures().longest+o.foretold) + second/10 + every
 	case every > 0:
 		return max(o.heard, d.workers[o.worker].heard) + 3*every
 	}
@@ -897,7 +970,7 @@
 		return may[0]
 	}
 	t := float64(d.threshold())
-	if d.misled() {
+	if d.figures().misled {
 		t = -1 // nobody is known to be Low: the lower count of own pushes wins, else the draw
 	}
 	x, y := d.count(may[0]), d.count(may[1])
@@ -942,23 +1015,18 @@
 	if o.work > 0 {
 		return o.work
 	}
-	if few := d.runs[o.cat]; len(few) > 0 {
-		return quantile(few, 0.5)
+	if len(d.runs[o.cat]) > 0 {
+		return d.figures().middle[o.cat]
 	}
 	return d.categories[o.cat].target
 }
 
 // slow is how much longer than expected jobs run on a worker; while samples are few, the fleet's weigh in.
 func (d *Dispatcher) slow(i int) float64 {
-	var all []float64
-	for j := range d.workers {
-		all = append(all, d.workers[j].strides...)
-	}
-	few := d.workers[i].strides
+	all, few := d.longRuns, d.workers[i].strides
 	if len(all) == 0 {
 		return 1
 	}
-	slices.Sort(all)
 	for range 3 {
 		few = append(few[:len(few):len(few)], all[len(all)/2])
 	}
@@ -983,39 +1051,19 @@
 
 // since are this scheduler's pushes to a worker that a report asked for then need not show.
 func (d *Dispatcher) since(i int, asked Time) (out []*op) {
-	for _, o := range d.live {
-		if o.out && o.worker == i && o.sentAt >= asked-reportLag {
+	for _, o := range d.workers[i].out {
+		if o.sentAt >= asked-reportLag {
 			out = append(out, o)
 		}
 	}
 	return out
 }
 
-// misled guards against reports that are seconds late: all schedulers then run to the workers that look idle.
-// They are taken for late while many of the last pushes that were to start at once did not.
-func (d *Dispatcher) misled() bool {
-	if len(d.trips) == 0 {
-		return false
-	}
-	late, n, prompt := 0, 0, 5*quantile(d.trips, 0.5)+4*Time(d.num("step", 0))
-	for _, s := range d.starts {
-		if d.now-s.at < healthMax/3 {
-			late, n = late+btoi(s.took > prompt), n+1
-		}
-	}
-	// In overload few are to start at once: old lateness must not keep reports out that hold again.
-	return n >= lastFew/4 && 5*late > 3*n
-}
-
 // count is a worker's jobs: its last report and this scheduler's own pushes since.
 func (d *Dispatcher) count(i int) float64 {
 	w := &d.workers[i]
-	if d.misled() {
-		n := 0.0
-		for _, o := range d.live {
-			n += float64(btoi(o.out && o.worker == i))
-		}
-		return n
+	if d.figures().misled {
+		return float64(len(w.out))
 	}
 	if len(w.readings) == 0 {
 		return 0
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -366,7 +366,7 @@
 		t.Error("followed a late report to the worker that has this scheduler's own push")
 	}
 	d.Clock(d.now + healthMax)
-	if d.misled() {
+	if d.figures().misled {
 		t.Error("old lateness still sets reports aside")
 	}
 }
