Cold workers by a lot for each op, a test for each zone, no rescue of silent pushes

Outcomes and probes of a zone are now one sequential test, and its workers come by its posterior. Cold workers. Cause: an equal share of the budget was under one op a span with hundreds of schedulers, so new capacity lay idle. The two probes already bound what all together ask of a worker, so a lot for each op replaces the share, and a cold worker is pushed to only where its report leaves room.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -24,12 +24,11 @@
 // Verb is what Next decided: with an op, a worker and a span where the verb needs them.
 type Verb int
 
-// Retract names the push in the worker's place. The span is a time-out, a nack's pause or a wake's delay.
+// The span is a time-out, a nack's pause or a wake's delay.
 const (
 	Nothing Verb = iota
 	Push
 	Probe
-	Retract
 	Nack
 	DeadLetter
 	Subscribe
@@ -84,6 +83,13 @@
 	ok bool
 }
 
+// health is what outcomes say of a worker, or of the way to a zone.
+type health struct {
+	verdicts []verdict // the last few, newest last
+	failed   Time      // when the last bad one came
+	p0, p1   float64   // an ordinary chance of failure, and one that is none
+}
+
 // place is where a push stood in a worker's queue, and how long it took to start.
 type place struct {
 	place float64
@@ -101,11 +107,9 @@
 	readings     []reading // the last few, newest last
 	places       []place
 	strides      []float64 // how long jobs ran, over what was expected
-	verdicts     []verdict // the last few, newest last
-	failed       Time      // when the last bad verdict came
-	out          []*op     // this scheduler's pushes that are out there
-	heard        Time      // when it last said anything of a push
-	nextCold     Time      // while cold: when the budget allows the next push
+	health       health
+	out          []*op // this scheduler's pushes that are out there
+	heard        Time  // when it last said anything of a push
 }
 
 type op struct {
@@ -129,7 +133,6 @@
 	foretold        Time // how long it was to wait
 	looked          bool // a report said that it was to start at once
 	silent          bool // it was counted against its worker
-	retracted       bool
 	ran             bool // some push may have run
 	ranAt           Time // when the first such push was sent
 	ranZone, ranGrp int
@@ -151,9 +154,11 @@
 	categories []category
 	now        Time
 	workers    []worker
-	ops        []*op // by index
-	live       []*op // in order of arrival
-	at         int   // where Next goes on in live
+	ready      int
+	zones      []health // by zone: can its workers be reached from here?
+	ops        []*op    // by index
+	live       []*op    // in order of arrival
+	at         int      // where Next goes on in live
 	a, b       [maxCount + 1]float64
 	halved     Time
 	taus       []Time  // from probe to start, the last few
@@ -264,17 +269,21 @@
 		for len(w.strides) > 0 {
 			d.forgetStride(w)
 		}
-		*w = worker{known: true, since: since, out: w.out}
+		*w = worker{known: true, since: since, out: w.out, health: health{p0: 0.05, p1: 0.5}}
+	}
+	for len(d.zones) <= zone {
+		d.zones = append(d.zones, health{p0: 0.2, p1: 0.9}) // a few dead workers don't make a zone lost
 	}
 	w.zone, w.cell, w.ready, w.listed = zone, cell, ready, true
 }
 
 // ListEnd ends a list. A remembered list is no answer to a subscription.
 func (d *Dispatcher) ListEnd(remembered bool) {
+	d.ready = 0
 	for i := range d.workers {
-		if !d.workers[i].listed {
-			d.workers[i].ready = false
-		}
+		w := &d.workers[i]
+		w.ready = w.ready && w.listed
+		d.ready += btoi(w.ready)
 	}
 	if !remembered {
 		d.subscribed = true
@@ -318,13 +327,18 @@
 	d.trips, d.fresh = keep(d.trips, elapsed, lastFew), false
 	d.answered(i, elapsed, true)
 	w := &d.workers[i]
+	d.zones[w.zone].add(d.now, true)
 	r := reading{load: load, at: d.now, asked: d.now - elapsed}
 	d.pairUp(w, r)
 	w.readings = keep(w.readings, r, lastFew)
 }
 
-// Unanswered is a probe that failed.
-func (d *Dispatcher) Unanswered(i int, elapsed Time) { d.answered(i, elapsed, false) }
+// Unanswered is a probe that failed. A zone that is cut off shows in probes first: over many workers each
+// scheduler has too few outcomes of any one to notice. A probe turned away has reached its worker.
+func (d *Dispatcher) Unanswered(i int, elapsed Time, how Outcome) {
+	d.zones[d.workers[i].zone].add(d.now, how == Refused)
+	d.answered(i, elapsed, false)
+}
 
 func (d *Dispatcher) answered(i int, elapsed Time, report bool) {
 	for _, o := range d.live {
@@ -478,7 +492,9 @@
 		d.judge(o.worker, true)
 	case Refused, Unsent, Unreached:
 	default:
-		o.mayHaveRun(w)
+		if !o.ran { // the first push that may have run fixes group and window for every further one
+			o.ran, o.ranAt, o.ranZone, o.ranGrp = true, o.sentAt, w.zone, w.cell
+		}
 	}
 	if how == Errored || how == TimedOut || how == Broke || how == Unreached {
 		d.judge(o.worker, false)
@@ -509,13 +525,6 @@
 	d.longRuns, w.strides = slices.Delete(d.longRuns, k, k+1), w.strides[1:]
 }
 
-// mayHaveRun marks the first push that may have run: it fixes group and window for every further one.
-func (o *op) mayHaveRun(w *worker) {
-	if !o.ran {
-		o.ran, o.ranAt, o.ranZone, o.ranGrp = true, o.sentAt, w.zone, w.cell
-	}
-}
-
 // unask lets the next pair be drawn.
 func (o *op) unask() { o.pair, o.got, o.asked = nil, nil, 0 }
 
@@ -528,39 +537,44 @@
 
 func (d *Dispatcher) judge(i int, ok bool) {
 	w := &d.workers[i]
-	if w.verdicts = keep(w.verdicts, verdict{d.now, ok}, lastFew); !ok {
-		w.failed = d.now
+	d.zones[w.zone].add(d.now, ok)
+	w.health.add(d.now, ok)
+}
+
+func (h *health) add(now Time, ok bool) {
+	if h.verdicts = keep(h.verdicts, verdict{now, ok}, lastFew); !ok {
+		h.failed = now
 	}
 }
 
-// doubtful is a sequential test on a worker's outcomes: an ordinary chance of failure against a high one.
-func (d *Dispatcher) doubtful(w *worker) bool {
-	const p0, p1, accept = 0.05, 0.5, 2.9 // 2.9 is ln((1-beta)/alpha) for both errors near 0.05
+// doubtful is a sequential test on outcomes: an ordinary chance of failure against a high one.
+func (h *health) doubtful(now Time) bool {
+	const accept = 2.9 // ln((1-beta)/alpha) for both errors near 0.05
 	s := 0.0
-	if w.failed == 0 || d.now-w.failed > healthMax {
+	if h.failed == 0 || now-h.failed > healthMax {
 		return false
 	}
-	for _, v := range w.verdicts {
-		if d.now-v.at > healthMax {
+	for _, v := range h.verdicts {
+		if now-v.at > healthMax {
 			continue
 		}
 		if v.ok {
-			s += math.Log((1 - p1) / (1 - p0))
+			s += math.Log((1 - h.p1) / (1 - h.p0))
 		} else {
-			s += math.Log(p1 / p0)
+			s += math.Log(h.p1 / h.p0)
 		}
 		s = max(s, 0)
 	}
 	return s >= accept
 }
 
-// admitted draws a doubtful worker's chance of success from its posterior, so that it is never forgotten.
-func (d *Dispatcher) admitted(w *worker) bool {
-	if !d.doubtful(w) {
+// admitted draws a doubtful chance of success from its posterior, so that nobody is ever forgotten.
+func (d *Dispatcher) admitted(h *health) bool {
+	if !h.doubtful(d.now) {
 		return true
 	}
 	good, bad := 1, 1
-	for _, v := range w.verdicts {
+	for _, v := range h.verdicts {
 		if d.now-v.at > healthMax {
 			continue
 		}
@@ -598,7 +612,7 @@
 			}
 		}
 	}
-	return !d.cold(w) || d.now >= d.coldFrom(o, w)
+	return true
 }
 
 // repeatable tells whether a further push may be sent at all.
@@ -626,44 +640,22 @@
 	return w.since > 0 && d.now < w.since+Time(d.num("safety.warmAfter", 0))
 }
 
-// coldSpan is how long one such op keeps this scheduler's share of a cold worker's budget busy.
-func (d *Dispatcher) coldSpan(o *op, w *worker) Time {
-	from, warm := d.num("safety.coldFrom", 1), d.num("safety.warmAfter", 1)
-	share := from + (1-from)*min(float64(d.now-w.since)/warm, 1)
-	// Half the stated multiple leaves room for what the other schedulers do not know of this one's luck.
-	rate := d.num("safety.overloadFactor", 1) / 2 * share * d.width(w) / d.num("instances", 1)
-	return Time(math.Ceil(float64(d.length(o)) * o.slots / rate))
-}
-
-func (d *Dispatcher) coldFrom(o *op, w *worker) Time {
-	if w.nextCold > 0 {
-		return w.nextCold
-	}
-	// All schedulers hear of a cold worker at about one time: each begins at its own place in the span.
-	at := (d.num("myNumber", 0) + 0.5) / d.num("instances", 1)
-	return w.since + Time(at*float64(d.coldSpan(o, w)))
-}
-
-// width is how many jobs a worker runs at once, from its reports; 1 while it has sent none.
-func (d *Dispatcher) width(w *worker) float64 {
-	n := 0.0
-	for _, r := range w.readings {
-		if r.load.Free >= 0 && r.load.Jobs >= 0 {
-			n = max(n, r.load.Jobs-max(r.load.Waiting, 0)+r.load.Free)
-		}
+// warmth is the share of its capacity that a worker has reached for sure.
+func (d *Dispatcher) warmth(w *worker) float64 {
+	if !d.cold(w) {
+		return 1
 	}
-	return max(n, 1)
+	from, warm := d.num("safety.coldFrom", 1), d.num("safety.warmAfter", 1)
+	return from + (1-from)*min(float64(d.now-w.since)/warm, 1)
 }
 
-// length is how long an op like this ran of late.
-func (d *Dispatcher) length(o *op) Time {
-	if len(d.runs[o.cat]) > 0 {
-		return d.figures().usual[o.cat]
-	}
-	if o.work > 0 {
-		return o.work
-	}
-	return d.categories[o.cat].target
+// spared draws whether a cold worker is kept out of an op's pair. An equal share of the budget was under one
+// op a span among hundreds of schedulers, most of them quiet: new workers lay idle. But all ops together ask a
+// worker for twice what a fleet at full load can do there, whoever sends them: a lot for each op keeps their sum
+// to half the stated multiple. Later pairs of an op, and fewer workers to draw from, ask more.
+func (d *Dispatcher) spared(o *op, w *worker, from int) bool {
+	half := d.num("safety.overloadFactor", 1) / 2 * d.warmth(w)
+	return d.cold(w) && d.uniform() >= half/2*float64(from)/float64(max(d.ready, 1)*(1+o.looks))
 }
 
 // spare is how long the op may still wait and end in time, if it runs like the middle one of its category.
@@ -769,10 +761,14 @@
 // candidates are the workers that the op may be pushed to; the doubtful among them by lot.
 func (d *Dispatcher) candidates(o *op) []int {
 	var may, sound []int
+	open := make([]bool, len(d.zones))
+	for z := range open {
+		open[z] = d.admitted(&d.zones[z])
+	}
 	for i := range d.workers {
 		if d.allowed(o, i) {
 			may = append(may, i)
-			if (o.legs == 0 || i != o.worker) && d.admitted(&d.workers[i]) {
+			if (o.legs == 0 || i != o.worker) && open[d.workers[i].zone] && d.admitted(&d.workers[i].health) {
 				sound = append(sound, i)
 			}
 		}
@@ -783,6 +779,21 @@
 	return may
 }
 
+// pair draws the two workers to probe.
+func (d *Dispatcher) pair(o *op, from []int) (pair []int) {
+	for n := len(from); len(pair) < 2 && len(from) > 0; {
+		k := d.draw(len(from))
+		i := from[k]
+		if from = slices.Delete(from, k, k+1); d.spared(o, &d.workers[i], n) {
+			// Another cold one in its place would be asked more than its lot says.
+			from = slices.DeleteFunc(from, func(j int) bool { return d.cold(&d.workers[j]) })
+			continue
+		}
+		pair = append(pair, i)
+	}
+	return pair
+}
+
 // shortWait is how long an op waits for its probes: what they took of late, and a little more.
 func (d *Dispatcher) shortWait() Time {
 	least := d.least
@@ -845,16 +856,9 @@
 	switch {
 	case o.over && !o.out:
 		return Forget, 0, 0
-	case o.out && !o.over && !o.retracted && d.now >= d.overdue(o):
-		if !o.silent {
-			o.silent = true
-			d.judge(o.worker, false)
-		}
-		// One late start is a wide job in front; only a worker that the test doubts loses its pushes.
-		if d.doubtful(&d.workers[o.worker]) && d.rescuable(o) {
-			o.retracted = true
-			return Retract, o.legs - 1, 0
-		}
+	case o.out && !o.over && !o.silent && d.now >= d.overdue(o):
+		o.silent = true
+		d.judge(o.worker, false)
 		return Nothing, 0, 0
 	case o.over || o.out:
 		return Nothing, 0, 0
@@ -879,11 +883,7 @@
 			}
 			return Nothing, 0, 0
 		}
-		for k := 0; k < 2 && k < len(from); k++ {
-			j := k + d.draw(len(from)-k)
-			from[k], from[j] = from[j], from[k]
-		}
-		o.pair = from[:min(2, len(from))]
+		o.pair = d.pair(o, from)
 		o.got = make([]bool, len(o.pair))
 		o.askedAt = d.now
 	}
@@ -894,13 +894,13 @@
 	if slices.Contains(o.got, false) && d.now < o.askedAt+d.shortWait() {
 		return Nothing, 0, 0
 	}
-	i := d.choose(o)
-	if i < 0 {
-		o.unask()
-		return Nothing, 0, 0
+	i, spare, wait := d.choose(o), d.spare(o), Time(0)
+	excess := max(spare, 1)
+	if i >= 0 {
+		wait = d.wait(o, i)
+		excess = wait - d.patience(o)
 	}
-	spare, wait := d.spare(o), d.wait(o, i)
-	if excess := wait - d.patience(o); excess > 0 {
+	if excess > 0 {
 		// A queue that outlasts the op's time only makes it late there, and others too: look again, or say no.
 		if o.looks++; spare <= 0 || o.looks >= maxLooks {
 			return d.giveUp(o, min(excess, spare/2))
@@ -911,10 +911,7 @@
 	}
 	o.place, o.foretold, o.looked = d.place(o, i), wait, d.fits(o, i)
 	w := &d.workers[i]
-	if d.cold(w) {
-		w.nextCold = max(d.now, d.coldFrom(o, w)) + d.coldSpan(o, w)
-	}
-	o.out, o.worker, o.sentAt, o.heard, o.started, o.silent, o.retracted = true, i, d.now, d.now, 0, false, false
+	o.out, o.worker, o.sentAt, o.heard, o.started, o.silent = true, i, d.now, d.now, 0, false
 	o.legs++
 	w.out = append(w.out, o)
 	return Push, i, max(o.ttl-d.now-d.margin()+Time(d.num("step", 0)), 1)
@@ -935,34 +932,26 @@
 	return never
 }
 
-// rescuable tells whether a push that hangs should be called off: only if the rules let another have the op.
-func (d *Dispatcher) rescuable(o *op) bool {
-	if d.terms["bounds.cancel"] != true {
-		return false
-	}
-	w, again := &d.workers[o.worker], *o
-	again.out = false
-	again.mayHaveRun(w)
-	for i := range d.workers {
-		if i != o.worker && d.allowed(&again, i) && !d.doubtful(&d.workers[i]) {
-			return true
-		}
-	}
-	return false
-}
-
 // choose is the design's placement: Low before High, random among two Low; else the lower count; else
 // the worker that answered; else a random ready one.
 func (d *Dispatcher) choose(o *op) int {
 	var may []int
 	for k, i := range o.pair {
-		if o.got[k] && d.allowed(o, i) {
+		w := &d.workers[i]
+		if o.got[k] && d.allowed(o, i) && (!d.cold(w) || len(w.readings) > 0 && d.fits(o, i)) {
 			may = append(may, i)
 		}
 	}
 	switch len(may) {
 	case 0:
-		if from := d.candidates(o); len(from) > 0 {
+		from := slices.DeleteFunc(d.candidates(o), func(i int) bool { return d.cold(&d.workers[i]) })
+		if len(from) == 0 {
+			from = o.pair // the lot let these through
+		}
+		from = slices.DeleteFunc(from, func(i int) bool {
+			return !d.allowed(o, i) || d.cold(&d.workers[i]) && d.terms["bounds.probes"] == true
+		})
+		if len(from) > 0 {
 			return from[d.draw(len(from))]
 		}
 		return -1
