--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -650,9 +650,9 @@
 }
 
 // spared draws whether a cold worker is kept out of an op's pair. An equal share of the budget was under one
-// op a span among hundreds of schedulers, most of them quiet: new workers lay idle. But all ops together ask a
-// worker for twice what a fleet at full load can do there, whoever sends them: a lot for each op keeps their sum
-// to half the stated multiple. Later pairs of an op, and fewer workers to draw from, ask more.
+// op a span among hundreds of schedulers, most of them quiet: new workers lay idle. But all ops ask a worker
+// for twice what a fleet at full load can do there, whoever sends them: a lot for each op keeps their sum to
+// half the stated multiple. Later pairs of an op, and fewer workers to draw from, ask more.
 func (d *Dispatcher) spared(o *op, w *worker, from int) bool {
 	half := d.num("safety.overloadFactor", 1) / 2 * d.warmth(w)
 	return d.cold(w) && d.uniform() >= half/2*float64(from)/float64(max(d.ready, 1)*(1+o.looks))
