One of the two probes goes to the own zone where crossing has a price

Also: time to spare by the expected run (one rule fewer), and a pushless fallback that skips cold workers.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -661,11 +661,7 @@
 // spare is how long the op may still wait and end in time, if it runs like the middle one of its category.
 func (d *Dispatcher) spare(o *op) Time {
 	c := &d.categories[o.cat]
-	run := o.work
-	if run == 0 && len(d.runs[o.cat]) > 0 {
-		run = d.figures().middle[o.cat]
-	}
-	return o.came + c.target + Time(max(c.stretch-1, 0)*float64(run)) - d.now
+	return o.came + c.target + Time(max(c.stretch-1, 0)*float64(d.expected(o))) - d.now
 }
 
 // figures works the digest out where inputs have come since.
@@ -779,10 +775,23 @@
 	return may
 }
 
-// pair draws the two workers to probe.
+// pair draws the two workers to probe; one of them from the own zone where crossing is paid for. Drawn from all,
+// most ops of a small zone found only Low workers that cost a crossing.
 func (d *Dispatcher) pair(o *op, from []int) (pair []int) {
-	for n := len(from); len(pair) < 2 && len(from) > 0; {
-		k := d.draw(len(from))
+	own, all := 0, len(from)
+	if d.num("prices.crossZone", 0) > 0 {
+		for k, i := range from {
+			if d.near(i) {
+				from[k], from[own] = from[own], i
+				own++
+			}
+		}
+	}
+	for len(pair) < 2 && len(from) > 0 {
+		k, n := d.draw(len(from)), all
+		if own > 0 && len(from) == all {
+			k, n = d.draw(own), min(all, own*len(d.zones)) // a small zone's workers are asked more than others
+		}
 		i := from[k]
 		if from = slices.Delete(from, k, k+1); d.spared(o, &d.workers[i], n) {
 			// Another cold one in its place would be asked more than its lot says.
@@ -944,12 +953,9 @@
 	}
 	switch len(may) {
 	case 0:
-		from := slices.DeleteFunc(d.candidates(o), func(i int) bool { return d.cold(&d.workers[i]) })
-		if len(from) == 0 {
-			from = o.pair // the lot let these through
-		}
-		from = slices.DeleteFunc(from, func(i int) bool {
-			return !d.allowed(o, i) || d.cold(&d.workers[i]) && d.terms["bounds.probes"] == true
+		from := slices.DeleteFunc(d.candidates(o), func(i int) bool {
+			let := d.terms["bounds.probes"] != true && slices.Contains(o.pair, i) // the lot let it through
+			return d.cold(&d.workers[i]) && !let
 		})
 		if len(from) > 0 {
 			return from[d.draw(len(from))]
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -307,6 +307,27 @@
 	}
 }
 
+// In four zones, three ops in four met only workers that cost a crossing.
+func TestOneOfThePairIsNear(t *testing.T) {
+	for _, price := range []float64{0, 0.03} {
+		d := New(7, terms(map[string]any{"prices.crossZone": price, "myZone": 1.0}))
+		d.Clock(1_000_000)
+		for i := range 40 {
+			d.Entry(i, i%4, i, true, 0)
+		}
+		d.ListEnd(false)
+		none, far := 0, 0
+		for i := range 40 {
+			x, y := probed(t, d, i, 0)
+			none += btoi(x%4 != 1 && y%4 != 1)
+			far += btoi(x%4 != 1 || y%4 != 1)
+		}
+		if price > 0 && none > 0 || price == 0 && none == 0 || far == 0 {
+			t.Errorf("price %v: %d of 40 pairs without a near worker, %d with a far one", price, none, far)
+		}
+	}
+}
+
 // silent pushes n ops to worker 0, which never answers, and tells whether it is doubted well past any start.
 func silent(t *testing.T, n int, speaks bool) bool {
 	t.Helper()
