--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -554,10 +554,10 @@
 	if h.failed == 0 || now-h.failed > healthMax {
 		return false
 	}
+	for now-h.verdicts[0].at > healthMax {
+		h.verdicts = h.verdicts[1:]
+	}
 	for _, v := range h.verdicts {
-		if now-v.at > healthMax {
-			continue
-		}
 		if v.ok {
 			s += math.Log((1 - h.p1) / (1 - h.p0))
 		} else {
@@ -573,19 +573,12 @@
 	if !h.doubtful(d.now) {
 		return true
 	}
-	good, bad := 1, 1
+	good := 1
 	for _, v := range h.verdicts {
-		if d.now-v.at > healthMax {
-			continue
-		}
-		if v.ok {
-			good++
-		} else {
-			bad++
-		}
+		good += btoi(v.ok)
 	}
-	// Beta(good, bad) is the good-th smallest of good+bad-1 uniform draws.
-	draws := make([]float64, good+bad-1)
+	// Beta(good, bad), each one over its count, is the good-th smallest of good+bad-1 uniform draws.
+	draws := make([]float64, len(h.verdicts)+1)
 	for i := range draws {
 		draws[i] = d.uniform()
 	}
@@ -775,17 +768,23 @@
 	return may
 }
 
-// pair draws the two workers to probe; one of them from the own zone where crossing is paid for. Drawn from all,
-// most ops of a small zone found only Low workers that cost a crossing.
+// pair draws the two workers to probe; one of them from the own zone where crossing is paid for. Among all of
+// them most ops of a small zone met only workers that cost a crossing.
 func (d *Dispatcher) pair(o *op, from []int) (pair []int) {
 	own, all := 0, len(from)
-	if d.num("prices.crossZone", 0) > 0 {
-		for k, i := range from {
-			if d.near(i) {
-				from[k], from[own] = from[own], i
-				own++
-			}
+	var jobs, seen [2]float64
+	for k, i := range from {
+		near := btoi(d.near(i))
+		if few := d.workers[i].readings; len(few) > 0 {
+			jobs[near], seen[near] = jobs[near]+max(few[len(few)-1].load.Jobs, 0), seen[near]+1
 		}
+		if near > 0 {
+			from[k], from[own] = from[own], i
+			own++
+		}
+	}
+	if own == all || jobs[1]*seen[0] > telling*jobs[0]*seen[1] {
+		own = 0 // a zone with more than its share of the schedulers would do all their work
 	}
 	for len(pair) < 2 && len(from) > 0 {
 		k, n := d.draw(len(from)), all
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -328,6 +328,25 @@
 	}
 }
 
+// With most schedulers in one zone, its workers had to do all their work while other zones stood idle.
+func TestBusyOwnZoneIsNotPreferred(t *testing.T) {
+	d := New(7, terms(map[string]any{"prices.crossZone": 0.03}))
+	d.Clock(1_000_000)
+	for i := range 40 {
+		d.Entry(i, i%4, i, true, 0)
+		d.Report(i, 0, jobs(3*float64(btoi(i%4 == 0))))
+	}
+	d.ListEnd(false)
+	near := 0
+	for i := range 40 {
+		x, y := probed(t, d, i, 0)
+		near += btoi(x%4 == 0) + btoi(y%4 == 0)
+	}
+	if near > 30 {
+		t.Errorf("%d of 80 probes went to the own zone, busier than the rest", near)
+	}
+}
+
 // silent pushes n ops to worker 0, which never answers, and tells whether it is doubted well past any start.
 func silent(t *testing.T, n int, speaks bool) bool {
 	t.Helper()
