--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -65,10 +65,10 @@
 )
 
 type category struct {
-	target, ttl, window Time
-	stretch, benefit    float64
-	effect, scope       string
-	longest             Time // the longest time that a client was seen to give
+	target, window   Time
+	stretch, benefit float64
+	effect, scope    string
+	longest          Time // the longest time that a client was seen to give
 }
 
 type reading struct {
@@ -179,7 +179,7 @@
 
 // New starts a scheduler's dispatcher from its seed and the site's terms.
 func New(seed uint64, terms map[string]any) *Dispatcher {
-	d := &Dispatcher{chance: seed&0xffffffff | 1<<32, terms: terms}
+	d := &Dispatcher{chance: seed&0xffffffff | 1<<32, terms: terms, least: math.MaxInt64}
 	for i := 0; ; i++ {
 		at := fmt.Sprintf("categories.%d.", i)
 		if _, ok := terms[at+"ttl"]; !ok {
@@ -187,21 +187,16 @@
 		}
 		c := category{
 			target:  Time(d.num(at+"targetLatency", 0)),
-			ttl:     Time(d.num(at+"ttl", 0)),
 			window:  Time(d.num(at+"window", 0)),
 			stretch: d.num(fmt.Sprintf("extra.classStretch.%d", i), 0),
 			benefit: d.num(at+"benefit", 1),
 		}
 		c.effect, _ = terms[at+"effect"].(string)
 		c.scope, _ = terms[at+"dedupScope"].(string)
-		d.categories = append(d.categories, c)
+		d.categories, d.least = append(d.categories, c), min(d.least, c.target)
 	}
 	d.runs = make([][]Time, len(d.categories))
 	d.digest.middle, d.digest.usual = make([]Time, len(d.categories)), make([]Time, len(d.categories))
-	d.least = math.MaxInt64
-	for _, c := range d.categories {
-		d.least = min(d.least, c.target)
-	}
 	return d
 }
 
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -15,7 +15,10 @@
 	"woaddyke/dispatch"
 )
 
-const tenth = 100_000 // nanoseconds in a tenth of a millisecond
+const (
+	tenth   = 100_000 // nanoseconds in a tenth of a millisecond
+	maxZone = 1 << 12 // the module keeps something for each zone up to the highest number
+)
 
 // Limits are rounded towards the safe side: what must not be overstepped down, the clock up.
 func down(ns int64) dispatch.Time {
@@ -306,6 +309,9 @@
 		if r.Worker == "" {
 			return errors.New("record without worker")
 		}
+		if r.Locality < 0 || r.Locality > maxZone {
+			return fmt.Errorf("locality %d of %s", r.Locality, r.Worker)
+		}
 		wi, ok := s.workers[r.Worker]
 		if !ok {
 			wi = len(s.names)
--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -52,11 +52,12 @@
 		`{"groups":[]}` + "\n":      "no wallNs",
 		batchOf("1", `{"m":"Exit`):  "malformed",
 		batchOf("1", `{"req":"r"}`): "without m",
-		batchOf("1", `{"m":"WorkItem","req":"r"}`):                       "not powered on",
-		started + batchOf("6", `{"m":"WorkItem","req":"r","lane":7}`):    "lane 7",
-		started + batchOf("6", `{"m":"StatusBack","worker":"nobody"}`):   `"nobody"`,
-		batchOf("1", `{"m":"PowerOn","setup":{"a":1}}`):                  "prng",
-		started + batchOf("6", `{"m":"Topology","records":[{"a":"b"}]}`): "record without worker",
+		batchOf("1", `{"m":"WorkItem","req":"r"}`):                                          "not powered on",
+		started + batchOf("6", `{"m":"WorkItem","req":"r","lane":7}`):                       "lane 7",
+		started + batchOf("6", `{"m":"StatusBack","worker":"nobody"}`):                      `"nobody"`,
+		batchOf("1", `{"m":"PowerOn","setup":{"a":1}}`):                                     "prng",
+		started + batchOf("6", `{"m":"Topology","records":[{"a":"b"}]}`):                    "record without worker",
+		started + batchOf("6", `{"m":"Topology","records":[{"worker":"w","locality":-1}]}`): "locality -1",
 	} {
 		if _, err := serve(in); err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%q: error %v, want %q", in, err, want)
