--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -739,7 +739,11 @@
 		return 0
 	}
 	r := w.readings[len(w.readings)-1]
-	return math.Round(max(r.load.Waiting, 0)) + float64(len(d.since(i, r.asked))) + 1
+	lack, queue := 1.0, math.Round(max(r.load.Waiting, 0))+float64(len(d.since(i, r.asked)))
+	if queue == 0 && r.load.Free >= 0 && r.load.Free < o.slots-0.5 {
+		lack = (o.slots - r.load.Free) / o.slots // one busy slot of four is not a whole place to wait for
+	}
+	return queue + lack
 }
 
 // candidates are the workers that the op may be pushed to; the doubtful among them by lot.
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -347,7 +347,7 @@
 	}
 }
 
-// An op that came with little of its TTL waited for its probes until the TTL was over, and was never answered.
+// An op that came with little of its TTL waited for probes until that was over, and was never answered.
 func TestWaitForProbesEndsBeforeTTL(t *testing.T) {
 	d := fleet(6, nil)
 	d.trips = []Time{5_000}
@@ -475,6 +475,19 @@
 	}
 }
 
+// Ops of four slots were nacked for want of a place where one job of a short rest held one slot.
+func TestPlaceOfWideOpByTheSlotsItLacks(t *testing.T) {
+	d := fleet(3, nil)
+	d.Op(0, 0, d.now+50_000, 4, 0, 0)
+	for i, n := range []float64{1, 3, 5} {
+		d.Report(i, 0, jobs(n))
+	}
+	o := d.op(0)
+	if x, y, z := d.place(o, 0), d.place(o, 1), d.place(o, 2); x != 0.25 || y != 0.75 || z != 2 {
+		t.Errorf("places %v, %v, %v with one and three slots lacking and one waiting", x, y, z)
+	}
+}
+
 // A failed probe held its op for the whole short wait.
 func TestFailedProbeIsNotWaitedFor(t *testing.T) {
 	d := fleet(6, nil)
