One look-up of the last reading, a plainer gate, and a comment that no longer held

The last reading was looked up by hand in five places; warmth repeated what its one caller asks; a pair passed over the fleet for zones where crossing costs nothing; one invalidation in Outcome did nothing; allowed nested three deep. Behaviour is the same: old and new builds answer five full-size input streams, one of a growing fleet with a cut link and one of a lost zone among them, byte for byte alike.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -170,7 +170,7 @@
 	placed     float64   // all workers' places and what they took
 	took       Time
 	fresh      bool // the digest holds
-	ranAnew    bool // but for the runs
+	ranAnew    bool // runs have come since it was worked out
 	digest     digest
 	subscribed bool
 	callAt     Time
@@ -468,7 +468,7 @@
 	if o == nil || !o.out || leg != o.legs-1 {
 		return
 	}
-	o.out, d.fresh = false, false
+	o.out = false
 	o.over = o.over || over
 	w := &d.workers[o.worker]
 	w.out = slices.DeleteFunc(w.out, func(p *op) bool { return p == o })
@@ -581,26 +581,20 @@
 	return d.uniform() < draws[good-1]
 }
 
-// allowed keeps rules 2, 3 and 4: may this op be pushed to this worker now?
+// allowed keeps rules 2 and 3: may this op be pushed to this worker now? Rule 4 is kept by spared and choose.
 func (d *Dispatcher) allowed(o *op, i int) bool {
 	w := &d.workers[i]
 	if !w.ready || o.out || o.over || !d.repeatable(o) {
 		return false
 	}
-	if o.ran && d.categories[o.cat].effect == "deduplicated" {
-		switch d.categories[o.cat].scope {
-		case "all":
-		case "zone":
-			if w.zone != o.ranZone {
-				return false
-			}
-		default:
-			if w.cell != o.ranGrp { // no two zones share a cell
-				return false
-			}
-		}
+	c := &d.categories[o.cat]
+	if !o.ran || c.effect != "deduplicated" || c.scope == "all" {
+		return true
 	}
-	return true
+	if c.scope == "zone" {
+		return w.zone == o.ranZone
+	}
+	return w.cell == o.ranGrp // no two zones share a cell
 }
 
 // repeatable tells whether a further push may be sent at all.
@@ -628,22 +622,18 @@
 	return w.since > 0 && d.now < w.since+Time(d.num("safety.warmAfter", 0))
 }
 
-// warmth is the share of its capacity that a worker has reached for sure.
-func (d *Dispatcher) warmth(w *worker) float64 {
-	if !d.cold(w) {
-		return 1
-	}
-	from, warm := d.num("safety.coldFrom", 1), d.num("safety.warmAfter", 1)
-	return from + (1-from)*min(float64(d.now-w.since)/warm, 1)
-}
-
 // spared draws whether a cold worker is kept out of an op's pair. An equal share of the budget was under one
 // op a span among hundreds of schedulers, most of them quiet: new workers lay idle. But all ops ask a worker
 // for twice what a fleet at full load can do there, whoever sends them: a lot for each op keeps their sum to
 // half the stated multiple. Later pairs of an op, and fewer workers to draw from, ask more.
 func (d *Dispatcher) spared(o *op, w *worker, from int) bool {
-	half := d.num("safety.overloadFactor", 1) / 2 * d.warmth(w)
-	return d.cold(w) && d.uniform() >= half/2*float64(from)/float64(max(d.ready, 1)*(1+o.looks))
+	if !d.cold(w) {
+		return false
+	}
+	least := d.num("safety.coldFrom", 1)
+	warmth := least + (1-least)*(float64(d.now-w.since)/d.num("safety.warmAfter", 1))
+	half := d.num("safety.overloadFactor", 1) / 2 * warmth
+	return d.uniform() >= half/2*float64(from)/float64(max(d.ready, 1)*(1+o.looks))
 }
 
 // spare is how long the op may still wait and end in time, if it runs like the middle one of its category.
@@ -690,8 +680,8 @@
 
 // hopeless tells of a worker that was read too lately for its queue to be short enough by now.
 func (d *Dispatcher) hopeless(o *op, i int) bool {
-	few := d.workers[i].readings
-	return len(few) > 0 && d.now < few[len(few)-1].at+d.wait(o, i)-d.patience(o)
+	r := d.workers[i].last()
+	return r != nil && d.now < r.at+d.wait(o, i)-d.patience(o)
 }
 
 // rank is an op's benefit for the work it takes, over that of the dearest category.
@@ -735,10 +725,10 @@
 		}
 		return n
 	}
-	if len(w.readings) == 0 || d.fits(o, i) {
+	r := w.last()
+	if r == nil || d.fits(o, i) {
 		return 0
 	}
-	r := w.readings[len(w.readings)-1]
 	lack, queue := 1.0, math.Round(max(r.load.Waiting, 0))+float64(len(d.since(i, r.asked)))
 	if queue == 0 && r.load.Free >= 0 && r.load.Free < o.slots-0.5 {
 		lack = (o.slots - r.load.Free) / o.slots // one busy slot of four is not a whole place to wait for
@@ -772,14 +762,16 @@
 func (d *Dispatcher) pair(o *op, from []int) (pair []int) {
 	own, all := 0, len(from)
 	var jobs, seen [2]float64
-	for k, i := range from {
-		near := btoi(d.near(i))
-		if few := d.workers[i].readings; len(few) > 0 {
-			jobs[near], seen[near] = jobs[near]+max(few[len(few)-1].load.Jobs, 0), seen[near]+1
-		}
-		if near > 0 {
-			from[k], from[own] = from[own], i
-			own++
+	if d.num("prices.crossZone", 0) > 0 {
+		for k, i := range from {
+			near := btoi(d.near(i))
+			if r := d.workers[i].last(); r != nil {
+				jobs[near], seen[near] = jobs[near]+max(r.load.Jobs, 0), seen[near]+1
+			}
+			if near > 0 {
+				from[k], from[own] = from[own], i
+				own++
+			}
 		}
 	}
 	if own == all || jobs[1]*seen[0] > telling*jobs[0]*seen[1] {
@@ -803,11 +795,10 @@
 
 // shortWait is how long an op waits for its probes: what they took of late, and a little more.
 func (d *Dispatcher) shortWait() Time {
-	least := d.least
 	if len(d.trips) == 0 {
-		return least / 4
+		return d.least / 4
 	}
-	return min(2*d.figures().trip+Time(d.num("step", 0)), least/2)
+	return min(2*d.figures().trip+Time(d.num("step", 0)), d.least/2)
 }
 
 // margin is kept before the TTL for the final answer: a time-out and the answer to it take a step each.
@@ -947,7 +938,7 @@
 	var may []int
 	for k, i := range o.pair {
 		w := &d.workers[i]
-		if o.got[k] && d.allowed(o, i) && (!d.cold(w) || len(w.readings) > 0 && d.fits(o, i)) {
+		if o.got[k] && d.allowed(o, i) && (!d.cold(w) || w.last() != nil && d.fits(o, i)) {
 			may = append(may, i)
 		}
 	}
@@ -1031,11 +1022,10 @@
 
 // fits guards against Low workers on which a wide op must wait for room while others wait behind it.
 func (d *Dispatcher) fits(o *op, i int) bool {
-	w := &d.workers[i]
-	if len(w.readings) == 0 {
+	r := d.workers[i].last()
+	if r == nil {
 		return true
 	}
-	r := w.readings[len(w.readings)-1]
 	free, memory := r.load.Free, r.load.Memory
 	own := d.since(i, r.asked)
 	if len(own) == 0 && r.load.Jobs >= 0 && r.load.Jobs < 0.5 {
@@ -1048,6 +1038,14 @@
 		r.load.Waiting < 0.5
 }
 
+// last is a worker's newest reading, nil before there is one.
+func (w *worker) last() *reading {
+	if len(w.readings) == 0 {
+		return nil
+	}
+	return &w.readings[len(w.readings)-1]
+}
+
 // since are this scheduler's pushes to a worker that a report asked for then need not show.
 func (d *Dispatcher) since(i int, asked Time) (out []*op) {
 	for _, o := range d.workers[i].out {
@@ -1064,10 +1062,10 @@
 	if d.figures().misled {
 		return float64(len(w.out))
 	}
-	if len(w.readings) == 0 {
+	r := w.last()
+	if r == nil {
 		return 0
 	}
-	r := w.readings[len(w.readings)-1]
 	return math.Round(r.load.Jobs) + float64(len(d.since(i, r.asked)))
 }
 
