SIGHUP rereads the configuration and moves the watch to its discovery

Cause: cmd/woaddyke asked for SIGTERM only, so the runtime's own way with SIGHUP held; and Roster had its address for good. Now the signal is asked for before anything else, the file is read again, and the roster cancels its watch and calls the new address at once from the version it has. Where the module calls for watches the roster calls by itself, and for a second again if the new address is not up yet: the module's own next call may be 1.9 s away. A broken file is logged and changes nothing.

--- a/cmd/woaddyke/main.go
+++ b/cmd/woaddyke/main.go
@@ -37,8 +37,10 @@
 func serve() *cobra.Command {
 	var path, level string
 	var within time.Duration
-	c := &cobra.Command{Use: "serve", Short: "Run a scheduler until SIGTERM", Args: cobra.NoArgs,
+	c := &cobra.Command{Use: "serve", Short: "Run a scheduler until SIGTERM; SIGHUP rereads the configuration", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
+			reread := make(chan os.Signal, 1)
+			signal.Notify(reread, syscall.SIGHUP) // first of all: until then it would end the process
 			l, err := zerolog.ParseLevel(level)
 			if err != nil {
 				return fmt.Errorf("--log: %w", err)
@@ -62,6 +64,11 @@
 			if err != nil {
 				return fmt.Errorf("listening: %w", err)
 			}
+			go func() {
+				for range reread {
+					f.Reread(path)
+				}
+			}()
 			return f.Serve(ctx, at, within)
 		}}
 	c.Flags().StringVar(&path, "config", os.Getenv("RELAY_CONFIG"), "file with what this scheduler is told")
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	stdlog "log"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httputil"
@@ -119,6 +120,21 @@
 	return nil
 }
 
+// Reread takes up a configuration that was replaced: where discovery is now. Workers, ops and connections stay
+// as they are, and so does all else until a restart.
+func (f *Front) Reread(path string) {
+	sheet, err := terms.ReadSheet(path)
+	if err != nil {
+		f.log.Error().Err(err).Msg("configuration kept")
+		return
+	}
+	if sheet.Listen != f.sheet.Listen || sheet.Limits != f.sheet.Limits || !maps.Equal(sheet.Site, f.sheet.Site) {
+		f.log.Warn().Msg("listen address, limits and settings change with a restart only")
+	}
+	f.roster.Move(sheet.Discovery)
+	f.log.Info().Str("discovery", sheet.Discovery).Msg("configuration reread")
+}
+
 // stop answers all that was taken. Connections go on being accepted for a while: what a client wrote to one
 // that the machine had accepted counts as taken.
 func (f *Front) stop(s *http.Server, within time.Duration) {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -26,6 +27,8 @@
 	// The first wait for another watch; each that fails doubles it, up to sixteen times as long. It must stay
 	// short: what discovery's agent has counts as told while nobody reads it.
 	firstWait = 20 * time.Millisecond
+	// After a move the address before soon closes, so a first call that fails is repeated without the module.
+	settle = time.Second
 )
 
 // Message is a list as discovery words it.
@@ -57,21 +60,48 @@
 	return in
 }
 
-// Roster is discovery at one address, as of one version of its list.
+// Roster is discovery at the address last given, as of one version of its list.
 type Roster struct {
-	addr   string
-	rev    int64
 	tell   func(ops.Input)
 	client http.Client
 	log    zerolog.Logger
-	one    sync.Mutex // held by the watch that is on
-	end    context.CancelFunc
+	rev    int64
+	one    sync.Mutex    // held by the watch that is on
+	moved  chan struct{} // wakes Keep
+
+	mu     sync.Mutex
+	addr   string
+	end    context.CancelFunc // of the watch that is on
+	called context.Context    // of the last Call, nil where Keep watches
 }
 
 // New makes a roster that goes on from the version of a remembered list.
 func New(addr string, rev int64, tell func(ops.Input), log zerolog.Logger) *Roster {
-	return &Roster{addr: addr, rev: rev, tell: tell, log: log,
-		client: http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}}
+	return &Roster{addr: addr, rev: rev, tell: tell, log: log, end: func() {}, moved: make(chan struct{}, 1),
+		client: http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true,
+			DialContext: (&net.Dialer{Timeout: settle}).DialContext}}}
+}
+
+// Move goes over to another address at once, also where no watch is on: the old one may tell nothing more.
+func (r *Roster) Move(addr string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.addr = addr
+	r.end()
+	if r.called != nil {
+		r.start(time.Now().Add(settle))
+		return
+	}
+	select {
+	case r.moved <- struct{}{}:
+	default:
+	}
+}
+
+// again is how long to wait for another watch after so many that failed. All schedulers lose their watch
+// together: they must not come back together.
+func again(fails int) time.Duration {
+	return time.Duration((0.5 + rand.Float64()) * float64(firstWait<<min(fails, 4)))
 }
 
 // Keep watches until the context ends, and connects again whenever the watch breaks.
@@ -81,11 +111,14 @@
 		if fails++; heard {
 			fails = 0
 		}
-		// All schedulers lose their watch together: they must not come back together.
-		wait := time.Duration((0.5 + rand.Float64()) * float64(firstWait<<min(fails, 4)))
-		r.log.Warn().Err(err).Dur("again_in_ms", wait).Msg("watch broke")
+		wait := again(fails)
+		if !errors.Is(err, context.Canceled) { // a move is no break
+			r.log.Warn().Err(err).Dur("again_in_ms", wait).Msg("watch broke")
+		}
 		select {
 		case <-ctx.Done():
+		case <-r.moved:
+			fails = 0
 		case <-time.After(wait):
 		}
 	}
@@ -94,27 +127,56 @@
 // Call starts one watch in place of any before, and tells once that it has broken. One that was replaced says
 // nothing: its end would have its successor replaced too.
 func (r *Roster) Call(ctx context.Context) {
-	if r.end != nil {
-		r.end()
-	}
-	ctx, r.end = context.WithCancel(ctx)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.called = ctx
+	r.end()
+	r.start(time.Time{})
+}
+
+// start is called with the lock held. Until the moment given, a watch that brings nothing is called again.
+func (r *Roster) start(insist time.Time) {
+	ctx, end := context.WithCancel(r.called)
+	r.end = end
 	go func() {
-		if _, err := r.watch(ctx); ctx.Err() == nil {
+		for fails := 1; ; fails++ {
+			heard, err := r.watch(ctx)
+			if ctx.Err() != nil {
+				return
+			}
 			r.log.Warn().Err(err).Msg("watch broke")
-			r.tell(ops.WatchBroke{})
+			wait := again(fails)
+			if heard || time.Now().Add(wait).After(insist) {
+				r.tell(ops.WatchBroke{})
+				return
+			}
+			time.Sleep(wait)
 		}
 	}()
 }
 
+// current is the address to call, with a context that ends when it is given up.
+func (r *Roster) current(ctx context.Context) (string, context.Context, context.CancelFunc) {
+	ctx, end := context.WithCancel(ctx)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.called == nil {
+		r.end = end
+	}
+	return r.addr, ctx, end
+}
+
 // watch reads one watch until it breaks, and tells whether anything came.
 func (r *Roster) watch(ctx context.Context) (heard bool, err error) {
 	r.one.Lock()
 	defer r.one.Unlock()
-	ctx, cancel := context.WithCancel(ctx)
+	addr, ctx, cancel := r.current(ctx)
 	defer cancel()
-	silence := time.AfterFunc(3*beat, cancel) // a lost agent says nothing
+	lost := errors.New("nothing came for three beats")
+	ctx, silent := context.WithCancelCause(ctx)
+	silence := time.AfterFunc(3*beat, func() { silent(lost) }) // a lost agent says nothing
 	defer silence.Stop()
-	url := fmt.Sprintf("http://%s/v1/servers?stream=1&index=%d", r.addr, r.rev)
+	url := fmt.Sprintf("http://%s/v1/servers?stream=1&index=%d", addr, r.rev)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return false, fmt.Errorf("watch: %w", err)
