Requests with Transfer-Encoding are answered 411, and a connection closes after any 4xx

Cause: net/http goes by the chunks and drops Content-Length (transfer.go); ServeHTTP then served what followed the last chunk. Probe: a raw request with both framings and one behind it; the one behind reached the worker, as it did behind a 400.

--- a/internal/front/door.go
+++ b/internal/front/door.go
@@ -117,7 +117,6 @@
 // whole reads a request's body.
 func whole(w http.ResponseWriter, r *http.Request) ([]byte, *refusal) {
 	if r.ContentLength > largestBody {
-		w.Header().Set("Connection", "close")
 		return nil, &refusal{http.StatusRequestEntityTooLarge, "a body holds at most 64 KiB"}
 	}
 	b := bytes.NewBuffer(make([]byte, 0, max(r.ContentLength, 0)))
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -167,6 +167,12 @@
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	came := time.Now()
 	http.NewResponseController(w).SetWriteDeadline(came.Add(patience))
+	if len(r.TransferEncoding) > 0 {
+		// net/http has dropped a Content-Length beside it. A peer that went by that one would take what follows the
+		// last chunk for body, so nothing more may be read from this connection (RFC 9112, 6.1).
+		f.refuse(w, &refusal{http.StatusLengthRequired, "an op comes with its Content-Length"})
+		return
+	}
 	if r.Method == http.MethodGet && r.URL.Path == "/healthz" {
 		if f.stopping.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -182,14 +188,22 @@
 		no = &refusal{http.StatusServiceUnavailable, "no room: trying again is harmless"}
 	}
 	if no != nil {
-		f.log.Debug().Str("error", no.text).Int("status", no.status).Msg("no op")
-		http.Error(w, no.text, no.status)
+		f.refuse(w, no)
 		return
 	}
 	r.Body = http.NoBody
 	f.proxy.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), heldKey{}, h)))
 }
 
+// refuse tells a client that its request is no op. Where the request is at fault, so may be what follows it.
+func (f *Front) refuse(w http.ResponseWriter, no *refusal) {
+	f.log.Debug().Str("error", no.text).Int("status", no.status).Msg("no op")
+	if no.status < http.StatusInternalServerError {
+		w.Header().Set("Connection", "close")
+	}
+	http.Error(w, no.text, no.status)
+}
+
 // RoundTrip hands an op to the loop and waits for its one answer. http.Transport would send an op with an
 // Idempotency-Key again by itself, and dial connections that nobody asked for.
 func (f *Front) RoundTrip(r *http.Request) (*http.Response, error) {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -123,6 +123,32 @@
 	}
 }
 
+// A request with both framings went on to a worker, and so did another that stood in its body.
+func TestNothingIsReadBehindARequestOfDoubtfulLength(t *testing.T) {
+	addr, _, _ := scheduler(t, func(_ http.ResponseWriter, r *http.Request) {
+		t.Errorf("%s went to the worker", r.Header.Get(idHeader))
+	})
+	head := "POST / HTTP/1.1\r\nHost: x\r\n" + categoryHeader + ": look\r\n" + timeLeftHeader + ": 9000\r\n"
+	hidden := head + idHeader + ": hidden\r\nContent-Length: 0\r\n\r\n"
+	for _, framing := range []string{
+		fmt.Sprintf("Content-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", len(hidden)+5),
+		"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		factsHeader + ": slots=NaN\r\nContent-Length: 1\r\n\r\nx",
+	} {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		fmt.Fprint(c, head+idHeader+": outer\r\n"+framing+hidden)
+		c.SetReadDeadline(time.Now().Add(5 * time.Second))
+		text, err := io.ReadAll(c)
+		if err != nil || strings.Count(string(text), "HTTP/1.1 4") != 1 || !strings.Contains(string(text), "close") {
+			t.Errorf("%q: %q, %v", framing, text, err)
+		}
+	}
+}
+
 // A push for a client that has gone holds a descriptor for nothing.
 func TestAClientThatLeavesEndsItsPush(t *testing.T) {
 	began, ended := make(chan bool, 1), make(chan bool, 1)
