A flood of clients takes its room from itself, and bad requests end within 3 s

Cause: hundreds of silent connections put the count over the clients' share (clients.crowd), a new one was left alone for a second, and ServeHTTP then turned away the ops of whoever came; from three quarters of the share on answers closed the usual clients' connections, which had to come back through the same crowd. Now the listener gives a newcomer the place of the connection never served that has waited longest; connections that were served give way last, and no op that was read is turned away for room. Ruled out: a moment's rest for new connections; with it the served ones were all that could give way.

--- a/internal/front/clients.go
+++ b/internal/front/clients.go
@@ -1,59 +1,139 @@
 package front
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
 // clients are the connections from clients. They share the descriptors with those to workers: too many of
-// them would leave ops that can't be pushed.
+// them would leave ops that can't be pushed. Those that were never served give way first, so that a flood
+// takes its room from itself.
 type clients struct {
-	most int
-	mu   sync.Mutex
-	open int
-	idle map[net.Conn]time.Time // since when each may have its wait ended
+	net.Listener
+	most, full int // from the first on others give way to a newcomer; at the second it is closed unread
+
+	mu     sync.Mutex
+	guests map[net.Conn]*guest
 }
 
-// soon is how long a new connection has for its first request's head before it counts as idle: clients that
-// connect and say nothing must not keep out those with ops.
-const soon = time.Second
+type guest struct {
+	since  time.Time // as it is now
+	state  http.ConnState
+	served bool // a worker's result was sent on it
+}
 
-// track is told of each change. Where there are too many, the one that stood idle longest goes. It is not
-// closed but told that its wait is over: a request read a moment ago would be lost with a closed connection.
-func (c *clients) track(nc net.Conn, state http.ConnState) {
+func newClients(most, full int) *clients {
+	return &clients{most: most, full: full, guests: map[net.Conn]*guest{}}
+}
+
+// Accept takes connections while there is room. What is closed here costs no goroutine and no buffer; the
+// server's own loop would take hundreds before the first of them gives way.
+func (c *clients) Accept() (net.Conn, error) {
+	for {
+		nc, err := c.Listener.Accept()
+		if err != nil || c.admit(nc) {
+			return nc, err
+		}
+		nc.Close()
+	}
+}
+
+func (c *clients) admit(nc net.Conn) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.idle, nc)
-	switch state {
-	case http.StateNew:
-		if c.open++; c.open > c.most {
-			if old := c.oldest(time.Now()); old != nil {
-				delete(c.idle, old)
-				old.SetReadDeadline(time.Unix(1, 0))
-			}
+	for len(c.guests) >= c.most {
+		if old := c.oldest(); old != nil {
+			c.part(old)
+			continue
 		}
-		c.idle[nc] = time.Now().Add(soon)
-	case http.StateIdle:
-		c.idle[nc] = time.Now()
-	case http.StateClosed, http.StateHijacked:
-		c.open--
+		if len(c.guests) >= c.full {
+			return false
+		}
+		break
 	}
+	c.guests[nc] = &guest{since: time.Now(), state: http.StateNew}
+	return true
 }
 
-func (c *clients) oldest(now time.Time) (old net.Conn) {
-	for nc, since := range c.idle {
-		if since.Before(now) && (old == nil || since.Before(c.idle[old])) {
-			old = nc
+// oldest is the connection that gives way: that which has waited longest among those never served, else among
+// all that wait for a request. One whose request has come but is not read yet is none of them.
+func (c *clients) oldest() net.Conn {
+	for {
+		var old net.Conn
+		var o *guest
+		for nc, g := range c.guests {
+			waits := g.state == http.StateIdle || g.state == http.StateNew
+			if waits && (o == nil || !g.served && o.served || g.served == o.served && g.since.Before(o.since)) {
+				old, o = nc, g
+			}
 		}
+		if old == nil || quiet(old) {
+			return old
+		}
+		o.state = http.StateActive
+	}
+}
+
+// part ends the wait of a connection. One between requests is not closed but told that its wait is over: a
+// request read a moment ago would be lost with it.
+func (c *clients) part(nc net.Conn) {
+	g := c.guests[nc]
+	delete(c.guests, nc)
+	if g.state == http.StateNew {
+		nc.Close()
+		return
+	}
+	nc.SetReadDeadline(time.Unix(1, 0))
+}
+
+// quiet tells whether nothing has come on a connection that was not read.
+func quiet(nc net.Conn) bool {
+	s, ok := nc.(syscall.Conn)
+	if !ok {
+		return true
 	}
-	return old
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return true
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, _ = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err != nil || n <= 0
 }
 
-// crowd tells whether answers should close their connections, and whether no further op has room.
-func (c *clients) crowd() (some, full bool) {
+// track is told of each change by the server.
+func (c *clients) track(nc net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.open > c.most*3/4, c.open > c.most
+	g := c.guests[nc]
+	switch {
+	case g == nil || state == http.StateNew:
+	case state == http.StateClosed || state == http.StateHijacked:
+		delete(c.guests, nc)
+	default:
+		g.state, g.since = state, time.Now()
+	}
+}
+
+type guestKey struct{}
+
+func withGuest(ctx context.Context, nc net.Conn) context.Context {
+	return context.WithValue(ctx, guestKey{}, nc)
+}
+
+// served marks the connection of a request whose client has proved to be one of ours.
+func (c *clients) served(ctx context.Context) {
+	nc, _ := ctx.Value(guestKey{}).(net.Conn)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if g := c.guests[nc]; g != nil {
+		g.served = true
+	}
 }
--- a/internal/front/door.go
+++ b/internal/front/door.go
@@ -72,13 +72,14 @@
 	if no := h.facts(r.Header); no != nil {
 		return nil, no
 	}
+	var no *refusal
+	if h.request.Body, no = whole(w, r); no != nil {
+		return nil, no
+	}
 	control := http.NewResponseController(w)
-	control.SetReadDeadline(came.Add(wait)) // a body that never ends would hold its descriptor for good
-	body, no := whole(w, r)
 	control.SetReadDeadline(time.Time{})
-	control.SetWriteDeadline(came.Add(wait + patience)) // one that is not read would hold it too
-	h.request.Body = body
-	return h, no
+	control.SetWriteDeadline(came.Add(wait + patience)) // one that is not read would hold its descriptor
+	return h, nil
 }
 
 // facts reads the figures that help decisions; an op without them is an op still.
@@ -119,8 +120,8 @@
 	if r.ContentLength > largestBody {
 		return nil, &refusal{http.StatusRequestEntityTooLarge, "a body holds at most 64 KiB"}
 	}
-	b := bytes.NewBuffer(make([]byte, 0, max(r.ContentLength, 0)))
-	if _, err := io.Copy(b, http.MaxBytesReader(w, r.Body, largestBody)); err != nil {
+	var b bytes.Buffer // it grows with what comes: many could claim 64 KiB and send none
+	if _, err := io.Copy(&b, http.MaxBytesReader(w, r.Body, largestBody)); err != nil {
 		var large *http.MaxBytesError
 		if errors.As(err, &large) {
 			return nil, &refusal{http.StatusRequestEntityTooLarge, "a body holds at most 64 KiB"}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -28,10 +28,12 @@
 )
 
 const (
-	spare      = 32                     // descriptors kept for the listener, discovery and the runtime
-	patience   = 10 * time.Second       // with a client that does not end its request or read its answer
-	stillComes = 500 * time.Millisecond // clients may find a scheduler that stops for so long
-	stopSlack  = 600 * time.Millisecond // after the longest TTL a process that stops may be killed
+	spare      = 32                      // descriptors kept for the listener, discovery and the runtime
+	headTime   = 1500 * time.Millisecond // for a head, and for a connection to say anything at all
+	bodyTime   = time.Second             // for a body after that: on a whole request nobody waits for 3 s
+	patience   = 10 * time.Second        // with a client that does not read its answer
+	stillComes = 500 * time.Millisecond  // clients may find a scheduler that stops for so long
+	stopSlack  = 600 * time.Millisecond  // after the longest TTL a process that stops may be killed
 )
 
 // Front is one scheduler on sockets.
@@ -51,12 +53,12 @@
 // New makes a scheduler from what it is told at its start.
 func New(sheet *terms.Sheet, log zerolog.Logger) (*Front, error) {
 	f := &Front{sheet: sheet, log: log}
-	f.clients = &clients{most: f.share(0.45), idle: map[net.Conn]time.Time{}}
+	f.clients = newClients(f.share(0.45), f.share(0.55))
 	dial := sheet.Span("bounds.connectTimeout", time.Second)
 	f.loop = &loop{
 		in:      make(chan message, backlog),
 		reducer: ops.New(sheet.Chance, sheet.Site),
-		pool: conns.New(conns.Bounds{Open: f.share(0.55), Dial: dial,
+		pool: conns.New(conns.Bounds{Open: f.share(0.45), Dial: dial,
 			Idle: sheet.Span("bounds.keepalive", 10*time.Second)}),
 		probeHead: []byte("GET /load HTTP/1.1\r\nHost: worker\r\n\r\n"),
 		probeWait: 2 * dial, // nothing says how long a probe may take: a dial, and as long again
@@ -104,11 +106,12 @@
 		go f.roster.Keep(watching)
 	}
 	go f.loop.run(quit)
-	s := &http.Server{Handler: f, ConnState: f.clients.track, ReadHeaderTimeout: patience,
+	s := &http.Server{Handler: f, ConnState: f.clients.track, ConnContext: withGuest, ReadHeaderTimeout: headTime,
 		IdleTimeout: 5 * time.Minute, MaxHeaderBytes: 16 << 10,
 		ErrorLog: stdlog.New(f.log.With().Str("level", "warn").Logger(), "", 0)}
 	failed := make(chan error, 1)
-	go func() { failed <- s.Serve(l) }()
+	f.clients.Listener = l
+	go func() { failed <- s.Serve(f.clients) }()
 	f.log.Info().Str("name", f.sheet.Name).Str("listen", f.sheet.Listen).Int("most_clients", f.clients.most).
 		Msg("serving")
 	select {
@@ -166,7 +169,9 @@
 // ServeHTTP answers health checks, takes ops and turns away what is none.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	came := time.Now()
-	http.NewResponseController(w).SetWriteDeadline(came.Add(patience))
+	control := http.NewResponseController(w)
+	control.SetWriteDeadline(came.Add(patience))
+	control.SetReadDeadline(came.Add(bodyTime)) // the server itself would wait for the rest of what is refused
 	if len(r.TransferEncoding) > 0 {
 		// net/http has dropped a Content-Length beside it. A peer that went by that one would take what follows the
 		// last chunk for body, so nothing more may be read from this connection (RFC 9112, 6.1).
@@ -179,14 +184,7 @@
 		}
 		return
 	}
-	crowded, full := f.clients.crowd()
-	if crowded {
-		w.Header().Set("Connection", "close")
-	}
 	h, no := f.read(w, r, came)
-	if no == nil && full {
-		no = &refusal{http.StatusServiceUnavailable, "no room: trying again is harmless"}
-	}
 	if no != nil {
 		f.refuse(w, no)
 		return
@@ -215,6 +213,9 @@
 	f.loop.in <- message{in: h.Arrived, held: h}
 	select {
 	case a := <-h.answer:
+		if a.Verdict == ops.Acked {
+			f.clients.served(r.Context())
+		}
 		return answer(r, a), nil
 	case <-r.Context().Done():
 		f.loop.tell(ops.Left{Op: h.Op})
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -215,25 +218,62 @@
 	}
 }
 
-// Descriptors that idle clients hold are lacking for pushes, and so are those of clients that never say anything.
-func TestIdleClientsGiveWay(t *testing.T) {
-	c := &clients{most: 1, idle: map[net.Conn]time.Time{}}
-	a, b := net.Pipe()
-	defer b.Close()
-	c.track(a, http.StateNew)
-	if now := time.Now(); c.oldest(now) != nil || c.oldest(now.Add(2*soon)) != a {
-		t.Error("a new connection has a while for its first request, and no more")
-	}
-	c.track(a, http.StateIdle)
-	c.track(b, http.StateNew)
-	if _, err := a.Read(make([]byte, 1)); err == nil {
-		t.Error("the idle connection waits on")
-	}
-	if _, full := c.crowd(); !full {
-		t.Error("the newcomer is no crowd")
-	}
-	c.track(a, http.StateClosed)
-	if _, full := c.crowd(); full {
-		t.Error("a closed connection still counts")
+// A flood of connections that say nothing had ops of usual clients turned away, and 10 s for a head let it stay.
+func TestAFloodTakesItsRoomFromItself(t *testing.T) {
+	addr, _, _ := scheduler(t, func(w http.ResponseWriter, r *http.Request) { done(w, r.Header.Get(idHeader)) })
+	usual := http.Client{}
+	ask := func(id string) string {
+		r, _ := http.NewRequest(http.MethodPost, "http://"+addr, strings.NewReader("x"))
+		r.Header = http.Header{idHeader: {id}, categoryHeader: {"look"}, timeLeftHeader: {"9000"}}
+		local := ""
+		trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { local = i.Conn.LocalAddr().String() }}
+		resp, err := usual.Do(r.WithContext(httptrace.WithClientTrace(context.Background(), trace)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		if io.Copy(io.Discard, resp.Body); resp.StatusCode != http.StatusOK {
+			t.Fatalf("%s: %s", id, resp.Status)
+		}
+		return local
+	}
+	first, came := ask("before"), time.Now()
+	var silent []net.Conn
+	for range 300 {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		silent = append(silent, c)
+	}
+	if ask("kept") != first {
+		t.Error("the flood took a connection that had served")
+	}
+	usual.CloseIdleConnections()
+	ask("new")
+	for _, c := range silent {
+		c.SetReadDeadline(came.Add(3 * time.Second))
+		if _, err := c.Read(make([]byte, 1)); errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Fatal("a silent connection is still open")
+		}
+	}
+}
+
+// A body that was claimed and never came held its client as long as the client liked.
+func TestHalfARequestIsAnsweredSoon(t *testing.T) {
+	addr, _, _ := scheduler(t, func(http.ResponseWriter, *http.Request) { t.Error("it went to the worker") })
+	for _, half := range []string{"POST / HT", "POST / HTTP/1.1\r\nHost: x\r\n" + idHeader + ": a\r\n" + categoryHeader +
+		": look\r\n" + timeLeftHeader + ": 60000\r\nContent-Length: 60\r\n\r\nx"} {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		fmt.Fprint(c, half)
+		c.SetReadDeadline(time.Now().Add(3 * time.Second))
+		if _, err := io.ReadAll(c); err != nil {
+			t.Errorf("%q: %v", half, err)
+		}
 	}
 }
