An op that two workers call unfit ends, and speaks against no worker

Checked against what goes over the sockets: the endings came 0.1 ms after the push on all workers alike, and the same workers served all else. Cause: conns.job and ending.Outcome took a 4xx for the worker's error, and Outcome in dispatch judged the worker by it.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -49,6 +49,7 @@
 	Broke
 	Withdrawn
 	Unsent
+	Unfit // the worker says that the op itself is at fault
 )
 
 // Load is a worker's report; a value below 0 was not reported.
@@ -129,12 +130,13 @@
 	out             bool // a push is out
 	worker          int  // of the last push
 	sentAt          Time
-	started, heard  Time // when the last push was said to start, 0 before; when anything was heard of it
-	foretold        Time // how long it was to wait
-	looked          bool // a report said that it was to start at once
-	silent          bool // it was counted against its worker
-	ran             bool // some push may have run
-	ranAt           Time // when the first such push was sent
+	started, heard  Time  // when the last push was said to start, 0 before; when anything was heard of it
+	foretold        Time  // how long it was to wait
+	looked          bool  // a report said that it was to start at once
+	silent          bool  // it was counted against its worker
+	unfit           []int // the workers that said so of it
+	ran             bool  // some push may have run
+	ranAt           Time  // when the first such push was sent
 	ranZone, ranGrp int
 	begun, over     bool
 }
@@ -394,7 +396,7 @@
 func entropy(b, a float64) float64 {
 	s := 0.0
 	for _, p := range [2]float64{b / a, 1 - b/a} {
-		if p > 0 { // 0 ln 0 is 0
+		if p > 0 { // 0 ln 0 is 0; of an empty side p is no number
 			s -= p * math.Log(p)
 		}
 	}
@@ -413,13 +415,7 @@
 	for l := range d.a {
 		a += d.a[l]
 		b += d.b[l]
-		h := 0.0
-		if a > 0 {
-			h += a / allA * entropy(b, a)
-		}
-		if allA-a > 0 {
-			h += (allA - a) / allA * entropy(allB-b, allA-a)
-		}
+		h := (a*entropy(b, a) + (allA-a)*entropy(allB-b, allA-a)) / allA
 		// The paper leaves T open where no cut tells much. A cut is no threshold if counts above it mostly lead to
 		// idleness too: a quiet fleet would have T = 0, and call idle workers High.
 		if allA-a > 0 && 2*(allB-b) > allA-a {
@@ -474,6 +470,9 @@
 	}
 	switch how {
 	case Served:
+		for _, i := range o.unfit { // the op is sound, so it was they that were at fault
+			d.judge(i, false)
+		}
 		if o.started > 0 {
 			d.learnStride(w, float64(d.now-o.started)/float64(max(d.expected(o), 1)))
 			d.runs[o.cat] = keep(d.runs[o.cat], d.now-o.started, lastFew)
@@ -488,6 +487,9 @@
 			o.ran, o.ranAt, o.ranZone, o.ranGrp = true, o.sentAt, w.zone, w.cell
 		}
 	}
+	if how == Unfit {
+		o.unfit = append(o.unfit, o.worker)
+	}
 	if how == Errored || how == TimedOut || how == Broke || how == Unreached {
 		d.judge(o.worker, false)
 	}
@@ -595,16 +597,14 @@
 	if !o.ran || c.effect != "deduplicated" || c.scope == "all" {
 		return true
 	}
-	if c.scope == "zone" {
-		return w.zone == o.ranZone
-	}
-	return w.cell == o.ranGrp // no two zones share a cell
+	return c.scope == "zone" && w.zone == o.ranZone || w.cell == o.ranGrp // no two zones share a cell
 }
 
-// repeatable tells whether a further push may be sent at all; a dial must not outlast the window.
+// repeatable tells whether a further push may be sent at all; a dial must not outlast the window. An op that
+// two workers call unfit is: six pushes of each such op had its workers taken for sick.
 func (d *Dispatcher) repeatable(o *op) bool {
 	c := &d.categories[o.cat]
-	if o.legs >= int(d.num("bounds.maxPushes", 1)) {
+	if o.legs >= int(d.num("bounds.maxPushes", 1)) || len(o.unfit) > 1 {
 		return false
 	}
 	if !o.ran || c.effect == "redeliverable" {
@@ -978,10 +978,8 @@
 		return may[btoi(nearY)] // crossing is paid for, and buys nothing while both are Low
 	case lowX && lowY || lowX == lowY && x == y:
 		return may[d.draw(2)]
-	case lowX || !lowY && x < y:
-		return may[0]
 	}
-	return may[1]
+	return may[btoi(lowY || !lowX && y < x)]
 }
 
 func (d *Dispatcher) near(i int) bool {
@@ -1076,7 +1074,7 @@
 // giveUp answers at once: a nack where trying again is harmless, with when to come back; else a dead letter.
 func (d *Dispatcher) giveUp(o *op, pause Time) (Verb, int, Time) {
 	o.over = true
-	if !d.harmless(o) {
+	if !d.harmless(o) || len(o.unfit) > 1 {
 		return DeadLetter, 0, 0
 	}
 	if d.terms["bounds.retryAfter"] != true {
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -531,3 +531,29 @@
 		}
 	}
 }
+
+// Ops that no worker can use went to six each, and the workers that said so were taken for sick.
+func TestAnUnfitOpSpeaksAgainstNoWorkerUntilAnotherServesIt(t *testing.T) {
+	for second, want := range map[Outcome]int{Unfit: 0, Served: 1} {
+		d := fleet(6, nil)
+		x, y := probed(t, d, 0, 0)
+		first := pushed(t, d, x, jobs(0), y, jobs(0))
+		d.Outcome(0, 0, Unfit, 10, false)
+		all := decisions(d)
+		other := pushed(t, d, all[0].worker, jobs(0), all[1].worker, jobs(0))
+		if other == first {
+			t.Fatal("the same worker was asked again")
+		}
+		d.Outcome(0, 1, second, 10, second == Served)
+		if all = decisions(d); second == Unfit && (len(all) == 0 || all[0].do != DeadLetter) {
+			t.Errorf("two workers call it unfit: %v", all)
+		}
+		bad := 0
+		for i := range d.workers {
+			bad += btoi(d.workers[i].health.failed > 0)
+		}
+		if bad != want {
+			t.Errorf("%d workers with a bad verdict, want %d", bad, want)
+		}
+	}
+}
--- a/internal/conns/exchange.go
+++ b/internal/conns/exchange.go
@@ -200,9 +200,14 @@
 			e.How = ending.TurnedAway
 		}
 		return resp, e
-	default:
+	case http.StatusRequestTimeout, http.StatusTooEarly, http.StatusTooManyRequests: // they speak of the moment
 		e.How = ending.ServerError
 		return resp, e
+	default:
+		if e.How = ending.ServerError; resp.StatusCode/100 == 4 {
+			e.How = ending.Rejected
+		}
+		return resp, e
 	}
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(make([]byte, 0, 1024), longestLine)
@@ -250,7 +255,8 @@
 // finish keeps a connection whose answer came whole, and closes any other.
 func (x *Exchange) finish(c *conn, resp *http.Response, e End) {
 	switch e.How {
-	case ending.Done, ending.Failed, ending.Returned, ending.Lost, ending.TurnedAway, ending.ServerError:
+	case ending.Done, ending.Failed, ending.Returned, ending.Lost, ending.TurnedAway, ending.Rejected,
+		ending.ServerError:
 		c.SetDeadline(time.Now().Add(tail))
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, longestLine))
 		x.mu.Lock()
--- a/internal/ending/ending.go
+++ b/internal/ending/ending.go
@@ -15,6 +15,7 @@
 	Lost                // the last line was "lost": the job was killed
 	Returned            // the last line was "returned", unstarted
 	TurnedAway          // 503 or 504 that says the op was not processed, or a probe's 503
+	Rejected            // a status that says that the request is at fault
 	ServerError         // any other status
 	NoDescriptor        // no descriptor was left for a connection
 	ConnRefused         // the worker's machine refused the connection
@@ -30,8 +31,8 @@
 	known               // one more than the last
 )
 
-var names = [known]string{"unknown", "done", "failed", "lost", "returned", "turned-away", "server-error",
-	"no-descriptor", "conn-refused", "never-up", "dial-failed", "part-written", "reset", "ended-early",
+var names = [known]string{"unknown", "done", "failed", "lost", "returned", "turned-away", "rejected",
+	"server-error", "no-descriptor", "conn-refused", "never-up", "dial-failed", "part-written", "reset", "ended-early",
 	"garbled", "silent", "withdrawn", "unwritten"}
 
 func (e Ending) String() string {
@@ -58,6 +59,8 @@
 		return dispatch.TimedOut
 	case Withdrawn:
 		return dispatch.Withdrawn
+	case Rejected:
+		return dispatch.Unfit
 	}
 	return dispatch.Errored
 }
