--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -538,12 +538,14 @@
 		d := fleet(6, nil)
 		x, y := probed(t, d, 0, 0)
 		first := pushed(t, d, x, jobs(0), y, jobs(0))
+		d.Clock(d.now + 10)
 		d.Outcome(0, 0, Unfit, 10, false)
 		all := decisions(d)
 		other := pushed(t, d, all[0].worker, jobs(0), all[1].worker, jobs(0))
 		if other == first {
 			t.Fatal("the same worker was asked again")
 		}
+		d.Clock(d.now + 10)
 		d.Outcome(0, 1, second, 10, second == Served)
 		if all = decisions(d); second == Unfit && (len(all) == 0 || all[0].do != DeadLetter) {
 			t.Errorf("two workers call it unfit: %v", all)
