--- a/internal/front/door.go
+++ b/internal/front/door.go
@@ -32,7 +32,6 @@
 // held is an op that a client waits for.
 type held struct {
 	ops.Arrived
-	id      string
 	target  string          // as the client wrote it
 	request conns.Request   // to workers
 	answer  chan ops.Answer // has room for the one answer
@@ -53,8 +52,8 @@
 	if r.Method != http.MethodPost {
 		return nil, &refusal{http.StatusMethodNotAllowed, "ops come by POST"}
 	}
-	h := &held{id: r.Header.Get(idHeader), target: r.RequestURI, answer: make(chan ops.Answer, 1)}
-	if h.id == "" {
+	h := &held{target: r.RequestURI, answer: make(chan ops.Answer, 1)}
+	if h.ID = r.Header.Get(idHeader); h.ID == "" {
 		return nil, bad("no %s", idHeader)
 	}
 	if h.Category = r.Header.Get(categoryHeader); h.Category == "" {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -82,6 +82,12 @@
 		Transport:  f,
 		Rewrite:    func(r *httputil.ProxyRequest) { r.Out.URL.RawQuery = r.In.URL.RawQuery },
 		BufferPool: &buffers{},
+		ModifyResponse: func(r *http.Response) error {
+			if r.StatusCode/100 == 4 { // as with refuse
+				r.Header.Set("Connection", "close")
+			}
+			return nil
+		},
 		ErrorHandler: func(w http.ResponseWriter, r *http.Request, err error) {
 			if r.Context().Err() == nil {
 				log.Error().Err(err).Msg("no answer from the loop")
@@ -236,6 +242,8 @@
 		}
 	case ops.UnknownCategory:
 		resp.StatusCode, text = http.StatusBadRequest, []byte("unknown category\n")
+	case ops.TakenID:
+		resp.StatusCode, text = http.StatusConflict, []byte("an op with this id is held already\n")
 	default:
 		resp.StatusCode, text = http.StatusBadGateway, []byte("dead-lettered\n")
 	}
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -97,7 +97,7 @@
 	case ops.Answer:
 		if h := l.held[e.Op]; h != nil {
 			delete(l.held, e.Op)
-			l.log.Debug().Uint64("op", e.Op).Str("id", h.id).Stringer("verdict", e.Verdict).Msg("answer")
+			l.log.Debug().Uint64("op", e.Op).Str("id", h.ID).Stringer("verdict", e.Verdict).Msg("answer")
 			h.answer <- e
 		}
 	case ops.Watch:
@@ -110,8 +110,8 @@
 func (l *loop) push(now time.Time, e ops.Push) {
 	h := l.held[e.Op] // a push is never asked for after the answer, or after its client left
 	wait := span(e.Within)
-	l.log.Debug().Uint64("op", e.Op).Str("id", h.id).Str("worker", e.Worker).Int("leg", e.Leg).Msg("push")
-	l.out[e.Op] = l.pool.Push(e.Addr, h.id, h.request.Bytes(wait), now.Add(wait), func(line conns.Line) {
+	l.log.Debug().Uint64("op", e.Op).Str("id", h.ID).Str("worker", e.Worker).Int("leg", e.Leg).Msg("push")
+	l.out[e.Op] = l.pool.Push(e.Addr, h.ID, h.request.Bytes(wait), now.Add(wait), func(line conns.Line) {
 		l.tell(ops.Noted{Op: e.Op, Started: line.State == "started", Done: line.Share})
 	}, func(end conns.End) {
 		l.log.Debug().Uint64("op", e.Op).Str("worker", e.Worker).Stringer("how", end.How).
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -4,6 +4,8 @@
 package ops
 
 import (
+	"maps"
+
 	"woaddyke/dispatch"
 	"woaddyke/internal/ending"
 	"woaddyke/internal/terms"
@@ -33,6 +35,7 @@
 // Arrived is a new op; the host numbers ops and never uses a number twice.
 type Arrived struct {
 	Op            uint64
+	ID            string // the client's own
 	Category      string
 	TTL           dispatch.Time // the moment at which the client gives up
 	Slots, Memory float64
@@ -109,16 +112,17 @@
 // Verdict is an op's final answer.
 type Verdict int
 
-// Unknown category answers what the module did not take.
+// Unknown category and taken ID answer what the module was not told of.
 const (
 	Acked Verdict = iota
 	Nacked
 	DeadLettered
 	UnknownCategory
+	TakenID
 )
 
 func (v Verdict) String() string {
-	return [...]string{"acked", "nacked", "dead-lettered", "unknown-category"}[v]
+	return [...]string{"acked", "nacked", "dead-lettered", "unknown-category", "taken-id"}[v]
 }
 
 // Answer is the one final answer to an op's client.
@@ -149,6 +153,8 @@
 
 type op struct {
 	number   uint64
+	id       string
+	ttl      dispatch.Time
 	legs     int
 	worker   int // of the last push
 	sentAt   dispatch.Time
@@ -171,8 +177,10 @@
 	zones      map[string]int
 	indices    map[string]int // of workers
 	workers    []worker
-	live       map[uint64]int // op number to index
-	ops        []op           // by index
+	live       map[uint64]int           // op number to index
+	ids        map[string]dispatch.Time // of ops held, 0; of others, until when they stay taken
+	sweepAt    int                      // with so many of them those that are free again are forgotten
+	ops        []op                     // by index
 	free       []int
 	probes     map[uint64]probe
 	lastProbe  uint64
@@ -182,7 +190,8 @@
 // New starts a reducer from a scheduler's seed and its site's terms.
 func New(seed uint64, site map[string]any) *Reducer {
 	r := &Reducer{d: dispatch.New(seed, site), report: terms.ReportOf(site), categories: map[string]int{},
-		zones: map[string]int{}, indices: map[string]int{}, live: map[uint64]int{}, probes: map[uint64]probe{}}
+		zones: map[string]int{}, indices: map[string]int{}, live: map[uint64]int{}, probes: map[uint64]probe{},
+		ids: map[string]dispatch.Time{}}
 	r.inline = site["report.how"] == "inline"
 	r.cancel = site["bounds.cancel"] == true
 	for i := 0; ; i++ {
@@ -208,7 +217,7 @@
 	case WatchBroke:
 		r.d.ListRefused()
 	case Arrived:
-		todo = r.arrive(in)
+		todo = r.arrive(now, in)
 	case Left:
 		todo = r.leave(in.Op)
 	case Noted:
@@ -258,11 +267,15 @@
 	return todo
 }
 
-func (r *Reducer) arrive(in Arrived) []Effect {
+func (r *Reducer) arrive(now dispatch.Time, in Arrived) []Effect {
 	cat, ok := r.categories[in.Category]
 	if !ok {
 		return []Effect{Answer{Op: in.Op, Verdict: UnknownCategory}}
 	}
+	// A second push under one id is a second copy for its worker, also after the answer: the first may still run.
+	if until, taken := r.ids[in.ID]; taken && (until == 0 || now <= until) {
+		return []Effect{Answer{Op: in.Op, Verdict: TakenID}}
+	}
 	i := len(r.ops)
 	if n := len(r.free); n > 0 {
 		i, r.free = r.free[n-1], r.free[:n-1]
@@ -273,7 +286,8 @@
 		r.free = append(r.free, i)
 		return []Effect{Answer{Op: in.Op, Verdict: UnknownCategory}}
 	}
-	r.ops[i] = op{number: in.Op}
+	r.ops[i] = op{number: in.Op, id: in.ID, ttl: in.TTL}
+	r.ids[in.ID] = 0
 	r.live[in.Op] = i
 	if r.stopBy > 0 {
 		r.d.Stop(r.stopBy)
@@ -368,12 +382,22 @@
 			todo = append(todo, Wake{span})
 		case dispatch.Forget:
 			delete(r.live, r.ops[i].number)
+			r.release(now, r.ops[i].id, r.ops[i].ttl)
 			r.ops[i] = op{}
 			r.free = append(r.free, i)
 		}
 	}
 }
 
+// release keeps an id taken until the TTL of the op that had it: until then its client may wait for that one.
+func (r *Reducer) release(now dispatch.Time, id string, until dispatch.Time) {
+	if r.ids[id] = until; len(r.ids) < max(r.sweepAt, 1024) {
+		return
+	}
+	maps.DeleteFunc(r.ids, func(_ string, until dispatch.Time) bool { return until > 0 && until < now })
+	r.sweepAt = 2 * len(r.ids)
+}
+
 // stop cuts short what is held. At the moment itself this side stops waiting for workers, as at a TTL.
 func (r *Reducer) stop(now, by dispatch.Time) (todo []Effect) {
 	r.stopBy = by
--- a/internal/ops/ops_test.go
+++ b/internal/ops/ops_test.go
@@ -1,6 +1,7 @@
 package ops
 
 import (
+	"fmt"
 	"math/rand"
 	"testing"
 	"testing/quick"
@@ -33,7 +34,7 @@
 }
 
 func arrive(r *Reducer, number uint64, category string) []Effect {
-	return r.Take(2, Arrived{Op: number, Category: category, TTL: 2 * second})
+	return r.Take(2, Arrived{Op: number, ID: fmt.Sprint(number), Category: category, TTL: 2 * second})
 }
 
 func TestAnUnknownCategoryIsAnsweredAtOnce(t *testing.T) {
@@ -43,6 +44,40 @@
 	}
 }
 
+// Another client's op under an id that is held went out as a second copy, and a job line could be either's.
+func TestAnIDThatIsTakenIsRefused(t *testing.T) {
+	r := started()
+	ask := func(now dispatch.Time, number uint64, id string) Verdict {
+		a, ok := first[Answer](r.Take(now, Arrived{Op: number, ID: id, Category: "look", TTL: now + second}))
+		if !ok {
+			return -1
+		}
+		return a.Verdict
+	}
+	if got := ask(2, 1, "a"); got != -1 {
+		t.Fatalf("a new id: %v", got)
+	}
+	if got := ask(3, 2, "a"); got != TakenID {
+		t.Errorf("the id of an op that is out: %v", got)
+	}
+	r.Take(4, Ended{Op: 1, How: ending.Done})
+	if got := ask(5, 3, "a"); got != TakenID {
+		t.Errorf("the id of an op that was answered a moment ago: %v", got)
+	}
+	for n := range uint64(3000) {
+		ask(10, 100+n, string(rune(n+1000)))
+		r.Take(10, Left{Op: 100 + n})
+		r.Take(10, Ended{Op: 100 + n, How: ending.Withdrawn})
+	}
+	if got := ask(3*second, 4, "a"); got != -1 {
+		t.Errorf("after its TTL: %v", got)
+	}
+	r.Take(3*second, Left{Op: 4})
+	if r.Take(3*second, Ended{Op: 4, How: ending.Withdrawn}); len(r.live) > 0 || len(r.ids) > 4096 {
+		t.Errorf("%d ids, %d ops", len(r.ids), len(r.live))
+	}
+}
+
 func TestAPushThatMayHaveRunIsNoNack(t *testing.T) {
 	for how, want := range map[ending.Ending]Verdict{ending.Reset: DeadLettered, ending.Unknown: DeadLettered,
 		ending.Silent: DeadLettered, ending.Done: Acked} {
@@ -135,7 +170,7 @@
 			switch n := uint64(chance.Intn(int(last) + 1)); chance.Intn(6) {
 			case 0, 1:
 				last++
-				carry(r.Take(now, Arrived{Op: last, Category: []string{"look", "pay"}[chance.Intn(2)],
+				carry(r.Take(now, Arrived{Op: last, ID: fmt.Sprint(last), Category: []string{"look", "pay"}[chance.Intn(2)],
 					TTL: now + dispatch.Time(chance.Intn(int(second)))}))
 			case 2:
 				if n > 0 && answered[n] == 0 {
