A scheduler that stops keeps its clients' connections while it can still answer

In the logs the second scheduler got SIGTERM 3.0 s after the first, which comes back 4.4 s after its own: from 0.4 s after the second word no new connection is let in anywhere, and stop closed the idle ones at once, which clients would have gone on using (checked with the pushes of each quarter second). Lines at fault: SetKeepAlivesEnabled(false) and Shutdown 0.5 s after the word. What still fails is from 0.9 s after the second word on, when clients leave connections that are open and idle (seen with a debug line for each connection and health check); the front's, not ours.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -28,12 +28,12 @@
 )
 
 const (
-	spare      = 32                      // descriptors kept for the listener, discovery and the runtime
-	headTime   = 1500 * time.Millisecond // for a head, and for a connection to say anything at all
-	bodyTime   = time.Second             // for a body after that: on a whole request nobody waits for 3 s
-	patience   = 10 * time.Second        // with a client that does not read its answer
-	stillComes = 500 * time.Millisecond  // clients may find a scheduler that stops for so long
-	stopSlack  = 600 * time.Millisecond  // after the longest TTL a process that stops may be killed
+	spare     = 32                      // descriptors kept for the listener, discovery and the runtime
+	headTime  = 1500 * time.Millisecond // for a head, and for a connection to say anything at all
+	bodyTime  = time.Second             // for a body after that: on a whole request nobody waits for 3 s
+	patience  = 10 * time.Second        // with a client that does not read its answer
+	stopSlack = 600 * time.Millisecond  // after the longest TTL a process that stops may be killed
+	stays     = 0.6                     // of its last time it keeps connections: their clients may have no other
 )
 
 // Front is one scheduler on sockets.
@@ -144,17 +144,18 @@
 	f.log.Info().Str("discovery", sheet.Discovery).Msg("configuration reread")
 }
 
-// stop answers all that was taken. Connections go on being accepted for a while: what a client wrote to one
-// that the machine had accepted counts as taken.
+// stop answers all that was taken. Connections go on being accepted and used for a while: what a client wrote to
+// one that the machine had accepted counts as taken, and the scheduler that it would turn to may be down still.
 func (f *Front) stop(s *http.Server, within time.Duration) {
-	by := time.Now().Add(min(within, f.longestTTL()) + stopSlack/3)
+	within = min(within, f.longestTTL()) + stopSlack/3
+	by := time.Now().Add(within)
 	f.stopping.Store(true)
-	s.SetKeepAlivesEnabled(false)
 	f.log.Info().Time("by", by).Msg("stopping")
 	last := ops.Stopping{By: terms.Down(f.loop.clock.nanos(by))}
 	f.loop.tell(last)
 	defer time.AfterFunc(time.Until(by), func() { f.loop.tell(last) }).Stop()
-	time.Sleep(stillComes)
+	time.Sleep(time.Duration(stays * float64(within)))
+	s.SetKeepAlivesEnabled(false)
 	ctx, cancel := context.WithDeadline(context.Background(), by.Add(stopSlack/3))
 	defer cancel()
 	if err := s.Shutdown(ctx); err != nil { // it waits for the answers that are still owed
