--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -112,6 +112,7 @@
 	wait := span(e.Within)
 	l.log.Debug().Uint64("op", e.Op).Str("id", h.ID).Str("worker", e.Worker).Int("leg", e.Leg).Msg("push")
 	l.out[e.Op] = l.pool.Push(e.Addr, h.ID, h.request.Bytes(wait), now.Add(wait), func(line conns.Line) {
+		l.log.Debug().Uint64("op", e.Op).Str("state", line.State).Float64("share", line.Share).Msg("job line")
 		l.tell(ops.Noted{Op: e.Op, Started: line.State == "started", Done: line.Share})
 	}, func(end conns.End) {
 		l.log.Debug().Uint64("op", e.Op).Str("worker", e.Worker).Stringer("how", end.How).
