A started push silent for three progress intervals is called off and tried elsewhere

Checked against the sockets: of 2,000 pushes that were served none was without a word for more than 1.50 s (one interval is 1 s), so such silence is no long job. Lines at fault: overdue took any word of the worker for one of this push, and nothing was called off. Now three intervals without a word of this push are a bad verdict, and the push is closed where rule 2 allows another.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -29,6 +29,7 @@
 	Nothing Verb = iota
 	Push
 	Probe
+	CallOff // closes the push that is out; its outcome is Withdrawn, or what came just before
 	Nack
 	DeadLetter
 	Subscribe
@@ -282,9 +283,7 @@
 		w.ready = w.ready && w.listed
 		d.ready += btoi(w.ready)
 	}
-	if !remembered {
-		d.subscribed = true
-	}
+	d.subscribed = d.subscribed || !remembered
 }
 
 // ListRefused says that the subscription failed or broke.
@@ -365,9 +364,7 @@
 		r.paired = true
 		l := cell(r.load)
 		d.a[l]++
-		if idle(next.load) {
-			d.b[l]++
-		}
+		d.b[l] += float64(btoi(idle(next.load)))
 	}
 }
 
@@ -558,13 +555,9 @@
 	for now-h.verdicts[0].at > healthMax {
 		h.verdicts = h.verdicts[1:]
 	}
+	says := [2]float64{math.Log(h.p1 / h.p0), math.Log((1 - h.p1) / (1 - h.p0))}
 	for _, v := range h.verdicts {
-		if v.ok {
-			s += math.Log((1 - h.p1) / (1 - h.p0))
-		} else {
-			s += math.Log(h.p1 / h.p0)
-		}
-		s = max(s, 0)
+		s = max(s+says[btoi(v.ok)], 0)
 	}
 	return s >= accept
 }
@@ -863,6 +856,14 @@
 	case o.out && !o.over && !o.silent && d.now >= d.overdue(o):
 		o.silent = true
 		d.judge(o.worker, false)
+		then := *o
+		if then.ran = true; !o.ran {
+			then.ranAt = o.sentAt
+		}
+		// Answers get lost though their jobs end. Such ops stood out until their TTL, too late for another try.
+		if o.started > 0 && d.terms["bounds.cancel"] == true && d.repeatable(&then) {
+			return CallOff, 0, 0
+		}
 		return Nothing, 0, 0
 	case o.over || o.out:
 		return Nothing, 0, 0
@@ -924,16 +925,16 @@
 // overdue is when silence about a push that is out speaks against its worker. It is measured by the longest
 // starts of late, so that pauses and slowness of the whole fleet aren't read as many sick workers.
 func (d *Dispatcher) overdue(o *op) Time {
-	const never = Time(math.MaxInt64)
-	switch every := Time(d.num("extra.progress", 0)); {
+	every := Time(d.num("extra.progress", 0))
+	switch {
 	case o.begun || d.terms["extra.tellsStart"] != true || len(d.starts) < lastFew/4:
-		return never
+		return math.MaxInt64
 	case o.started == 0:
 		return max(o.sentAt, d.workers[o.worker].heard) + 2*(d.figures().longest+o.foretold) + second/10 + every
 	case every > 0:
-		return max(o.heard, d.workers[o.worker].heard) + 3*every
+		return o.heard + 3*every // what its worker says of other pushes tells nothing of this one's connection
 	}
-	return never
+	return math.MaxInt64
 }
 
 // choose is the design's placement: Low before High, random among two Low; else the lower count; else
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -559,3 +559,39 @@
 		}
 	}
 }
+
+// Jobs ended and their answers were lost: each such op stood out until its TTL, and its client had no time left.
+func TestAStartedPushThatFallsSilentIsCalledOff(t *testing.T) {
+	for cat, want := range []bool{true, true, true, true, false} { // an at-most-once op can't be pushed again
+		d := fleet(8, map[string]any{"extra.progress": 10_000.0})
+		d.categories[cat].window = 50_000
+		for range lastFew {
+			d.starts = append(d.starts, start{d.now, 100})
+		}
+		x, y := probed(t, d, 0, cat)
+		first := pushed(t, d, x, jobs(0), y, jobs(0))
+		d.Clock(d.now + 100)
+		d.Note(0, 0, true, 0)
+		for range 29 {
+			if d.Clock(d.now + 1_000); len(decisions(d)) > 0 {
+				t.Fatal("called off within three intervals of progress")
+			}
+		}
+		d.Clock(d.now + 1_000)
+		all := decisions(d)
+		if called := len(all) > 0 && all[0].do == CallOff; called != want {
+			t.Fatalf("category %d: %v", cat, all)
+		}
+		if !want {
+			continue
+		}
+		if d.workers[first].health.failed == 0 {
+			t.Error("no verdict on the worker")
+		}
+		d.Outcome(0, 0, Withdrawn, 100, false)
+		d.Clock(d.now + 10)
+		if all = decisions(d); len(all) == 0 || all[0].do != Probe || all[0].worker == first {
+			t.Errorf("category %d is not tried elsewhere: %v", cat, all)
+		}
+	}
+}
--- a/dispatch/rules_test.go
+++ b/dispatch/rules_test.go
@@ -90,6 +90,7 @@
 	r := rand.New(rand.NewSource(seed))
 	mode := [2]string{"pushed", "on_request"}[r.Intn(2)]
 	terms := terms(map[string]any{"discovery": mode, "bounds.probes": r.Intn(5) > 0,
+		"extra.progress":      2_000 * float64(r.Intn(2)),
 		"bounds.secondCopies": r.Intn(2) == 0})
 	d := New(uint64(seed), terms)
 	m := &plain{map[int]bool{}, map[int][2]int{}, map[int]Time{}, map[int]*plainOp{}, map[int]float64{},
@@ -207,6 +208,15 @@
 				t.Logf("a push to cold worker %d that has no room", worker)
 				return false
 			}
+		case CallOff:
+			o := m.ops[name]
+			p := &o.pushes[len(o.pushes)-1]
+			if p.ended || terms["bounds.cancel"] != true {
+				t.Logf("called off against the rules: category %d", o.cat)
+				return false
+			}
+			p.ended, p.how = true, Withdrawn
+			d.Outcome(op, len(o.pushes)-1, Withdrawn, now-p.at, false)
 		case Nack, DeadLetter:
 			o := m.ops[name]
 			if o.final || do == Nack && !m.mayNack(terms, name, now) ||
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -362,6 +362,8 @@
 			todo = append(todo, Push{Op: o.number, Leg: o.legs, Worker: r.workers[w].name, Addr: r.workers[w].addr,
 				Within: span})
 			o.legs++
+		case dispatch.CallOff:
+			todo = append(todo, Close{Op: r.ops[i].number, How: ending.Withdrawn})
 		case dispatch.Probe:
 			r.lastProbe++
 			r.probes[r.lastProbe] = probe{w, now}
--- a/internal/ops/ops_test.go
+++ b/internal/ops/ops_test.go
@@ -103,6 +103,35 @@
 	}
 }
 
+// What the module calls off must be closed before the next push, or two copies are out.
+func TestAPushThatIsCalledOffIsClosedFirst(t *testing.T) {
+	r := started()
+	site := map[string]any{"extra.progress": 100.0, "extra.tellsStart": true,
+		"bounds.cancel": true, "bounds.maxPushes": 3.0,
+		"categories.0.name": "look", "categories.0.ttl": 5.0, "categories.0.effect": "redeliverable",
+		"categories.0.targetLatency": float64(second)}
+	r.d = dispatch.New(7, site)
+	r.Take(1, Listed{Whole: true, Entries: []Entry{{Worker: "w", Addr: "a:1", Ready: true},
+		{Worker: "v", Addr: "a:2", Ready: true}}})
+	p, _ := first[Push](arrive(r, 1, "look"))
+	for n := uint64(2); n < 12; n++ { // starts that say how long a start takes here
+		arrive(r, n, "look")
+		r.Take(3, Noted{Op: n, Started: true})
+		r.Take(3, Ended{Op: n, How: ending.Done})
+	}
+	r.Take(3, Noted{Op: 1, Started: true})
+	todo := r.Take(304, Woken{})
+	if c, ok := first[Close](todo); !ok || c.OnlyUnwritten || c.How != ending.Withdrawn {
+		t.Fatalf("not closed: %+v", todo)
+	}
+	if _, ok := first[Push](todo); ok {
+		t.Fatal("pushed again before the end is told")
+	}
+	if again, ok := first[Push](r.Take(305, Ended{Op: 1, How: ending.Withdrawn})); !ok || again.Worker == p.Worker {
+		t.Fatalf("not pushed elsewhere: %+v", again)
+	}
+}
+
 func TestAClientThatLeftGetsNothingMore(t *testing.T) {
 	r := started()
 	arrive(r, 1, "look")
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -64,6 +64,7 @@
 	names   []string
 	ops     map[string]int
 	reqs    []string // by op index; empty when the index is free
+	legs    []int    // pushes of each
 	free    []int
 }
 
@@ -252,9 +253,9 @@
 	i := len(s.reqs)
 	if n := len(s.free); n > 0 {
 		i, s.free = s.free[n-1], s.free[:n-1]
-		s.reqs[i] = req
+		s.reqs[i], s.legs[i] = req, 0
 	} else {
-		s.reqs = append(s.reqs, req)
+		s.reqs, s.legs = append(s.reqs, req), append(s.legs, 0)
 	}
 	s.ops[req] = i
 	return i
@@ -298,8 +299,11 @@
 		ns := int64(span) * terms.Tenth
 		switch do {
 		case dispatch.Push:
+			s.legs[i]++
 			box = fmt.Appendf(box, `{"m":"Send","req":%s,"worker":%s,"withinNs":%d}`,
 				quote(s.reqs[i]), quote(s.names[worker]), ns)
+		case dispatch.CallOff:
+			box = fmt.Appendf(box, `{"m":"Retract","req":%s,"leg":%d}`, quote(s.reqs[i]), s.legs[i]-1)
 		case dispatch.Probe:
 			box = fmt.Appendf(box, `{"m":"Test","worker":%s}`, quote(s.names[worker]))
 		case dispatch.Nack:
