--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -175,6 +175,7 @@
 	fresh      bool // the digest holds
 	ranAnew    bool // runs have come since it was worked out
 	digest     digest
+	takes      bool // workers say at once that they have taken a push
 	subscribed bool
 	callAt     Time
 	woken      Time
@@ -306,8 +307,7 @@
 	c := &d.categories[cat]
 	c.longest = max(c.longest, ttl-d.now)
 	o := &op{index: i, cat: cat, ttl: ttl, came: ttl - c.longest, slots: slots, memory: memory, work: work}
-	d.ops[i] = o
-	d.live = append(d.live, o)
+	d.ops[i], d.live = o, append(d.live, o)
 	return true
 }
 
@@ -425,13 +425,14 @@
 	return t
 }
 
-// Note is word of a push that is out: it has started, or how far it is.
+// Note is word of a push that is out: it has started, or how far it is; below 0, it is taken and no more.
 func (d *Dispatcher) Note(i, leg int, started bool, done float64) {
 	o := d.op(i)
 	if o == nil || !o.out || leg != o.legs-1 {
 		return
 	}
-	o.heard, d.workers[o.worker].heard, d.fresh = d.now, d.now, false
+	o.heard, d.workers[o.worker].heard, d.fresh = max(d.now, o.sentAt+1), d.now, false
+	d.takes = d.takes || done < 0
 	if started && o.started == 0 {
 		o.started = d.now
 		if o.looked {
@@ -857,11 +858,9 @@
 		o.silent = true
 		d.judge(o.worker, false)
 		then := *o
-		if then.ran = true; !o.ran {
-			then.ranAt = o.sentAt
-		}
-		// Answers get lost though their jobs end. Such ops stood out until their TTL, too late for another try.
-		if o.started > 0 && d.terms["bounds.cancel"] == true && d.repeatable(&then) {
+		then.ran, then.ranAt = true, [2]Time{o.sentAt, o.ranAt}[btoi(o.ran)]
+		// Connections fall silent and answers get lost. Such ops stood out until their TTL, too late for more.
+		if (o.started > 0 || d.untaken(o)) && d.terms["bounds.cancel"] == true && d.repeatable(&then) {
 			return CallOff, 0, 0
 		}
 		return Nothing, 0, 0
@@ -925,18 +924,22 @@
 // overdue is when silence about a push that is out speaks against its worker. It is measured by the longest
 // starts of late, so that pauses and slowness of the whole fleet aren't read as many sick workers.
 func (d *Dispatcher) overdue(o *op) Time {
-	every := Time(d.num("extra.progress", 0))
+	limit, every := Time(math.MaxInt64), Time(d.num("extra.progress", 0))
 	switch {
+	case d.untaken(o):
+		limit = o.sentAt + 2*Time(d.num("bounds.connectTimeout", float64(second))) // a dial, and as long again
 	case o.begun || d.terms["extra.tellsStart"] != true || len(d.starts) < lastFew/4:
-		return math.MaxInt64
 	case o.started == 0:
-		return max(o.sentAt, d.workers[o.worker].heard) + 2*(d.figures().longest+o.foretold) + second/10 + every
+		limit = max(o.sentAt, d.workers[o.worker].heard) + 2*(d.figures().longest+o.foretold) + second/10 + every
 	case every > 0:
-		return o.heard + 3*every // what its worker says of other pushes tells nothing of this one's connection
+		limit = o.heard + 3*every // what its worker says of other pushes tells nothing of this one's connection
 	}
-	return math.MaxInt64
+	return limit
 }
 
+// untaken tells of a push whose worker has not said that it has it, where that is the first thing said.
+func (d *Dispatcher) untaken(o *op) bool { return d.takes && o.heard == o.sentAt && !o.begun }
+
 // choose is the design's placement: Low before High, random among two Low; else the lower count; else
 // the worker that answered; else a random ready one.
 func (d *Dispatcher) choose(o *op) int {
@@ -1078,8 +1081,6 @@
 	if !d.harmless(o) || len(o.unfit) > 1 {
 		return DeadLetter, 0, 0
 	}
-	if d.terms["bounds.retryAfter"] != true {
-		pause = 0
-	}
-	return Nack, 0, min(max(pause, 0), Time(d.num("bounds.maxRetryAfter", 0)))
+	most := Time(d.num("bounds.maxRetryAfter", 0)) * Time(btoi(d.terms["bounds.retryAfter"] == true))
+	return Nack, 0, min(max(pause, 0), most)
 }
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -595,3 +595,28 @@
 		}
 	}
 }
+
+// A connection that fell silent held its op until the TTL, though workers say at once that they have taken one.
+func TestAPushThatIsNotTakenIsCalledOff(t *testing.T) {
+	for cat, want := range []bool{true, true, true, true, false} {
+		d := fleet(8, map[string]any{"bounds.connectTimeout": 2_000.0})
+		x, y := probed(t, d, 0, cat)
+		pushed(t, d, x, jobs(0), y, jobs(0))
+		d.Clock(d.now + 5_000)
+		if all := decisions(d); len(all) > 0 {
+			t.Fatalf("called off though nobody was seen to say so: %v", all)
+		}
+		d.Note(0, 0, false, -1)
+		x, y = probed(t, d, 1, cat)
+		pushed(t, d, x, jobs(0), y, jobs(0))
+		d.Clock(d.now + 3_900)
+		if all := decisions(d); len(all) > 0 {
+			t.Fatalf("called off before a dial and as long again: %v", all)
+		}
+		d.Clock(d.now + 100)
+		all := decisions(d)
+		if called := len(all) > 0 && all[0].do == CallOff && all[0].op == 1; called != want || len(all) > 1 {
+			t.Errorf("category %d: %v", cat, all)
+		}
+	}
+}
--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -173,3 +173,22 @@
 		t.Fatal(e.How)
 	}
 }
+
+// The head of the answer is the worker's word that it has the op: without it silence says nothing before the TTL.
+func TestTheHeadOfAnAnswerIsTold(t *testing.T) {
+	addr := worker(t, func(c net.Conn) {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		time.Sleep(time.Minute)
+	})
+	told := make(chan Line, 9)
+	x := pool(1).Push(addr, "a1", request, time.Now().Add(time.Minute), func(l Line) { told <- l }, func(End) {})
+	defer x.Close(false, ending.Withdrawn)
+	select {
+	case l := <-told:
+		if l.State != "taken" || l.Share >= 0 {
+			t.Errorf("%+v", l)
+		}
+	case <-time.After(10 * time.Second):
+		t.Fatal("nothing was told")
+	}
+}
--- a/internal/conns/exchange.go
+++ b/internal/conns/exchange.go
@@ -195,6 +195,7 @@
 	e.Load = []byte(resp.Header.Get("X-Backend-Load"))
 	switch resp.StatusCode {
 	case http.StatusOK:
+		note(Line{State: "taken", Share: -1})
 	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
 		if e.How = ending.ServerError; resp.Header.Get("X-Unprocessed") == "1" {
 			e.How = ending.TurnedAway
