A start is no good verdict on its worker

Checked by worker in the debug lines against what the module held: each start counted as a good verdict (Note), so its posterior was one half, and jobs that fail soon leave it Low. Ruled out: the sequential test, which did doubt it.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -439,7 +439,7 @@
 			d.starts = keep(d.starts, start{d.now, d.now - o.sentAt}, lastFew)
 		}
 		d.taus = keep(d.taus, d.now-o.askedAt, lastFew)
-		d.judge(o.worker, true)
+		d.zones[d.workers[o.worker].zone].add(d.now, true) // of the worker a start says little: it may fail all
 		if o.place > 0 {
 			d.learnPlace(&d.workers[o.worker], place{o.place, d.now - o.sentAt})
 		}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -620,3 +620,27 @@
 		}
 	}
 }
+
+// A worker that started every op and failed four in five kept its full share: each start counted for it.
+func TestAWorkerThatStartsAndFailsIsDoubted(t *testing.T) {
+	d := fleet(2, nil)
+	for i := range 20 {
+		d.Op(i, 0, d.now+50_000, 1, 0, 0)
+		decisions(d)
+		d.Clock(d.now + d.shortWait())
+		d.Report(0, 0, jobs(0)) // worker 1 does not answer the probe
+		if push(t, d) != 0 {
+			continue
+		}
+		d.Clock(d.now + 10)
+		d.Note(i, 0, true, 0)
+		d.Outcome(i, 0, Errored, 10, false)
+	}
+	in := 0
+	for range 1000 {
+		in += btoi(d.admitted(&d.workers[0].health))
+	}
+	if in > 350 {
+		t.Errorf("admitted %d times in 1000", in)
+	}
+}
