Idle client connections give way before clients have opened a third of the descriptors

Seen on rude+crowd with 256 descriptors: 560 to 608 requests of usual clients had no connection left, 5 to 19% refused in each 5 s, while this side turned away one op. Cause: clients may open a third of the descriptors (85), idle ones and crowds included, and ours gave way only from 45% of all but 32 on (100): newClients in front.New. A debug line for each connection showed 100 open throughout. Ruled out: closing after health checks alone (608), a limit of 10% for those never served (560, and no gain beside this change).

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -53,7 +53,7 @@
 // New makes a scheduler from what it is told at its start.
 func New(sheet *terms.Sheet, log zerolog.Logger) (*Front, error) {
 	f := &Front{sheet: sheet, log: log}
-	f.clients = newClients(f.share(0.45), f.share(0.55))
+	f.clients = newClients(f.share(0.3), f.share(0.55))
 	dial := sheet.Span("bounds.connectTimeout", time.Second)
 	f.loop = &loop{
 		in:      make(chan message, backlog),
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -251,6 +251,16 @@
 	if ask("kept") != first {
 		t.Error("the flood took a connection that had served")
 	}
+	open := 0
+	for _, c := range silent {
+		c.SetReadDeadline(time.Now().Add(time.Millisecond))
+		if _, err := c.Read(make([]byte, 1)); errors.Is(err, os.ErrDeadlineExceeded) {
+			open++
+		}
+	}
+	if open > 256/3 { // clients open no more than a third of the descriptors: those with ops had none left
+		t.Errorf("%d of the flood may stay", open)
+	}
 	usual.CloseIdleConnections()
 	ask("new")
 	for _, c := range silent {
