--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -23,11 +23,13 @@
 
 const (
 	beat     = 2 * time.Second // an empty line comes this often while nothing changes
+	quiet    = 9 * beat / 4    // so long without a line, and the agent is lost; it must be found out before 4 s and a grace
 	longLine = 8 << 20
 	// The first wait for another watch; each that fails doubles it, up to sixteen times as long. It must stay
 	// short: what discovery's agent has counts as told while nobody reads it.
 	firstWait = 20 * time.Millisecond
-	// After a move the address before soon closes, so a first call that fails is repeated without the module.
+	// An agent answers at once. After a move the address before soon closes, so a first call that fails is
+	// repeated without the module for as long.
 	settle = time.Second
 )
 
@@ -172,9 +174,9 @@
 	defer r.one.Unlock()
 	addr, ctx, cancel := r.current(ctx)
 	defer cancel()
-	lost := errors.New("nothing came for three beats")
+	lost := errors.New("nothing came")
 	ctx, silent := context.WithCancelCause(ctx)
-	silence := time.AfterFunc(3*beat, func() { silent(lost) }) // a lost agent says nothing
+	silence := time.AfterFunc(settle, func() { silent(lost) }) // a lost agent says nothing
 	defer silence.Stop()
 	url := fmt.Sprintf("http://%s/v1/servers?stream=1&index=%d", addr, r.rev)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
@@ -189,10 +191,11 @@
 	if resp.StatusCode != http.StatusOK {
 		return false, fmt.Errorf("watch: status %s", resp.Status)
 	}
+	silence.Reset(quiet)
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(make([]byte, 4096), longLine)
 	for lines.Scan() {
-		silence.Reset(3 * beat)
+		silence.Reset(quiet)
 		line := bytes.TrimSpace(lines.Bytes())
 		if heard = true; len(line) == 0 {
 			continue
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -70,3 +70,26 @@
 	case <-time.After(50 * time.Millisecond):
 	}
 }
+
+// After a move what discovery tells counts as told 4 s later: an agent that takes the call and says nothing held
+// the watch for 6 s.
+func TestASilentAgentIsSoonCalledAgain(t *testing.T) {
+	calls := make(chan bool, 9)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls <- true
+		<-r.Context().Done()
+	}))
+	defer s.Close()
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	r := New("127.0.0.1:1", 1, func(ops.Input) {}, zerolog.Nop())
+	go r.Keep(ctx)
+	r.Move(s.Listener.Addr().String())
+	for range 2 {
+		select {
+		case <-calls:
+		case <-time.After(2 * time.Second):
+			t.Fatal("not called")
+		}
+	}
+}
