One peek, one rule for closing, one way to replace a watch; no copies of ops

The door's quiet peeked at a connection just as the pool's sound did: both call conns.Peek. refuse and the proxy each knew when a connection closes behind a request: closeBehind. The roster had the watch itself find out whether Keep or Call had started it, and two nested contexts: both now replace the watch that is on the same way. decide copied an op to ask whether it could be pushed again after a push that is still out; repeatable counts such a push as one that may have run, which is what it is. job repeated one ending in three branches: refused says what a status means. Noted says what Done below 0 stands for.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -601,10 +601,11 @@
 	if o.legs >= int(d.num("bounds.maxPushes", 1)) || len(o.unfit) > 1 {
 		return false
 	}
-	if !o.ran || c.effect == "redeliverable" {
+	if !o.ran && !o.out || c.effect == "redeliverable" {
 		return true
 	}
-	return c.effect == "deduplicated" && d.now+Time(d.num("bounds.connectTimeout", 0)) < o.ranAt+c.window
+	ranAt := [2]Time{o.sentAt, o.ranAt}[btoi(o.ran)] // the push that is out may be the first that runs
+	return c.effect == "deduplicated" && d.now+Time(d.num("bounds.connectTimeout", 0)) < ranAt+c.window
 }
 
 // harmless tells whether a nack keeps its promise.
@@ -858,10 +859,8 @@
 	case o.out && !o.over && !o.silent && d.now >= d.overdue(o):
 		o.silent = true
 		d.judge(o.worker, false)
-		then := *o
-		then.ran, then.ranAt = true, [2]Time{o.sentAt, o.ranAt}[btoi(o.ran)]
 		// Connections fall silent and answers get lost. Such ops stood out until their TTL, too late for more.
-		if (o.started > 0 || d.untaken(o)) && d.terms["bounds.cancel"] == true && d.repeatable(&then) {
+		if (o.started > 0 || d.untaken(o)) && d.terms["bounds.cancel"] == true && d.repeatable(o) {
 			return CallOff, 0, 0
 		}
 		return Nothing, 0, 0
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -162,19 +162,25 @@
 	if c.r.Buffered() > 0 {
 		return false
 	}
-	s, ok := c.Conn.(syscall.Conn)
+	_, err := Peek(c.Conn)
+	return errors.Is(err, syscall.EAGAIN)
+}
+
+// Peek looks at what has come on a connection and leaves it there: how much, up to a byte. The error is EAGAIN
+// where nothing has come yet, and none where the other side has closed.
+func Peek(c net.Conn) (n int, err error) {
+	s, ok := c.(syscall.Conn)
 	if !ok {
-		return false
+		return 0, errors.ErrUnsupported
 	}
 	raw, err := s.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	quiet := false
+	var peeked error
 	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
-		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = e == syscall.EAGAIN
+		n, _, peeked = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return err == nil && quiet
+	return max(n, 0), errors.Join(err, peeked)
 }
--- a/internal/conns/exchange.go
+++ b/internal/conns/exchange.go
@@ -193,23 +193,11 @@
 		return nil, e
 	}
 	e.Load = []byte(resp.Header.Get("X-Backend-Load"))
-	switch resp.StatusCode {
-	case http.StatusOK:
-		note(Line{State: "taken", Share: -1})
-	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
-		if e.How = ending.ServerError; resp.Header.Get("X-Unprocessed") == "1" {
-			e.How = ending.TurnedAway
-		}
-		return resp, e
-	case http.StatusRequestTimeout, http.StatusTooEarly, http.StatusTooManyRequests: // they speak of the moment
-		e.How = ending.ServerError
-		return resp, e
-	default:
-		if e.How = ending.ServerError; resp.StatusCode/100 == 4 {
-			e.How = ending.Rejected
-		}
+	if resp.StatusCode != http.StatusOK {
+		e.How = refused(resp)
 		return resp, e
 	}
+	note(Line{State: "taken", Share: -1})
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(make([]byte, 0, 1024), longestLine)
 	for lines.Scan() {
@@ -253,6 +241,22 @@
 	return resp, e
 }
 
+// refused is what a status says that takes no job.
+func refused(resp *http.Response) ending.Ending {
+	switch resp.StatusCode {
+	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		if resp.Header.Get("X-Unprocessed") == "1" {
+			return ending.TurnedAway
+		}
+	case http.StatusRequestTimeout, http.StatusTooEarly, http.StatusTooManyRequests: // they speak of the moment
+	default:
+		if resp.StatusCode/100 == 4 {
+			return ending.Rejected
+		}
+	}
+	return ending.ServerError
+}
+
 // finish keeps a connection whose answer came whole, and closes any other.
 func (x *Exchange) finish(c *conn, resp *http.Response, e End) {
 	switch e.How {
--- a/internal/front/clients.go
+++ b/internal/front/clients.go
@@ -5,8 +5,9 @@
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
+
+	"woaddyke/internal/conns"
 )
 
 // clients are the connections from clients. They share the descriptors with those to workers: too many of
@@ -71,7 +72,10 @@
 				old, o = nc, g
 			}
 		}
-		if old == nil || quiet(old) {
+		if old == nil {
+			return nil
+		}
+		if n, _ := conns.Peek(old); n == 0 {
 			return old
 		}
 		o.state = http.StateActive
@@ -90,24 +94,6 @@
 	nc.SetReadDeadline(time.Unix(1, 0))
 }
 
-// quiet tells whether nothing has come on a connection that was not read.
-func quiet(nc net.Conn) bool {
-	s, ok := nc.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return true
-	}
-	n := 0
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, _ = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	return err != nil || n <= 0
-}
-
 // track is told of each change by the server.
 func (c *clients) track(nc net.Conn, state http.ConnState) {
 	c.mu.Lock()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -83,9 +83,7 @@
 		Rewrite:    func(r *httputil.ProxyRequest) { r.Out.URL.RawQuery = r.In.URL.RawQuery },
 		BufferPool: &buffers{},
 		ModifyResponse: func(r *http.Response) error {
-			if r.StatusCode/100 == 4 { // as with refuse
-				r.Header.Set("Connection", "close")
-			}
+			closeBehind(r.Header, r.StatusCode)
 			return nil
 		},
 		ErrorHandler: func(w http.ResponseWriter, r *http.Request, err error) {
@@ -200,12 +198,17 @@
 	f.proxy.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), heldKey{}, h)))
 }
 
-// refuse tells a client that its request is no op. Where the request is at fault, so may be what follows it.
+// closeBehind ends the connection of a request that is at fault: so may be what follows it.
+func closeBehind(h http.Header, status int) {
+	if status/100 == 4 {
+		h.Set("Connection", "close")
+	}
+}
+
+// refuse tells a client that its request is no op.
 func (f *Front) refuse(w http.ResponseWriter, no *refusal) {
 	f.log.Debug().Str("error", no.text).Int("status", no.status).Msg("no op")
-	if no.status < http.StatusInternalServerError {
-		w.Header().Set("Connection", "close")
-	}
+	closeBehind(w.Header(), no.status)
 	http.Error(w, no.text, no.status)
 }
 
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -45,7 +45,7 @@
 // Left says that an op's client has gone.
 type Left struct{ Op uint64 }
 
-// Noted is a job line before the last one.
+// Noted is a job line before the last one, or with Done below 0 the worker's word that it has taken the push.
 type Noted struct {
 	Op      uint64
 	Started bool
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -89,11 +89,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.addr = addr
-	r.end()
 	if r.called != nil {
 		r.start(time.Now().Add(settle))
 		return
 	}
+	r.end()
 	select {
 	case r.moved <- struct{}{}:
 	default:
@@ -109,7 +109,10 @@
 // Keep watches until the context ends, and connects again whenever the watch breaks.
 func (r *Roster) Keep(ctx context.Context) {
 	for fails := 0; ctx.Err() == nil; {
-		heard, err := r.watch(ctx)
+		r.mu.Lock()
+		on := r.replace(ctx)
+		r.mu.Unlock()
+		heard, err := r.watch(on)
 		if fails++; heard {
 			fails = 0
 		}
@@ -132,14 +135,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.called = ctx
-	r.end()
 	r.start(time.Time{})
 }
 
 // start is called with the lock held. Until the moment given, a watch that brings nothing is called again.
 func (r *Roster) start(insist time.Time) {
-	ctx, end := context.WithCancel(r.called)
-	r.end = end
+	ctx := r.replace(r.called)
 	go func() {
 		for fails := 1; ; fails++ {
 			heard, err := r.watch(ctx)
@@ -157,26 +158,23 @@
 	}()
 }
 
-// current is the address to call, with a context that ends when it is given up.
-func (r *Roster) current(ctx context.Context) (string, context.Context, context.CancelFunc) {
-	ctx, end := context.WithCancel(ctx)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.called == nil {
-		r.end = end
-	}
-	return r.addr, ctx, end
+// replace ends the watch that is on, with the lock held, and returns the context of the next one.
+func (r *Roster) replace(ctx context.Context) context.Context {
+	r.end()
+	ctx, r.end = context.WithCancel(ctx)
+	return ctx
 }
 
 // watch reads one watch until it breaks, and tells whether anything came.
 func (r *Roster) watch(ctx context.Context) (heard bool, err error) {
 	r.one.Lock()
 	defer r.one.Unlock()
-	addr, ctx, cancel := r.current(ctx)
-	defer cancel()
-	lost := errors.New("nothing came")
-	ctx, silent := context.WithCancelCause(ctx)
-	silence := time.AfterFunc(settle, func() { silent(lost) }) // a lost agent says nothing
+	r.mu.Lock()
+	addr := r.addr
+	r.mu.Unlock()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := time.AfterFunc(settle, func() { cancel(errors.New("nothing came")) }) // a lost agent says nothing
 	defer silence.Stop()
 	url := fmt.Sprintf("http://%s/v1/servers?stream=1&index=%d", addr, r.rev)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
