--- /dev/null
+++ b/cmd/lab/compare.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"slices"
+
+	"github.com/spf13/cobra"
+
+	"woaddyke/internal/lab/contrast"
+	"woaddyke/internal/lab/plan"
+	"woaddyke/internal/lab/play"
+)
+
+func compareCommand() *cobra.Command {
+	var a, b build
+	var rounds int
+	var names []string
+	c := &cobra.Command{Use: "compare A B FILE", Short: "Play two builds on the same seeds in alternation, and state the difference",
+		Long: "A and B are programs of the scheduler, each with its operator's file after a comma if it has one: PROGRAM[,FILE].",
+		Args: cobra.ExactArgs(3),
+		RunE: func(c *cobra.Command, args []string) error {
+			e, err := plan.Read(args[2])
+			if err != nil {
+				return err
+			}
+			a, b = split(args[0]), split(args[1])
+			pairs := contrast.New(names)
+			out := c.OutOrStdout()
+			broken := false
+			for k := range rounds {
+				both := []*build{&a, &b}
+				got := make([]map[string]float64, 2)
+				first := k % 2 // what the machine does meanwhile must not fall on the same one each time
+				for _, i := range []int{first, 1 - first} {
+					one := *e
+					one.Seed = e.Seed + uint64(k)
+					m, err := both[i].maker(&one)
+					if err != nil {
+						return err
+					}
+					r, err := play.Run(c.Context(), &one, play.Stage{Make: m, Quiet: true})
+					if err != nil {
+						return err
+					}
+					if c.Context().Err() != nil {
+						return c.Context().Err()
+					}
+					broken = broken || len(r.Audit.Breaches) > 0
+					got[i] = r.Figures
+					fmt.Fprintf(os.Stderr, "seed %d, %s: %s\n", one.Seed, "AB"[i:i+1], r.Line())
+				}
+				pairs.Add(got[0], got[1])
+			}
+			for _, row := range pairs.Rows() {
+				fmt.Fprintln(out, row)
+			}
+			if broken {
+				fmt.Fprintln(out, "a rule was broken in at least one run")
+				return errBroken
+			}
+			return nil
+		}}
+	c.Flags().IntVar(&rounds, "rounds", 5, "pairs of runs, each on a seed of its own")
+	c.Flags().StringSliceVar(&names, "figures", slices.Clone(contrast.Usual), "figures that are compared")
+	return c
+}
+
+func split(text string) build {
+	for i := range text {
+		if text[i] == ',' {
+			return build{text[:i], text[i+1:]}
+		}
+	}
+	return build{path: text}
+}
--- /dev/null
+++ b/cmd/lab/judge.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/spf13/cobra"
+
+	"woaddyke/internal/lab/audit"
+	"woaddyke/internal/lab/figures"
+	"woaddyke/internal/lab/ledger"
+	"woaddyke/internal/lab/page"
+	"woaddyke/internal/lab/plan"
+	"woaddyke/internal/lab/script"
+)
+
+func auditCommand() *cobra.Command {
+	return &cobra.Command{Use: "audit FILE", Short: "Judge a ledger by the rules", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			events, err := ledger.ReadFile(args[0])
+			torn := errors.Is(err, ledger.ErrTorn)
+			if err != nil && !torn {
+				return err
+			}
+			j, err := audit.Judge(events)
+			if err != nil {
+				return fmt.Errorf("%s: %w", args[0], err)
+			}
+			out := c.OutOrStdout()
+			if torn || !j.Whole {
+				fmt.Fprintln(out, "the ledger was cut off: what was still open at its end is not judged")
+			}
+			for _, b := range j.Breaches {
+				fmt.Fprintln(out, "broken:", b)
+			}
+			fmt.Fprintf(out, "audit: ops=%d answers=%d broken=%d excused=%d unread=%d open=%d\n", j.Ops, j.Answers,
+				len(j.Breaches), j.Excused, j.Unread, j.Open)
+			if len(j.Breaches) > 0 {
+				return errBroken
+			}
+			return nil
+		}}
+}
+
+func checkCommand() *cobra.Command {
+	return &cobra.Command{Use: "check FILE...", Short: "Say what is wrong with experiment files", Args: cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			for _, path := range args {
+				e, err := plan.Read(path)
+				if err != nil {
+					return err
+				}
+				s, err := script.Of(e)
+				if err != nil {
+					return fmt.Errorf("%s: %w", path, err)
+				}
+				fmt.Fprintf(c.OutOrStdout(), "%s: %d workers, %d schedulers, %d ops in %g s, %d turns of trouble, script %s\n", path,
+					len(s.Workers), e.Schedulers.Count, len(s.Wishes), e.Seconds, len(s.Turns), s.Hash())
+			}
+			return nil
+		}}
+}
+
+func reportCommand() *cobra.Command {
+	return &cobra.Command{Use: "report DIR", Short: "Write page.html anew from a run's results.json", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			path := filepath.Join(args[0], "results.json")
+			text, err := os.ReadFile(path)
+			if err != nil {
+				return err
+			}
+			var r figures.Results
+			if err := json.Unmarshal(text, &r); err != nil {
+				return fmt.Errorf("%s: %w", path, err)
+			}
+			at := filepath.Join(args[0], "page.html")
+			if err := page.Write(at, &r); err != nil {
+				return err
+			}
+			fmt.Fprintln(c.OutOrStdout(), at)
+			return nil
+		}}
+}
--- /dev/null
+++ b/cmd/lab/run.go
@@ -0,0 +1,131 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/mattn/go-isatty"
+	"github.com/spf13/cobra"
+
+	"woaddyke/internal/lab/figures"
+	"woaddyke/internal/lab/page"
+	"woaddyke/internal/lab/plan"
+	"woaddyke/internal/lab/play"
+	"woaddyke/internal/lab/schedulers"
+)
+
+// build is which scheduler is tried, and how it is started.
+type build struct {
+	path, operator string
+}
+
+func (b *build) flags(c *cobra.Command) {
+	c.Flags().StringVar(&b.path, "bin", "", "the scheduler's program (default: woaddyke beside this one)")
+	c.Flags().StringVar(&b.operator, "operator", "", "the operator's own file, handed to the scheduler")
+}
+
+// maker starts schedulers of the build.
+func (b *build) maker(e *plan.Experiment) (schedulers.Maker, error) {
+	path := b.path
+	if path == "" {
+		own, err := os.Executable()
+		if err != nil {
+			return nil, err
+		}
+		path = filepath.Join(filepath.Dir(own), "woaddyke")
+	}
+	if _, err := os.Stat(path); err != nil {
+		return nil, fmt.Errorf("the scheduler's program: %w", err)
+	}
+	args := append([]string{"--log", e.Schedulers.Log}, e.Schedulers.Args...)
+	if b.operator != "" {
+		args = append(args, "--operator", b.operator)
+	}
+	return schedulers.Program(path, args...), nil
+}
+
+// teller writes how far a run is: one line that changes on a terminal, JSON lines elsewhere.
+func teller(out *os.File) (tell func(play.Progress), end func()) {
+	if isatty.IsTerminal(out.Fd()) {
+		return func(p play.Progress) {
+			fmt.Fprintf(out, "\r%5.1f of %.0f s, %d ops open, %d events, %-40.40s", p.Second, p.Of, p.Open, p.Events, p.Last)
+		}, func() { fmt.Fprintln(out) }
+	}
+	say, last := json.NewEncoder(out), time.Time{}
+	return func(p play.Progress) {
+		if time.Since(last) >= 2*time.Second {
+			last = time.Now()
+			say.Encode(map[string]any{"second": float64(int(p.Second*10)) / 10, "of": p.Of, "open": p.Open, "events": p.Events, "last": p.Last})
+		}
+	}, func() {}
+}
+
+func runCommand() *cobra.Command {
+	var b build
+	var out string
+	var seed uint64
+	c := &cobra.Command{Use: "run FILE", Short: "Play an experiment and judge it", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			e, err := plan.Read(args[0])
+			if err != nil {
+				return err
+			}
+			if c.Flags().Changed("seed") {
+				e.Seed = seed
+			}
+			m, err := b.maker(e)
+			if err != nil {
+				return err
+			}
+			tell, end := teller(os.Stderr)
+			r, err := play.Run(c.Context(), e, play.Stage{Out: out, Make: m, Progress: tell})
+			end()
+			if err != nil {
+				return err
+			}
+			if out != "" {
+				if err := page.Write(filepath.Join(out, "page.html"), r); err != nil {
+					return err
+				}
+			}
+			return verdict(c.OutOrStdout(), r)
+		}}
+	b.flags(c)
+	c.Flags().StringVar(&out, "out", "", "folder for the ledger, results.json, page.html and the schedulers' logs")
+	c.Flags().Uint64Var(&seed, "seed", 0, "play with this seed in place of the file's")
+	return c
+}
+
+// mostTold bounds how many breaches are printed; the ledger has all.
+const mostTold = 20
+
+// verdict prints a run's categories, its breaches and the last line.
+func verdict(out io.Writer, r *figures.Results) error {
+	fmt.Fprintf(out, "%s, seed %d, script %s\n", r.Name, r.Seed, r.Script)
+	if r.Interrupted {
+		fmt.Fprintln(out, "stopped before its time")
+	}
+	for _, c := range r.Categories {
+		fmt.Fprintf(out, "  %-20s %v service %.3f, p50 %.1f, p99 %.1f, p99.9 %.1f ms\n", c.Name, c.Counts, c.Service,
+			c.Latency["p50"], c.Latency["p99"], c.Latency["p99.9"])
+	}
+	for i, b := range r.Audit.Breaches {
+		if i == mostTold {
+			fmt.Fprintf(out, "  and %d more\n", len(r.Audit.Breaches)-mostTold)
+			break
+		}
+		fmt.Fprintln(out, "  broken:", b)
+	}
+	for _, u := range r.Unmet {
+		fmt.Fprintln(out, "  unmet:", u)
+	}
+	fmt.Fprintln(out, r.Line())
+	if !r.Held() {
+		return errBroken
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/clients/clients.go
@@ -0,0 +1,357 @@
+// Package clients holds the emulated clients: open-loop arrivals by the script, each op sent at the moment at
+// which it is due whatever became of those before, retries, and clients that leave, trickle, stall or ask again.
+package clients
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"woaddyke/internal/lab/asks"
+	"woaddyke/internal/lab/box"
+	"woaddyke/internal/lab/fleet"
+	"woaddyke/internal/lab/ledger"
+	"woaddyke/internal/lab/links"
+	"woaddyke/internal/lab/plan"
+	"woaddyke/internal/lab/script"
+)
+
+// Server is a scheduler as clients know it.
+type Server interface{ Up() bool }
+
+// Crowd is all clients.
+type Crowd struct {
+	plan    *plan.Experiment
+	script  *script.Script
+	book    *ledger.Book
+	desk    *asks.Desk
+	servers []Server
+	pools   []*pool
+	tries   sync.WaitGroup
+	number  atomic.Int64
+	open    atomic.Int64
+	bodies  [][]byte
+}
+
+// New makes the clients of an experiment.
+func New(e *plan.Experiment, s *script.Script, book *ledger.Book, desk *asks.Desk, servers []Server, addrs []string) *Crowd {
+	c := &Crowd{plan: e, script: s, book: book, desk: desk, servers: servers}
+	for i, addr := range addrs {
+		sky := fleet.Sky(e, "clients", "", e.Zones[i%len(e.Zones)])
+		c.pools = append(c.pools, &pool{addr: addr, book: book, weather: links.New(sky, e.Seed*31+uint64(i))})
+	}
+	for _, cat := range e.Categories {
+		c.bodies = append(c.bodies, []byte(strings.Repeat("x", cat.BodyBytes)))
+	}
+	return c
+}
+
+// Weather is the link between the clients and a scheduler.
+func (c *Crowd) Weather(scheduler int) *links.Weather { return c.pools[scheduler].weather }
+
+// Open tells how many tries have no end yet.
+func (c *Crowd) Open() int64 { return c.open.Load() }
+
+// Run sends all ops of the script, each when it is due after the start, and returns when the last was sent or the
+// context has ended.
+func (c *Crowd) Run(ctx context.Context, start time.Time) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for i := range c.script.Wishes {
+		w := &c.script.Wishes[i]
+		due := start.Add(time.Duration(w.Due) * ledger.Tenth)
+		if wait := time.Until(due); wait > 0 {
+			timer.Reset(wait)
+			select {
+			case <-ctx.Done():
+				return
+			case <-timer.C:
+			}
+		} else if ctx.Err() != nil {
+			return
+		}
+		c.tries.Add(1)
+		go func() {
+			defer c.tries.Done()
+			c.wish(ctx, i, w, due)
+		}()
+	}
+}
+
+// Wait waits until all tries have ended, and closes their connections.
+func (c *Crowd) Wait() {
+	c.tries.Wait()
+	for _, p := range c.pools {
+		p.close()
+	}
+}
+
+// try is one op.
+type try struct {
+	id, effect string
+	number     int
+	category   *plan.Category
+	wish       *script.Wish
+	body       []byte
+	until      time.Time
+	leaveAt    time.Duration
+}
+
+// outcome is what a client knows of a try.
+type outcome struct {
+	kind  ledger.Kind // Answer, Cut, Refused or Left
+	which string
+	pause time.Duration
+}
+
+const (
+	leastTry = 50 * time.Millisecond // with less left a client asks no more
+	waitOver = 1500 * time.Millisecond
+)
+
+// wish sees one wish through, try after try.
+func (c *Crowd) wish(ctx context.Context, n int, w *script.Wish, due time.Time) {
+	cat := &c.plan.Categories[w.Category]
+	until := due.Add(time.Duration(cat.TTLMS * float64(time.Millisecond)))
+	r := rand.New(rand.NewPCG(w.Seed, 0x77697368))
+	effect := fmt.Sprintf("e%x-%d", c.plan.Seed, n)
+	if w.AsksAgain {
+		c.tries.Add(1)
+		wait := time.Duration(1+r.IntN(200)) * time.Millisecond
+		go func() {
+			defer c.tries.Done()
+			select {
+			case <-time.After(time.Until(due.Add(wait))):
+			case <-ctx.Done():
+				return
+			}
+			c.once(ctx, &try{id: effect + "-again", effect: effect, number: 100, category: cat, wish: w, body: c.bodies[w.Category],
+				until: until}, due.Add(wait), w.Scheduler)
+		}()
+	}
+	at := w.Scheduler
+	for k := 0; ; k++ {
+		t := &try{id: fmt.Sprintf("%s-%d", effect, k), effect: effect, number: k, category: cat, wish: w,
+			body: c.bodies[w.Category], until: until}
+		if k == 0 && w.LeaveAt > 0 {
+			t.leaveAt = time.Duration(w.LeaveAt) * ledger.Tenth
+		}
+		at = c.up(at)
+		end := c.once(ctx, t, due, at)
+		if !c.again(t, end) || k >= c.plan.Clients.Retries || ctx.Err() != nil {
+			return
+		}
+		wait := c.wait(r, w, k, end)
+		due = time.Now().Add(wait)
+		if until.Sub(due) < leastTry {
+			return
+		}
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return
+		}
+		at = r.IntN(len(c.pools)) // the front deals it out anew
+	}
+}
+
+// up is a scheduler that is known to serve: the one given, or the next one.
+func (c *Crowd) up(at int) int {
+	for i := range c.servers {
+		if k := (at + i) % len(c.servers); c.servers[k].Up() {
+			return k
+		}
+	}
+	return at
+}
+
+// again tells whether a client asks once more. A dead letter promises nothing, so only what may run twice is.
+func (c *Crowd) again(t *try, o outcome) bool {
+	switch o.kind {
+	case ledger.Refused:
+		return true
+	case ledger.Answer:
+		return o.which == ledger.Nacked || o.which == ledger.Dead && t.category.Effect == ledger.Redeliverable
+	case ledger.Cut:
+		return t.category.Effect == ledger.Redeliverable
+	}
+	return false
+}
+
+func (c *Crowd) wait(r *rand.Rand, w *script.Wish, k int, o outcome) time.Duration {
+	wait := time.Duration(c.plan.Clients.WaitMS * float64(time.Millisecond))
+	switch c.plan.Clients.Backoff {
+	case "none":
+		wait = 0
+	case "exponential":
+		wait = time.Duration(float64(wait<<min(k, 8)) * (0.5 + r.Float64()))
+	}
+	if w.Honours {
+		wait = max(wait, o.pause)
+	}
+	return wait
+}
+
+// once sends one op and sees what becomes of it. An op on a kept connection that ends unread is sent once more.
+func (c *Crowd) once(ctx context.Context, t *try, due time.Time, at int) outcome {
+	c.open.Add(1)
+	defer c.open.Add(-1)
+	cat := t.category
+	job := box.Job{Op: t.id, Effect: t.effect, Work: t.wish.Work, Slots: t.wish.Slots, Dedup: cat.Effect == ledger.Deduplicated,
+		Window: plan.MS(cat.WindowMS), Scope: cat.Scope}
+	key := ""
+	if cat.Effect != ledger.Redeliverable {
+		key = t.effect
+	}
+	target := "/api?sid=" + t.effect
+	c.desk.Put(t.id, asks.Ask{Job: job, Target: target, Key: key, Body: asks.Sum(t.body)})
+	c.book.Add(ledger.Event{Kind: ledger.Due, Op: t.id, Effect: t.effect, Category: cat.Name, Scheduler: at + 1, Try: t.number,
+		From: c.book.Moment(due), Until: c.book.Moment(t.until), Work: t.wish.Work * t.wish.Slots})
+	for round := 0; ; round++ {
+		o, reused := c.exchange(ctx, t, due, at, target, key, round > 0)
+		if o.kind != ledger.Cut || !reused || round > 0 || o.which != "" {
+			return o
+		}
+	}
+}
+
+// head is a request's head.
+func (t *try) head(target, key string, left time.Duration) []byte {
+	b := fmt.Appendf(nil, "POST %s HTTP/1.1\r\nHost: api.internal\r\nX-Correlation-Id: %s\r\nX-Service-Class: %s\r\nX-Time-Left-Ms: %d\r\n",
+		target, t.id, t.category.Name, max(left.Milliseconds(), 1))
+	if key != "" {
+		b = fmt.Appendf(b, "Idempotency-Key: %s\r\n", key)
+	}
+	if t.number > 0 {
+		b = append(b, "X-Repeat: 1\r\n"...)
+	}
+	if t.wish.Hint > 0 {
+		b = fmt.Appendf(b, "X-Weight-Hint: %d\r\n", int64(t.wish.Hint*1000))
+	}
+	if t.wish.Slots > 1 {
+		b = fmt.Appendf(b, "X-Facts: slots=%g\r\n", t.wish.Slots)
+	}
+	return fmt.Appendf(b, "Content-Length: %d\r\n\r\n", len(t.body))
+}
+
+func (c *Crowd) exchange(ctx context.Context, t *try, due time.Time, at int, target, key string, fresh bool) (outcome, bool) {
+	p := c.pools[at]
+	if fresh {
+		p = &pool{addr: p.addr, weather: p.weather, book: p.book}
+	}
+	w, waits, reused, err := p.get(t.id)
+	if err != nil {
+		c.book.Add(ledger.Event{Kind: ledger.Refused, Op: t.id, Scheduler: at + 1, Text: err.Error()})
+		return outcome{kind: ledger.Refused}, false
+	}
+	began := time.Now()
+	if err := c.write(w, t, append(t.head(target, key, time.Until(t.until)), t.body...)); err != nil {
+		select { // it may have been answered before it was whole
+		case r := <-waits:
+			if r.err == nil {
+				return c.close(w, t, at, r), reused
+			}
+		case <-time.After(10 * time.Millisecond):
+		}
+		w.Close()
+		c.book.Add(ledger.Event{Kind: ledger.Cut, Op: t.id, Scheduler: at + 1, State: reusedText(reused), Text: err.Error()})
+		return outcome{kind: ledger.Cut}, reused
+	}
+	// Its time counts from its last byte, whatever time the bytes before took.
+	now := time.Now()
+	t.until = t.until.Add(now.Sub(began))
+	c.book.Add(ledger.Event{Kind: ledger.Sent, Op: t.id, Scheduler: at + 1, Until: c.book.Moment(t.until),
+		Late: max(c.book.Moment(began)-c.book.Moment(due), 0)})
+	leave := make(<-chan time.Time)
+	if t.leaveAt > 0 {
+		leave = time.After(t.leaveAt)
+	}
+	// A client gives up at its TTL. The lab waits on, so that an answer that comes after it is seen.
+	late := time.NewTimer(time.Until(t.until) + waitOver)
+	defer late.Stop()
+	select {
+	case r := <-waits:
+		if r.err != nil {
+			w.Close()
+			c.book.Add(ledger.Event{Kind: ledger.Cut, Op: t.id, Scheduler: at + 1, State: reusedText(reused && !r.some), Text: r.err.Error()})
+			return outcome{kind: ledger.Cut}, reused && !r.some
+		}
+		if r.header.Get("Connection") != "close" {
+			p.put(w)
+		}
+		return c.close(nil, t, at, r), reused
+	case <-leave:
+		c.book.Add(ledger.Event{Kind: ledger.Left, Op: t.id})
+		w.Close()
+		return outcome{kind: ledger.Left}, reused
+	case <-ctx.Done():
+		c.book.Add(ledger.Event{Kind: ledger.Left, Op: t.id})
+		w.Close()
+		return outcome{kind: ledger.Left}, reused
+	case <-late.C:
+		w.Close()
+		return outcome{kind: ledger.Cut, which: "late"}, reused
+	}
+}
+
+func reusedText(reused bool) string {
+	if reused {
+		return "reused"
+	}
+	return ""
+}
+
+// close notes a whole answer; a connection given is closed.
+func (c *Crowd) close(w *wire, t *try, at int, r reply) outcome {
+	if w != nil {
+		w.Close()
+	}
+	o := outcome{kind: ledger.Answer, which: ledger.Dead}
+	text := ""
+	switch {
+	case r.status == http.StatusOK:
+		o.which, text = ledger.Acked, string(r.body)
+	case r.status == http.StatusServiceUnavailable || r.status == http.StatusTooManyRequests:
+		o.which = ledger.Nacked
+		if s, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64); err == nil && s > 0 && s < 3600 {
+			o.pause = time.Duration(s * float64(time.Second))
+		}
+	case r.status/100 == 4:
+		o.which = ledger.Bad
+	}
+	c.book.Add(ledger.Event{Kind: ledger.Answer, Op: t.id, Scheduler: at + 1, Verdict: o.which, Status: r.status, Text: text})
+	return o
+}
+
+const trickle = 2 * time.Millisecond // between bytes
+
+// write sends a request as its client does: at once, byte by byte or with a halt in the middle.
+func (c *Crowd) write(w *wire, t *try, text []byte) error {
+	switch {
+	case t.wish.Trickles:
+		for i := range text {
+			if _, err := w.Write(text[i : i+1]); err != nil {
+				return err
+			}
+			time.Sleep(trickle)
+		}
+		return nil
+	case t.wish.Stalls:
+		half := len(text) - len(t.body)/2 - 1
+		if _, err := w.Write(text[:half]); err != nil {
+			return err
+		}
+		time.Sleep(700 * time.Millisecond)
+		text = text[half:]
+	}
+	if _, err := w.Write(text); err != nil {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/links/conn.go
@@ -0,0 +1,329 @@
+package links
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+)
+
+// Conn is one end of a connection as seen through a link: what is written to it reaches the socket late or never,
+// and what comes from the socket is read late or never. The socket is the mouth of the link.
+type Conn struct {
+	net.Conn
+	weather *Weather
+	out     *Lane
+
+	mu      sync.Mutex
+	came    *sync.Cond
+	pieces  []piece // read from the socket, not yet arrived or not yet taken
+	taken   []byte  // of the first piece
+	mouth   time.Time
+	gone    time.Time
+	err     error
+	closed  bool
+	expires time.Time
+	timer   *time.Timer
+	onGone  func()
+
+	sending sync.Mutex
+	queue   chan sending
+	once    sync.Once
+	done    chan struct{}
+}
+
+type piece struct {
+	bytes []byte
+	at    time.Time // arrives
+	mouth time.Time // came to the socket
+	fail  error
+}
+
+type sending struct {
+	bytes []byte
+	fate  Fate
+}
+
+// Bounds of a connection's own memory.
+const (
+	pieceSize   = 4 << 10
+	mostPieces  = 64 // read ahead of their reader; then the socket is not read, and its peer must wait
+	mostSending = 256
+)
+
+// Through puts a link before a socket.
+func Through(c net.Conn, w *Weather) *Conn {
+	x := &Conn{Conn: c, weather: w, out: w.Lane(), queue: make(chan sending, mostSending), done: make(chan struct{})}
+	x.came = sync.NewCond(&x.mu)
+	go x.read(w.Lane())
+	go x.send()
+	return x
+}
+
+// OnGone sets what is called once when the peer ends its side, at the moment it does.
+func (x *Conn) OnGone(f func()) {
+	x.mu.Lock()
+	now := !x.gone.IsZero()
+	x.onGone = f
+	x.mu.Unlock()
+	if now {
+		f()
+	}
+}
+
+// Mouth is when the byte that was read last came to the link's mouth.
+func (x *Conn) Mouth() time.Time {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.mouth
+}
+
+// read takes pieces from the socket as they come, whatever the link makes of them: the moment at which a peer has
+// closed or sent must be known.
+func (x *Conn) read(lane *Lane) {
+	first := true
+	b := make([]byte, pieceSize)
+	for {
+		n, err := x.Conn.Read(b)
+		now := time.Now()
+		if n > 0 {
+			f := lane.Send(now, n, first)
+			first = n == pieceSize // what follows a full piece belongs to it
+			p := piece{bytes: append([]byte(nil), b[:n]...), at: f.At, mouth: now}
+			if lane.Mute() {
+				p.bytes = nil
+			}
+			if f.Break {
+				p.fail, p.bytes = ErrBroken, nil
+			}
+			x.add(p)
+			if f.Break || f.After {
+				x.breakOff(time.Until(f.At))
+			}
+		}
+		if err != nil {
+			x.mu.Lock()
+			x.gone = now
+			f := x.onGone
+			x.mu.Unlock()
+			if f != nil {
+				f()
+			}
+			at := now
+			if !lane.Mute() {
+				at = lane.Send(now, 0, false).At
+			}
+			x.add(piece{at: at, mouth: now, fail: err})
+			return
+		}
+	}
+}
+
+// ErrBroken is what a party reads whose link has broken the connection.
+var ErrBroken = errors.New("the link has broken the connection")
+
+// breakOff ends both sides with a reset.
+func (x *Conn) breakOff(in time.Duration) {
+	time.AfterFunc(in, func() {
+		if t, ok := x.Conn.(*net.TCPConn); ok {
+			t.SetLinger(0)
+		}
+		x.Close()
+	})
+}
+
+func (x *Conn) add(p piece) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for len(x.pieces) >= mostPieces && !x.closed {
+		x.came.Wait()
+	}
+	if p.bytes != nil || p.fail != nil {
+		x.pieces = append(x.pieces, p)
+	}
+	x.came.Broadcast()
+}
+
+// Read gives what has arrived.
+func (x *Conn) Read(b []byte) (int, error) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for {
+		now := time.Now()
+		switch {
+		case x.closed:
+			return 0, net.ErrClosed
+		case len(x.taken) > 0:
+			n := copy(b, x.taken)
+			x.taken = x.taken[n:]
+			return n, nil
+		case !x.expires.IsZero() && !now.Before(x.expires):
+			return 0, os.ErrDeadlineExceeded
+		}
+		silent, over := x.weather.Silent()
+		if len(x.pieces) > 0 && !silent {
+			p := x.pieces[0]
+			if !now.Before(p.at) {
+				if p.fail != nil {
+					return 0, p.fail
+				}
+				x.mouth, x.taken = p.mouth, p.bytes
+				x.pieces = x.pieces[1:]
+				x.came.Broadcast()
+				continue
+			}
+			x.wakeIn(p.at.Sub(now))
+		} else if silent {
+			go func() { // the lock is not held while the silence lasts
+				select {
+				case <-over:
+				case <-x.done:
+				}
+				x.came.Broadcast()
+			}()
+		}
+		x.came.Wait()
+	}
+}
+
+func (x *Conn) wakeIn(in time.Duration) {
+	if x.timer == nil {
+		x.timer = time.AfterFunc(in, x.came.Broadcast)
+		return
+	}
+	x.timer.Reset(in)
+}
+
+// Write hands bytes to the link.
+func (x *Conn) Write(b []byte) (int, error) {
+	x.sending.Lock()
+	defer x.sending.Unlock()
+	f := x.out.Send(time.Now(), len(b), true)
+	s := sending{append([]byte(nil), b...), f}
+	select {
+	case x.queue <- s:
+		return len(b), nil
+	case <-x.done:
+		return 0, net.ErrClosed
+	}
+}
+
+func (x *Conn) send() {
+	for {
+		select {
+		case <-x.done:
+			return
+		case s := <-x.queue:
+			if !x.pause(time.Until(s.fate.At)) {
+				return
+			}
+			if silent, over := x.weather.Silent(); silent {
+				select {
+				case <-over:
+				case <-x.done:
+					return
+				}
+			}
+			switch {
+			case x.out.Mute():
+			case s.fate.Break:
+				x.Conn.Write(s.bytes[:len(s.bytes)/2])
+				x.breakOff(0)
+				return
+			default:
+				if _, err := x.Conn.Write(s.bytes); err != nil {
+					return
+				}
+				if s.fate.After {
+					x.breakOff(0)
+					return
+				}
+			}
+		}
+	}
+}
+
+// pause waits, and tells whether the connection is still open then.
+func (x *Conn) pause(d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-x.done:
+		return false
+	}
+}
+
+// CloseSoon closes once all that was written has been sent, or after a while.
+func (x *Conn) CloseSoon(within time.Duration) {
+	go func() {
+		limit := time.Now().Add(within)
+		for len(x.queue) > 0 && time.Now().Before(limit) && x.pause(time.Millisecond) {
+		}
+		x.pause(time.Millisecond)
+		x.Close()
+	}()
+}
+
+// Close ends the connection at once.
+func (x *Conn) Close() error {
+	x.once.Do(func() { close(x.done) })
+	x.mu.Lock()
+	x.closed = true
+	x.came.Broadcast()
+	x.mu.Unlock()
+	return x.Conn.Close()
+}
+
+// SetReadDeadline bounds how long Read waits.
+func (x *Conn) SetReadDeadline(t time.Time) error {
+	x.mu.Lock()
+	x.expires = t
+	x.mu.Unlock()
+	if !t.IsZero() {
+		time.AfterFunc(time.Until(t), x.came.Broadcast)
+	}
+	x.came.Broadcast()
+	return nil
+}
+
+// SetDeadline bounds how long Read waits; a Write never does.
+func (x *Conn) SetDeadline(t time.Time) error { return x.SetReadDeadline(t) }
+
+// Forward carries connections from a listener to an address through a link, until the listener is closed.
+func Forward(l net.Listener, to string, w *Weather) error {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return err
+		}
+		go forward(Through(c, w), to)
+	}
+}
+
+func forward(near *Conn, to string) {
+	defer near.Close()
+	far, err := net.Dial("tcp", to)
+	if err != nil {
+		return
+	}
+	defer far.Close()
+	back := make(chan struct{})
+	go func() {
+		io.Copy(near, far)
+		near.CloseSoon(time.Minute)
+		close(back)
+	}()
+	if _, err := io.Copy(far, near); err != nil {
+		far.Close() // what broke here must break there
+	} else if t, ok := far.(*net.TCPConn); ok {
+		t.CloseWrite()
+	}
+	<-back
+}
--- /dev/null
+++ b/internal/lab/plan/plan.go
@@ -0,0 +1,589 @@
+// Package plan holds what an experiment file says: the fleet, its schedulers, links, clients and faults. A file is
+// TOML and read strictly: what is not known or makes no sense is one line with its place and the reason.
+package plan
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"woaddyke/internal/lab/ledger"
+)
+
+// Experiment is one file.
+type Experiment struct {
+	Name    string   `toml:"name"`
+	Seed    uint64   `toml:"seed"`
+	Seconds float64  `toml:"seconds"` // of arrivals
+	Settle  float64  `toml:"settle_s"`
+	Zones   []string `toml:"zones"`
+	// Expect are promises beyond the rules: a figure's name and what bounds it.
+	Expect     []Expect   `toml:"expect"`
+	Rules      Rules      `toml:"rules"`
+	Schedulers Schedulers `toml:"schedulers"`
+	Discovery  Discovery  `toml:"discovery"`
+	Workers    []Workers  `toml:"workers"`
+	Categories []Category `toml:"categories"`
+	Arrivals   Arrivals   `toml:"arrivals"`
+	Clients    Clients    `toml:"clients"`
+	Links      []Link     `toml:"links"`
+	Faults     []Fault    `toml:"faults"`
+	Chaos      Chaos      `toml:"chaos"`
+
+	Dir string `toml:"-"` // of the file: what it names is looked for there
+}
+
+// Expect bounds a figure of the results.
+type Expect struct {
+	Figure string   `toml:"figure"`
+	Least  *float64 `toml:"least"`
+	Most   *float64 `toml:"most"`
+}
+
+// Rules are the figures of the rules.
+type Rules struct {
+	SlackMS        float64 `toml:"slack_ms"`
+	DrainGraceMS   float64 `toml:"drain_grace_ms"`
+	OverloadFactor float64 `toml:"overload_factor"`
+	TipAfterMS     float64 `toml:"tip_after_ms"`
+	ColdFrom       float64 `toml:"cold_from"`
+	WarmAfterMS    float64 `toml:"warm_after_ms"`
+}
+
+// Schedulers are the processes under test and what they are told.
+type Schedulers struct {
+	Count            int       `toml:"count"`
+	Cores            float64   `toml:"cores"`
+	MemoryMB         int       `toml:"memory_mb"`
+	Sockets          int       `toml:"sockets"`
+	MaxPushes        int       `toml:"max_pushes"`
+	ConnectTimeoutMS float64   `toml:"connect_timeout_ms"`
+	KeepaliveMS      float64   `toml:"keepalive_ms"`
+	MaxRetryAfterMS  float64   `toml:"max_retry_after_ms"`
+	Cancel           bool      `toml:"cancel"`
+	Probes           bool      `toml:"probes"`
+	StepMS           float64   `toml:"step_ms"`
+	CrossPrice       float64   `toml:"cross_price"`
+	Shares           []float64 `toml:"shares"` // of arrivals; equal where there are none
+	Args             []string  `toml:"args"`   // after `serve`
+	Log              string    `toml:"log"`
+}
+
+// Discovery is how the list of workers is told.
+type Discovery struct {
+	LateMS []float64 `toml:"late_ms"` // least and most
+}
+
+// Workers are some of one kind.
+type Workers struct {
+	Kind          string  `toml:"kind"`
+	Count         int     `toml:"count"`
+	Cores         float64 `toml:"cores"`
+	Speed         float64 `toml:"speed"`
+	SpeedSpread   float64 `toml:"speed_spread"` // a speed is drawn from 1-spread to 1+spread times this
+	Slots         float64 `toml:"slots"`
+	Memory        float64 `toml:"memory"`
+	Queue         int     `toml:"queue"`
+	CellSize      int     `toml:"cell_size"`
+	ReportEveryMS float64 `toml:"report_every_ms"`
+	ProgressMS    float64 `toml:"progress_ms"`
+	ConnWorkMS    float64 `toml:"conn_work_ms"`
+	ProbeWorkMS   float64 `toml:"probe_work_ms"`
+	Connections   int     `toml:"connections"`
+	ErrorRate     float64 `toml:"error_rate"`
+	CancelDrops   bool    `toml:"cancel_drops"`
+}
+
+// Category is one category of ops.
+type Category struct {
+	Name        string    `toml:"name"`
+	Effect      string    `toml:"effect"`
+	Scope       string    `toml:"scope"`
+	WindowMS    float64   `toml:"window_ms"`
+	Benefit     float64   `toml:"benefit"`
+	LateBenefit float64   `toml:"late_benefit"`
+	Share       float64   `toml:"share"`
+	WorkMS      float64   `toml:"work_ms"`
+	Dist        string    `toml:"dist"` // fixed, exponential, lognormal or pareto
+	CV          float64   `toml:"cv"`
+	TargetMS    float64   `toml:"target_ms"`
+	Stretch     float64   `toml:"stretch"`
+	TTLMS       float64   `toml:"ttl_ms"`
+	Slots       []float64 `toml:"slots"` // chances of 1, 2, 4 slots
+	BodyBytes   int       `toml:"body_bytes"`
+	HintSpread  float64   `toml:"hint_spread"` // a hint is off by this factor at most; 0 for no hints
+}
+
+// Arrivals are when ops are due.
+type Arrivals struct {
+	Kind  string      `toml:"kind"`  // poisson, even, trace
+	Rate  float64     `toml:"rate"`  // ops a second
+	Steps [][]float64 `toml:"steps"` // [at_s, factor]: the rate is this factor from then on
+	Ramp  bool        `toml:"ramp"`  // between two steps the factor goes evenly from one to the next
+	Trace string      `toml:"trace"` // a file with lines "at_ms category"
+}
+
+// Clients are how they behave.
+type Clients struct {
+	Count     int       `toml:"count"`
+	Shares    []float64 `toml:"shares"`
+	Retries   int       `toml:"retries"`
+	WaitMS    float64   `toml:"wait_ms"`
+	Backoff   string    `toml:"backoff"` // none, fixed or exponential
+	Honour    float64   `toml:"honour"`  // chance that a Retry-After is kept
+	Leave     float64   `toml:"leave"`   // chance that a client leaves
+	Trickle   float64   `toml:"trickle"` // chance that it sends byte by byte
+	Stall     float64   `toml:"stall"`   // chance that it stops in the middle for a while
+	AskAgain  float64   `toml:"ask_again"`
+	Impatient float64   `toml:"impatient_ms"` // those who leave do so after this
+}
+
+// Link is what lies between two parties.
+type Link struct {
+	Between    string  `toml:"between"` // clients, workers or discovery: and the schedulers
+	From       string  `toml:"from"`    // zone of the one, empty for any
+	To         string  `toml:"to"`
+	DelayMS    float64 `toml:"delay_ms"`
+	JitterMS   float64 `toml:"jitter_ms"`
+	RateKBps   float64 `toml:"rate_kbps"` // 1,000 bytes a second
+	Stall      float64 `toml:"stall"`     // chance that a piece is held up, as a lost packet is
+	StallMS    float64 `toml:"stall_ms"`
+	ResetFirst float64 `toml:"reset_before"` // chance that an exchange breaks before its last byte
+	ResetAfter float64 `toml:"reset_after"`  // chance that it breaks after that
+	Mute       float64 `toml:"mute"`         // chance that a connection falls silent both ways
+}
+
+// Fault is one trouble.
+type Fault struct {
+	Kind    string  `toml:"kind"`
+	At      float64 `toml:"at_s"`
+	For     float64 `toml:"for_s"`
+	Part    float64 `toml:"part"`    // share of the workers or schedulers it hits
+	Indices []int   `toml:"indices"` // or these, from 0
+	Zone    string  `toml:"zone"`
+	Size    float64 `toml:"size"`
+	EveryS  float64 `toml:"every_s"` // for pauses, restarts and the like
+	Link    string  `toml:"link"`
+}
+
+// Chaos draws faults by chance from the seed.
+type Chaos struct {
+	Kinds  []string  `toml:"kinds"`
+	EveryS float64   `toml:"every_s"` // in the mean
+	ForS   []float64 `toml:"for_s"`
+	Part   []float64 `toml:"part"`
+	Size   []float64 `toml:"size"`
+}
+
+// kinds of faults, and whether they need a size.
+var kinds = map[string]struct {
+	size, schedulers bool
+	least, most      float64 // of the size
+}{
+	"slow":    {size: true, least: 1, most: 1000},
+	"hang":    {},
+	"pauses":  {size: true, least: 1, most: 60_000}, // ms each
+	"taken":   {size: true, least: 0, most: 0.99},   // share of the cores
+	"mute":    {size: true, least: 0, most: 1},
+	"fails":   {size: true, least: 0, most: 1},
+	"unfit":   {size: true, least: 0, most: 1},
+	"lies":    {},
+	"stale":   {size: true, least: 0, most: 60_000}, // ms
+	"refuses": {},
+	"kill":    {}, // the worker's process; it is back after for_s, cold
+	"drain":   {}, // told, drained and gone; a successor comes cold after for_s
+	"vanish":  {}, // the machine says nothing more: connections stay open and silent
+	"replace": {}, // a rolling deploy: each is drained and followed by a cold one within for_s
+	"shrink":  {}, // drained for good
+	"cut":     {}, // a zone's links are silent
+
+	"discovery-silent": {}, "discovery-broken": {}, "discovery-moved": {},
+
+	"scheduler-kill": {schedulers: true}, "scheduler-term": {schedulers: true}, "scheduler-stop": {schedulers: true},
+	"scheduler-reload": {schedulers: true}, "scheduler-stale": {schedulers: true},
+
+	"burst": {size: true, least: 0, most: 1000},
+}
+
+// KindsOf are the names of all faults, in order.
+func KindsOf() []string {
+	var names []string
+	for k := range kinds {
+		names = append(names, k)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// OfSchedulers tells whether a fault hits schedulers.
+func OfSchedulers(kind string) bool { return kinds[kind].schedulers }
+
+// Read reads an experiment from a file.
+func Read(path string) (*Experiment, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	e, err := Parse(text)
+	if err != nil {
+		return nil, fmt.Errorf("%s:%w", path, err)
+	}
+	e.Dir = filepath.Dir(path)
+	if e.Name == "" {
+		e.Name = strings.TrimSuffix(filepath.Base(path), filepath.Ext(path))
+	}
+	return e, nil
+}
+
+// defaults are what a file need not say.
+func defaults() *Experiment {
+	return &Experiment{Seed: 1, Seconds: 10, Settle: 2, Zones: []string{"east", "west"},
+		Rules: Rules{SlackMS: 50, DrainGraceMS: 2500, OverloadFactor: 2.5, TipAfterMS: 1500, ColdFrom: 0.3, WarmAfterMS: 8600},
+		Schedulers: Schedulers{Count: 2, Cores: 1, MemoryMB: 192, Sockets: 1024, MaxPushes: 6, ConnectTimeoutMS: 200,
+			KeepaliveMS: 10_000, MaxRetryAfterMS: 2000, Cancel: true, Probes: true, StepMS: 5, CrossPrice: 0.01, Log: "info"},
+		Discovery: Discovery{LateMS: []float64{200, 1000}},
+		Clients:   Clients{Count: 8, Backoff: "exponential", WaitMS: 100, Honour: 1, Impatient: 300},
+		Arrivals:  Arrivals{Kind: "poisson", Rate: 50},
+	}
+}
+
+// Parse reads an experiment from its text.
+func Parse(text []byte) (*Experiment, error) {
+	e := defaults()
+	d := toml.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	if err := d.Decode(e); err != nil {
+		return nil, place(err)
+	}
+	if err := e.fill(); err != nil {
+		return nil, fmt.Errorf(" %w", err)
+	}
+	return e, nil
+}
+
+// place puts a decoder's error into one line with its place.
+func place(err error) error {
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) && len(strict.Errors) > 0 {
+		row, col := strict.Errors[0].Position()
+		return fmt.Errorf("%d:%d: no such key: %s", row, col, strings.Join(strict.Errors[0].Key(), "."))
+	}
+	var bad *toml.DecodeError
+	if errors.As(err, &bad) {
+		row, col := bad.Position()
+		return fmt.Errorf("%d:%d: %s", row, col, strings.TrimPrefix(bad.Error(), "toml: "))
+	}
+	return fmt.Errorf(" %w", err)
+}
+
+// number checks that a value lies in bounds.
+func number(name string, v, least, most float64) error {
+	if math.IsNaN(v) || v < least || v > most {
+		return fmt.Errorf("%s = %g lies outside %g to %g", name, v, least, most)
+	}
+	return nil
+}
+
+// first is the first error of several.
+func first(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func oneOf(name, v string, of ...string) error {
+	if slices.Contains(of, v) {
+		return nil
+	}
+	return fmt.Errorf("%s = %q is none of %s", name, v, strings.Join(of, ", "))
+}
+
+// Bounds on what a file may ask of the machine.
+const (
+	mostWorkers    = 4096
+	mostSchedulers = 64
+	mostRate       = 200_000
+	mostSeconds    = 3600
+	day            = 86_400_000 // ms
+)
+
+// fill puts in what is left out and checks the rest.
+func (e *Experiment) fill() error {
+	s, r, c := &e.Schedulers, &e.Rules, &e.Clients
+	if err := first(
+		number("seconds", e.Seconds, 0.1, mostSeconds), number("settle_s", e.Settle, 0, mostSeconds),
+		number("rules.slack_ms", r.SlackMS, 0, day), number("rules.drain_grace_ms", r.DrainGraceMS, 0, day),
+		number("rules.overload_factor", r.OverloadFactor, 0.1, 1000), number("rules.tip_after_ms", r.TipAfterMS, 0, day),
+		number("rules.cold_from", r.ColdFrom, 0.01, 1), number("rules.warm_after_ms", r.WarmAfterMS, 0, day),
+		number("schedulers.count", float64(s.Count), 1, mostSchedulers), number("schedulers.cores", s.Cores, 0.05, 64),
+		number("schedulers.memory_mb", float64(s.MemoryMB), 32, 1<<20),
+		number("schedulers.sockets", float64(s.Sockets), 64, 1<<20),
+		number("schedulers.max_pushes", float64(s.MaxPushes), 1, 100),
+		number("schedulers.connect_timeout_ms", s.ConnectTimeoutMS, 1, day),
+		number("schedulers.keepalive_ms", s.KeepaliveMS, 1, day),
+		number("schedulers.max_retry_after_ms", s.MaxRetryAfterMS, 0, day),
+		number("schedulers.step_ms", s.StepMS, 0.1, day),
+		oneOf("schedulers.log", s.Log, "debug", "info", "warn", "error"),
+		number("clients.count", float64(c.Count), 1, 100_000), number("clients.retries", float64(c.Retries), 0, 100),
+		number("clients.wait_ms", c.WaitMS, 0, day), number("clients.honour", c.Honour, 0, 1),
+		number("clients.leave", c.Leave, 0, 1), number("clients.trickle", c.Trickle, 0, 1),
+		number("clients.stall", c.Stall, 0, 1), number("clients.ask_again", c.AskAgain, 0, 1),
+		oneOf("clients.backoff", c.Backoff, "none", "fixed", "exponential"),
+		oneOf("arrivals.kind", e.Arrivals.Kind, "poisson", "even", "trace"),
+		number("arrivals.rate", e.Arrivals.Rate, 0, mostRate),
+	); err != nil {
+		return err
+	}
+	if len(e.Zones) == 0 {
+		return errors.New("zones: there must be one")
+	}
+	if l := e.Discovery.LateMS; len(l) != 2 || l[0] < 0 || l[1] < l[0] || l[1] > day {
+		return fmt.Errorf("discovery.late_ms = %v: least and most are wanted", l)
+	}
+	if len(s.Shares) > 0 && len(s.Shares) != s.Count {
+		return fmt.Errorf("schedulers.shares: %d for %d schedulers", len(s.Shares), s.Count)
+	}
+	return first(e.fillWorkers(), e.fillCategories(), e.fillLinks(), e.fillFaults(), e.fillSteps())
+}
+
+func orElse[T int | float64](v *T, otherwise T) {
+	if *v == 0 {
+		*v = otherwise
+	}
+}
+
+func (e *Experiment) fillWorkers() error {
+	all := 0
+	for i := range e.Workers {
+		w := &e.Workers[i]
+		at := fmt.Sprintf("workers[%d].", i)
+		orElse(&w.Cores, 4)
+		orElse(&w.Speed, 1)
+		orElse(&w.Slots, w.Cores)
+		orElse(&w.Queue, int(7*w.Cores))
+		orElse(&w.CellSize, 3)
+		orElse(&w.ReportEveryMS, 50)
+		orElse(&w.Connections, 3000)
+		if w.Kind == "" {
+			w.Kind = fmt.Sprintf("kind%d", i)
+		}
+		if err := first(number(at+"count", float64(w.Count), 1, mostWorkers), number(at+"cores", w.Cores, 0.1, 1024),
+			number(at+"speed", w.Speed, 0.001, 1000), number(at+"speed_spread", w.SpeedSpread, 0, 0.95),
+			number(at+"slots", w.Slots, 1, 4096), number(at+"queue", float64(w.Queue), 0, 1e6),
+			number(at+"cell_size", float64(w.CellSize), 1, 1e6), number(at+"report_every_ms", w.ReportEveryMS, 0, day),
+			number(at+"progress_ms", w.ProgressMS, 0, day), number(at+"conn_work_ms", w.ConnWorkMS, 0, 1000),
+			number(at+"probe_work_ms", w.ProbeWorkMS, 0, 1000), number(at+"error_rate", w.ErrorRate, 0, 1),
+			number(at+"connections", float64(w.Connections), 1, 1e6), number(at+"memory", w.Memory, 0, 1e9)); err != nil {
+			return err
+		}
+		all += w.Count
+	}
+	if all == 0 || all > mostWorkers {
+		return fmt.Errorf("workers: %d; there must be 1 to %d", all, mostWorkers)
+	}
+	return nil
+}
+
+func (e *Experiment) fillCategories() error {
+	shares := 0.0
+	seen := map[string]bool{}
+	for i := range e.Categories {
+		c := &e.Categories[i]
+		at := fmt.Sprintf("categories[%d].", i)
+		orElse(&c.Benefit, 1)
+		orElse(&c.Share, 1)
+		orElse(&c.WorkMS, 50)
+		orElse(&c.TTLMS, 5000)
+		orElse(&c.TargetMS, 300)
+		orElse(&c.Stretch, 2)
+		orElse(&c.CV, 1)
+		if c.Dist == "" {
+			c.Dist = "exponential"
+		}
+		if c.Effect == "" {
+			c.Effect = ledger.Redeliverable
+		}
+		if c.Effect == ledger.Deduplicated {
+			orElse(&c.WindowMS, 7500)
+			if c.Scope == "" {
+				c.Scope = "zone"
+			}
+		}
+		if len(c.Slots) == 0 {
+			c.Slots = []float64{1}
+		}
+		if err := first(oneOf(at+"effect", c.Effect, ledger.Redeliverable, ledger.Deduplicated, ledger.AtMostOnce),
+			oneOf(at+"dist", c.Dist, "fixed", "exponential", "lognormal", "pareto"),
+			number(at+"window_ms", c.WindowMS, 0, day), number(at+"benefit", c.Benefit, 0, 1e6),
+			number(at+"late_benefit", c.LateBenefit, 0, 1), number(at+"share", c.Share, 0, 1e6),
+			number(at+"work_ms", c.WorkMS, 0.01, day), number(at+"cv", c.CV, 0.01, 20),
+			number(at+"target_ms", c.TargetMS, 1, day), number(at+"stretch", c.Stretch, 0, 1000),
+			number(at+"ttl_ms", c.TTLMS, 20, day), number(at+"body_bytes", float64(c.BodyBytes), 0, 64<<10),
+			number(at+"hint_spread", c.HintSpread, 0, 100)); err != nil {
+			return err
+		}
+		if c.Effect == ledger.Deduplicated {
+			if err := oneOf(at+"scope", c.Scope, "all", "zone", "cell"); err != nil {
+				return err
+			}
+		} else if c.Scope != "" {
+			return fmt.Errorf("%sscope goes with effect = %q only", at, ledger.Deduplicated)
+		}
+		if c.Name == "" || seen[c.Name] {
+			return fmt.Errorf("%sname = %q: each category has a name of its own", at, c.Name)
+		}
+		if len(c.Slots) > 3 {
+			return fmt.Errorf("%sslots: chances of 1, 2 and 4 slots are wanted", at)
+		}
+		seen[c.Name] = true
+		shares += c.Share
+	}
+	if len(e.Categories) == 0 || shares <= 0 {
+		return errors.New("categories: there must be one with a share")
+	}
+	return nil
+}
+
+func (e *Experiment) fillLinks() error {
+	for i, l := range e.Links {
+		at := fmt.Sprintf("links[%d].", i)
+		if err := first(oneOf(at+"between", l.Between, "clients", "workers", "discovery"),
+			number(at+"delay_ms", l.DelayMS, 0, day), number(at+"jitter_ms", l.JitterMS, 0, day),
+			number(at+"rate_kbps", l.RateKBps, 0, 1e9), number(at+"stall", l.Stall, 0, 1),
+			number(at+"stall_ms", l.StallMS, 0, day), number(at+"reset_before", l.ResetFirst, 0, 1),
+			number(at+"reset_after", l.ResetAfter, 0, 1), number(at+"mute", l.Mute, 0, 1),
+			e.zone(at+"from", l.From), e.zone(at+"to", l.To)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (e *Experiment) zone(name, z string) error {
+	if z == "" || slices.Contains(e.Zones, z) {
+		return nil
+	}
+	return fmt.Errorf("%s = %q is no zone", name, z)
+}
+
+func (e *Experiment) fillFaults() error {
+	for i := range e.Faults {
+		f := &e.Faults[i]
+		at := fmt.Sprintf("faults[%d].", i)
+		k, ok := kinds[f.Kind]
+		if !ok {
+			return fmt.Errorf("%skind = %q is none of %s", at, f.Kind, strings.Join(KindsOf(), ", "))
+		}
+		if len(f.Indices) == 0 && f.Part == 0 && f.Zone == "" {
+			f.Part = 1
+		}
+		if err := first(number(at+"at_s", f.At, 0, mostSeconds), number(at+"for_s", f.For, 0, mostSeconds),
+			number(at+"part", f.Part, 0, 1), number(at+"every_s", f.EveryS, 0, mostSeconds), e.zone(at+"zone", f.Zone)); err != nil {
+			return err
+		}
+		if k.size {
+			if err := number(at+"size", f.Size, k.least, k.most); err != nil {
+				return err
+			}
+		}
+		limit := 0
+		for _, w := range e.Workers {
+			limit += w.Count
+		}
+		if k.schedulers {
+			limit = e.Schedulers.Count
+		}
+		for _, n := range f.Indices {
+			if n < 0 || n >= limit {
+				return fmt.Errorf("%sindices: %d is none of 0 to %d", at, n, limit-1)
+			}
+		}
+		if f.Kind == "cut" && f.Zone == "" {
+			return fmt.Errorf("%szone is wanted", at)
+		}
+	}
+	c := &e.Chaos
+	for _, k := range c.Kinds {
+		if _, ok := kinds[k]; !ok {
+			return fmt.Errorf("chaos.kinds: %q is none of %s", k, strings.Join(KindsOf(), ", "))
+		}
+	}
+	if len(c.Kinds) == 0 {
+		return nil
+	}
+	for _, row := range []struct {
+		name      string
+		v         *[]float64
+		otherwise []float64
+	}{{"for_s", &c.ForS, []float64{1, 4}}, {"part", &c.Part, []float64{0.1, 0.4}}, {"size", &c.Size, []float64{2, 8}}} {
+		if len(*row.v) == 0 {
+			*row.v = row.otherwise
+		}
+		if v := *row.v; len(v) != 2 || v[0] < 0 || v[1] < v[0] {
+			return fmt.Errorf("chaos.%s = %v: least and most are wanted", row.name, v)
+		}
+	}
+	return number("chaos.every_s", c.EveryS, 0.1, mostSeconds)
+}
+
+func (e *Experiment) fillSteps() error {
+	last := -1.0
+	for i, s := range e.Arrivals.Steps {
+		if len(s) != 2 || s[0] <= last || s[1] < 0 || s[1] > 1000 {
+			return fmt.Errorf("arrivals.steps[%d] = %v: [at_s, factor] in order of time is wanted", i, s)
+		}
+		last = s[0]
+	}
+	if e.Arrivals.Kind == "trace" && e.Arrivals.Trace == "" {
+		return errors.New("arrivals.trace: a file is wanted")
+	}
+	if e.Arrivals.Kind != "trace" && e.Arrivals.Rate <= 0 {
+		return errors.New("arrivals.rate: ops a second are wanted")
+	}
+	for i, x := range e.Expect {
+		if x.Figure == "" || x.Least == nil && x.Most == nil {
+			return fmt.Errorf("expect[%d]: a figure and least or most are wanted", i)
+		}
+	}
+	return nil
+}
+
+// MS is a number of milliseconds in the ledger's unit, rounded down.
+func MS(ms float64) ledger.Time { return ledger.Time(math.Floor(ms*10 + 1e-6)) }
+
+// S is a number of seconds in the ledger's unit.
+func S(s float64) ledger.Time { return MS(1000 * s) }
+
+// Judged are the rules as the audit takes them.
+func (e *Experiment) Judged() *ledger.Rules {
+	r := &ledger.Rules{Slack: MS(e.Rules.SlackMS), DrainGrace: MS(e.Rules.DrainGraceMS), OverloadFactor: e.Rules.OverloadFactor,
+		TipAfter: MS(e.Rules.TipAfterMS), ColdFrom: e.Rules.ColdFrom, WarmAfter: MS(e.Rules.WarmAfterMS),
+		Categories: map[string]ledger.Category{}}
+	longest := 0.0
+	for _, c := range e.Categories {
+		r.Categories[c.Name] = ledger.Category{Effect: c.Effect, Scope: c.Scope, Window: MS(c.WindowMS)}
+		longest = max(longest, c.TTLMS)
+	}
+	r.KillAfter = MS(min(longest, 3000) + 700)
+	return r
+}
+
+// Longest is the longest TTL of all categories.
+func (e *Experiment) Longest() time.Duration {
+	longest := 0.0
+	for _, c := range e.Categories {
+		longest = max(longest, c.TTLMS)
+	}
+	return time.Duration(longest * float64(time.Millisecond))
+}
--- /dev/null
+++ b/internal/lab/play/play.go
@@ -0,0 +1,397 @@
+// Package play plays an experiment: it starts workers, discovery and schedulers, sends the script's ops, turns its
+// troubles on and off, and holds the ledger against the rules at the end.
+package play
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"woaddyke/internal/lab/asks"
+	"woaddyke/internal/lab/box"
+	"woaddyke/internal/lab/clients"
+	"woaddyke/internal/lab/figures"
+	"woaddyke/internal/lab/fleet"
+	"woaddyke/internal/lab/herald"
+	"woaddyke/internal/lab/ledger"
+	"woaddyke/internal/lab/plan"
+	"woaddyke/internal/lab/schedulers"
+	"woaddyke/internal/lab/script"
+)
+
+// Stage is where and with what an experiment is played.
+type Stage struct {
+	Out      string // a folder; empty for a temporary one that is removed
+	Make     schedulers.Maker
+	Progress func(Progress) // now and then; may be nil
+	Quiet    bool           // write no page and no results
+}
+
+// Progress is how far a run is.
+type Progress struct {
+	Second, Of float64
+	Open       int64
+	Events     int
+	Last       string // the newest trouble
+}
+
+// run is one experiment on its way.
+type run struct {
+	plan       *plan.Experiment
+	script     *script.Script
+	book       *ledger.Book
+	fleet      *fleet.Fleet
+	agents     []*herald.Agent
+	schedulers []*schedulers.Scheduler
+	crowd      *clients.Crowd
+	work       sync.WaitGroup // restarts that are under way
+	mu         sync.Mutex
+	last       string
+	errs       []error
+	uses       []schedulers.Use
+	queues     []figures.Queue
+	dir        string
+}
+
+const (
+	sampleEvery = 250 * time.Millisecond
+	lead        = 300 * time.Millisecond // between the last scheduler's start and the first op
+)
+
+// Run plays an experiment from its seed.
+func Run(ctx context.Context, e *plan.Experiment, st Stage) (*figures.Results, error) {
+	s, err := script.Of(e)
+	if err != nil {
+		return nil, err
+	}
+	r := &run{plan: e, script: s, dir: st.Out}
+	if r.dir == "" {
+		if r.dir, err = os.MkdirTemp("", "lab-"); err != nil {
+			return nil, err
+		}
+		defer os.RemoveAll(r.dir)
+	} else if err := os.MkdirAll(r.dir, 0o755); err != nil {
+		return nil, err
+	}
+	if r.book, err = ledger.Create(filepath.Join(r.dir, "ledger.jsonl"), time.Now()); err != nil {
+		return nil, err
+	}
+	r.book.Add(ledger.Event{Kind: ledger.World, Name: e.Name, Seed: e.Seed, Rules: e.Judged(), Text: s.Hash()})
+	err = r.play(ctx, st)
+	if err == nil {
+		err = errors.Join(r.errs...)
+	}
+	text := ""
+	if ctx.Err() != nil {
+		text = "stopped before its time"
+	}
+	r.book.Add(ledger.Event{Kind: ledger.Finished, Text: text})
+	events := r.book.Events()
+	if err = errors.Join(err, r.book.Close()); err != nil {
+		return nil, err
+	}
+	result, err := figures.Of(e, events, r.uses, r.queues)
+	if err != nil {
+		return nil, err
+	}
+	result.Script = s.Hash()
+	if st.Out != "" && !st.Quiet {
+		err = write(filepath.Join(r.dir, "results.json"), result)
+	}
+	return result, err
+}
+
+func write(path string, v any) error {
+	text, err := json.MarshalIndent(v, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, text, 0o644)
+}
+
+// setUp starts all parties.
+func (r *run) setUp(st Stage) error {
+	e := r.plan
+	late := [2]time.Duration{time.Duration(e.Discovery.LateMS[0] * float64(time.Millisecond)),
+		time.Duration(e.Discovery.LateMS[1] * float64(time.Millisecond))}
+	for n := range e.Schedulers.Count {
+		a, err := herald.New(n, r.book, func(slot, scheduler int) string { return r.fleet.Addr(slot, scheduler) }, late,
+			fleet.Sky(e, "discovery", "", e.Zones[n%len(e.Zones)]), e.Seed)
+		if err != nil {
+			return err
+		}
+		r.agents = append(r.agents, a)
+	}
+	desk := asks.New()
+	var on bool
+	var err error
+	r.fleet, err = fleet.New(e, r.script, r.book, desk, func(entry fleet.Entry) {
+		for _, a := range r.agents {
+			a.Hear(entry, !on)
+		}
+	})
+	if err != nil {
+		return err
+	}
+	var servers []clients.Server
+	var addrs []string
+	for n := range e.Schedulers.Count {
+		s, err := schedulers.New(n, e, r.book, st.Make, r.agents[n], r.dir)
+		if err != nil {
+			return err
+		}
+		r.schedulers = append(r.schedulers, s)
+		servers, addrs = append(servers, s), append(addrs, s.Listen)
+	}
+	on = true
+	failed := make(chan error, len(r.schedulers))
+	for _, s := range r.schedulers {
+		go func() { failed <- s.Start(false) }()
+	}
+	for range r.schedulers {
+		err = errors.Join(err, <-failed)
+	}
+	if err != nil {
+		return err
+	}
+	r.crowd = clients.New(e, r.script, r.book, desk, servers, addrs)
+	return nil
+}
+
+// tearDown ends all that was started.
+func (r *run) tearDown() {
+	var all sync.WaitGroup
+	for _, s := range r.schedulers {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			if err := s.End(r.plan.Longest() + 3*time.Second); err != nil {
+				r.fail(err)
+			}
+		}()
+	}
+	all.Wait()
+	for _, a := range r.agents {
+		a.Stop()
+	}
+	if r.fleet != nil {
+		r.fleet.Stop()
+	}
+}
+
+func (r *run) fail(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.errs = append(r.errs, err)
+}
+
+func (r *run) play(ctx context.Context, st Stage) error {
+	defer r.tearDown()
+	if err := r.setUp(st); err != nil {
+		return err
+	}
+	start := time.Now().Add(lead)
+	playing, stop := context.WithCancel(ctx)
+	var side sync.WaitGroup
+	side.Add(2)
+	go func() {
+		defer side.Done()
+		r.turns(playing, start)
+	}()
+	go func() {
+		defer side.Done()
+		r.sample(playing, start, st.Progress)
+	}()
+	r.crowd.Run(ctx, start)
+	if rest := time.Until(start.Add(time.Duration(r.plan.Seconds * float64(time.Second)))); rest > 0 {
+		select {
+		case <-time.After(rest):
+		case <-ctx.Done():
+		}
+	}
+	settle := time.After(time.Duration(r.plan.Settle * float64(time.Second)))
+	r.crowd.Wait()
+	select {
+	case <-settle:
+	case <-ctx.Done():
+	}
+	stop()
+	side.Wait()
+	r.work.Wait()
+	for n := range r.schedulers { // what stands still can't end
+		r.schedulers[n].Signal(syscall.SIGCONT)
+		r.agents[n].Silence(false)
+	}
+	for slot := range r.script.Workers {
+		r.fleet.Cut(slot, -1, false)
+	}
+	return nil
+}
+
+// sample notes now and then what is used and held.
+func (r *run) sample(ctx context.Context, start time.Time, tell func(Progress)) {
+	tick := time.NewTicker(sampleEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		for _, s := range r.schedulers {
+			if u, ok := s.Use(); ok {
+				r.uses = append(r.uses, u)
+			}
+		}
+		q := figures.Queue{At: r.book.Now()}
+		for _, d := range r.fleet.Depths() {
+			q.Held, q.Waiting = append(q.Held, d.Running+d.Waiting), append(q.Waiting, d.Waiting)
+		}
+		r.queues = append(r.queues, q)
+		if tell != nil {
+			r.mu.Lock()
+			last := r.last
+			r.mu.Unlock()
+			tell(Progress{Second: time.Since(start).Seconds(), Of: r.plan.Seconds, Open: r.crowd.Open(),
+				Events: len(r.book.Events()), Last: last})
+		}
+	}
+}
+
+// turns plays the script's troubles.
+func (r *run) turns(ctx context.Context, start time.Time) {
+	for _, t := range r.script.Turns {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Until(start.Add(time.Duration(t.At) * ledger.Tenth))):
+		}
+		text := fmt.Sprintf("%s on %v", t.Kind, t.Targets)
+		if !t.On {
+			text = fmt.Sprintf("%s over on %v", t.Kind, t.Targets)
+		}
+		r.book.Add(ledger.Event{Kind: ledger.Fault, Text: text})
+		r.mu.Lock()
+		r.last = text
+		r.mu.Unlock()
+		for _, n := range t.Targets {
+			r.turn(t, n)
+		}
+	}
+}
+
+// turn begins or ends a trouble at one worker or scheduler.
+func (r *run) turn(t script.Turn, n int) {
+	if plan.OfSchedulers(t.Kind) {
+		r.trouble(t, n)
+		return
+	}
+	span := time.Duration(t.For) * ledger.Tenth
+	ail := func(change func(*box.Ails)) { r.fleet.Ail(n, change) }
+	size := t.Size
+	if !t.On {
+		size = 0
+	}
+	switch t.Kind {
+	case "slow":
+		ail(func(a *box.Ails) { a.Slow = size })
+	case "hang":
+		ail(func(a *box.Ails) { a.Hung = t.On })
+	case "taken":
+		ail(func(a *box.Ails) { a.Taken = size })
+	case "mute":
+		ail(func(a *box.Ails) { a.Mute = size })
+	case "fails":
+		ail(func(a *box.Ails) { a.Fails = size })
+	case "unfit":
+		ail(func(a *box.Ails) { a.UnfitShare = size })
+	case "lies":
+		ail(func(a *box.Ails) { a.Lies = t.On })
+	case "stale":
+		ail(func(a *box.Ails) { a.StaleBy = plan.MS(size) })
+	case "refuses":
+		ail(func(a *box.Ails) { a.TurnsAway = t.On })
+	case "vanish", "cut":
+		r.fleet.Cut(n, -1, t.On)
+	case "kill":
+		if t.On {
+			r.fleet.Kill(n)
+		} else if err := r.fleet.Restart(n); err != nil {
+			r.fail(err)
+		}
+	case "drain":
+		if t.On {
+			r.fleet.Drain(n, span)
+		}
+	case "discovery-silent":
+		for _, a := range r.agents {
+			a.Silence(t.On)
+		}
+	case "discovery-broken":
+		for _, a := range r.agents {
+			a.Break(t.On)
+		}
+	case "discovery-moved":
+		r.move(n)
+	}
+}
+
+// move moves a scheduler's discovery and tells it so.
+func (r *run) move(n int) {
+	if n >= len(r.agents) {
+		return
+	}
+	if err := r.agents[n].Move(); err != nil {
+		r.fail(err)
+		return
+	}
+	if err := r.schedulers[n].Signal(syscall.SIGHUP); err != nil {
+		r.fail(err)
+	}
+}
+
+// trouble is one at a scheduler; it is seen through to its end.
+func (r *run) trouble(t script.Turn, n int) {
+	s := r.schedulers[n]
+	span := max(time.Duration(t.For)*ledger.Tenth, 100*time.Millisecond)
+	switch t.Kind {
+	case "scheduler-stop":
+		sig := syscall.SIGCONT
+		if t.On {
+			sig = syscall.SIGSTOP
+		}
+		if err := s.Signal(sig); err != nil {
+			r.fail(err)
+		}
+	case "scheduler-reload":
+		if t.On {
+			r.move(n)
+		}
+	case "scheduler-kill", "scheduler-stale", "scheduler-term":
+		if !t.On {
+			return
+		}
+		r.work.Add(1)
+		go func() {
+			defer r.work.Done()
+			from := time.Now()
+			if t.Kind == "scheduler-term" {
+				if err := s.End(r.plan.Longest() + time.Second); err != nil {
+					r.fail(err)
+				}
+			} else {
+				s.Kill()
+			}
+			time.Sleep(max(span-time.Since(from), 0))
+			if err := s.Start(t.Kind == "scheduler-stale"); err != nil {
+				r.fail(err)
+			}
+		}()
+	}
+}
--- /dev/null
+++ b/internal/lab/schedulers/schedulers.go
@@ -0,0 +1,269 @@
+package schedulers
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"woaddyke/internal/lab/ledger"
+	"woaddyke/internal/lab/plan"
+)
+
+// Running is one scheduler that was started.
+type Running interface {
+	Signal(syscall.Signal) error
+	Wait() error // returns when it has ended
+	PID() int    // 0 for one in the lab's own process
+}
+
+// Maker starts a scheduler that reads a sheet from a file and writes its log to another.
+type Maker func(n int, sheet, log string) (Running, error)
+
+// process is a scheduler's process.
+type process struct{ cmd *exec.Cmd }
+
+func (p process) Signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
+func (p process) Wait() error                   { return p.cmd.Wait() }
+func (p process) PID() int                      { return p.cmd.Process.Pid }
+
+// Program starts processes of a build by its path.
+func Program(path string, args ...string) Maker {
+	return func(n int, sheet, log string) (Running, error) {
+		out, err := os.OpenFile(log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+		if err != nil {
+			return nil, err
+		}
+		defer out.Close()
+		cmd := exec.Command(path, append([]string{"serve", "--config", sheet}, args...)...)
+		cmd.Stdout, cmd.Stderr = out, out
+		// It must not outlive the lab, nor take the lab's Ctrl-C for its own.
+		cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+		if err := cmd.Start(); err != nil {
+			return nil, fmt.Errorf("scheduler: %w", err)
+		}
+		return process{cmd}, nil
+	}
+}
+
+// Known gives a scheduler's discovery address and the list as it is now.
+type Known interface {
+	Addr() string
+	Known() json.RawMessage
+}
+
+// Scheduler is one place at which a scheduler runs.
+type Scheduler struct {
+	n      int
+	plan   *plan.Experiment
+	book   *ledger.Book
+	make   Maker
+	known  Known
+	dir    string
+	Listen string
+
+	mu      sync.Mutex
+	running Running
+	ended   chan struct{}
+	starts  uint64
+	first   json.RawMessage // the list of the first start, for one that comes back with an old one
+	up      bool
+}
+
+// New reserves an address for the n-th scheduler.
+func New(n int, e *plan.Experiment, book *ledger.Book, m Maker, known Known, dir string) (*Scheduler, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("scheduler %d: %w", n+1, err)
+	}
+	defer l.Close()
+	return &Scheduler{n: n, plan: e, book: book, make: m, known: known, dir: dir, Listen: l.Addr().String()}, nil
+}
+
+const startTime = 15 * time.Second
+
+// Start starts it and waits until it answers health checks. A stale one is told the list of its first start.
+func (s *Scheduler) Start(stale bool) error {
+	s.mu.Lock()
+	known := s.known.Known()
+	if s.first == nil {
+		s.first = known
+	}
+	if stale {
+		known = s.first
+	}
+	s.starts++
+	sheet := filepath.Join(s.dir, fmt.Sprintf("n%d.json", s.n+1))
+	if err := s.write(sheet, known); err != nil {
+		s.mu.Unlock()
+		return err
+	}
+	r, err := s.make(s.n, sheet, filepath.Join(s.dir, fmt.Sprintf("n%d.log", s.n+1)))
+	if err != nil {
+		s.mu.Unlock()
+		return err
+	}
+	ended := make(chan struct{})
+	s.running, s.ended = r, ended
+	s.mu.Unlock()
+	go func() {
+		err := r.Wait()
+		text := "exit status 0"
+		if err != nil {
+			text = err.Error()
+		}
+		s.mu.Lock()
+		if s.running == r {
+			s.running, s.up = nil, false
+		}
+		s.book.Add(ledger.Event{Kind: ledger.Exited, Scheduler: s.n + 1, Text: text})
+		close(ended)
+		s.mu.Unlock()
+	}()
+	return s.ready(ended)
+}
+
+// write replaces the sheet in one step: a scheduler may read it at any moment.
+func (s *Scheduler) write(path string, known json.RawMessage) error {
+	text, err := json.Marshal(SheetOf(s.plan, s.n, s.starts, s.Listen, s.known.Addr(), known))
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(path+".new", text, 0o644); err != nil {
+		return err
+	}
+	return os.Rename(path+".new", path)
+}
+
+func (s *Scheduler) ready(ended chan struct{}) error {
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for limit := time.Now().Add(startTime); time.Now().Before(limit); {
+		select {
+		case <-ended:
+			return fmt.Errorf("scheduler %d ended before it was ready; see %s", s.n+1, filepath.Join(s.dir, fmt.Sprintf("n%d.log", s.n+1)))
+		case <-time.After(5 * time.Millisecond):
+		}
+		resp, err := client.Get("http://" + s.Listen + "/healthz")
+		if err != nil {
+			continue
+		}
+		resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			s.mu.Lock()
+			s.up = true
+			s.book.Add(ledger.Event{Kind: ledger.Up, Scheduler: s.n + 1})
+			s.mu.Unlock()
+			return nil
+		}
+	}
+	return fmt.Errorf("scheduler %d is not ready after %v", s.n+1, startTime)
+}
+
+// Up tells whether it is known to serve.
+func (s *Scheduler) Up() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.up
+}
+
+var kinds = map[syscall.Signal]ledger.Kind{syscall.SIGKILL: ledger.Killed, syscall.SIGTERM: ledger.Term,
+	syscall.SIGHUP: ledger.Hup, syscall.SIGSTOP: ledger.Stopped, syscall.SIGCONT: ledger.Resumed}
+
+// Signal sends a signal, and writes it down just before.
+func (s *Scheduler) Signal(sig syscall.Signal) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.running == nil {
+		return nil
+	}
+	if sig == syscall.SIGHUP { // it comes with a sheet that tells where discovery is now
+		if err := s.write(filepath.Join(s.dir, fmt.Sprintf("n%d.json", s.n+1)), s.known.Known()); err != nil {
+			return err
+		}
+	}
+	s.book.Add(ledger.Event{Kind: kinds[sig], Scheduler: s.n + 1})
+	if sig == syscall.SIGKILL || sig == syscall.SIGTERM {
+		s.up = false
+	}
+	if err := s.running.Signal(sig); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		return fmt.Errorf("scheduler %d: %w", s.n+1, err)
+	}
+	return nil
+}
+
+// End ends it: with SIGTERM first, and SIGKILL if it has not ended within a time.
+func (s *Scheduler) End(within time.Duration) error {
+	s.mu.Lock()
+	ended, running := s.ended, s.running
+	s.mu.Unlock()
+	if running == nil {
+		return nil
+	}
+	if err := s.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	select {
+	case <-ended:
+		return nil
+	case <-time.After(within):
+	}
+	err := s.Signal(syscall.SIGKILL)
+	<-ended
+	return err
+}
+
+// Kill ends it at once and waits until it has.
+func (s *Scheduler) Kill() {
+	s.mu.Lock()
+	ended := s.ended
+	s.mu.Unlock()
+	if s.Signal(syscall.SIGKILL) == nil && ended != nil {
+		<-ended
+	}
+}
+
+// Use is what a scheduler uses at a moment.
+type Use struct {
+	At        ledger.Time `json:"at"`
+	Scheduler int         `json:"scheduler"`
+	CPU       float64     `json:"cpu_s"` // since its start
+	Resident  int64       `json:"resident"`
+	Files     int         `json:"files"`
+}
+
+// Use reads what it uses, if it is a process that runs.
+func (s *Scheduler) Use() (Use, bool) {
+	s.mu.Lock()
+	r := s.running
+	s.mu.Unlock()
+	if r == nil || r.PID() == 0 {
+		return Use{}, false
+	}
+	proc := fmt.Sprintf("/proc/%d/", r.PID())
+	stat, err := os.ReadFile(proc + "stat")
+	if err != nil {
+		return Use{}, false
+	}
+	// The name may hold anything; what follows its last bracket is in order.
+	fields := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+1:]))
+	if len(fields) < 22 {
+		return Use{}, false
+	}
+	user, _ := strconv.ParseFloat(fields[11], 64)
+	system, _ := strconv.ParseFloat(fields[12], 64)
+	pages, _ := strconv.ParseInt(fields[21], 10, 64)
+	u := Use{At: s.book.Now(), Scheduler: s.n + 1, CPU: (user + system) / 100, Resident: pages * int64(os.Getpagesize())}
+	if files, err := os.ReadDir(proc + "fd"); err == nil {
+		u.Files = len(files)
+	}
+	return u, true
+}
--- /dev/null
+++ b/internal/lab/schedulers/sheet.go
@@ -0,0 +1,71 @@
+// Package schedulers holds the schedulers under test: what they are told, and their processes, which are started,
+// signalled, stopped and killed as the script says.
+package schedulers
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"woaddyke/internal/lab/ledger"
+	"woaddyke/internal/lab/plan"
+)
+
+// Sheet is what a scheduler is told at its start, in the platform's form.
+type Sheet struct {
+	Name      string          `json:"name"`
+	Listen    string          `json:"listen"`
+	Discovery string          `json:"discovery"`
+	Seed      string          `json:"seed"`
+	Limits    limits          `json:"limits"`
+	Known     json.RawMessage `json:"known"`
+	Settings  map[string]any  `json:"settings"`
+}
+
+type limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int     `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// published are the platform's words for effects.
+var published = map[string]string{ledger.Redeliverable: "retryable", ledger.Deduplicated: "dedup", ledger.AtMostOnce: "fragile"}
+
+// SheetOf is what the n-th scheduler of an experiment is told.
+func SheetOf(e *plan.Experiment, n int, start uint64, listen, discovery string, known json.RawMessage) *Sheet {
+	s, r := &e.Schedulers, &e.Rules
+	ns := func(ms float64) float64 { return float64(int64(ms * 1e6)) }
+	var categories []any
+	var stretch []any
+	for _, c := range e.Categories {
+		m := map[string]any{"name": c.Name, "effect": published[c.Effect], "benefit": c.Benefit,
+			"targetLatencyNs": ns(c.TargetMS), "ttlNs": ns(c.TTLMS), "tardyBenefit": c.LateBenefit}
+		if c.Effect == ledger.Deduplicated {
+			m["dedupScope"], m["windowNs"] = c.Scope, ns(c.WindowMS)
+		}
+		categories, stretch = append(categories, m), append(stretch, c.Stretch)
+	}
+	var zones []any
+	for _, z := range e.Zones {
+		zones = append(zones, z)
+	}
+	progress := 0.0
+	for _, w := range e.Workers {
+		progress = max(progress, w.ProgressMS)
+	}
+	settings := map[string]any{
+		"benefitPer": "work",
+		"bounds": map[string]any{"cancel": s.Cancel, "connectTimeoutNs": ns(s.ConnectTimeoutMS), "keepaliveNs": ns(s.KeepaliveMS),
+			"maxPushes": s.MaxPushes, "maxRetryAfterNs": ns(s.MaxRetryAfterMS), "probes": s.Probes, "retryAfter": s.MaxRetryAfterMS > 0},
+		"categories": categories, "discovery": "pushed",
+		"extra": map[string]any{"classStretch": stretch, "progressNs": ns(progress), "reportX0": "free slots",
+			"reportX1": "free memory", "tellsStart": true},
+		"failureDomains": zones, "myZone": n % len(e.Zones), "prices": map[string]any{"crossZone": s.CrossPrice},
+		"report": map[string]any{"fields": []any{"pending", "busy_reqs", "x0"}, "how": "on_probe"},
+		"safety": map[string]any{"askEveryNs": 1e10, "coldFrom": r.ColdFrom, "drainGraceNs": ns(r.DrainGraceMS),
+			"overloadFactor": r.OverloadFactor, "tipAfterNs": ns(r.TipAfterMS), "warmAfterNs": ns(r.WarmAfterMS)},
+		"stepNs": ns(s.StepMS),
+	}
+	return &Sheet{Name: fmt.Sprintf("n%d", n+1), Listen: listen, Discovery: discovery, Known: known, Settings: settings,
+		Seed:   fmt.Sprintf("%016x", (e.Seed*0x9e3779b97f4a7c15+uint64(n)*0x100000001b3+start)|1),
+		Limits: limits{s.Cores, s.MemoryMB, s.Sockets}}
+}
