Requests that lay unread while the process was stopped are dated back to the halt

The audit orders pushes by when they were sent, and a closing counts from when it came to the link: a link that was cut brings them in any order.

--- a/internal/front/door.go
+++ b/internal/front/door.go
@@ -64,10 +64,11 @@
 		return nil, bad("%s is no whole number of milliseconds", timeLeftHeader)
 	}
 	wait := time.Duration(min(left, longestTTL.Milliseconds())) * time.Millisecond
-	if wait <= wayBack {
+	until := f.pulse.came(came).Add(wait - wayBack)
+	if !until.After(came) {
 		return nil, &refusal{http.StatusServiceUnavailable, "no time left"}
 	}
-	h.TTL = terms.Down(f.loop.clock.nanos(came.Add(wait - wayBack)))
+	h.TTL = terms.Down(f.loop.clock.nanos(until))
 	if no := h.facts(r.Header); no != nil {
 		return nil, no
 	}
--- a/internal/lab/box/box.go
+++ b/internal/lab/box/box.go
@@ -32,6 +32,7 @@
 type Job struct {
 	Op, Effect string
 	Work       float64 // running time on the yardstick, ms
+	Usual      float64 // what a job of its category takes: all that a scheduler can know
 	Slots      float64
 	Memory     float64
 	Dedup      bool
@@ -383,7 +384,7 @@
 	if !b.cold || b.rules.TipAfter == 0 || b.now-b.boot >= b.rules.WarmAfter {
 		return do, false
 	}
-	b.asked = append(b.asked, sent{b.now, j.Work * j.Slots})
+	b.asked = append(b.asked, sent{b.now, j.Usual * j.Slots})
 	sum, kept := 0.0, b.asked[:0]
 	for _, s := range b.asked {
 		if s.at > b.now-b.rules.TipAfter {
--- a/internal/lab/clients/clients.go
+++ b/internal/lab/clients/clients.go
@@ -203,7 +203,7 @@
 	c.open.Add(1)
 	defer c.open.Add(-1)
 	cat := t.category
-	job := box.Job{Op: t.id, Effect: t.effect, Work: t.wish.Work, Slots: t.wish.Slots, Dedup: cat.Effect == ledger.Deduplicated,
+	job := box.Job{Op: t.id, Effect: t.effect, Work: t.wish.Work, Usual: cat.WorkMS, Slots: t.wish.Slots, Dedup: cat.Effect == ledger.Deduplicated,
 		Window: plan.MS(cat.WindowMS), Scope: cat.Scope}
 	key := ""
 	if cat.Effect != ledger.Redeliverable {
--- a/internal/lab/ledger/ledger.go
+++ b/internal/lab/ledger/ledger.go
@@ -42,7 +42,7 @@
 	Ran      Kind = "ran"      // worker: the job's effect begins
 	Dropped  Kind = "dropped"  // worker: a repeat that its group remembers, so it has no effect
 	Said     Kind = "said"     // worker: the last line is handed to the connection; Verdict, Text
-	Closed   Kind = "closed"   // worker: the push's connection was ended from the other side
+	Closed   Kind = "closed"   // worker: the push's connection was ended from the other side, at From
 	Probed   Kind = "probed"   // worker: a load report was asked for
 	Dialed   Kind = "dialed"   // worker: a new connection
 	Boot     Kind = "boot"     // worker: it has started; Cores, Zone, Cell, Cold
@@ -123,6 +123,7 @@
 	From      Time    `json:"from,omitempty"`
 	Late      Time    `json:"late,omitempty"`
 	Work      float64 `json:"work,omitempty"`  // core time on the yardstick, ms
+	Usual     float64 `json:"usual,omitempty"` // the same of an ordinary op of its category
 	Cores     float64 `json:"cores,omitempty"` // cores times speed
 	Zone      string  `json:"zone,omitempty"`
 	Cell      int     `json:"cell,omitempty"`
