Baseline policies in the lab, as schedulers to compare with

A comparison needs something plain beside today's build: random, turns, fewest own pushes, two probes.

--- a/cmd/lab/compare.go
+++ b/cmd/lab/compare.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"slices"
+	"strings"
 
 	"github.com/spf13/cobra"
 
@@ -17,7 +18,7 @@
 	var rounds int
 	var names []string
 	c := &cobra.Command{Use: "compare A B FILE", Short: "Play two builds on the same seeds in alternation, and state the difference",
-		Long: "A and B are programs of the scheduler, each with its operator's file after a comma if it has one: PROGRAM[,FILE].",
+		Long: "A and B are programs of the scheduler, each with its operator's file after a comma if it has one: PROGRAM[,FILE]. baseline:NAME in place of a program is a textbook policy.",
 		Args: cobra.ExactArgs(3),
 		RunE: func(c *cobra.Command, args []string) error {
 			e, err := plan.Read(args[2])
@@ -67,10 +68,6 @@
 }
 
 func split(text string) build {
-	for i := range text {
-		if text[i] == ',' {
-			return build{text[:i], text[i+1:]}
-		}
-	}
-	return build{path: text}
+	path, operator, _ := strings.Cut(text, ",")
+	return build{path, operator}
 }
--- a/cmd/lab/run.go
+++ b/cmd/lab/run.go
@@ -6,11 +6,13 @@
 	"io"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/mattn/go-isatty"
 	"github.com/spf13/cobra"
 
+	"woaddyke/internal/lab/baseline"
 	"woaddyke/internal/lab/figures"
 	"woaddyke/internal/lab/page"
 	"woaddyke/internal/lab/plan"
@@ -24,13 +26,17 @@
 }
 
 func (b *build) flags(c *cobra.Command) {
-	c.Flags().StringVar(&b.path, "bin", "", "the scheduler's program (default: woaddyke beside this one)")
+	c.Flags().StringVar(&b.path, "bin", "", "the scheduler's program (default: woaddyke beside this one), or baseline:"+
+		strings.Join(baseline.Policies, ", baseline:"))
 	c.Flags().StringVar(&b.operator, "operator", "", "the operator's own file, handed to the scheduler")
 }
 
 // maker starts schedulers of the build.
 func (b *build) maker(e *plan.Experiment) (schedulers.Maker, error) {
 	path := b.path
+	if policy, ok := strings.CutPrefix(path, "baseline:"); ok {
+		return baseline.Maker(policy, baseline.Wrongs{})
+	}
 	if path == "" {
 		own, err := os.Executable()
 		if err != nil {
