Tests of the lab: the audit by mutation, boxes, scripts, links, wrong schedulers on sockets

The judge is only worth what it is proved on: each rule and hard case has a ledger that breaks it beside its nearest lawful twin, rapid draws lawful ledgers and mutates them, and live runs must catch schedulers that answer twice, push at once, ignore drains, or push again what may have run.

--- /dev/null
+++ b/internal/lab/audit/audit_test.go
@@ -0,0 +1,300 @@
+package audit
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"woaddyke/internal/lab/ledger"
+)
+
+var rules = &ledger.Rules{Slack: 500, DrainGrace: 25_000, OverloadFactor: 2.5, TipAfter: 15_000, ColdFrom: 0.3,
+	WarmAfter: 86_000, KillAfter: 37_000, Categories: map[string]ledger.Category{
+		"again": {Effect: ledger.Redeliverable}, "once": {Effect: ledger.AtMostOnce},
+		"zone": {Effect: ledger.Deduplicated, Scope: "zone", Window: 75_000},
+		"cell": {Effect: ledger.Deduplicated, Scope: "cell", Window: 75_000},
+		"all":  {Effect: ledger.Deduplicated, Scope: "all", Window: 75_000},
+	}}
+
+// The same verdict every time, unless a seed is given from outside; rapid prints it with each failure.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		f.Value.Set("1")
+	}
+	flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+type events = []ledger.Event
+
+// world is four workers, w1 and w2 in one cell, w3 in another of their zone, w4 in the other zone, and two schedulers.
+func world(more ...events) events {
+	l := events{{Kind: ledger.World, Rules: rules, Seed: 1}}
+	for i, at := range []struct {
+		zone string
+		cell int
+	}{{"e", 1}, {"e", 1}, {"e", 2}, {"w", 3}} {
+		l = append(l, ledger.Event{Kind: ledger.Boot, Worker: fmt.Sprintf("w%d", i+1), Zone: at.zone, Cell: at.cell, Cores: 4})
+	}
+	l = append(l, ledger.Event{Kind: ledger.Up, Scheduler: 1}, ledger.Event{Kind: ledger.Up, Scheduler: 2})
+	for _, m := range more {
+		l = append(l, m...)
+	}
+	slices.SortStableFunc(l, func(a, b ledger.Event) int { return int(a.At - b.At) })
+	return append(l, ledger.Event{At: 1_000_000, Kind: ledger.Finished})
+}
+
+func due(op, category string, at ledger.Time) events {
+	return events{{At: at, Kind: ledger.Due, Op: op, Category: category, Scheduler: 1, Until: at + 50_000},
+		{At: at + 1, Kind: ledger.Sent, Op: op, Scheduler: 1}}
+}
+
+func answer(op, verdict, text string, at ledger.Time) events {
+	return events{{At: at, Kind: ledger.Answer, Op: op, Verdict: verdict, Text: text, Scheduler: 1}}
+}
+
+// pushed is a push that reached its worker and how it ended there: done, returned, closed or nothing.
+func pushed(op string, n int, worker string, at ledger.Time, end string, ends ledger.Time) events {
+	l := events{{At: at, Kind: ledger.Reached, Op: op, Worker: worker, Scheduler: 1, Push: n, From: at}}
+	if end != ledger.Returned && end != ledger.TurnedAway {
+		l = append(l, ledger.Event{At: at, Kind: ledger.Ran, Op: op, Worker: worker, Push: n})
+	}
+	switch end {
+	case "":
+	case "closed":
+		l = append(l, ledger.Event{At: ends, From: ends, Kind: ledger.Closed, Op: op, Worker: worker, Push: n})
+	default:
+		l = append(l, ledger.Event{At: ends, Kind: ledger.Said, Op: op, Worker: worker, Push: n, Verdict: end, Text: fmt.Sprint("r", n)})
+	}
+	return l
+}
+
+func process(kind ledger.Kind, at ledger.Time) events {
+	return events{{At: at, Kind: kind, Scheduler: 1}}
+}
+
+func tell(state string, at ledger.Time) events {
+	return events{{At: at, Kind: ledger.Told, Scheduler: 1, Worker: "w1", State: state}}
+}
+
+// served is an op that went well.
+func served(op, category string, at ledger.Time) []events {
+	return []events{due(op, category, at), pushed(op, 1, "w1", at+10, ledger.Done, at+500), answer(op, ledger.Acked, "r1", at+510)}
+}
+
+func with(a []events, more ...events) events { return world(append(a, more...)...) }
+
+// cold is a start of w4 and pushes to it.
+func cold(at ledger.Time, usual float64, n int) events {
+	l := events{{At: at, Kind: ledger.Boot, Worker: "w4", Zone: "w", Cell: 3, Cores: 4, Cold: true}}
+	for i := range n {
+		op := fmt.Sprint("c", i)
+		l = append(l, due(op, "again", at)...)
+		p := pushed(op, 100+i, "w4", at+15_100+ledger.Time(i), ledger.Done, at+20_000)
+		p[0].Usual = usual
+		l = append(l, p...)
+		l = append(l, answer(op, ledger.Acked, fmt.Sprint("r", 100+i), at+20_001)...)
+	}
+	return l
+}
+
+// Each breach beside its nearest lawful twin: a judge that sees breaches everywhere proves as little as one that
+// sees none.
+func TestEachRuleIsToldFromItsNearestLawfulTwin(t *testing.T) {
+	w := world
+	for name, c := range map[string]struct {
+		lawful, broken events
+		rule           Rule
+	}{
+		"an answer": {with(served("a", "once", 100)), w(due("a", "once", 100)), Lost},
+		"an answer before the TTL": {w(due("a", "once", 100), answer("a", ledger.Nacked, "", 50_600)),
+			w(due("a", "once", 100), answer("a", ledger.Nacked, "", 50_601)), Lost},
+		"one answer": {with(served("a", "once", 100)),
+			with(served("a", "once", 100), answer("a", ledger.Acked, "r1", 800)), Lost},
+		"nothing unasked": {with(served("a", "once", 100)),
+			with(served("a", "once", 100), events{{At: 900, Kind: ledger.Stray, Op: "a"}}), Lost},
+		"the client left": {w(due("a", "once", 100), events{{At: 500, Kind: ledger.Left, Op: "a"}}),
+			w(due("a", "once", 100), events{{At: 500, Kind: ledger.Cut, Op: "a", State: "reused"}}), Lost},
+		"a connection closed unread": {w(due("a", "once", 100), events{{At: 500, Kind: ledger.Cut, Op: "a"}}),
+			w(due("a", "once", 100), pushed("a", 1, "w1", 300, ledger.Done, 400), events{{At: 500, Kind: ledger.Cut, Op: "a"}}), Lost},
+		"no connection": {w(due("a", "once", 100), events{{At: 500, Kind: ledger.Refused, Op: "a"}}), w(due("a", "once", 100)), Lost},
+		"its scheduler was killed": {w(due("a", "once", 100), process(ledger.Killed, 300), process(ledger.Exited, 301)),
+			w(due("a", "once", 100), process(ledger.Term, 300), process(ledger.Exited, 301)), Lost},
+		"killed before it was sent": {w(process(ledger.Killed, 50), process(ledger.Up, 300), due("a", "once", 700), answer("a", ledger.Nacked, "", 800)),
+			w(process(ledger.Killed, 50), process(ledger.Up, 100), due("a", "once", 700)), Lost},
+		"killed soon after SIGTERM": {w(due("a", "once", 100), process(ledger.Term, 300), process(ledger.Killed, 37_300)),
+			w(due("a", "once", 100), process(ledger.Term, 300), process(ledger.Killed, 37_301)), Lost},
+		"its scheduler was stopped": {w(due("a", "once", 100), process(ledger.Stopped, 300), process(ledger.Resumed, 60_000)),
+			w(due("a", "once", 100), process(ledger.Stopped, 60_000), process(ledger.Resumed, 70_000)), Lost},
+		"a stopped one pushes nothing after the TTL": {
+			w(due("a", "again", 100), process(ledger.Stopped, 300), process(ledger.Resumed, 50_200), pushed("a", 1, "w1", 50_600, ledger.Done, 51_000)),
+			w(due("a", "again", 100), process(ledger.Stopped, 300), process(ledger.Resumed, 50_200), pushed("a", 1, "w1", 50_601, ledger.Done, 51_000)), Lost},
+		"nothing sent after the answer": {
+			w(due("a", "again", 100), pushed("a", 1, "w1", 1499, "closed", 1500), answer("a", ledger.Nacked, "", 1000)),
+			w(due("a", "again", 100), pushed("a", 1, "w1", 1501, "closed", 1502), answer("a", ledger.Nacked, "", 1000)), Lost},
+
+		"at most once, handed back": {
+			w(due("a", "once", 100), pushed("a", 1, "w1", 200, ledger.Returned, 300), pushed("a", 2, "w2", 310, ledger.Done, 400), answer("a", ledger.Acked, "r2", 500)),
+			w(due("a", "once", 100), pushed("a", 1, "w1", 200, ledger.Failed, 300), pushed("a", 2, "w2", 310, ledger.Done, 400), answer("a", ledger.Acked, "r2", 500)), Twice},
+		"at most once, nacked": {
+			w(due("a", "once", 100), pushed("a", 1, "w1", 200, ledger.TurnedAway, 300), answer("a", ledger.Nacked, "", 500)),
+			w(due("a", "once", 100), pushed("a", 1, "w1", 200, "closed", 300), answer("a", ledger.Nacked, "", 500)), Twice},
+		"handed back only after the nack": {
+			w(due("a", "once", 100), pushed("a", 1, "w1", 200, ledger.Returned, 500), answer("a", ledger.Nacked, "", 500)),
+			w(due("a", "once", 100), pushed("a", 1, "w1", 200, ledger.Returned, 501), answer("a", ledger.Nacked, "", 500)), Twice},
+		"within the zone": {
+			w(due("a", "zone", 100), pushed("a", 1, "w1", 200, "closed", 300), pushed("a", 2, "w3", 310, ledger.Done, 400), answer("a", ledger.Acked, "r2", 500)),
+			w(due("a", "zone", 100), pushed("a", 1, "w1", 200, "closed", 300), pushed("a", 2, "w4", 310, ledger.Done, 400), answer("a", ledger.Acked, "r2", 500)), Twice},
+		"within the cell": {
+			w(due("a", "cell", 100), pushed("a", 1, "w1", 200, "closed", 300), pushed("a", 2, "w2", 310, ledger.Done, 400), answer("a", ledger.Acked, "r2", 500)),
+			w(due("a", "cell", 100), pushed("a", 1, "w1", 200, "closed", 300), pushed("a", 2, "w3", 310, ledger.Done, 400), answer("a", ledger.Acked, "r2", 500)), Twice},
+		"a nack where all drop repeats": {
+			w(due("a", "all", 100), pushed("a", 1, "w1", 200, "closed", 300), answer("a", ledger.Nacked, "", 500)),
+			w(due("a", "zone", 100), pushed("a", 1, "w1", 200, "closed", 300), answer("a", ledger.Nacked, "", 500)), Twice},
+		"one push at a time": {
+			w(due("a", "again", 100), pushed("a", 1, "w1", 200, "closed", 1000), pushed("a", 2, "w2", 500, ledger.Done, 2000), answer("a", ledger.Acked, "r2", 2001)),
+			w(due("a", "again", 100), pushed("a", 1, "w1", 200, "closed", 1001), pushed("a", 2, "w2", 500, ledger.Done, 2000), answer("a", ledger.Acked, "r2", 2001)), Twice},
+
+		"the drain's grace": {
+			with(served("a", "again", 100), tell("draining", 1000), due("b", "again", 26_000), pushed("b", 2, "w1", 26_500, ledger.Done, 26_600), answer("b", ledger.Acked, "r2", 26_700)),
+			with(served("a", "again", 100), tell("draining", 1000), due("b", "again", 26_000), pushed("b", 2, "w1", 26_501, ledger.Done, 26_600), answer("b", ledger.Acked, "r2", 26_700)), Drain},
+		"the first word counts": {
+			w(tell("draining", 1000), tell("ready", 2000), tell("gone", 20_000), due("b", "again", 26_000), pushed("b", 2, "w1", 27_000, ledger.Done, 27_100), answer("b", ledger.Acked, "r2", 27_200)),
+			w(tell("draining", 1000), tell("gone", 20_000), due("b", "again", 26_000), pushed("b", 2, "w1", 27_000, ledger.Done, 27_100), answer("b", ledger.Acked, "r2", 27_200)), Drain},
+		"told while it was stopped": {
+			w(process(ledger.Stopped, 900), tell("draining", 1000), process(ledger.Resumed, 30_000), due("b", "again", 30_000), pushed("b", 2, "w1", 30_500, ledger.Done, 30_600), answer("b", ledger.Acked, "r2", 30_700)),
+			w(tell("draining", 890), process(ledger.Stopped, 900), process(ledger.Resumed, 30_000), due("b", "again", 30_000), pushed("b", 2, "w1", 30_500, ledger.Done, 30_600), answer("b", ledger.Acked, "r2", 30_700)), Drain},
+
+		"what a cold one can bear": {w(cold(100, 630, 10)), w(cold(100, 640, 10)), Cold},
+		"a result that was given": {with(served("a", "once", 100)),
+			w(due("a", "once", 100), pushed("a", 1, "w1", 200, ledger.Done, 300), answer("a", ledger.Acked, "r9", 500)), Forged},
+		"a push that was asked for":      {with(served("a", "once", 100)), with(served("a", "once", 100), pushed("x", 9, "w1", 300, ledger.Done, 400)), Forged},
+		"a process that was told to end": {w(process(ledger.Term, 100), process(ledger.Exited, 300)), w(process(ledger.Exited, 300)), Crashed},
+	} {
+		if j, err := Judge(c.lawful); err != nil || len(j.Breaches) > 0 {
+			t.Errorf("%s, lawful: %v, %v", name, j.Breaches, err)
+		}
+		if j, err := Judge(c.broken); err != nil || len(j.Breaches) == 0 || j.Breaches[0].Rule != c.rule {
+			t.Errorf("%s, broken: %v, %v; want %s", name, j.Breaches, err, c.rule)
+		}
+	}
+}
+
+// The window of a repeat outlasts a TTL of 5 s; only a longer one shows a repeat just past it.
+func TestARepeatPastTheWindowIsABreach(t *testing.T) {
+	for late, want := range map[ledger.Time]int{75_500: 0, 75_501: 1} {
+		l := world(due("a", "zone", 100), pushed("a", 1, "w1", 200, "closed", 300), pushed("a", 2, "w3", 200+late, ledger.Done, 90_000), answer("a", ledger.Acked, "r2", 90_001))
+		for i := range l {
+			if l[i].Kind == ledger.Due {
+				l[i].Until = 200_000
+			}
+		}
+		if j, err := Judge(l); err != nil || len(j.Breaches) != want {
+			t.Errorf("a repeat %d later: %v, %v", late, j.Breaches, err)
+		}
+	}
+}
+
+// A retry under a new id is another op; a ledger that was cut off holds ops that may still be answered.
+func TestRetriesAndACutOffLedgerAreNoBreach(t *testing.T) {
+	l := with(served("a", "once", 100), due("b", "once", 2000), pushed("b", 2, "w2", 2100, ledger.Done, 2200), answer("b", ledger.Acked, "r2", 2300))
+	if j, err := Judge(l); err != nil || len(j.Breaches) > 0 || j.Ops != 2 {
+		t.Errorf("a retry: %+v, %v", j, err)
+	}
+	for n := range l {
+		if n == 0 {
+			continue
+		}
+		if j, err := Judge(l[:n]); err != nil || len(j.Breaches) > 0 {
+			t.Fatalf("cut after %d lines: %v, %v", n, j.Breaches, err)
+		}
+	}
+	if _, err := Judge(l[1:]); err == nil {
+		t.Error("a ledger without rules was judged")
+	}
+}
+
+// lawful draws a ledger that keeps all rules: ops of all categories with pushes that end in any way.
+func lawful(t *rapid.T) (l events, ops []string) {
+	var all []events
+	push := 0
+	for i := range rapid.IntRange(1, 12).Draw(t, "ops") {
+		op := fmt.Sprint("op", i)
+		category := rapid.SampledFrom([]string{"again", "once", "zone", "cell", "all"}).Draw(t, "category")
+		at := ledger.Time(rapid.IntRange(0, 300_000).Draw(t, "due"))
+		all = append(all, due(op, category, at))
+		ops = append(ops, op)
+		ran, first, now := false, "", at+10
+		verdict, text := ledger.Nacked, ""
+		for range rapid.IntRange(0, 4).Draw(t, "pushes") {
+			if ran && category == "once" {
+				break
+			}
+			may := map[string][]string{"zone": {"w1", "w2", "w3"}, "cell": {"w1", "w2"}}[category]
+			worker := rapid.SampledFrom([]string{"w1", "w2", "w3", "w4"}).Draw(t, "worker")
+			if category == "zone" || category == "cell" {
+				worker = rapid.SampledFrom(may).Draw(t, "worker in group")
+			}
+			push++
+			end := rapid.SampledFrom([]string{ledger.Done, ledger.Failed, ledger.Returned, ledger.TurnedAway, "closed"}).Draw(t, "end")
+			took := ledger.Time(rapid.IntRange(1, 9000).Draw(t, "took"))
+			all = append(all, pushed(op, push, worker, now, end, now+took))
+			now += took + 1
+			if end == ledger.Done {
+				verdict, text = ledger.Acked, fmt.Sprint("r", push)
+				break
+			}
+			if end == ledger.Failed || end == "closed" {
+				if ran = true; first == "" {
+					first = worker
+				}
+			}
+		}
+		if verdict == ledger.Nacked && ran && category != "again" && category != "all" {
+			verdict = ledger.Dead
+		}
+		all = append(all, answer(op, verdict, text, now))
+	}
+	return world(all...), ops
+}
+
+// The judge must find what is done to any lawful ledger, and nothing in it before.
+func TestAnyLawfulLedgerPassesAndItsMutantsDoNot(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l, ops := lawful(t)
+		if j, err := Judge(l); err != nil || len(j.Breaches) > 0 || j.Answers != len(ops) {
+			t.Fatalf("lawful: %+v, %v", j, err)
+		}
+		op := rapid.SampledFrom(ops).Draw(t, "op")
+		at := slices.IndexFunc(l, func(e ledger.Event) bool { return e.Kind == ledger.Answer && e.Op == op })
+		last := l[at].At
+		m := slices.Clone(l[:len(l)-1])
+		var want Rule
+		switch rapid.IntRange(0, 5).Draw(t, "mutation") {
+		case 0:
+			m, want = slices.Delete(m, at, at+1), Lost
+		case 1:
+			m, want = append(m, l[at]), Lost
+		case 2:
+			m, want = append(m, pushed(op, 9999, "w1", last+501, "closed", last+502)...), Lost
+		case 3:
+			m[at].Verdict, m[at].Text, want = ledger.Acked, "made up", Forged
+		case 4:
+			m, want = append(m, pushed(op, 9998, "w1", last+1, "", 0)...), Twice
+			m = append(m, pushed(op, 9999, "w2", last+2, "", 0)...)
+		case 5:
+			m[at].At, want = last+1_000_000, Lost
+		}
+		m = append(m, ledger.Event{At: 2_000_000, Kind: ledger.Finished})
+		slices.SortStableFunc(m, func(a, b ledger.Event) int { return int(a.At - b.At) })
+		j, err := Judge(m)
+		if err != nil || !slices.ContainsFunc(j.Breaches, func(b Breach) bool { return b.Rule == want && (b.Op == op || b.Op == "") }) {
+			t.Fatalf("want %q of %s: %v, %v", want, op, j.Breaches, err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/lab/plan/plan_test.go
@@ -0,0 +1,61 @@
+package plan
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const sound = "[[workers]]\ncount = 2\n[[categories]]\nname = \"a\"\n"
+
+// A file that is wrong must not be played as something else: one line says where and why.
+func TestWhatIsWrongWithAFileIsOneLineWithItsPlace(t *testing.T) {
+	for text, want := range map[string]string{
+		"seed = ": "1:7:", "sed = 1\n" + sound: "1:1: no such key: sed",
+		sound + "[arrivals]\nrat = 1\n":                                  "6:1: no such key: arrivals.rat",
+		"[[workers]]\ncount = \"x\"\n":                                   "2:9:",
+		"[[workers]]\ncount = 2\n":                                       "categories",
+		"[[categories]]\nname = \"a\"\n":                                 "workers: 0",
+		sound + "effect = \"twice\"\n":                                   "effect",
+		sound + "scope = \"zone\"\n":                                     "scope goes with",
+		sound + "ttl_ms = -1\n":                                          "ttl_ms = -1 lies outside",
+		sound + "work_ms = nan\n":                                        "work_ms = NaN",
+		sound + "[[faults]]\nkind = \"fire\"\n":                          "none of",
+		sound + "[[faults]]\nkind = \"slow\"\n":                          "size = 0",
+		sound + "[[faults]]\nkind = \"hang\"\nindices = [2]\n":           "none of 0 to 1",
+		sound + "[[faults]]\nkind = \"cut\"\nzone = \"moon\"\n":          "no zone",
+		sound + "[arrivals]\nsteps = [[2, 1], [1, 1]]\n":                 "in order of time",
+		sound + "[arrivals]\nkind = \"trace\"\n":                         "a file is wanted",
+		sound + "[schedulers]\ncount = 2\nshares = [1]\n":                "1 for 2",
+		"expect = [{ figure = \"acked\" }]\n" + sound:                    "least or most",
+		sound + "[chaos]\nkinds = [\"slow\"]\nfor_s = [2, 1]\nevery_s=1": "least and most",
+	} {
+		if _, err := Parse([]byte(text)); err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q: %v; want %q", text, err, want)
+		}
+	}
+	if e, err := Parse([]byte(sound)); err != nil || e.Workers[0].Cores != 4 || e.Judged().KillAfter != 37_000 {
+		t.Errorf("a sound file: %+v, %v", e, err)
+	}
+}
+
+// Lists of a file stand in place of its base's; a circle of bases ends.
+func TestAFileStandsOverItsBase(t *testing.T) {
+	dir := t.TempDir()
+	for name, text := range map[string]string{
+		"base.toml": sound + "[arrivals]\nrate = 7\n", "circle.toml": "base = \"circle.toml\"\n" + sound,
+		"over.toml": "base = \"base.toml\"\nseed = 9\n[[categories]]\nname = \"b\"\n",
+	} {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	e, err := Read(filepath.Join(dir, "over.toml"))
+	if err != nil || e.Name != "over" || e.Seed != 9 || e.Arrivals.Rate != 7 || len(e.Categories) != 1 || e.Categories[0].Name != "b" {
+		t.Errorf("%+v, %v", e, err)
+	}
+	if _, err := Read(filepath.Join(dir, "circle.toml")); err == nil || !strings.Contains(err.Error(), "files deep") {
+		t.Errorf("a circle: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/lab/play/play_test.go
@@ -0,0 +1,171 @@
+package play
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"slices"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"woaddyke/internal/lab/audit"
+	"woaddyke/internal/lab/baseline"
+	"woaddyke/internal/lab/figures"
+	"woaddyke/internal/lab/ledger"
+	"woaddyke/internal/lab/plan"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.IgnoreTopFunction("net/http.(*persistConn).readLoop"),
+		goleak.IgnoreTopFunction("net/http.(*persistConn).writeLoop"), goleak.IgnoreTopFunction("internal/poll.runtime_pollWait"))
+}
+
+const day = `
+seconds = 2.5
+settle_s = 0.2
+[rules]
+drain_grace_ms = 300
+[discovery]
+late_ms = [10, 50]
+[arrivals]
+rate = 80
+[clients]
+retries = 1
+[[workers]]
+count = 5
+[[categories]]
+name = "a"
+work_ms = 20
+ttl_ms = 1500
+[[categories]]
+name = "b"
+effect = "at-most-once"
+work_ms = 20
+ttl_ms = 1500
+`
+
+func live(t *testing.T, text, policy string, wrong baseline.Wrongs, out string) *figures.Results {
+	t.Helper()
+	e, err := plan.Parse([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	m, err := baseline.Maker(policy, wrong)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	r, err := Run(ctx, e, Stage{Make: m, Out: out})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func rulesOf(r *figures.Results) (rules []audit.Rule) {
+	for _, b := range r.Audit.Breaches {
+		if !slices.Contains(rules, b.Rule) {
+			rules = append(rules, b.Rule)
+		}
+	}
+	return rules
+}
+
+// A judge that lets a wrong scheduler pass on real sockets is worth nothing, and one that accuses a right one less.
+func TestTheJudgeTellsWrongSchedulersFromARightOne(t *testing.T) {
+	const drains = "[[faults]]\nkind = \"shrink\"\nat_s = 0.3\nfor_s = 0.2\npart = 0.6\n"
+	const slow = "[[faults]]\nkind = \"fails\"\nat_s = 0.1\nfor_s = 2.4\nsize = 0.5\n"
+	for name, c := range map[string]struct {
+		more  string
+		wrong baseline.Wrongs
+		want  audit.Rule
+	}{
+		"right":                      {drains + slow, baseline.Wrongs{}, ""},
+		"answers twice":              {"", baseline.Wrongs{Answers: 2}, audit.Lost},
+		"pushes again at once":       {"[[faults]]\nkind = \"slow\"\nat_s = 0\nfor_s = 2.5\nsize = 10\n", baseline.Wrongs{Copies: 2}, audit.Twice},
+		"ignores drains":             {drains, baseline.Wrongs{Drains: true}, audit.Drain},
+		"pushes again what may have": {slow, baseline.Wrongs{Retries: true}, audit.Twice},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := live(t, day+c.more, "turns", c.wrong, "")
+			if rules := rulesOf(r); c.want == "" && len(rules) > 0 || c.want != "" && !slices.Contains(rules, c.want) {
+				t.Errorf("%v, want %q: %v", rules, c.want, r.Audit.Breaches[:min(3, len(r.Audit.Breaches))])
+			}
+			if r.Audit.Ops < 100 {
+				t.Errorf("%d ops", r.Audit.Ops)
+			}
+		})
+	}
+}
+
+// Troubles of all kinds are played, undone and judged; nothing is left running.
+func TestAStormOfTroublesIsPlayedToItsEnd(t *testing.T) {
+	dir := t.TempDir()
+	const chaos = `
+[[links]]
+between = "workers"
+delay_ms = 1
+jitter_ms = 1
+reset_before = 0.01
+reset_after = 0.01
+stall = 0.02
+stall_ms = 30
+[[links]]
+between = "clients"
+delay_ms = 1
+[chaos]
+kinds = ["slow", "hang", "pauses", "taken", "mute", "fails", "unfit", "lies", "stale", "refuses", "kill", "drain", "vanish", "replace", "cut", "discovery-silent", "discovery-broken", "scheduler-kill", "scheduler-stale", "scheduler-term"]
+every_s = 0.15
+for_s = [0.1, 0.6]
+`
+	for _, policy := range []string{"fewest", "probes"} {
+		r := live(t, "seed = 11\n"+day+chaos, policy, baseline.Wrongs{}, filepath.Join(dir, policy))
+		if len(r.Faults) < 10 || r.Audit.Ops < 50 || !r.Audit.Whole {
+			t.Errorf("%s: %d troubles, %+v", policy, len(r.Faults), r.Audit)
+		}
+		// A plain scheduler may lose ops in this; it pushes nothing twice and keeps its drains.
+		if rules := rulesOf(r); slices.Contains(rules, audit.Forged) || slices.Contains(rules, audit.Drain) {
+			t.Errorf("%s: %v", policy, r.Audit.Breaches)
+		}
+		events, err := ledger.ReadFile(filepath.Join(dir, policy, "ledger.jsonl"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if j, err := audit.Judge(events); err != nil || j.Ops != r.Audit.Ops || len(j.Breaches) != len(r.Audit.Breaches) {
+			t.Errorf("the ledger read back is judged otherwise: %+v, %v", j, err)
+		}
+	}
+}
+
+// Ctrl-C ends all that was started, and the ledger is whole.
+func TestAnInterruptedRunWritesItsLedger(t *testing.T) {
+	dir := t.TempDir()
+	e, err := plan.Parse([]byte("seconds = 600\n" + day[len("\nseconds = 2.5"):]))
+	if err != nil {
+		t.Fatal(err)
+	}
+	m, err := baseline.Maker("random", baseline.Wrongs{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	r, err := Run(ctx, e, Stage{Make: m, Out: dir, Progress: func(p Progress) {
+		if p.Events > 200 {
+			stop()
+		}
+	}})
+	if err != nil || !r.Interrupted || len(r.Audit.Breaches) > 0 {
+		t.Errorf("%+v, %v", r, err)
+	}
+	events, err := ledger.ReadFile(filepath.Join(dir, "ledger.jsonl"))
+	if err != nil || events[len(events)-1].Kind != ledger.Finished {
+		t.Errorf("%d events, %v", len(events), err)
+	}
+	if _, err := os.Stat(filepath.Join(dir, "results.json")); err != nil {
+		t.Error(err)
+	}
+}
