--- a/internal/lab/clients/clients.go
+++ b/internal/lab/clients/clients.go
@@ -34,19 +34,25 @@
 	book    *ledger.Book
 	desk    *asks.Desk
 	servers []Server
-	pools   []*pool
+	addrs   []string
+	weather []*links.Weather
 	tries   sync.WaitGroup
-	number  atomic.Int64
 	open    atomic.Int64
 	bodies  [][]byte
+
+	mu    sync.Mutex
+	pools map[place]*pool
 }
 
+// place is one client's connections to one scheduler.
+type place struct{ client, scheduler int }
+
 // New makes the clients of an experiment.
 func New(e *plan.Experiment, s *script.Script, book *ledger.Book, desk *asks.Desk, servers []Server, addrs []string) *Crowd {
-	c := &Crowd{plan: e, script: s, book: book, desk: desk, servers: servers}
-	for i, addr := range addrs {
+	c := &Crowd{plan: e, script: s, book: book, desk: desk, servers: servers, addrs: addrs, pools: map[place]*pool{}}
+	for i := range addrs {
 		sky := fleet.Sky(e, "clients", "", e.Zones[i%len(e.Zones)])
-		c.pools = append(c.pools, &pool{addr: addr, book: book, weather: links.New(sky, e.Seed*31+uint64(i))})
+		c.weather = append(c.weather, links.New(sky, e.Seed*31+uint64(i)))
 	}
 	for _, cat := range e.Categories {
 		c.bodies = append(c.bodies, []byte(strings.Repeat("x", cat.BodyBytes)))
@@ -54,8 +60,18 @@
 	return c
 }
 
-// Weather is the link between the clients and a scheduler.
-func (c *Crowd) Weather(scheduler int) *links.Weather { return c.pools[scheduler].weather }
+// pool is a client's connections to a scheduler.
+func (c *Crowd) pool(client, scheduler int) *pool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	at := place{client, scheduler}
+	p := c.pools[at]
+	if p == nil {
+		p = &pool{addr: c.addrs[scheduler], book: c.book, weather: c.weather[scheduler]}
+		c.pools[at] = p
+	}
+	return p
+}
 
 // Open tells how many tries have no end yet.
 func (c *Crowd) Open() int64 { return c.open.Load() }
@@ -87,6 +103,8 @@
 // Wait waits until all tries have ended, and closes their connections.
 func (c *Crowd) Wait() {
 	c.tries.Wait()
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	for _, p := range c.pools {
 		p.close()
 	}
@@ -159,7 +177,7 @@
 		case <-ctx.Done():
 			return
 		}
-		at = r.IntN(len(c.pools)) // the front deals it out anew
+		at = r.IntN(len(c.addrs)) // the front deals it out anew
 	}
 }
 
@@ -213,8 +231,8 @@
 	}
 	target := "/api?sid=" + t.effect
 	c.desk.Put(t.id, asks.Ask{Job: job, Target: target, Key: key, Body: asks.Sum(t.body)})
-	c.book.Add(ledger.Event{Kind: ledger.Due, Op: t.id, Effect: t.effect, Category: cat.Name, Scheduler: at + 1, Try: t.number,
-		From: c.book.Moment(due), Until: c.book.Moment(t.until), Work: t.wish.Work * t.wish.Slots})
+	c.book.Add(ledger.Event{Kind: ledger.Due, Op: t.id, Effect: t.effect, Category: cat.Name, Scheduler: at + 1, Try: t.number, Client: t.wish.Client + 1,
+		From: c.book.Moment(due), Until: c.book.Moment(t.until), Work: t.wish.Work * t.wish.Slots, Slots: t.wish.Slots})
 	for round := 0; ; round++ {
 		o, reused := c.exchange(ctx, t, due, at, target, key, round > 0)
 		if o.kind != ledger.Cut || !reused || round > 0 || o.which != "" {
@@ -225,8 +243,8 @@
 
 // head is a request's head.
 func (t *try) head(target, key string, left time.Duration) []byte {
-	b := fmt.Appendf(nil, "POST %s HTTP/1.1\r\nHost: api.internal\r\nX-Correlation-Id: %s\r\nX-Service-Class: %s\r\nX-Time-Left-Ms: %d\r\n",
-		target, t.id, t.category.Name, max(left.Milliseconds(), 1))
+	b := fmt.Appendf(nil, "POST %s HTTP/1.1\r\nHost: api.internal\r\nX-Correlation-Id: %s\r\nX-Service-Class: %s\r\nX-Time-Left-Ms: %d\r\nX-Client: c%d\r\n",
+		target, t.id, t.category.Name, max(left.Milliseconds(), 1), t.wish.Client)
 	if key != "" {
 		b = fmt.Appendf(b, "Idempotency-Key: %s\r\n", key)
 	}
@@ -243,7 +261,7 @@
 }
 
 func (c *Crowd) exchange(ctx context.Context, t *try, due time.Time, at int, target, key string, fresh bool) (outcome, bool) {
-	p := c.pools[at]
+	p := c.pool(t.wish.Client, at)
 	if fresh {
 		p = &pool{addr: p.addr, weather: p.weather, book: p.book}
 	}
--- a/internal/lab/figures/figures.go
+++ b/internal/lab/figures/figures.go
@@ -92,16 +92,16 @@
 
 // wish is what became of one wish over all its tries.
 type wish struct {
-	category  int
-	due       ledger.Time
-	work      float64
-	ackedAt   ledger.Time
-	acked     bool
-	last      string
-	lastAt    ledger.Time
-	tries     int
-	pushes    int
-	ackedWork float64
+	category int
+	client   int
+	due      ledger.Time
+	work     float64 // core time
+	slots    float64
+	ackedAt  ledger.Time
+	acked    bool
+	last     string
+	lastAt   ledger.Time
+	tries    int
 }
 
 // Of works the figures out.
@@ -128,7 +128,7 @@
 		case ledger.Due:
 			w := wishes[ev.Effect]
 			if w == nil {
-				w = &wish{category: index[ev.Category], due: ev.From, work: ev.Work}
+				w = &wish{category: index[ev.Category], client: ev.Client, due: ev.From, work: ev.Work, slots: max(ev.Slots, 1)}
 				wishes[ev.Effect], order = w, append(order, w)
 				asked += ev.Work
 			}
@@ -202,6 +202,8 @@
 func (r *Results) service(e *plan.Experiment, order []*wish) {
 	all := histogram()
 	got, asked := 0.0, 0.0
+	clients, windows := map[int]*share{}, map[int]*share{}
+	worst := 1.0
 	for i, c := range e.Categories {
 		h := histogram()
 		row := Category{Name: c.Name, Counts: map[string]int{}}
@@ -213,6 +215,13 @@
 			worth := c.Benefit * w.work
 			ours += worth
 			row.Wishes++
+			of := []*share{shareOf(clients, w.client)}
+			for k := range windowSlices { // each span of ten seconds that it is in
+				of = append(of, shareOf(windows, int(w.due/sliceLength)-k))
+			}
+			for _, s := range of {
+				s.asked += worth
+			}
 			if !w.acked {
 				row.Counts[cmp.Or(w.last, "unanswered")]++
 				continue
@@ -221,11 +230,16 @@
 			took := w.ackedAt - w.due
 			record(h, took)
 			record(all, took)
+			earned := 0.0
 			switch {
-			case took <= plan.MS(c.TargetMS+c.Stretch*w.work):
-				mine += worth
+			case took <= plan.MS(c.TargetMS+c.Stretch*w.work/w.slots):
+				earned = worth
 			case took <= plan.MS(c.TTLMS):
-				mine += worth * c.LateBenefit
+				earned = worth * c.LateBenefit
+			}
+			mine += earned
+			for _, s := range of {
+				s.got += earned
 			}
 		}
 		row.Latency = latency(h)
@@ -239,6 +253,9 @@
 			r.Figures[name+"_ms."+c.Name] = v
 		}
 		r.Figures["service."+c.Name] = row.Service
+		if ours > 0 {
+			worst = min(worst, row.Service)
+		}
 		for _, kind := range []string{ledger.Acked, ledger.Nacked, ledger.Dead} {
 			r.Figures[kind] += float64(row.Counts[kind])
 		}
@@ -248,7 +265,35 @@
 	}
 	if asked > 0 {
 		r.Figures["service"] = got / asked
+		r.Figures["service_worst_category"] = worst
+		r.Figures["service_worst_client"] = least(clients, 0)
+		// Spans at the ends hold few ops; one of them says nothing of ten seconds.
+		r.Figures["service_worst_10s"] = min(least(windows, asked/float64(len(windows))*windowSlices/2), got/asked)
+	}
+}
+
+// share is what was earned of what was asked for.
+type share struct{ got, asked float64 }
+
+// windowSlices make ten seconds.
+const windowSlices = 100_000 / 2_500
+
+func shareOf(m map[int]*share, k int) *share {
+	if m[k] == nil {
+		m[k] = &share{}
+	}
+	return m[k]
+}
+
+// least is the worst share of those that asked for so much.
+func least(m map[int]*share, asked float64) float64 {
+	worst := 1.0
+	for _, s := range m {
+		if s.asked > asked {
+			worst = min(worst, s.got/s.asked)
+		}
 	}
+	return worst
 }
 
 // slices cuts the run by the moments at which ops were due.
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -105,7 +106,8 @@
 	wake  *time.Timer
 	wakes ledger.Time
 	calls map[int]chan box.Report
-	next  int // numbers probes and connections
+	next  int // numbers probes
+	shut  []*shut
 	admit bool
 }
 
@@ -129,7 +131,8 @@
 	for n := range f.plan.Schedulers.Count {
 		addr := f.addrs[slot][n]
 		if addr == "" {
-			addr = "127.0.0.1:0"
+			// Its own address, so that no connection from this machine can take its port while it is down.
+			addr = fmt.Sprintf("127.1.%d.%d:0", slot/250, slot%250+1)
 		}
 		l, err := net.Listen("tcp", addr)
 		if err != nil {
@@ -199,6 +202,9 @@
 	}
 	w.dead = true
 	w.wake.Stop()
+	for _, s := range w.shut {
+		s.open()
+	}
 	w.f.book.Add(ledger.Event{Kind: ledger.Gone, Worker: w.name})
 	var open []*link
 	for c := range w.conns {
@@ -237,11 +243,30 @@
 	w.takeLocked(box.Changed{Ails: w.ails})
 }
 
-// Cut silences the links of a slot's worker, or lets them speak again; with a scheduler below 0, those to all.
-func (f *Fleet) Cut(slot, scheduler int, on bool) {
-	for n, weather := range f.weather[slot] {
-		if scheduler < 0 || n == scheduler {
-			weather.Cut(on)
+// Cut silences the links of a slot's worker, or lets them speak again: open connections are silent, and new ones do
+// not come up.
+func (f *Fleet) Cut(slot int, on bool) {
+	for _, weather := range f.weather[slot] {
+		weather.Cut(on)
+	}
+	w := f.at(slot)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.dead || (len(w.shut) > 0) == on {
+		return
+	}
+	if !on {
+		for _, s := range w.shut {
+			s.open()
+		}
+		w.shut = nil
+		return
+	}
+	for _, l := range w.listeners {
+		if s, err := shutListener(l.(*net.TCPListener)); err == nil {
+			w.shut = append(w.shut, s)
+		} else {
+			f.book.Add(ledger.Event{Kind: ledger.Fault, Worker: w.name, Text: "its listener can't be silenced: " + err.Error()})
 		}
 	}
 }
@@ -253,9 +278,15 @@
 	f.list(f.entry(w, "gone"))
 }
 
-// Restart starts a killed worker again under its name, cold.
+// Restart starts a killed worker again under its name, cold. Where a successor stands already, that is enough.
 func (f *Fleet) Restart(slot int) error {
 	w := f.at(slot)
+	w.mu.Lock()
+	dead := w.dead
+	w.mu.Unlock()
+	if !dead {
+		return nil
+	}
 	f.mu.Lock()
 	f.births[slot]++
 	f.mu.Unlock()
@@ -304,6 +335,10 @@
 			time.Sleep(wait)
 		}
 		f.mu.Lock()
+		if f.slots[slot] != w { // it was killed meanwhile, and is back
+			f.mu.Unlock()
+			return
+		}
 		f.births[slot]++
 		name := fmt.Sprintf("%s-%d", f.script.Workers[slot].Name, f.births[slot])
 		f.mu.Unlock()
@@ -347,6 +382,10 @@
 func (w *worker) accept(l net.Listener, scheduler int) {
 	for {
 		c, err := l.Accept()
+		if errors.Is(err, os.ErrDeadlineExceeded) { // it is silent
+			time.Sleep(shutLook)
+			continue
+		}
 		if err != nil {
 			if !errors.Is(err, net.ErrClosed) {
 				w.f.book.Add(ledger.Event{Kind: ledger.Fault, Worker: w.name, Text: err.Error()})
@@ -355,6 +394,10 @@
 			}
 			return
 		}
+		if isFiller(c) {
+			c.Close()
+			continue
+		}
 		w.mu.Lock()
 		w.f.book.Add(ledger.Event{Kind: ledger.Dialed, Worker: w.name, Scheduler: scheduler + 1})
 		w.admit = false
--- a/internal/lab/ledger/ledger.go
+++ b/internal/lab/ledger/ledger.go
@@ -116,13 +116,15 @@
 	Effect    string  `json:"effect,omitempty"`
 	Category  string  `json:"category,omitempty"`
 	Scheduler int     `json:"scheduler,omitempty"` // from 1
+	Client    int     `json:"client,omitempty"`    // from 1
 	Worker    string  `json:"worker,omitempty"`
 	Push      int     `json:"push,omitempty"` // numbers all pushes of an experiment, from 1
 	Try       int     `json:"try,omitempty"`
 	Until     Time    `json:"until,omitempty"`
 	From      Time    `json:"from,omitempty"`
 	Late      Time    `json:"late,omitempty"`
-	Work      float64 `json:"work,omitempty"`  // core time on the yardstick, ms
+	Work      float64 `json:"work,omitempty"` // core time on the yardstick, ms
+	Slots     float64 `json:"slots,omitempty"`
 	Usual     float64 `json:"usual,omitempty"` // the same of an ordinary op of its category
 	Cores     float64 `json:"cores,omitempty"` // cores times speed
 	Zone      string  `json:"zone,omitempty"`
--- a/internal/lab/play/play.go
+++ b/internal/lab/play/play.go
@@ -229,7 +229,7 @@
 		r.agents[n].Silence(false)
 	}
 	for slot := range r.script.Workers {
-		r.fleet.Cut(slot, -1, false)
+		r.fleet.Cut(slot, false)
 	}
 	return nil
 }
@@ -318,7 +318,7 @@
 	case "refuses":
 		ail(func(a *box.Ails) { a.TurnsAway = t.On })
 	case "vanish", "cut":
-		r.fleet.Cut(n, -1, t.On)
+		r.fleet.Cut(n, t.On)
 	case "kill":
 		if t.On {
 			r.fleet.Kill(n)
--- a/internal/lab/schedulers/schedulers.go
+++ b/internal/lab/schedulers/schedulers.go
@@ -81,7 +81,8 @@
 
 // New reserves an address for the n-th scheduler.
 func New(n int, e *plan.Experiment, book *ledger.Book, m Maker, known Known, dir string) (*Scheduler, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	// Its own address, so that no connection from this machine can take its port while it is down.
+	l, err := net.Listen("tcp", fmt.Sprintf("127.2.0.%d:0", n+1))
 	if err != nil {
 		return nil, fmt.Errorf("scheduler %d: %w", n+1, err)
 	}
