Lab: a run in which the lab itself was late is void; the command tried end to end

A test plays a real scheduler that is stopped past its ops' TTL, and tries exit codes and errors of the command.

--- a/cmd/lab/compare.go
+++ b/cmd/lab/compare.go
@@ -47,6 +47,9 @@
 					if c.Context().Err() != nil {
 						return c.Context().Err()
 					}
+					if r.Void != "" {
+						return fmt.Errorf("void: %s", r.Void)
+					}
 					broken = broken || len(r.Audit.Breaches) > 0
 					got[i] = r.Figures
 					fmt.Fprintf(os.Stderr, "seed %d, %s: %s\n", one.Seed, "AB"[i:i+1], r.Line())
--- /dev/null
+++ b/cmd/lab/lab_test.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+)
+
+// programs builds lab and the scheduler once, side by side.
+func programs(t *testing.T) string {
+	t.Helper()
+	dir := t.TempDir()
+	out, err := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "woaddyke/cmd/...").CombinedOutput()
+	if err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	return dir
+}
+
+// lab runs the command and returns what it prints and its exit code.
+func lab(t *testing.T, dir string, args ...string) (out, errs string, code int) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	var o, e bytes.Buffer
+	c := exec.CommandContext(ctx, filepath.Join(dir, "lab"), args...)
+	c.Stdout, c.Stderr = &o, &e
+	err := c.Run()
+	var exit *exec.ExitError
+	if err != nil && !errors.As(err, &exit) {
+		t.Fatal(err)
+	}
+	return o.String(), e.String(), c.ProcessState.ExitCode()
+}
+
+const short = `
+seconds = 4
+settle_s = 0.2
+[schedulers]
+count = 2
+[discovery]
+late_ms = [10, 50]
+[arrivals]
+rate = 60
+[clients]
+retries = 1
+[[workers]]
+count = 4
+[[categories]]
+name = "a"
+work_ms = 30
+ttl_ms = 900
+[[categories]]
+name = "b"
+effect = "at-most-once"
+work_ms = 30
+ttl_ms = 900
+`
+
+// What lay in the kernel while a scheduler was stopped was pushed after its clients' TTL; one that is stopped for
+// longer than that must nack it. The lab and its exit codes are tried on the way, with the real program.
+func TestAStoppedSchedulerPushesNothingAfterTheTTL(t *testing.T) {
+	dir := programs(t)
+	write := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	stop := write("stop.toml", short+"[[faults]]\nkind = \"scheduler-stop\"\nat_s = 1\nfor_s = 1.8\nindices = [0]\n")
+	run := filepath.Join(dir, "run")
+	out, errs, code := lab(t, dir, "run", stop, "--out", run)
+	lines := strings.Split(strings.TrimSpace(out), "\n")
+	last := lines[len(lines)-1]
+	if code != 0 || !regexp.MustCompile(`^audit: ops=\d{3} answers=\d{3} broken=0 unmet=0 service=0\.\d+ `).MatchString(last) {
+		t.Fatalf("code %d: %s\n%s", code, out, errs)
+	}
+	if out, _, code = lab(t, dir, "audit", filepath.Join(run, "ledger.jsonl")); code != 0 || !strings.Contains(out, "broken=0") {
+		t.Errorf("audit: code %d, %s", code, out)
+	}
+	if page, err := os.ReadFile(filepath.Join(run, "page.html")); err != nil || bytes.Count(page, []byte("<svg")) != 5 {
+		t.Errorf("the page: %d bytes, %v", len(page), err)
+	}
+	ledger, err := os.ReadFile(filepath.Join(run, "ledger.jsonl"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	// An answer that is taken out of the ledger is a lost op; a line that can't be read makes the file unfit.
+	answer := regexp.MustCompile(`(?m)^.*"kind":"answer".*\n`).FindIndex(ledger)
+	lost := write("lost.jsonl", string(ledger[:answer[0]])+string(ledger[answer[1]:]))
+	if out, _, code = lab(t, dir, "audit", lost); code != 1 || !strings.Contains(out, "broken: no op lost: op ") {
+		t.Errorf("a ledger without an answer: code %d, %s", code, out)
+	}
+	for _, args := range [][]string{{"audit", write("bad.jsonl", "{\"kind\":\"world\"\n{}\n")}, {"run", write("bad.toml", "seed = x\n")},
+		{"run", filepath.Join(dir, "none.toml")}, {"run", stop, "--bin", filepath.Join(dir, "none")}, {"check", write("worse.toml", short+"[chaos]\nkinds = [\"x\"]\n")}} {
+		if _, errs, code = lab(t, dir, args...); code != 2 || strings.Count(errs, "\n") != 1 || !strings.HasPrefix(errs, "lab: ") {
+			t.Errorf("%v: code %d, %q", args, code, errs)
+		}
+	}
+	unmet := write("unmet.toml", "expect = [{ figure = \"acked\", least = 1e9 }]\n"+strings.Replace(short, "seconds = 4", "seconds = 0.3", 1))
+	if out, _, code = lab(t, dir, "run", unmet, "--bin", "baseline:fewest"); code != 1 || !strings.Contains(out, "unmet: acked is") {
+		t.Errorf("a promise that does not hold: code %d, %s", code, out)
+	}
+}
--- a/cmd/lab/run.go
+++ b/cmd/lab/run.go
@@ -130,7 +130,10 @@
 		fmt.Fprintln(out, "  unmet:", u)
 	}
 	fmt.Fprintln(out, r.Line())
-	if !r.Held() {
+	switch {
+	case r.Void != "":
+		return fmt.Errorf("void: %s", r.Void)
+	case !r.Held():
 		return errBroken
 	}
 	return nil
--- a/internal/lab/contrast/contrast.go
+++ b/internal/lab/contrast/contrast.go
@@ -11,7 +11,7 @@
 )
 
 // Usual are the figures that are compared where none are named.
-var Usual = []string{"service", "acked", "p50_ms", "p99_ms", "p99.9_ms", "waste", "pushes_per_op", "cpu_us_per_op", "memory_mb"}
+var Usual = []string{"broken", "service", "acked", "p50_ms", "p99_ms", "p99.9_ms", "waste", "pushes_per_op", "cpu_us_per_op", "memory_mb"}
 
 // Pairs are the figures of both builds, run by run.
 type Pairs struct {
--- a/internal/lab/figures/figures.go
+++ b/internal/lab/figures/figures.go
@@ -24,6 +24,7 @@
 	Script      string             `json:"script"` // its hash
 	Seconds     float64            `json:"seconds"`
 	Interrupted bool               `json:"interrupted,omitempty"`
+	Void        string             `json:"void,omitempty"` // why the run proves nothing
 	Audit       audit.Judgement    `json:"audit"`
 	Figures     map[string]float64 `json:"figures"`
 	Categories  []Category         `json:"categories"`
@@ -182,6 +183,7 @@
 	f["sent_late"], f["sent_late_max_ms"] = float64(late)/float64(max(sent, 1)), float64(lateMost)/10
 	f["excused"], f["unread"], f["open"] = float64(j.Excused), float64(j.Unread), float64(j.Open)
 	f["dropped_repeats"] = float64(counts[ledger.Dropped])
+	f["broken"] = float64(len(j.Breaches))
 	f["crashed"] = float64(breaches(j, audit.Crashed))
 	r.use()
 	r.expect(e)
@@ -368,7 +370,7 @@
 
 // told are the figures of the last line, in this order.
 var told = []string{"service", "acked", "nacked", "dead-lettered", "excused", "unread", "p50_ms", "p99_ms", "p99.9_ms", "waste",
-	"pushes_per_op", "probes_per_op", "dials_per_op", "sent_late", "cpu_us_per_op", "memory_mb", "files"}
+	"pushes_per_op", "probes_per_op", "dials_per_op", "sent_late", "lab_lag_ms", "cpu_us_per_op", "memory_mb", "files"}
 
 // Line is the last line that a run prints.
 func (r *Results) Line() string {
@@ -396,5 +398,14 @@
 	return names
 }
 
+// Lagged notes by how much the lab itself was late at most. Beyond the slack that the rules allow, its moments are no
+// evidence against anybody.
+func (r *Results) Lagged(ms, slack float64) {
+	r.Figures["lab_lag_ms"] = ms
+	if ms > slack {
+		r.Void = fmt.Sprintf("the lab itself was late by %.0f ms, more than the slack of %.0f ms: this machine is too busy for it", ms, slack)
+	}
+}
+
 // Held tells whether no rule was broken and all promises held.
 func (r *Results) Held() bool { return len(r.Audit.Breaches) == 0 && len(r.Unmet) == 0 }
--- a/internal/lab/play/play.go
+++ b/internal/lab/play/play.go
@@ -57,9 +57,11 @@
 	uses       []schedulers.Use
 	queues     []figures.Queue
 	dir        string
+	lag        time.Duration // the longest by which the lab itself was late
 }
 
 const (
+	lagEvery    = 5 * time.Millisecond
 	sampleEvery = 250 * time.Millisecond
 	lead        = 300 * time.Millisecond // between the last scheduler's start and the first op
 )
@@ -101,6 +103,7 @@
 		return nil, err
 	}
 	result.Script = s.Hash()
+	result.Lagged(float64(r.lag)/float64(time.Millisecond), e.Rules.SlackMS)
 	if st.Out != "" && !st.Quiet {
 		err = write(filepath.Join(r.dir, "results.json"), result)
 	}
@@ -199,7 +202,11 @@
 	start := time.Now().Add(lead)
 	playing, stop := context.WithCancel(ctx)
 	var side sync.WaitGroup
-	side.Add(2)
+	side.Add(3)
+	go func() {
+		defer side.Done()
+		r.watchItself(playing)
+	}()
 	go func() {
 		defer side.Done()
 		r.turns(playing, start)
@@ -234,6 +241,15 @@
 	return nil
 }
 
+// watchItself finds out by how much the lab is late: what it writes down later than it was counts against others.
+func (r *run) watchItself(ctx context.Context) {
+	for ctx.Err() == nil {
+		from := time.Now()
+		time.Sleep(lagEvery)
+		r.lag = max(r.lag, time.Since(from)-lagEvery)
+	}
+}
+
 // sample notes now and then what is used and held.
 func (r *run) sample(ctx context.Context, start time.Time, tell func(Progress)) {
 	tick := time.NewTicker(sampleEvery)
