--- a/internal/lab/plan/plan.go
+++ b/internal/lab/plan/plan.go
@@ -115,6 +115,7 @@
 	WorkMS      float64   `toml:"work_ms"`
 	Dist        string    `toml:"dist"` // fixed, exponential, lognormal or pareto
 	CV          float64   `toml:"cv"`
+	Heaviest    float64   `toml:"heaviest"` // no op has more work than so many times the mean
 	TargetMS    float64   `toml:"target_ms"`
 	Stretch     float64   `toml:"stretch"`
 	TTLMS       float64   `toml:"ttl_ms"`
@@ -443,6 +444,7 @@
 		orElse(&c.TargetMS, 300)
 		orElse(&c.Stretch, 2)
 		orElse(&c.CV, 1)
+		orElse(&c.Heaviest, 8) // far heavier ones could not end within any TTL that suits the rest
 		if c.Dist == "" {
 			c.Dist = "exponential"
 		}
@@ -463,6 +465,7 @@
 			number(at+"window_ms", c.WindowMS, 0, day), number(at+"benefit", c.Benefit, 0, 1e6),
 			number(at+"late_benefit", c.LateBenefit, 0, 1), number(at+"share", c.Share, 0, 1e6),
 			number(at+"work_ms", c.WorkMS, 0.01, day), number(at+"cv", c.CV, 0.01, 20),
+			number(at+"heaviest", c.Heaviest, 1, 1000),
 			number(at+"target_ms", c.TargetMS, 1, day), number(at+"stretch", c.Stretch, 0, 1000),
 			number(at+"ttl_ms", c.TTLMS, 20, day), number(at+"body_bytes", float64(c.BodyBytes), 0, 64<<10),
 			number(at+"hint_spread", c.HintSpread, 0, 100)); err != nil {
