--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -150,10 +150,19 @@
 	middle, usual []Time // run of each category: the median, the mean
 }
 
+// site is what is picked out of the terms, once: looked up by name at each use, they took half of the CPU of
+// a scheduler that holds a thousand ops.
+type site struct {
+	step, dial, call, warmAfter, progress, longestPause Time
+	askEvery, warmSpan, coldFrom, overload, crossZone   float64
+	maxPushes, myZone                                   int
+	probes, cancel, tellsStart, perWork, onRequest      bool
+}
+
 // Dispatcher is one scheduler's decisions and what they rest on.
 type Dispatcher struct {
 	chance     uint64
-	terms      map[string]any
+	site       site
 	categories []category
 	now        Time
 	workers    []worker
@@ -183,18 +192,33 @@
 
 // New starts a scheduler's dispatcher from its seed and the site's terms.
 func New(seed uint64, terms map[string]any) *Dispatcher {
-	d := &Dispatcher{chance: seed&0xffffffff | 1<<32, terms: terms, least: math.MaxInt64}
+	num := func(name string, otherwise float64) float64 {
+		if v, ok := terms[name].(float64); ok {
+			return v
+		}
+		return otherwise
+	}
+	span := func(name string, otherwise Time) Time { return Time(num(name, float64(otherwise))) }
+	d := &Dispatcher{chance: seed&0xffffffff | 1<<32, least: math.MaxInt64}
+	d.site = site{step: span("step", 0), dial: span("bounds.connectTimeout", 0),
+		call: span("bounds.connectTimeout", second), warmAfter: span("safety.warmAfter", 0),
+		progress: span("extra.progress", 0), warmSpan: num("safety.warmAfter", 1),
+		askEvery: num("safety.askEvery", float64(10*second)), coldFrom: num("safety.coldFrom", 1),
+		overload: num("safety.overloadFactor", 1), crossZone: num("prices.crossZone", 0),
+		maxPushes: int(num("bounds.maxPushes", 1)), myZone: int(num("myZone", 0)),
+		probes: terms["bounds.probes"] == true, cancel: terms["bounds.cancel"] == true,
+		tellsStart: terms["extra.tellsStart"] == true, perWork: terms["benefitPer"] == "work",
+		onRequest: terms["discovery"] == "on_request"}
+	if terms["bounds.retryAfter"] == true {
+		d.site.longestPause = span("bounds.maxRetryAfter", 0)
+	}
 	for i := 0; ; i++ {
 		at := fmt.Sprintf("categories.%d.", i)
 		if _, ok := terms[at+"ttl"]; !ok {
 			break
 		}
-		c := category{
-			target:  Time(d.num(at+"targetLatency", 0)),
-			window:  Time(d.num(at+"window", 0)),
-			stretch: d.num(fmt.Sprintf("extra.classStretch.%d", i), 0),
-			benefit: d.num(at+"benefit", 1),
-		}
+		c := category{target: span(at+"targetLatency", 0), window: span(at+"window", 0),
+			stretch: num(fmt.Sprintf("extra.classStretch.%d", i), 0), benefit: num(at+"benefit", 1)}
 		c.effect, _ = terms[at+"effect"].(string)
 		c.scope, _ = terms[at+"dedupScope"].(string)
 		d.categories, d.least = append(d.categories, c), min(d.least, c.target)
@@ -204,13 +228,6 @@
 	return d
 }
 
-func (d *Dispatcher) num(name string, otherwise float64) float64 {
-	if v, ok := d.terms[name].(float64); ok {
-		return v
-	}
-	return otherwise
-}
-
 // draw is a multiply-with-carry generator: a number below n.
 func (d *Dispatcher) draw(n int) int {
 	d.chance = 4294957665*(d.chance&0xffffffff) + d.chance>>32
@@ -291,8 +308,7 @@
 func (d *Dispatcher) ListRefused() {
 	d.subscribed = false
 	// Calls are refused when discovery is crowded: schedulers that came back together must not call together.
-	wait := d.num("safety.askEvery", float64(10*second)) / 8
-	d.callAt = d.now + Time(wait*(0.5+d.uniform()))
+	d.callAt = d.now + Time(d.site.askEvery/8*(0.5+d.uniform()))
 }
 
 // Op is a new op. It returns false for a category that the terms do not name.
@@ -475,7 +491,7 @@
 			d.learnStride(w, float64(d.now-o.started)/float64(max(d.expected(o), 1)))
 			d.runs[o.cat] = keep(d.runs[o.cat], d.now-o.started, lastFew)
 			d.fresh, d.ranAnew = false, true
-		} else if d.terms["extra.tellsStart"] != true {
+		} else if !d.site.tellsStart {
 			d.taus = keep(d.taus, d.now-o.askedAt, lastFew)
 		}
 		d.judge(o.worker, true)
@@ -598,14 +614,14 @@
 // two workers call unfit is: six pushes of each such op had its workers taken for sick.
 func (d *Dispatcher) repeatable(o *op) bool {
 	c := &d.categories[o.cat]
-	if o.legs >= int(d.num("bounds.maxPushes", 1)) || len(o.unfit) > 1 {
+	if o.legs >= d.site.maxPushes || len(o.unfit) > 1 {
 		return false
 	}
 	if !o.ran && !o.out || c.effect == "redeliverable" {
 		return true
 	}
 	ranAt := [2]Time{o.sentAt, o.ranAt}[btoi(o.ran)] // the push that is out may be the first that runs
-	return c.effect == "deduplicated" && d.now+Time(d.num("bounds.connectTimeout", 0)) < ranAt+c.window
+	return c.effect == "deduplicated" && d.now+d.site.dial < ranAt+c.window
 }
 
 // harmless tells whether a nack keeps its promise.
@@ -618,7 +634,7 @@
 }
 
 func (d *Dispatcher) cold(w *worker) bool {
-	return w.since > 0 && d.now < w.since+Time(d.num("safety.warmAfter", 0))
+	return w.since > 0 && d.now < w.since+d.site.warmAfter
 }
 
 // spared draws whether a cold worker is kept out of an op's pair. An equal share of the budget was under one
@@ -629,9 +645,9 @@
 	if !d.cold(w) {
 		return false
 	}
-	least := d.num("safety.coldFrom", 1)
-	warmth := least + (1-least)*(float64(d.now-w.since)/d.num("safety.warmAfter", 1))
-	half := d.num("safety.overloadFactor", 1) / 2 * warmth
+	least := d.site.coldFrom
+	warmth := least + (1-least)*(float64(d.now-w.since)/d.site.warmSpan)
+	half := d.site.overload / 2 * warmth
 	return d.uniform() >= half/2*float64(from)/float64(max(d.ready, 1)*(1+o.looks))
 }
 
@@ -658,7 +674,7 @@
 	}
 	// Reports seconds late send all schedulers to the workers that look idle. They are taken for late while many
 	// of the last pushes that were to start at once did not.
-	late, n, prompt := 0, 0, 5*g.trip+4*Time(d.num("step", 0))
+	late, n, prompt := 0, 0, 5*g.trip+4*d.site.step
 	g.longest = 0
 	for _, s := range d.starts {
 		if g.longest = max(g.longest, s.took); d.now-s.at < healthMax/3 {
@@ -688,7 +704,7 @@
 	most, own := 0.0, 0.0
 	for i, c := range d.categories {
 		b := c.benefit
-		if d.terms["benefitPer"] != "work" {
+		if !d.site.perWork {
 			b /= float64(max(d.figures().usual[i], 1))
 			if len(d.runs[i]) == 0 {
 				return 1
@@ -762,7 +778,7 @@
 func (d *Dispatcher) pair(o *op, from []int) (pair []int) {
 	own, all := 0, len(from)
 	var jobs, seen [2]float64
-	if d.num("prices.crossZone", 0) > 0 {
+	if d.site.crossZone > 0 {
 		for k, i := range from {
 			near := btoi(d.near(i))
 			if r := d.workers[i].last(); r != nil {
@@ -798,17 +814,17 @@
 	if len(d.trips) == 0 {
 		return d.least / 4
 	}
-	return min(2*d.figures().trip+Time(d.num("step", 0)), d.least/2)
+	return min(2*d.figures().trip+d.site.step, d.least/2)
 }
 
 // margin is kept before the TTL for the final answer: a time-out and the answer to it take a step each.
-func (d *Dispatcher) margin() Time { return 2*Time(d.num("step", 0)) + 1 }
+func (d *Dispatcher) margin() Time { return 2*d.site.step + 1 }
 
 // Next decides one thing; the host calls it until it says Nothing.
 func (d *Dispatcher) Next() (do Verb, op, worker int, span Time) {
-	if d.terms["discovery"] == "on_request" && !d.subscribed && d.now >= d.callAt {
+	if d.site.onRequest && !d.subscribed && d.now >= d.callAt {
 		// An unanswered call must not be the last: without a list the drains can't be kept.
-		d.callAt = d.now + Time(d.num("safety.askEvery", float64(10*second))/2)
+		d.callAt = d.now + Time(d.site.askEvery/2)
 		return Subscribe, 0, 0, 0
 	}
 	for ; d.at < len(d.live); d.at++ {
@@ -831,7 +847,7 @@
 // due is the next moment at which something may be decided without an input.
 func (d *Dispatcher) due() Time {
 	at := Time(math.MaxInt64)
-	if d.terms["discovery"] == "on_request" && !d.subscribed {
+	if d.site.onRequest && !d.subscribed {
 		at = d.callAt
 	}
 	for _, o := range d.live {
@@ -860,7 +876,7 @@
 		o.silent = true
 		d.judge(o.worker, false)
 		// Connections fall silent and answers get lost. Such ops stood out until their TTL, too late for more.
-		if (o.started > 0 || d.untaken(o)) && d.terms["bounds.cancel"] == true && d.repeatable(o) {
+		if (o.started > 0 || d.untaken(o)) && d.site.cancel && d.repeatable(o) {
 			return CallOff, 0, 0
 		}
 		return Nothing, 0, 0
@@ -891,7 +907,7 @@
 		o.got = make([]bool, len(o.pair))
 		o.askedAt = d.now
 	}
-	if d.terms["bounds.probes"] == true && o.asked < len(o.pair) {
+	if d.site.probes && o.asked < len(o.pair) {
 		o.asked++
 		return Probe, o.pair[o.asked-1], 0
 	}
@@ -918,17 +934,17 @@
 	o.out, o.worker, o.sentAt, o.heard, o.started, o.silent = true, i, d.now, d.now, 0, false
 	o.legs++
 	w.out = append(w.out, o)
-	return Push, i, max(o.ttl-d.now-d.margin()+Time(d.num("step", 0)), 1)
+	return Push, i, max(o.ttl-d.now-d.margin()+d.site.step, 1)
 }
 
 // overdue is when silence about a push that is out speaks against its worker. It is measured by the longest
 // starts of late, so that pauses and slowness of the whole fleet aren't read as many sick workers.
 func (d *Dispatcher) overdue(o *op) Time {
-	limit, every := Time(math.MaxInt64), Time(d.num("extra.progress", 0))
+	limit, every := Time(math.MaxInt64), d.site.progress
 	switch {
 	case d.untaken(o):
-		limit = o.sentAt + 2*Time(d.num("bounds.connectTimeout", float64(second))) // a dial, and as long again
-	case o.begun || d.terms["extra.tellsStart"] != true || len(d.starts) < lastFew/4:
+		limit = o.sentAt + 2*d.site.call // a dial, and as long again
+	case o.begun || !d.site.tellsStart || len(d.starts) < lastFew/4:
 	case o.started == 0:
 		limit = max(o.sentAt, d.workers[o.worker].heard) + 2*(d.figures().longest+o.foretold) + second/10 + every
 	case every > 0:
@@ -953,7 +969,7 @@
 	switch len(may) {
 	case 0:
 		from := slices.DeleteFunc(d.candidates(o), func(i int) bool {
-			let := d.terms["bounds.probes"] != true && slices.Contains(o.pair, i) // the lot let it through
+			let := !d.site.probes && slices.Contains(o.pair, i) // the lot let it through
 			return d.cold(&d.workers[i]) && !let
 		})
 		if len(from) > 0 {
@@ -987,7 +1003,7 @@
 }
 
 func (d *Dispatcher) near(i int) bool {
-	return d.num("prices.crossZone", 0) == 0 || d.workers[i].zone == int(d.num("myZone", 0))
+	return d.site.crossZone == 0 || d.workers[i].zone == d.site.myZone
 }
 
 func btoi(b bool) int {
@@ -1081,6 +1097,5 @@
 	if !d.harmless(o) || len(o.unfit) > 1 {
 		return DeadLetter, 0, 0
 	}
-	most := Time(d.num("bounds.maxRetryAfter", 0)) * Time(btoi(d.terms["bounds.retryAfter"] == true))
-	return Nack, 0, min(max(pause, 0), most)
+	return Nack, 0, min(max(pause, 0), d.site.longestPause)
 }
