Pushes that are out stand on agendas: an input costs no walk over the ops held

Next and due walked over all ops held at every input, so a scheduler got slower the more it held: 64% of its CPU at 1,024 clients. Now only ops with no push out are walked over; those that are out stand on one of three agendas, by what is awaited of them, each with a moment of its own and a span that is the same for all. internal/agenda finds the late ones and the next moment with heaps that ask an item only when it comes to the top.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -14,6 +14,8 @@
 	"fmt"
 	"math"
 	"slices"
+
+	"woaddyke/internal/agenda"
 )
 
 // Time is a moment or a span in tenths of a millisecond.
@@ -116,6 +118,7 @@
 
 type op struct {
 	index           int
+	number          int // in order of arrival
 	cat             int
 	ttl, came       Time // came: when the client first asked, as far as can be told
 	slots, memory   float64
@@ -150,8 +153,7 @@
 	middle, usual []Time // run of each category: the median, the mean
 }
 
-// site is what is picked out of the terms, once: looked up by name at each use, they took half of the CPU of
-// a scheduler that holds a thousand ops.
+// site is what is picked out of the terms, once: looked up by name at each use, they took half of the CPU.
 type site struct {
 	step, dial, call, warmAfter, progress, longestPause Time
 	askEvery, warmSpan, coldFrom, overload, crossZone   float64
@@ -167,10 +169,13 @@
 	now        Time
 	workers    []worker
 	ready      int
-	zones      []health // by zone: can its workers be reached from here?
-	ops        []*op    // by index
-	live       []*op    // in order of arrival
-	at         int      // where Next goes on in live
+	zones      []health                     // by zone: can its workers be reached from here?
+	ops        []*op                        // by index
+	numbered   int                          // ops so far
+	held       []*op                        // with no push out, in order of arrival
+	out        [3]*agenda.Agenda[*op, Time] // pushes out, by what is awaited of them
+	late       []*op                        // those of them that are overdue in this round, in order of arrival
+	at         int                          // the number that Next goes on from
 	a, b       [maxCount + 1]float64
 	halved     Time
 	taus       []Time  // from probe to start, the last few
@@ -182,6 +187,7 @@
 	placed     float64   // all workers' places and what they took
 	took       Time
 	fresh      bool // the digest holds
+	round      bool // late is worked out
 	ranAnew    bool // runs have come since it was worked out
 	digest     digest
 	takes      bool // workers say at once that they have taken a push
@@ -223,6 +229,11 @@
 		c.scope, _ = terms[at+"dedupScope"].(string)
 		d.categories, d.least = append(d.categories, c), min(d.least, c.target)
 	}
+	for k := range d.out {
+		d.out[k] = agenda.New(func(o *op) (base, ttl Time, counts bool) {
+			return d.silentFrom(o, k), o.ttl, o.out && !o.over && !o.silent && !o.begun && d.awaited(o) == k
+		})
+	}
 	d.runs = make([][]Time, len(d.categories))
 	d.digest.middle, d.digest.usual = make([]Time, len(d.categories)), make([]Time, len(d.categories))
 	return d
@@ -261,7 +272,7 @@
 // Clock tells the time; it never goes back.
 func (d *Dispatcher) Clock(now Time) {
 	d.now = max(d.now, now)
-	d.at, d.fresh = 0, false
+	d.at, d.late, d.fresh, d.round = 0, d.late[:0], false, false
 }
 
 // ListWhole begins a whole list: a worker that it does not name is gone.
@@ -323,7 +334,8 @@
 	c := &d.categories[cat]
 	c.longest = max(c.longest, ttl-d.now)
 	o := &op{index: i, cat: cat, ttl: ttl, came: ttl - c.longest, slots: slots, memory: memory, work: work}
-	d.ops[i], d.live = o, append(d.live, o)
+	o.number, d.numbered = d.numbered, d.numbered+1
+	d.ops[i], d.held = o, append(d.held, o)
 	return true
 }
 
@@ -353,9 +365,9 @@
 }
 
 func (d *Dispatcher) answered(i int, elapsed Time, report bool) {
-	for _, o := range d.live {
+	for _, o := range d.held {
 		k := slices.Index(o.pair, i)
-		if o.out || o.over || k < 0 || d.now-elapsed < o.askedAt {
+		if o.over || k < 0 || d.now-elapsed < o.askedAt {
 			continue
 		}
 		if o.got[k] = report; !report {
@@ -447,8 +459,16 @@
 	if o == nil || !o.out || leg != o.legs-1 {
 		return
 	}
+	before := d.awaited(o)
 	o.heard, d.workers[o.worker].heard, d.fresh = max(d.now, o.sentAt+1), d.now, false
-	d.takes = d.takes || done < 0
+	if done < 0 && !d.takes {
+		d.takes = true // pushes that were not taken yet are awaited otherwise from here on
+		for _, p := range d.ops {
+			if p != nil && p.out && p != o {
+				d.await(p)
+			}
+		}
+	}
 	if started && o.started == 0 {
 		o.started = d.now
 		if o.looked {
@@ -460,6 +480,9 @@
 			d.learnPlace(&d.workers[o.worker], place{o.place, d.now - o.sentAt})
 		}
 	}
+	if d.awaited(o) != before {
+		d.await(o)
+	}
 }
 
 // Begun says that a stream has begun: the op is the client's from here on.
@@ -476,6 +499,7 @@
 		return
 	}
 	o.out = false
+	d.held = slices.Insert(d.held, d.heldFrom(o.number), o)
 	o.over = o.over || over
 	w := &d.workers[o.worker]
 	w.out = slices.DeleteFunc(w.out, func(p *op) bool { return p == o })
@@ -545,8 +569,10 @@
 
 // Stop cuts every TTL short: an op kept beyond the end of its scheduler's process would have no answer.
 func (d *Dispatcher) Stop(at Time) {
-	for _, o := range d.live {
-		o.ttl = min(o.ttl, at)
+	for _, o := range d.ops {
+		if o != nil {
+			o.ttl = min(o.ttl, at)
+		}
 	}
 }
 
@@ -827,16 +853,19 @@
 		d.callAt = d.now + Time(d.site.askEvery/2)
 		return Subscribe, 0, 0, 0
 	}
-	for ; d.at < len(d.live); d.at++ {
-		o := d.live[d.at]
+	for o := d.following(); o != nil; o = d.following() {
 		if do, worker, span := d.decide(o); do != Nothing {
+			if do == Forget || do == Push {
+				d.held = slices.Delete(d.held, d.heldFrom(o.number), d.heldFrom(o.number+1))
+			}
 			if do == Forget {
 				d.ops[o.index] = nil
-				d.live = slices.Delete(d.live, d.at, d.at+1)
 			}
 			return do, o.index, worker, span
 		}
+		d.at = o.number + 1
 	}
+	d.at = d.numbered
 	if at := d.due(); at > d.now && (d.woken <= d.now || at < d.woken) && at < math.MaxInt64 {
 		d.woken = at
 		return Wake, 0, 0, at - d.now
@@ -850,24 +879,51 @@
 	if d.site.onRequest && !d.subscribed {
 		at = d.callAt
 	}
-	for _, o := range d.live {
-		switch {
-		case o.over || o.begun:
-		case o.out:
-			if limit := d.overdue(o); !o.silent && limit < o.ttl {
-				at = min(at, max(limit, d.now+1))
-			}
-		default:
-			look := o.askedAt + d.shortWait()
-			if o.pair == nil {
-				look = max(o.next, d.now+second/20)
-			}
-			at = min(at, look, max(o.ttl-d.margin(), d.now+1)) // a wait for probes must not outlast the TTL
+	for k, a := range d.out {
+		if limit, ok := a.Next(d.allowance(k)); ok {
+			at = min(at, max(limit, d.now+1))
 		}
 	}
+	for _, o := range d.held {
+		if o.over || o.begun {
+			continue
+		}
+		look := o.askedAt + d.shortWait()
+		if o.pair == nil {
+			look = max(o.next, d.now+second/20)
+		}
+		at = min(at, look, max(o.ttl-d.margin(), d.now+1)) // a wait for probes must not outlast the TTL
+	}
 	return at
 }
 
+func (d *Dispatcher) heldFrom(number int) int {
+	k, _ := slices.BinarySearchFunc(d.held, number, func(o *op, n int) int { return o.number - n })
+	return k
+}
+
+// following is the next op of which something may be to decide: no push of it is out, or that one is overdue.
+func (d *Dispatcher) following() *op {
+	if !d.round {
+		d.round = true
+		for k, a := range d.out {
+			d.late = append(d.late, a.Late(d.now, d.allowance(k))...)
+		}
+		slices.SortFunc(d.late, func(a, b *op) int { return a.number - b.number })
+	}
+	for len(d.late) > 0 && (d.late[0].number < d.at || !d.late[0].out) {
+		d.late = d.late[1:]
+	}
+	k := d.heldFrom(d.at)
+	if k < len(d.held) && (len(d.late) == 0 || d.held[k].number < d.late[0].number) {
+		return d.held[k]
+	}
+	if len(d.late) > 0 {
+		return d.late[0]
+	}
+	return nil
+}
+
 func (d *Dispatcher) decide(o *op) (do Verb, worker int, span Time) {
 	switch {
 	case o.over && !o.out:
@@ -934,23 +990,62 @@
 	o.out, o.worker, o.sentAt, o.heard, o.started, o.silent = true, i, d.now, d.now, 0, false
 	o.legs++
 	w.out = append(w.out, o)
+	d.await(o)
 	return Push, i, max(o.ttl-d.now-d.margin()+d.site.step, 1)
 }
 
-// overdue is when silence about a push that is out speaks against its worker. It is measured by the longest
-// starts of late, so that pauses and slowness of the whole fleet aren't read as many sick workers.
-func (d *Dispatcher) overdue(o *op) Time {
-	limit, every := Time(math.MaxInt64), d.site.progress
+// What is awaited of a push: that its worker takes it, that the job starts, and word of it once it has.
+const (
+	taking = iota
+	starting
+	progress
+)
+
+func (d *Dispatcher) awaited(o *op) int {
 	switch {
 	case d.untaken(o):
-		limit = o.sentAt + 2*d.site.call // a dial, and as long again
-	case o.begun || !d.site.tellsStart || len(d.starts) < lastFew/4:
+		return taking
 	case o.started == 0:
-		limit = max(o.sentAt, d.workers[o.worker].heard) + 2*(d.figures().longest+o.foretold) + second/10 + every
-	case every > 0:
-		limit = o.heard + 3*every // what its worker says of other pushes tells nothing of this one's connection
+		return starting
+	}
+	return progress
+}
+
+func (d *Dispatcher) await(o *op) { d.out[d.awaited(o)].Add(o) }
+
+// silentFrom is the moment from which on silence about a push is measured.
+func (d *Dispatcher) silentFrom(o *op, awaited int) Time {
+	if awaited == starting {
+		return max(o.sentAt, d.workers[o.worker].heard) + 2*o.foretold
+	}
+	return o.heard // what its worker says of other pushes tells nothing of this one's connection
+}
+
+// never is a span that no push outlasts, and can be added to.
+const never Time = math.MaxInt64 / 4
+
+// allowance is how much silence about a push is let pass. It is measured by the longest starts of late, so
+// that pauses and slowness of the whole fleet aren't read as many sick workers.
+func (d *Dispatcher) allowance(awaited int) Time {
+	every := d.site.progress
+	switch {
+	case awaited == taking:
+		return 2 * d.site.call // a dial, and as long again
+	case !d.site.tellsStart || len(d.starts) < lastFew/4 || awaited == progress && every <= 0:
+		return never
+	case awaited == starting:
+		return 2*d.figures().longest + second/10 + every
+	}
+	return 3 * every
+}
+
+// overdue is when silence about a push that is out speaks against its worker.
+func (d *Dispatcher) overdue(o *op) Time {
+	if o.begun {
+		return math.MaxInt64
 	}
-	return limit
+	k := d.awaited(o)
+	return d.silentFrom(o, k) + d.allowance(k)
 }
 
 // untaken tells of a push whose worker has not said that it has it, where that is the first thing said.
--- /dev/null
+++ b/internal/agenda/agenda_test.go
@@ -0,0 +1,65 @@
+package agenda
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
+
+type item struct {
+	base, limit int64
+	gone        bool
+}
+
+// A walk over all items is slow and plainly right: both must say the same, whatever bases, limits and the span do.
+func TestItFindsWhatAWalkFinds(t *testing.T) {
+	for seed := range uint64(300) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		a := New(func(i *item) (int64, int64, bool) { return i.base, i.limit, !i.gone })
+		var all []*item
+		span, now := int64(50), int64(0)
+		for range 400 {
+			now += r.Int64N(5)
+			switch r.IntN(6) {
+			case 0, 1:
+				i := &item{base: now + r.Int64N(60), limit: now + r.Int64N(300)}
+				all = append(all, i)
+				a.Add(i)
+			case 2:
+				span = max(0, span+r.Int64N(41)-20)
+			}
+			if len(all) > 0 {
+				switch i := all[r.IntN(len(all))]; r.IntN(4) {
+				case 0:
+					i.gone = true
+				case 1:
+					i.base += r.Int64N(30)
+				case 2:
+					i.limit -= r.Int64N(20)
+				}
+			}
+			var want []*item
+			next, ok := int64(0), false
+			for _, i := range all {
+				if !i.gone && i.base+span <= now {
+					want = append(want, i)
+				}
+			}
+			got := a.Late(now, span)
+			if len(got) != len(want) || slices.ContainsFunc(want, func(i *item) bool { return !slices.Contains(got, i) }) {
+				t.Fatalf("seed %d: %d late, want %d", seed, len(got), len(want))
+			}
+			for _, i := range got {
+				i.gone = true
+			}
+			for _, i := range all {
+				if !i.gone && i.base+span < i.limit && (!ok || i.base+span < next) {
+					next, ok = i.base+span, true
+				}
+			}
+			if at, found := a.Next(span); found != ok || at != next {
+				t.Fatalf("seed %d: next %d %v, want %d %v", seed, at, found, next, ok)
+			}
+		}
+	}
+}
