--- a/cmd/lab/lab_test.go
+++ b/cmd/lab/lab_test.go
@@ -86,7 +86,7 @@
 	if out, _, code = lab(t, dir, "audit", filepath.Join(run, "ledger.jsonl")); code != 0 || !strings.Contains(out, "broken=0") {
 		t.Errorf("audit: code %d, %s", code, out)
 	}
-	if page, err := os.ReadFile(filepath.Join(run, "page.html")); err != nil || bytes.Count(page, []byte("<svg")) != 5 {
+	if page, err := os.ReadFile(filepath.Join(run, "page.html")); err != nil || bytes.Count(page, []byte("<svg")) != 6 {
 		t.Errorf("the page: %d bytes, %v", len(page), err)
 	}
 	ledger, err := os.ReadFile(filepath.Join(run, "ledger.jsonl"))
--- a/internal/lab/page/page.go
+++ b/internal/lab/page/page.go
@@ -50,7 +50,7 @@
 		return nil, err
 	}
 	var pictures []picture
-	for _, draw := range []func(*figures.Results) (*plot.Plot, error){latencies, answers, queues, memory, cpu} {
+	for _, draw := range []func(*figures.Results) (*plot.Plot, error){latencies, answers, queues, memory, descriptors, cpu} {
 		p, err := draw(r)
 		if err != nil {
 			return nil, err
@@ -234,6 +234,10 @@
 	return used(r, "Memory of each scheduler", "MB", func(i int) (float64, bool) { return float64(r.Uses[i].Resident) / (1 << 20), true })
 }
 
+func descriptors(r *figures.Results) (*plot.Plot, error) {
+	return used(r, "Descriptors of each scheduler", "open", func(i int) (float64, bool) { return float64(r.Uses[i].Files), true })
+}
+
 func cpu(r *figures.Results) (*plot.Plot, error) {
 	last := map[int]int{}
 	return used(r, "CPU of each scheduler", "cores", func(i int) (float64, bool) {
