A worker that starts anew puts its pushes on the agenda again; the agendas are held against a walk

It found that a base can fall: a restarted worker is another one, of which nothing was heard, so its pushes counted as silent later than before.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -117,8 +117,7 @@
 }
 
 type op struct {
-	index           int
-	number          int // in order of arrival
+	index, number   int // number: in order of arrival
 	cat             int
 	ttl, came       Time // came: when the client first asked, as far as can be told
 	slots, memory   float64
@@ -163,37 +162,35 @@
 
 // Dispatcher is one scheduler's decisions and what they rest on.
 type Dispatcher struct {
-	chance     uint64
-	site       site
-	categories []category
-	now        Time
-	workers    []worker
-	ready      int
-	zones      []health                     // by zone: can its workers be reached from here?
-	ops        []*op                        // by index
-	numbered   int                          // ops so far
-	held       []*op                        // with no push out, in order of arrival
-	out        [3]*agenda.Agenda[*op, Time] // pushes out, by what is awaited of them
-	late       []*op                        // those of them that are overdue in this round, in order of arrival
-	at         int                          // the number that Next goes on from
-	a, b       [maxCount + 1]float64
-	halved     Time
-	taus       []Time  // from probe to start, the last few
-	trips      []Time  // probe round trips, the last few
-	starts     []start // of jobs that were to start at once, the last few
-	runs       [][]Time
-	least      Time      // the least target latency
-	longRuns   []float64 // all workers' strides, in order
-	placed     float64   // all workers' places and what they took
-	took       Time
-	fresh      bool // the digest holds
-	round      bool // late is worked out
-	ranAnew    bool // runs have come since it was worked out
-	digest     digest
-	takes      bool // workers say at once that they have taken a push
-	subscribed bool
-	callAt     Time
-	woken      Time
+	chance            uint64
+	site              site
+	categories        []category
+	now               Time
+	workers           []worker
+	ready             int
+	zones             []health                     // by zone: can its workers be reached from here?
+	ops               []*op                        // by index
+	numbered          int                          // ops so far
+	held              []*op                        // with no push out, in order of arrival
+	out               [3]*agenda.Agenda[*op, Time] // pushes out, by what is awaited of them
+	late              []*op                        // those overdue in this round, in order of arrival
+	at                int                          // the number that Next goes on from
+	a, b              [maxCount + 1]float64
+	halved            Time
+	taus              []Time  // from probe to start, the last few
+	trips             []Time  // probe round trips, the last few
+	starts            []start // of jobs that were to start at once, the last few
+	runs              [][]Time
+	least             Time      // the least target latency
+	longRuns          []float64 // all workers' strides, in order
+	placed            float64   // all workers' places and what they took
+	took              Time
+	fresh             bool // the digest holds
+	round             bool // late is worked out
+	ranAnew           bool // runs have come since it was worked out
+	digest            digest
+	takes, subscribed bool // takes: workers say at once that they have taken a push
+	callAt, woken     Time
 }
 
 // New starts a scheduler's dispatcher from its seed and the site's terms.
@@ -297,6 +294,9 @@
 			d.forgetStride(w)
 		}
 		*w = worker{known: true, since: since, out: w.out, health: health{p0: 0.05, p1: 0.5}}
+		for _, o := range w.out {
+			d.await(o) // silence of what the old process has is measured from its sending again
+		}
 	}
 	for len(d.zones) <= zone {
 		d.zones = append(d.zones, health{p0: 0.2, p1: 0.9}) // a few dead workers don't make a zone lost
@@ -918,10 +918,10 @@
 	if k < len(d.held) && (len(d.late) == 0 || d.held[k].number < d.late[0].number) {
 		return d.held[k]
 	}
-	if len(d.late) > 0 {
-		return d.late[0]
+	if len(d.late) == 0 {
+		return nil
 	}
-	return nil
+	return d.late[0]
 }
 
 func (d *Dispatcher) decide(o *op) (do Verb, worker int, span Time) {
--- a/dispatch/rules_test.go
+++ b/dispatch/rules_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"math/rand"
 	"testing"
 	"testing/quick"
@@ -172,6 +173,33 @@
 	return true
 }
 
+// agree holds the agendas against a walk over all that is out: a push that they lose is never found silent.
+func agree(t *testing.T, d *Dispatcher) bool {
+	want, got := Time(math.MaxInt64), Time(math.MaxInt64)
+	for _, o := range d.ops {
+		if o == nil || !o.out || o.over || o.silent {
+			continue
+		}
+		limit := d.overdue(o)
+		if d.now >= limit {
+			t.Logf("op %d is overdue and was not looked at", o.index)
+			return false
+		}
+		if limit < o.ttl {
+			want = min(want, limit)
+		}
+	}
+	for k, a := range d.out {
+		if at, ok := a.Next(d.allowance(k)); ok {
+			got = min(got, at)
+		}
+	}
+	if got != want {
+		t.Logf("the agendas wake at %d, a walk at %d", got, want)
+	}
+	return got == want
+}
+
 func judgeAll(t *testing.T, d *Dispatcher, m *plain, terms map[string]any, names []int, now Time,
 	r *rand.Rand) bool {
 	for {
@@ -195,7 +223,7 @@
 					return false
 				}
 			}
-			return true
+			return agree(t, d)
 		case Push:
 			o := m.ops[name]
 			if !m.mayPush(terms, name, worker, now) || now+span >= o.ttl && span > 1 || now >= o.ttl {
