Lab: categories have memory, so that the workers' own counts for something

A worker's memory was a key that nothing asked for. A category's is told in X-Facts, taken by the worker's model, and reported as x1 where any category has one.

--- a/internal/lab/clients/clients.go
+++ b/internal/lab/clients/clients.go
@@ -223,7 +223,7 @@
 	c.open.Add(1)
 	defer c.open.Add(-1)
 	cat := t.category
-	job := box.Job{Op: t.id, Effect: t.effect, Work: t.wish.Work, Usual: cat.WorkMS, Slots: t.wish.Slots, Dedup: cat.Effect == ledger.Deduplicated,
+	job := box.Job{Op: t.id, Effect: t.effect, Work: t.wish.Work, Usual: cat.WorkMS, Slots: t.wish.Slots, Memory: cat.Memory, Dedup: cat.Effect == ledger.Deduplicated,
 		Window: plan.MS(cat.WindowMS), Scope: cat.Scope}
 	key := ""
 	if cat.Effect != ledger.Redeliverable {
@@ -254,8 +254,8 @@
 	if t.wish.Hint > 0 {
 		b = fmt.Appendf(b, "X-Weight-Hint: %d\r\n", int64(t.wish.Hint*1000))
 	}
-	if t.wish.Slots > 1 {
-		b = fmt.Appendf(b, "X-Facts: slots=%g\r\n", t.wish.Slots)
+	if t.wish.Slots > 1 || t.category.Memory > 0 {
+		b = fmt.Appendf(b, "X-Facts: slots=%g,memory=%g\r\n", t.wish.Slots, t.category.Memory)
 	}
 	return fmt.Appendf(b, "Content-Length: %d\r\n\r\n", len(t.body))
 }
--- a/internal/lab/plan/plan.go
+++ b/internal/lab/plan/plan.go
@@ -119,7 +119,8 @@
 	TargetMS    float64   `toml:"target_ms"`
 	Stretch     float64   `toml:"stretch"`
 	TTLMS       float64   `toml:"ttl_ms"`
-	Slots       []float64 `toml:"slots"` // chances of 1, 2, 4 slots
+	Slots       []float64 `toml:"slots"`  // chances of 1, 2, 4 slots
+	Memory      float64   `toml:"memory"` // that a job needs beside its slots, in the unit of the workers' own
 	BodyBytes   int       `toml:"body_bytes"`
 	HintSpread  float64   `toml:"hint_spread"` // a hint is off by this factor at most; 0 for no hints
 }
@@ -468,7 +469,7 @@
 			number(at+"heaviest", c.Heaviest, 1, 1000),
 			number(at+"target_ms", c.TargetMS, 1, day), number(at+"stretch", c.Stretch, 0, 1000),
 			number(at+"ttl_ms", c.TTLMS, 20, day), number(at+"body_bytes", float64(c.BodyBytes), 0, 64<<10),
-			number(at+"hint_spread", c.HintSpread, 0, 100)); err != nil {
+			number(at+"hint_spread", c.HintSpread, 0, 100), number(at+"memory", c.Memory, 0, 1e9)); err != nil {
 			return err
 		}
 		if c.Effect == ledger.Deduplicated {
--- a/internal/lab/schedulers/sheet.go
+++ b/internal/lab/schedulers/sheet.go
@@ -52,6 +52,12 @@
 	for _, w := range e.Workers {
 		progress = max(progress, w.ProgressMS)
 	}
+	fields := []any{"pending", "busy_reqs", "x0"}
+	for _, c := range e.Categories {
+		if c.Memory > 0 {
+			fields = append(fields[:3:3], "x1")
+		}
+	}
 	settings := map[string]any{
 		"benefitPer": "work",
 		"bounds": map[string]any{"cancel": s.Cancel, "connectTimeoutNs": ns(s.ConnectTimeoutMS), "keepaliveNs": ns(s.KeepaliveMS),
@@ -60,7 +66,7 @@
 		"extra": map[string]any{"classStretch": stretch, "progressNs": ns(progress), "reportX0": "free slots",
 			"reportX1": "free memory", "tellsStart": true},
 		"failureDomains": zones, "myZone": n % len(e.Zones), "prices": map[string]any{"crossZone": s.CrossPrice},
-		"report": map[string]any{"fields": []any{"pending", "busy_reqs", "x0"}, "how": "on_probe"},
+		"report": map[string]any{"fields": fields, "how": "on_probe"},
 		"safety": map[string]any{"askEveryNs": 1e10, "coldFrom": r.ColdFrom, "drainGraceNs": ns(r.DrainGraceMS),
 			"overloadFactor": r.OverloadFactor, "tipAfterNs": ns(r.TipAfterMS), "warmAfterNs": ns(r.WarmAfterMS)},
 		"stepNs": ns(s.StepMS),
