Lab: what nothing reads is gone, among it a fault's key that had no effect

Read over once more: figures kept two maps that nobody asked, boxes and the audit fields that were only written, an agent's wait had a timer to no purpose, and faults took a key (link) that did nothing; it is an unknown key now.

--- a/internal/lab/audit/audit.go
+++ b/internal/lab/audit/audit.go
@@ -83,18 +83,18 @@
 }
 
 type op struct {
-	id, category, effect string
-	scheduler            int
-	until                ledger.Time
-	dueLine              int
-	sent, sentLine       int // how often; the last one's line
-	sentAt               ledger.Time
-	answers              []int
-	last                 ledger.Kind
-	lastLine             int
-	reused               bool
-	left                 bool
-	pushes               []*push
+	id, category   string
+	scheduler      int
+	until          ledger.Time
+	dueLine        int
+	sent, sentLine int // how often; the last one's line
+	sentAt         ledger.Time
+	answers        []int
+	last           ledger.Kind
+	lastLine       int
+	reused         bool
+	left           bool
+	pushes         []*push
 }
 
 // spell is a time in which a scheduler did not run, by our own hand; to below 0 has no end.
@@ -182,10 +182,7 @@
 func (j *judge) take(line int, e *ledger.Event) {
 	switch e.Kind {
 	case ledger.Due:
-		o := &op{id: e.Op, category: e.Category, effect: e.Effect, scheduler: e.Scheduler, until: e.Until, dueLine: line}
-		if o.effect == "" {
-			o.effect = o.id
-		}
+		o := &op{id: e.Op, category: e.Category, scheduler: e.Scheduler, until: e.Until, dueLine: line}
 		if j.ops[e.Op] != nil {
 			j.breach(Forged, e.Op, []int{j.ops[e.Op].dueLine, line}, "one id was given to two tries")
 			return
@@ -242,7 +239,7 @@
 			w = &worker{}
 			j.workers[e.Worker] = w
 		}
-		p := &push{number: e.Push, line: line, at: e.At, from: e.From, worker: e.Worker, scheduler: e.Scheduler,
+		p := &push{line: line, at: e.At, from: e.From, worker: e.Worker, scheduler: e.Scheduler,
 			zone: w.zone, cell: w.cell}
 		j.pushes[e.Push] = p
 		if o := j.ops[e.Op]; o != nil {
--- a/internal/lab/box/box.go
+++ b/internal/lab/box/box.go
@@ -188,8 +188,6 @@
 	Job
 	push     int
 	left     float64 // work
-	began    ledger.Time
-	running  bool
 	mute     bool
 	fails    bool
 	closed   bool
@@ -487,7 +485,7 @@
 			continue
 		}
 		do = append(do, Happened{Kind: ledger.Ran, Push: j.push, Op: j.Op})
-		j.running, j.began, j.progress = true, b.now, b.now+b.make.Progress
+		j.progress = b.now + b.make.Progress
 		b.running = append(b.running, j)
 		free.Free -= j.Slots
 		free.Memory -= j.Memory
--- a/internal/lab/figures/figures.go
+++ b/internal/lab/figures/figures.go
@@ -37,11 +37,10 @@
 
 // Category is what clients of one category saw.
 type Category struct {
-	Name                               string             `json:"name"`
-	Wishes, Acked, Nacked, Dead, Other int                `json:"-"`
-	Counts                             map[string]int     `json:"counts"`
-	Latency                            map[string]float64 `json:"latency_ms"` // of what was acked, since it was due
-	Service                            float64            `json:"service"`
+	Name    string             `json:"name"`
+	Counts  map[string]int     `json:"counts"`
+	Latency map[string]float64 `json:"latency_ms"` // of what was acked, since it was due
+	Service float64            `json:"service"`
 }
 
 // Queue is how many jobs each worker holds at a moment.
@@ -118,10 +117,9 @@
 	}
 	wishes, order := map[string]*wish{}, []*wish{}
 	ops := map[string]*wish{}
-	ran, workOf := map[int]string{}, map[int]float64{}
+	workOf := map[int]float64{} // by push
 	asked, done, late, lateMost, sent := 0.0, 0.0, 0, ledger.Time(0), 0
 	counts := map[ledger.Kind]int{}
-	pushedTo := map[string]map[string]bool{}
 	for i := range events {
 		ev := &events[i]
 		counts[ev.Kind]++
@@ -152,12 +150,7 @@
 			}
 		case ledger.Reached:
 			workOf[ev.Push] = ev.Work
-			if pushedTo[ev.Op] == nil {
-				pushedTo[ev.Op] = map[string]bool{}
-			}
-			pushedTo[ev.Op][ev.Worker] = true
 		case ledger.Ran:
-			ran[ev.Push] = ev.Op
 			done += workOf[ev.Push]
 		case ledger.Fault:
 			r.Faults = append(r.Faults, Fault{ev.At, ev.Text})
@@ -216,7 +209,7 @@
 			}
 			worth := c.Benefit * w.work
 			ours += worth
-			row.Wishes++
+			row.Counts["wishes"]++
 			of := []*share{shareOf(clients, w.client)}
 			for k := range windowSlices { // each span of ten seconds that it is in
 				of = append(of, shareOf(windows, int(w.due/sliceLength)-k))
@@ -248,7 +241,6 @@
 		if ours > 0 {
 			row.Service = mine / ours
 		}
-		row.Counts["wishes"] = row.Wishes
 		got, asked = got+mine, asked+ours
 		r.Categories = append(r.Categories, row)
 		for name, v := range row.Latency {
--- a/internal/lab/herald/herald.go
+++ b/internal/lab/herald/herald.go
@@ -259,7 +259,7 @@
 		return
 	}
 	for a.quiet() {
-		if !a.waitFor(r, time.Hour) {
+		if !a.changed(r) {
 			return
 		}
 	}
@@ -331,8 +331,8 @@
 	return a.silent
 }
 
-// waitFor waits for a change, and tells whether the request still stands.
-func (a *Agent) waitFor(r *http.Request, most time.Duration) bool {
+// changed waits for a change, and tells whether the request still stands.
+func (a *Agent) changed(r *http.Request) bool {
 	a.mu.Lock()
 	woken := a.woken
 	a.mu.Unlock()
@@ -341,7 +341,5 @@
 		return false
 	case <-woken:
 		return true
-	case <-time.After(most):
-		return true
 	}
 }
--- a/internal/lab/plan/plan.go
+++ b/internal/lab/plan/plan.go
@@ -174,7 +174,6 @@
 	Zone    string  `toml:"zone"`
 	Size    float64 `toml:"size"`
 	EveryS  float64 `toml:"every_s"` // for pauses, restarts and the like
-	Link    string  `toml:"link"`
 }
 
 // Chaos draws faults by chance from the seed.
--- a/internal/lab/script/script.go
+++ b/internal/lab/script/script.go
@@ -345,7 +345,6 @@
 			s.Turns = append(s.Turns, one)
 		}
 		return
-	case "burst":
 	}
 	s.Turns = append(s.Turns, t)
 	if f.For > 0 {
