--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -11,6 +11,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -63,8 +64,10 @@
 	ageing    = 10 * second // the counters halve this often
 	lastFew   = 32          // samples kept of each measurement
 	maxLooks  = 3           // pairs probed before an op without a place in time is given up
+	homeShare = 1.5         // a key's workers, over what its ops would fill alone
 	telling   = 1.3         // finishes closer than this are noise, and the draw decides
 	reportLag = second / 10 // a report may not yet show pushes younger than this
+	maxKeys   = 4096        // keys counted; of one beyond them nothing says that it is asked for often
 	healthMax = 15 * second // a verdict on a worker older than this says nothing about now
 )
 
@@ -107,6 +110,7 @@
 	known, ready bool
 	listed       bool
 	zone, cell   int
+	mark         uint64 // its name, hashed: the same at every scheduler
 	since        Time
 	readings     []reading // the last few, newest last
 	places       []place
@@ -122,7 +126,8 @@
 	ttl, came       Time // came: when the client first asked, as far as can be told
 	slots, memory   float64
 	work            Time
-	pair            []int // the workers probed
+	key             uint64 // what it needs at its worker, hashed; 0: nothing that workers keep
+	pair            []int  // the workers probed
 	got             []bool
 	asked           int     // probes sent
 	looks           int     // pairs probed in vain
@@ -181,9 +186,11 @@
 	trips             []Time  // probe round trips, the last few
 	starts            []start // of jobs that were to start at once, the last few
 	runs              [][]Time
-	least             Time      // the least target latency
-	longRuns          []float64 // all workers' strides, in order
-	placed            float64   // all workers' places and what they took
+	least             Time               // the least target latency
+	longRuns          []float64          // all workers' strides, in order
+	asks              map[uint64]float64 // how often each key was asked for of late
+	asked             float64            // their sum
+	placed            float64            // all workers' places and what they took
 	took              Time
 	fresh             bool // the digest holds
 	round             bool // late is worked out
@@ -202,7 +209,8 @@
 		return otherwise
 	}
 	span := func(name string, otherwise Time) Time { return Time(num(name, float64(otherwise))) }
-	d := &Dispatcher{chance: seed&0xffffffff | 1<<32, least: math.MaxInt64}
+	d := &Dispatcher{chance: seed&0xffffffff | 1<<32, least: math.MaxInt64,
+		asks: map[uint64]float64{}}
 	d.site = site{step: span("step", 0), dial: span("bounds.connectTimeout", 0),
 		call: span("bounds.connectTimeout", second), warmAfter: span("safety.warmAfter", 0),
 		progress: span("extra.progress", 0), warmSpan: num("safety.warmAfter", 1),
@@ -304,6 +312,9 @@
 	w.zone, w.cell, w.ready, w.listed = zone, cell, ready, true
 }
 
+// Mark gives a listed worker's name as a number. Schedulers that hash names alike send a key to the same workers.
+func (d *Dispatcher) Mark(i int, mark uint64) { d.workers[i].mark = mark }
+
 // ListEnd ends a list. A remembered list is no answer to a subscription.
 func (d *Dispatcher) ListEnd(remembered bool) {
 	d.ready = 0
@@ -339,6 +350,15 @@
 	return true
 }
 
+// Key gives what a new op needs at its worker, hashed: a data set that workers keep for a while or must fetch.
+func (d *Dispatcher) Key(i int, key uint64) {
+	d.age()
+	if d.ops[i].key = key; len(d.asks) < maxKeys || d.asks[key] > 0 {
+		d.asks[key]++
+		d.asked++
+	}
+}
+
 func (d *Dispatcher) op(i int) *op {
 	if i < 0 || i >= len(d.ops) {
 		return nil
@@ -402,6 +422,15 @@
 			d.a[l] /= 2
 			d.b[l] /= 2
 		}
+		d.asked = 0
+		for k, n := range d.asks {
+			if d.asks[k] = n / 2; n < 0.5 {
+				delete(d.asks, k)
+			}
+		}
+		for _, n := range d.asks {
+			d.asked += n // halves and quarters: the sum is the same in any order
+		}
 		if d.a == [maxCount + 1]float64{} {
 			d.halved = d.now - (d.now-d.halved)%ageing - ageing
 		}
@@ -799,6 +828,23 @@
 	return may
 }
 
+// homes are the workers that a key's ops meet: the first of its own order of all marks, as many as its share of the
+// ops fills and two more. With any two of the fleet each worker fetched most keys anew, and the store stalled all.
+func (d *Dispatcher) homes(o *op, from []int) []int {
+	if o.key == 0 {
+		return from
+	}
+	n := min(len(from), 2+int(homeShare*d.asks[o.key]/max(d.asked, 1)*float64(d.ready)))
+	order := make([]uint64, len(d.workers))
+	for _, i := range from {
+		h := (o.key ^ d.workers[i].mark) * 0x9e3779b97f4a7c15
+		h = (h ^ h>>32) * 0xd6e8feb86659fd93
+		order[i] = h ^ h>>32
+	}
+	slices.SortFunc(from, func(i, j int) int { return cmp.Compare(order[i], order[j]) })
+	return from[:n]
+}
+
 // pair draws the two workers to probe; one of them from the own zone where crossing is paid for. Among all of
 // them most ops of a small zone met only workers that cost a crossing.
 func (d *Dispatcher) pair(o *op, from []int) (pair []int) {
@@ -959,7 +1005,7 @@
 			}
 			return Nothing, 0, 0
 		}
-		o.pair = d.pair(o, from)
+		o.pair = d.pair(o, d.homes(o, from))
 		o.got = make([]bool, len(o.pair))
 		o.askedAt = d.now
 	}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -644,3 +644,37 @@
 		t.Errorf("a candidate %d times in 1000", in)
 	}
 }
+
+// Keys that every worker fetched anew filled the store until all jobs stalled: a key's ops must meet few workers, and
+// schedulers that number the workers differently must mean the same ones.
+func TestAKeysOpsMeetTheSameFewWorkers(t *testing.T) {
+	met := func(turn int) map[uint64]bool {
+		d := fleet(40, nil)
+		for i := range 40 {
+			d.Mark(i, uint64((i+turn)%40)*0x51ed2701_9b3c1d77+1)
+		}
+		marks := map[uint64]bool{}
+		for k := range 30 {
+			d.Op(k, 0, d.now+50_000, 1, 0, 0)
+			d.Key(k, uint64(1+k%10)) // ten keys, so each may have its 2 and a tenth of the fleet, half as much again
+			for _, a := range decisions(d) {
+				if a.do == Probe && k%10 == 3 {
+					marks[d.workers[a.worker].mark] = true
+				}
+			}
+		}
+		return marks
+	}
+	for _, turn := range []int{0, 13} {
+		if n := len(met(turn)); n > 8 {
+			t.Errorf("turn %d: %d workers met by one key", turn, n)
+		}
+	}
+	all := met(0)
+	for m := range met(13) {
+		all[m] = true
+	}
+	if len(all) > 8 {
+		t.Errorf("two schedulers mean %d workers by one key", len(all))
+	}
+}
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -39,6 +39,7 @@
 	Slots      float64        `json:"slots"`
 	Memory     float64        `json:"memory"`
 	WorkNs     int64          `json:"workNs"`
+	RouteKey   string         `json:"routeKey"`
 	Leg        int            `json:"leg"`
 	Worker     string         `json:"worker"`
 	How        int            `json:"how"`
@@ -168,6 +169,9 @@
 			terms.Up(it.WorkNs)) {
 			return fmt.Errorf("lane %d is in no settings", it.Lane)
 		}
+		if it.RouteKey != "" {
+			s.d.Key(s.ops[it.Req], terms.Hash(it.RouteKey))
+		}
 	case "Settled", "Headers", "UpdateOf", "Dropped":
 		op, ok := s.ops[it.Req]
 		if !ok {
@@ -244,6 +248,7 @@
 		}
 		ready := r.Availability == "ready"
 		s.d.Entry(wi, r.Locality, r.UnitGroup, ready, terms.Up(r.SinceNs))
+		s.d.Mark(wi, terms.Hash(r.Worker))
 	}
 	s.d.ListEnd(it.Scope == "remembered")
 	return nil
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"hash/fnv"
 	"strings"
 
 	"woaddyke/dispatch"
@@ -25,6 +26,13 @@
 // Up rounds to the next tenth of a millisecond.
 func Up(ns int64) dispatch.Time { return -Down(-ns) }
 
+// Hash makes a number of a name, the same at every scheduler; never 0.
+func Hash(name string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(name)) // never fails
+	return max(h.Sum64(), 1)
+}
+
 // Flat names each value of the settings by its path.
 func Flat(settings map[string]any) map[string]any {
 	terms := map[string]any{}
