--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -111,6 +111,7 @@
 	listed       bool
 	zone, cell   int
 	mark         uint64 // its name, hashed: the same at every scheduler
+	kind         int
 	since        Time
 	readings     []reading // the last few, newest last
 	places       []place
@@ -120,6 +121,12 @@
 	heard        Time  // when it last said anything of a push
 }
 
+// machines is what is learned of a kind: a scheduler that meets a worker once a minute learns little of that one.
+type machines struct {
+	strides []float64 // of all its workers, in order
+	slots   float64   // the most that were seen free at one
+}
+
 type op struct {
 	index, number   int // number: in order of arrival
 	cat             int
@@ -186,8 +193,8 @@
 	trips             []Time  // probe round trips, the last few
 	starts            []start // of jobs that were to start at once, the last few
 	runs              [][]Time
-	least             Time               // the least target latency
-	longRuns          []float64          // all workers' strides, in order
+	least             Time // the least target latency
+	kinds             []machines
 	asks              map[uint64]float64 // how often each key was asked for of late
 	asked             float64            // their sum
 	placed            float64            // all workers' places and what they took
@@ -210,7 +217,7 @@
 	}
 	span := func(name string, otherwise Time) Time { return Time(num(name, float64(otherwise))) }
 	d := &Dispatcher{chance: seed&0xffffffff | 1<<32, least: math.MaxInt64,
-		asks: map[uint64]float64{}}
+		asks: map[uint64]float64{}, kinds: make([]machines, 1)}
 	d.site = site{step: span("step", 0), dial: span("bounds.connectTimeout", 0),
 		call: span("bounds.connectTimeout", second), warmAfter: span("safety.warmAfter", 0),
 		progress: span("extra.progress", 0), warmSpan: num("safety.warmAfter", 1),
@@ -312,8 +319,16 @@
 	w.zone, w.cell, w.ready, w.listed = zone, cell, ready, true
 }
 
-// Mark gives a listed worker's name as a number. Schedulers that hash names alike send a key to the same workers.
-func (d *Dispatcher) Mark(i int, mark uint64) { d.workers[i].mark = mark }
+// Mark gives a listed worker's name as a number, and its kind of machine. Schedulers that hash names alike send a key
+// to the same workers.
+func (d *Dispatcher) Mark(i int, mark uint64, kind int) {
+	for len(d.kinds) <= kind {
+		d.kinds = append(d.kinds, machines{})
+	}
+	if w := &d.workers[i]; len(w.strides) == 0 {
+		w.mark, w.kind = mark, kind
+	}
+}
 
 // ListEnd ends a list. A remembered list is no answer to a subscription.
 func (d *Dispatcher) ListEnd(remembered bool) {
@@ -372,6 +387,11 @@
 	d.answered(i, elapsed, true)
 	w := &d.workers[i]
 	d.zones[w.zone].add(d.now, true)
+	if k := &d.kinds[w.kind]; load.Jobs < 0 && load.Free >= 0 && load.Waiting >= 0 {
+		// Without a count each reading was one of no jobs: T stayed 0 and everyone Low. Slots that are not free are busy.
+		k.slots = max(k.slots, math.Round(load.Free))
+		load.Jobs = load.Waiting + max(k.slots-load.Free, 0)
+	}
 	r := reading{load: load, at: d.now, asked: d.now - elapsed}
 	d.pairUp(w, r)
 	w.readings = keep(w.readings, r, lastFew)
@@ -577,13 +597,15 @@
 		d.forgetStride(w)
 	}
 	w.strides = append(w.strides, x)
-	k, _ := slices.BinarySearch(d.longRuns, x)
-	d.longRuns = slices.Insert(d.longRuns, k, x)
+	all := &d.kinds[w.kind].strides
+	k, _ := slices.BinarySearch(*all, x)
+	*all = slices.Insert(*all, k, x)
 }
 
 func (d *Dispatcher) forgetStride(w *worker) {
-	k, _ := slices.BinarySearch(d.longRuns, w.strides[0])
-	d.longRuns, w.strides = slices.Delete(d.longRuns, k, k+1), w.strides[1:]
+	all := &d.kinds[w.kind].strides
+	k, _ := slices.BinarySearch(*all, w.strides[0])
+	*all, w.strides = slices.Delete(*all, k, k+1), w.strides[1:]
 }
 
 // unask lets the next pair be drawn.
@@ -1170,9 +1192,9 @@
 	return d.categories[o.cat].target
 }
 
-// slow is how much longer than expected jobs run on a worker; while samples are few, the fleet's weigh in.
+// slow is how much longer than expected jobs run on a worker; while samples are few, those of its kind weigh in.
 func (d *Dispatcher) slow(i int) float64 {
-	all, few := d.longRuns, d.workers[i].strides
+	all, few := d.kinds[d.workers[i].kind].strides, d.workers[i].strides
 	if len(all) == 0 {
 		return 1
 	}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -651,7 +651,7 @@
 	met := func(turn int) map[uint64]bool {
 		d := fleet(40, nil)
 		for i := range 40 {
-			d.Mark(i, uint64((i+turn)%40)*0x51ed2701_9b3c1d77+1)
+			d.Mark(i, uint64((i+turn)%40)*0x51ed2701_9b3c1d77+1, 0)
 		}
 		marks := map[uint64]bool{}
 		for k := range 30 {
@@ -678,3 +678,31 @@
 		t.Errorf("two schedulers mean %d workers by one key", len(all))
 	}
 }
+
+// Reports without a count all counted as no jobs: T stayed at 0 and every worker was Low.
+func TestAReportWithoutACountIsCounted(t *testing.T) {
+	d := fleet(3, nil)
+	d.Report(0, 50, Load{Jobs: -1, Waiting: 0, Free: 4, Memory: -1})
+	d.Report(1, 50, Load{Jobs: -1, Waiting: 0, Free: 1, Memory: -1})
+	d.Report(2, 50, Load{Jobs: -1, Waiting: 3, Free: 0, Memory: -1})
+	for i, want := range []float64{0, 3, 7} {
+		if got := d.count(i); got != want {
+			t.Errorf("worker %d counts %g, want %g", i, got, want)
+		}
+	}
+}
+
+// A scheduler that meets a worker once a minute took the slow kind for the fleet's middle.
+func TestAWorkersSpeedIsItsKindsUntilItIsMet(t *testing.T) {
+	d := fleet(4, nil)
+	for i := range 4 {
+		d.Mark(i, uint64(i+1), i%2)
+	}
+	for range 8 {
+		d.learnStride(&d.workers[0], 0.5)
+		d.learnStride(&d.workers[1], 2)
+	}
+	if fast, slow := d.slow(2), d.slow(3); fast != 0.5 || slow != 2 {
+		t.Errorf("workers not met: %g and %g, want 0.5 and 2", fast, slow)
+	}
+}
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -15,7 +15,7 @@
 	"woaddyke/internal/terms"
 )
 
-const maxZone = 1 << 12 // the module keeps something for each zone up to the highest number
+const maxZone = 1 << 12 // the module keeps something for each zone and kind up to the highest number
 
 type batch struct {
 	WallNs *int64  `json:"wallNs"`
@@ -56,6 +56,7 @@
 	Availability string `json:"availability"`
 	UnitGroup    int    `json:"unitGroup"`
 	SinceNs      int64  `json:"sinceNs"`
+	ClassOfHost  int    `json:"classOfHost"`
 }
 
 type scheduler struct {
@@ -240,6 +241,9 @@
 		if r.Locality < 0 || r.Locality > maxZone {
 			return fmt.Errorf("locality %d of %s", r.Locality, r.Worker)
 		}
+		if r.ClassOfHost < 0 || r.ClassOfHost > maxZone {
+			return fmt.Errorf("classOfHost %d of %s", r.ClassOfHost, r.Worker)
+		}
 		wi, ok := s.workers[r.Worker]
 		if !ok {
 			wi = len(s.names)
@@ -248,7 +252,7 @@
 		}
 		ready := r.Availability == "ready"
 		s.d.Entry(wi, r.Locality, r.UnitGroup, ready, terms.Up(r.SinceNs))
-		s.d.Mark(wi, terms.Hash(r.Worker))
+		s.d.Mark(wi, terms.Hash(r.Worker), r.ClassOfHost)
 	}
 	s.d.ListEnd(it.Scope == "remembered")
 	return nil
