--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -166,10 +166,11 @@
 
 // site is what is picked out of the terms, once: looked up by name at each use, they took half of the CPU.
 type site struct {
-	step, dial, call, warmAfter, progress, longestPause Time
-	askEvery, warmSpan, coldFrom, overload, crossZone   float64
-	maxPushes, myZone                                   int
-	probes, cancel, tellsStart, perWork, onRequest      bool
+	step, dial, call, warmAfter, progress, longestPause            Time
+	askEvery, warmSpan, coldFrom, overload, crossZone, connections float64
+	self                                                           uint64
+	maxPushes, myZone                                              int
+	probes, cancel, tellsStart, perWork, onRequest                 bool
 }
 
 // Dispatcher is one scheduler's decisions and what they rest on.
@@ -182,6 +183,7 @@
 	ready             int
 	zones             []health                     // by zone: can its workers be reached from here?
 	ops               []*op                        // by index
+	live              int                          // ops held
 	numbered          int                          // ops so far
 	held              []*op                        // with no push out, in order of arrival
 	out               [3]*agenda.Agenda[*op, Time] // pushes out, by what is awaited of them
@@ -222,7 +224,8 @@
 		call: span("bounds.connectTimeout", second), warmAfter: span("safety.warmAfter", 0),
 		progress: span("extra.progress", 0), warmSpan: num("safety.warmAfter", 1),
 		askEvery: num("safety.askEvery", float64(10*second)), coldFrom: num("safety.coldFrom", 1),
-		overload: num("safety.overloadFactor", 1), crossZone: num("prices.crossZone", 0),
+		overload: num("safety.overloadFactor", 1), crossZone: num("prices.crossZone", 0), connections: num("prices.connection", 0),
+		self:      uint64(num("myNumber", 0)+1) * 0x9e3779b97f4a7c15,
 		maxPushes: int(num("bounds.maxPushes", 1)), myZone: int(num("myZone", 0)),
 		probes: terms["bounds.probes"] == true, cancel: terms["bounds.cancel"] == true,
 		tellsStart: terms["extra.tellsStart"] == true, perWork: terms["benefitPer"] == "work",
@@ -360,7 +363,7 @@
 	c := &d.categories[cat]
 	c.longest = max(c.longest, ttl-d.now)
 	o := &op{index: i, cat: cat, ttl: ttl, came: ttl - c.longest, slots: slots, memory: memory, work: work}
-	o.number, d.numbered = d.numbered, d.numbered+1
+	o.number, d.numbered, d.live = d.numbered, d.numbered+1, d.live+1
 	d.ops[i], d.held = o, append(d.held, o)
 	return true
 }
@@ -853,24 +856,29 @@
 // homes are the workers that a key's ops meet: the first of its own order of all marks, as many as its share of the
 // ops fills and two more. With any two of the fleet each worker fetched most keys anew, and the store stalled all.
 func (d *Dispatcher) homes(o *op, from []int) []int {
-	if o.key == 0 {
+	key, n := o.key, 2.0
+	switch {
+	case key > 0:
+		n += homeShare * d.asks[o.key] / max(d.asked, 1) * float64(d.ready)
+	case d.site.connections > 0:
+		key, n = d.site.self, n+homeShare*float64(d.live)
+	default:
 		return from
 	}
-	n := min(len(from), 2+int(homeShare*d.asks[o.key]/max(d.asked, 1)*float64(d.ready)))
 	order := make([]uint64, len(d.workers))
 	for _, i := range from {
-		h := (o.key ^ d.workers[i].mark) * 0x9e3779b97f4a7c15
+		h := (key ^ d.workers[i].mark) * 0x9e3779b97f4a7c15
 		h = (h ^ h>>32) * 0xd6e8feb86659fd93
 		order[i] = h ^ h>>32
 	}
 	slices.SortFunc(from, func(i, j int) int { return cmp.Compare(order[i], order[j]) })
-	return from[:n]
+	return from[:min(len(from), int(n))]
 }
 
 // pair draws the two workers to probe; one of them from the own zone where crossing is paid for. Among all of
 // them most ops of a small zone met only workers that cost a crossing.
-func (d *Dispatcher) pair(o *op, from []int) (pair []int) {
-	own, all := 0, len(from)
+func (d *Dispatcher) pair(o *op, from []int, all int) (pair []int) {
+	own, some := 0, len(from)
 	var jobs, seen [2]float64
 	if d.site.crossZone > 0 {
 		for k, i := range from {
@@ -884,12 +892,12 @@
 			}
 		}
 	}
-	if own == all || jobs[1]*seen[0] > telling*jobs[0]*seen[1] {
+	if own == some || jobs[1]*seen[0] > telling*jobs[0]*seen[1] {
 		own = 0 // a zone with more than its share of the schedulers would do all their work
 	}
 	for len(pair) < 2 && len(from) > 0 {
 		k, n := d.draw(len(from)), all
-		if own > 0 && len(from) == all {
+		if own > 0 && len(from) == some {
 			k, n = d.draw(own), min(all, own*len(d.zones)) // a small zone's workers are asked more than others
 		}
 		i := from[k]
@@ -927,7 +935,7 @@
 				d.held = slices.Delete(d.held, d.heldFrom(o.number), d.heldFrom(o.number+1))
 			}
 			if do == Forget {
-				d.ops[o.index] = nil
+				d.ops[o.index], d.live = nil, d.live-1
 			}
 			return do, o.index, worker, span
 		}
@@ -1027,7 +1035,7 @@
 			}
 			return Nothing, 0, 0
 		}
-		o.pair = d.pair(o, d.homes(o, from))
+		o.pair = d.pair(o, d.homes(o, from), len(from))
 		o.got = make([]bool, len(o.pair))
 		o.askedAt = d.now
 	}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"testing"
 )
@@ -706,3 +707,30 @@
 		t.Errorf("workers not met: %g and %g, want 0.5 and 2", fast, slow)
 	}
 }
+
+// Each of hundreds of quiet schedulers kept a connection to half the fleet: there a scheduler meets a few of its own.
+func TestWhereConnectionsCostASchedulerMeetsFewWorkers(t *testing.T) {
+	met := func(number float64, price float64) map[int]bool {
+		d := fleet(40, map[string]any{"myNumber": number, "prices.connection": price})
+		for i := range 40 {
+			d.Mark(i, uint64(i+1)*0x51ed2701_9b3c1d77, 0)
+		}
+		workers := map[int]bool{}
+		for range 60 {
+			x, y := probed(t, d, 0, 0)
+			workers[x], workers[y] = true, true
+			pushed(t, d, x, jobs(0), y, jobs(0))
+			d.Clock(d.now + 50)
+			d.Outcome(0, 0, Served, 50, true)
+			decisions(d)
+		}
+		return workers
+	}
+	if n := len(met(1, 0)); n < 30 {
+		t.Errorf("connections are free and %d workers met", n)
+	}
+	one, two := met(1, 0.05), met(2, 0.05)
+	if len(one) > 3 || len(two) > 3 || maps.Equal(one, two) {
+		t.Errorf("one scheduler meets %v, another %v", one, two)
+	}
+}
