--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -1,22 +1,20 @@
 // Package dispatch holds every decision of a scheduler: which worker an op is pushed to, when it is
 // pushed again, and how it ends. It does no input or output and reads no clock.
-//
-// How it is called: New makes the dispatcher of one scheduler. The inputs (Clock, List..., Entry, Op,
-// Report, Unanswered, Note, Outcome, Left, Stop) only update what is known. After them the host pulls
-// decisions with Next, one by one, until Nothing comes. Workers and ops are small indices that the host
+// How it is called: New makes the dispatcher of one scheduler. The inputs (Clock, List..., Entry, Mark, Op,
+// Key, Report, Told, Unanswered, Note, Outcome, Left, Stop) only update what is known. After them the host
+// pulls decisions with Next, one by one, until Nothing comes. Workers and ops are small indices that the host
 // gives out; an op's index is free again after Forget. Times are tenths of a millisecond.
-//
 // The interface is the exported names of this file; docs/design.md says what is kept of the paper's
 // mechanism and when each departure acts.
 package dispatch
 
 import (
-	"cmp"
 	"fmt"
 	"math"
 	"slices"
 
 	"woaddyke/internal/agenda"
+	"woaddyke/internal/sample"
 )
 
 // Time is a moment or a span in tenths of a millisecond.
@@ -37,7 +35,7 @@
 	DeadLetter
 	Wake
 	Forget
-	Tell // another scheduler, by number in place of the op, how many pushes to a worker are out here: the span
+	Tell // another scheduler, its number in the op's place, that the span is the pushes out here at a worker
 )
 
 // Outcome is how a push ended.
@@ -62,13 +60,13 @@
 const (
 	maxCount  = 15          // T_m: longer queues count as this long
 	ageing    = 10 * second // the counters halve this often
-	lastFew   = 32          // samples kept of each measurement
 	maxLooks  = 3           // pairs probed before an op without a place in time is given up
 	homeShare = 1.5         // a key's workers, over what its ops would fill alone
 	telling   = 1.3         // finishes closer than this are noise, and the draw decides
 	reportLag = second / 10 // a report may not yet show pushes younger than this
 	regulars  = 4           // workers of its own order of which a scheduler is told by the others
 	recent    = 10 * second // word from another scheduler older than this says nothing about now
+	allKeys   = 0           // under which all are counted
 	maxKeys   = 4096        // keys counted; of one beyond them nothing says that it is asked for often
 	healthMax = 15 * second // a verdict on a worker older than this says nothing about now
 )
@@ -106,21 +104,18 @@
 }
 
 type worker struct {
-	known, ready bool
-	listed       bool
-	zone, cell   int
-	mark         uint64 // its name, hashed: the same at every scheduler
-	kind         int
-	since        Time
-	readings     []reading // the last few, newest last
-	places       []place
-	strides      []float64 // how long jobs ran, over what was expected
-	health       health
-	out          []*op  // this scheduler's pushes that are out there
-	words        []word // of other schedulers, in order of their numbers
-	regular      bool   // it is one of this scheduler's own: all others say what they push to it
-	audience     []int  // those that have it among their regulars
-	heard        Time   // when it last said anything of a push
+	known, ready, listed bool
+	zone, cell, kind     int
+	mark                 uint64 // its name, hashed: the same at every scheduler
+	since                Time
+	readings             []reading // the last few, newest last
+	places               []place
+	strides              []float64 // how long jobs ran, over what was expected
+	health               health
+	out                  []*op  // this scheduler's pushes that are out there
+	words                []word // of other schedulers, in order of their numbers
+	audience             []int  // schedulers whose regular it is, by number: told what is pushed to it
+	heard                Time   // when it last said anything of a push
 }
 
 // word is how many pushes to a worker another scheduler last said that it has out.
@@ -129,39 +124,34 @@
 	at    Time
 }
 
-// machines is what is learned of a kind: a scheduler that meets a worker once a minute learns little of that one.
+// machines is what is learned of a kind: who meets a worker once a minute learns little of that one.
 type machines struct {
-	strides []float64 // of all its workers, in order
-	slots   float64   // the most that were seen free at one
+	strides sample.Pool // of all its workers
+	slots   float64     // the most that were seen free at one
 }
 
 type op struct {
-	index, number   int // number: in order of arrival
-	cat             int
-	ttl, came       Time // came: when the client first asked, as far as can be told
-	slots, memory   float64
-	work            Time
-	key             uint64 // what it needs at its worker, hashed; 0: nothing that workers keep
-	pair            []int  // the workers probed
-	got             []bool
-	asked           int     // probes sent
-	looks           int     // pairs probed in vain
-	place           float64 // in the worker's queue when it was pushed
-	next            Time    // held until then before another pair is probed
-	askedAt         Time
-	legs            int
-	out             bool // a push is out
-	worker          int  // of the last push
-	sentAt          Time
-	started, heard  Time  // when the last push was said to start, 0 before; when anything was heard of it
-	foretold        Time  // how long it was to wait
-	looked          bool  // a report said that it was to start at once
-	silent          bool  // it was counted against its worker
-	unfit           []int // the workers that said so of it
-	ran             bool  // some push may have run
-	ranAt           Time  // when the first such push was sent
-	ranZone, ranGrp int
-	over            bool
+	index, number, cat int  // number: in order of arrival
+	ttl, came, work    Time // came: when the client first asked, as far as can be told
+	slots, memory      float64
+	key                uint64 // what it needs at its worker, hashed; 0: nothing that workers keep
+	pair               []int  // the workers probed
+	got                []bool
+	asked, looks, legs int     // probes sent, pairs probed in vain, pushes
+	place              float64 // in the worker's queue when it was pushed
+	next               Time    // held until then before another pair is probed
+	askedAt            Time
+	out                bool // a push is out
+	worker             int  // of the last push
+	sentAt             Time
+	started, heard     Time  // when the last push was said to start, 0 before; when anything was heard of it
+	foretold           Time  // how long it was to wait
+	looked             bool  // a report said that it was to start at once
+	silent             bool  // it was counted against its worker
+	unfit              []int // the workers that said so of it
+	ran, over          bool  // ran: some push may have run
+	ranAt              Time  // when the first such push was sent
+	ranZone, ranGrp    int
 }
 
 // digest is what is worked out of the samples for many decisions: over a large fleet, working it out for each
@@ -173,47 +163,46 @@
 
 // site is what is picked out of the terms, once: looked up by name at each use, they took half of the CPU.
 type site struct {
-	step, dial, call, warmAfter, progress, longestPause  Time
-	warmSpan, coldFrom, overload, crossZone, connections float64
-	me, all                                              int
-	maxPushes, myZone                                    int
-	probes, cancel, tellsStart, perWork, peers           bool
+	step, dial, call, warmAfter, progress, longestPause Time
+	coldFrom, overload, crossZone, connections          float64
+	me, all                                             int
+	maxPushes, myZone                                   int
+	probes, cancel, tellsStart, perWork, peers          bool
 }
 
 // Dispatcher is one scheduler's decisions and what they rest on.
 type Dispatcher struct {
-	chance     uint64
-	site       site
-	categories []category
-	now        Time
-	workers    []worker
-	ready      int
-	zones      []health                     // by zone: can its workers be reached from here?
-	ops        []*op                        // by index
-	tells      [][2]int                     // to whom, of which worker
-	numbered   int                          // ops so far
-	held       []*op                        // with no push out, in order of arrival
-	out        [3]*agenda.Agenda[*op, Time] // pushes out, by what is awaited of them
-	late       []*op                        // those overdue in this round, in order of arrival
-	at         int                          // the number that Next goes on from
-	a, b       [maxCount + 1]float64
-	halved     Time
-	taus       []Time // from probe to start, the last few
-	trips      []Time // probe round trips, the last few
-	starts     []Time // of jobs that were to start at once, the last few
-	runs       [][]Time
-	least      Time // the least target latency
-	kinds      []machines
-	asks       map[uint64]float64 // how often each key was asked for of late
-	asked      float64            // their sum
-	placed     float64            // all workers' places and what they took
-	took       Time
-	fresh      bool // the digest holds
-	round      bool // late is worked out
-	ranAnew    bool // runs have come since it was worked out
-	digest     digest
-	takes      bool // workers say at once that they have taken a push
-	woken      Time
+	chance            sample.Chance
+	site              site
+	categories        []category
+	now               Time
+	workers           []worker
+	ready             int
+	zones             []health                     // by zone: can its workers be reached from here?
+	ops               []*op                        // by index
+	tells             [][2]int                     // to whom, of which worker
+	numbered          int                          // ops so far
+	held              []*op                        // with no push out, in order of arrival
+	out               [3]*agenda.Agenda[*op, Time] // pushes out, by what is awaited of them
+	late              []*op                        // those overdue in this round, in order of arrival
+	at                int                          // the number that Next goes on from
+	a, b              [maxCount + 1]float64
+	halved            Time
+	taus              []Time // from probe to start, the last few
+	trips             []Time // probe round trips, the last few
+	starts            []Time // of jobs that were to start at once, the last few
+	runs              [][]Time
+	least             Time // the least target latency
+	kinds             []machines
+	asks, askedBefore map[uint64]float64 // of each key in this span of ageing, and in the last
+	placed            float64            // all workers' places and what they took
+	took              Time
+	fresh             bool // the digest holds
+	round             bool // late is worked out
+	ranAnew           bool // runs have come since it was worked out
+	digest            digest
+	takes             bool // workers say at once that they have taken a push
+	woken             Time
 }
 
 // New starts a scheduler's dispatcher from its seed and the site's terms.
@@ -225,17 +214,17 @@
 		return otherwise
 	}
 	span := func(name string, otherwise Time) Time { return Time(num(name, float64(otherwise))) }
-	d := &Dispatcher{chance: seed&0xffffffff | 1<<32, least: math.MaxInt64,
-		asks: map[uint64]float64{}, kinds: make([]machines, 1)}
+	d := &Dispatcher{chance: sample.NewChance(seed), least: math.MaxInt64, asks: map[uint64]float64{},
+		kinds: make([]machines, 1)}
 	d.site = site{step: span("step", 0), dial: span("bounds.connectTimeout", 0),
 		call: span("bounds.connectTimeout", second), warmAfter: span("safety.warmAfter", 0),
-		progress: span("extra.progress", 0), warmSpan: num("safety.warmAfter", 1),
-		coldFrom: num("safety.coldFrom", 1),
-		overload: num("safety.overloadFactor", 1), crossZone: num("prices.crossZone", 0), connections: num("prices.connection", 0),
-		me: int(num("myNumber", 0)), all: int(num("instances", 1)), peers: terms["bounds.peerMessages"] == true,
-		maxPushes: int(num("bounds.maxPushes", 1)), myZone: int(num("myZone", 0)),
-		probes: terms["bounds.probes"] == true, cancel: terms["bounds.cancel"] == true,
-		tellsStart: terms["extra.tellsStart"] == true, perWork: terms["benefitPer"] == "work"}
+		progress: span("extra.progress", 0), coldFrom: num("safety.coldFrom", 1),
+		overload: num("safety.overloadFactor", 1), crossZone: num("prices.crossZone", 0),
+		connections: num("prices.connection", 0), me: int(num("myNumber", 0)), all: int(num("instances", 1)),
+		peers: terms["bounds.peerMessages"] == true, maxPushes: int(num("bounds.maxPushes", 1)),
+		myZone: int(num("myZone", 0)), probes: terms["bounds.probes"] == true,
+		cancel: terms["bounds.cancel"] == true, tellsStart: terms["extra.tellsStart"] == true,
+		perWork: terms["benefitPer"] == "work"}
 	if terms["bounds.retryAfter"] == true {
 		d.site.longestPause = span("bounds.maxRetryAfter", 0)
 	}
@@ -260,36 +249,6 @@
 	return d
 }
 
-// draw is a multiply-with-carry generator: a number below n.
-func (d *Dispatcher) draw(n int) int {
-	d.chance = 4294957665*(d.chance&0xffffffff) + d.chance>>32
-	return int(d.chance & 0xffffffff * uint64(n) >> 32)
-}
-
-func (d *Dispatcher) uniform() float64 { return float64(d.draw(1<<30)) / (1 << 30) }
-
-func keep[T any](few []T, v T, n int) []T {
-	if few = append(few, v); len(few) > n {
-		few = few[1:]
-	}
-	return few
-}
-
-func quantile(few []Time, q float64) Time {
-	var room [lastFew]Time
-	s := append(room[:0], few...)
-	slices.Sort(s)
-	return s[int(q*float64(len(s)-1)+0.5)]
-}
-
-func mean(few []Time) Time {
-	var sum Time
-	for _, t := range few {
-		sum += t
-	}
-	return sum / Time(max(len(few), 1))
-}
-
 // Clock tells the time; it never goes back.
 func (d *Dispatcher) Clock(now Time) {
 	d.now = max(d.now, now)
@@ -328,8 +287,7 @@
 	w.zone, w.cell, w.ready, w.listed = zone, cell, ready, true
 }
 
-// Mark gives a listed worker's name as a number, and its kind of machine. Schedulers that hash names alike send a key
-// to the same workers.
+// Mark gives a listed worker's name, hashed, and its kind of machine. Schedulers must hash names alike.
 func (d *Dispatcher) Mark(i int, mark uint64, kind int) {
 	for len(d.kinds) <= kind {
 		d.kinds = append(d.kinds, machines{})
@@ -347,7 +305,9 @@
 		w.ready = w.ready && w.listed
 		d.ready += btoi(w.ready)
 	}
-	d.audiences()
+	if d.site.peers && d.site.connections > 0 {
+		d.audiences()
+	}
 }
 
 // Op is a new op. It returns false for a category that the terms do not name.
@@ -367,13 +327,13 @@
 	return true
 }
 
-// Key gives what a new op needs at its worker, hashed: a data set that workers keep for a while or must fetch.
+// Key gives what a new op needs at its worker, hashed: data that workers keep for a while or must fetch.
 func (d *Dispatcher) Key(i int, key uint64) {
 	d.age()
 	if d.ops[i].key = key; len(d.asks) < maxKeys || d.asks[key] > 0 {
 		d.asks[key]++
-		d.asked++
 	}
+	d.asks[allKeys]++
 }
 
 func (d *Dispatcher) op(i int) *op {
@@ -385,18 +345,18 @@
 
 // Report is the answer to a probe.
 func (d *Dispatcher) Report(i int, elapsed Time, load Load) {
-	d.trips, d.fresh = keep(d.trips, elapsed, lastFew), false
+	d.trips, d.fresh = sample.Keep(d.trips, elapsed), false
 	d.answered(i, elapsed, true)
 	w := &d.workers[i]
 	d.zones[w.zone].add(d.now, true)
 	k := &d.kinds[w.kind]
 	if k.slots = max(k.slots, math.Round(load.Free)); load.Jobs < 0 && load.Free >= 0 && load.Waiting >= 0 {
-		// Without a count each reading was one of no jobs: T stayed 0 and everyone Low. Slots that are not free are busy.
+		// Without a count each reading was one of no jobs: T stayed 0 and all were Low. A slot not free is busy.
 		load.Jobs = load.Waiting + max(k.slots-load.Free, 0)
 	}
 	r := reading{load: load, at: d.now, asked: d.now - elapsed}
 	d.pairUp(w, r)
-	w.readings = keep(w.readings, r, lastFew)
+	w.readings = sample.Keep(w.readings, r)
 }
 
 // Unanswered is a probe that failed. A zone that is cut off shows in probes first: over many workers each
@@ -425,7 +385,7 @@
 		return
 	}
 	d.age()
-	tau := mean(d.taus)
+	tau := sample.Mean(d.taus)
 	for k := range w.readings {
 		r := &w.readings[k]
 		if gap := next.at - r.at; r.paired || 2*gap < tau || gap > 2*tau {
@@ -439,23 +399,13 @@
 }
 
 func (d *Dispatcher) age() {
+	d.halved = max(d.halved, d.now-99*ageing) // what is older than that is nothing
 	for ; d.now-d.halved >= ageing; d.halved += ageing {
 		for l := range d.a {
 			d.a[l] /= 2
 			d.b[l] /= 2
 		}
-		d.asked = 0
-		for k, n := range d.asks {
-			if d.asks[k] = n / 2; n < 0.5 {
-				delete(d.asks, k)
-			}
-		}
-		for _, n := range d.asks {
-			d.asked += n // halves and quarters: the sum is the same in any order
-		}
-		if d.a == [maxCount + 1]float64{} {
-			d.halved = d.now - (d.now-d.halved)%ageing - ageing
-		}
+		d.askedBefore, d.asks = d.asks, map[uint64]float64{}
 	}
 }
 
@@ -523,9 +473,9 @@
 	if started && o.started == 0 {
 		o.started = d.now
 		if o.looked {
-			d.starts = keep(d.starts, d.now-o.sentAt, lastFew)
+			d.starts = sample.Keep(d.starts, d.now-o.sentAt)
 		}
-		d.taus = keep(d.taus, d.now-o.askedAt, lastFew)
+		d.taus = sample.Keep(d.taus, d.now-o.askedAt)
 		d.zones[d.workers[o.worker].zone].add(d.now, true) // of the worker a start says little: it may fail all
 		if o.place > 0 {
 			d.learnPlace(&d.workers[o.worker], place{o.place, d.now - o.sentAt})
@@ -558,10 +508,10 @@
 		}
 		if o.started > 0 {
 			d.learnStride(w, float64(d.now-o.started)/float64(max(d.expected(o), 1)))
-			d.runs[o.cat] = keep(d.runs[o.cat], d.now-o.started, lastFew)
+			d.runs[o.cat] = sample.Keep(d.runs[o.cat], d.now-o.started)
 			d.fresh, d.ranAnew = false, true
 		} else if !d.site.tellsStart {
-			d.taus = keep(d.taus, d.now-o.askedAt, lastFew)
+			d.taus = sample.Keep(d.taus, d.now-o.askedAt)
 		}
 		d.judge(o.worker, true)
 	case Refused, Unsent, Unreached:
@@ -581,27 +531,24 @@
 }
 
 func (d *Dispatcher) learnPlace(w *worker, p place) {
-	if len(w.places) == lastFew {
+	if len(w.places) == sample.Few {
 		d.placed, d.took = d.placed-w.places[0].place, d.took-w.places[0].took
 	}
-	w.places = keep(w.places, p, lastFew)
+	w.places = sample.Keep(w.places, p)
 	d.placed, d.took = d.placed+p.place, d.took+p.took
 }
 
 func (d *Dispatcher) learnStride(w *worker, x float64) {
-	if len(w.strides) == lastFew {
+	if len(w.strides) == sample.Few {
 		d.forgetStride(w)
 	}
 	w.strides = append(w.strides, x)
-	all := &d.kinds[w.kind].strides
-	k, _ := slices.BinarySearch(*all, x)
-	*all = slices.Insert(*all, k, x)
+	d.kinds[w.kind].strides.Add(x)
 }
 
 func (d *Dispatcher) forgetStride(w *worker) {
-	all := &d.kinds[w.kind].strides
-	k, _ := slices.BinarySearch(*all, w.strides[0])
-	*all, w.strides = slices.Delete(*all, k, k+1), w.strides[1:]
+	d.kinds[w.kind].strides.Drop(w.strides[0])
+	w.strides = w.strides[1:]
 }
 
 // unask lets the next pair be drawn.
@@ -630,7 +577,7 @@
 }
 
 func (h *health) add(now Time, ok bool) {
-	if h.verdicts = keep(h.verdicts, verdict{now, ok}, lastFew); !ok {
+	if h.verdicts = sample.Keep(h.verdicts, verdict{now, ok}); !ok {
 		h.failed = now
 	}
 }
@@ -664,10 +611,10 @@
 	// Beta(good, bad), each one over its count, is the good-th smallest of good+bad-1 uniform draws.
 	draws := make([]float64, len(h.verdicts)+1)
 	for i := range draws {
-		draws[i] = d.uniform()
+		draws[i] = d.chance.Uniform()
 	}
 	slices.Sort(draws)
-	return d.uniform() < draws[good-1]
+	return d.chance.Uniform() < draws[good-1]
 }
 
 // allowed keeps rules 2 and 3: may this op be pushed to this worker now? Rule 4 is kept by spared and choose.
@@ -719,9 +666,9 @@
 		return false
 	}
 	least := d.site.coldFrom
-	warmth := least + (1-least)*(float64(d.now-w.since)/d.site.warmSpan)
+	warmth := least + (1-least)*(float64(d.now-w.since)/float64(d.site.warmAfter))
 	half := d.site.overload / 2 * warmth
-	return d.uniform() >= half/2*float64(from)/float64(max(d.ready, 1)*(1+o.looks))
+	return d.chance.Uniform() >= half/2*float64(from)/float64(max(d.ready, 1)*(1+o.looks))
 }
 
 // spare is how long the op may still wait and end in time, if it runs like the middle one of its category.
@@ -739,11 +686,11 @@
 	d.fresh = true
 	for i, few := range d.runs {
 		if d.ranAnew && len(few) > 0 {
-			g.middle[i], g.usual[i] = quantile(few, 0.5), mean(few)
+			g.middle[i], g.usual[i] = sample.Quantile(few, 0.5), sample.Mean(few)
 		}
 	}
 	if d.ranAnew = false; len(d.trips) > 0 {
-		g.trip = quantile(d.trips, 0.5)
+		g.trip = sample.Quantile(d.trips, 0.5)
 	}
 	g.longest = 0
 	for _, s := range d.starts {
@@ -788,15 +735,11 @@
 
 // wait is how long an op would wait at a worker: its place in the queue, and how long a place took of late.
 func (d *Dispatcher) wait(o *op, i int) Time {
-	at := d.place(o, i)
-	if at == 0 {
-		return 0
-	}
 	took, n := d.took, d.placed
 	for _, p := range d.workers[i].places {
 		took, n = took+3*p.took, n+3*p.place // its own places tell more than those of the others, but there are few
 	}
-	return Time(at / max(n, 1) * float64(took))
+	return Time(d.place(o, i) / max(n, 1) * float64(took))
 }
 
 // place is where in a worker's queue the op would stand; 0 if it starts at once.
@@ -838,64 +781,50 @@
 	return may
 }
 
-// homes are the workers that a key's ops meet: the first of its own order of all marks, as many as its share of the
-// ops fills and two more. With any two of the fleet each worker fetched most keys anew, and the store stalled all.
+// homes are the workers that an op's pair is drawn from. With a key: the first of the key's own order, as
+// many as its share of the ops fills and two more; any worker of the fleet fetched most keys anew, and the store
+// stalled all. Else, where connections cost, the regulars: hundreds of schedulers kept one to half the fleet.
 func (d *Dispatcher) homes(o *op, from []int) []int {
 	key, n := o.key, 2.0
 	switch {
 	case key > 0:
-		n += homeShare * d.asks[o.key] / max(d.asked, 1) * float64(d.ready)
+		share := (d.asks[key] + d.askedBefore[key]) / max(d.asks[allKeys]+d.askedBefore[allKeys], 1)
+		n += homeShare * share * float64(d.ready)
 	case d.site.connections > 0:
 		key, n = ownKey(d.site.me), regulars
 	default:
 		return from
 	}
-	d.inOrder(key, from)
+	sample.Order(key, from, d.mark)
 	return from[:min(len(from), int(n))]
 }
 
-func ownKey(scheduler int) uint64 { return uint64(scheduler+1) * 0x9e3779b97f4a7c15 }
+func (d *Dispatcher) mark(i int) uint64 { return d.workers[i].mark }
 
-// inOrder sorts workers into a key's own order, the same at every scheduler.
-func (d *Dispatcher) inOrder(key uint64, workers []int) {
-	order := make([]uint64, len(d.workers))
-	for _, i := range workers {
-		h := (key ^ d.workers[i].mark) * 0x9e3779b97f4a7c15
-		h = (h ^ h>>32) * 0xd6e8feb86659fd93
-		order[i] = h ^ h>>32
-	}
-	slices.SortFunc(workers, func(i, j int) int { return cmp.Compare(order[i], order[j]) })
-}
+func ownKey(scheduler int) uint64 { return uint64(scheduler+1) * 0x9e3779b97f4a7c15 }
 
 // audiences works out which schedulers are told of which worker.
 func (d *Dispatcher) audiences() {
-	if !d.site.peers || d.site.connections == 0 {
-		return
-	}
 	var ready []int
 	for i := range d.workers {
-		w := &d.workers[i]
-		if w.audience, w.regular = nil, false; w.ready {
+		if d.workers[i].audience = nil; d.workers[i].ready {
 			ready = append(ready, i)
 		}
 	}
 	for s := range d.site.all {
-		d.inOrder(ownKey(s), ready)
+		sample.Order(ownKey(s), ready, d.mark)
 		for _, i := range ready[:min(regulars, len(ready))] {
-			if w := &d.workers[i]; s == d.site.me {
-				w.regular = true
-			} else {
-				w.audience = append(w.audience, s)
-			}
+			d.workers[i].audience = append(d.workers[i].audience, s)
 		}
 	}
 }
 
-// tell lets those know that meet the worker too.
+// tell lets the others know that meet the worker too.
 func (d *Dispatcher) tell(i int) {
-	w := &d.workers[i]
-	for _, s := range w.audience {
-		d.tells = append(d.tells, [2]int{s, i})
+	for _, s := range d.workers[i].audience {
+		if s != d.site.me {
+			d.tells = append(d.tells, [2]int{s, i})
+		}
 	}
 }
 
@@ -912,7 +841,7 @@
 	w.words[k] = word{by, n, d.now}
 }
 
-// tally is a worker's jobs by all schedulers' word, and its slots; false where nobody spoke of it lately.
+// tally is a worker's jobs by all schedulers' word, and its slots; false where it is none of the regulars.
 func (d *Dispatcher) tally(i int) (n, slots float64, ok bool) {
 	w := &d.workers[i]
 	for _, x := range w.words {
@@ -920,8 +849,9 @@
 			n += float64(x.n)
 		}
 	}
+	_, ok = slices.BinarySearch(w.audience, d.site.me)
 	slots = d.kinds[w.kind].slots
-	return n + float64(len(w.out)), slots, w.regular && slots > 0 && !d.cold(w)
+	return n + float64(len(w.out)), slots, ok && slots > 0 && !d.cold(w)
 }
 
 // pair draws the two workers to probe; one of them from the own zone where crossing is paid for. Among all of
@@ -945,9 +875,9 @@
 		own = 0 // a zone with more than its share of the schedulers would do all their work
 	}
 	for len(pair) < 2 && len(from) > 0 {
-		k, n := d.draw(len(from)), all
+		k, n := d.chance.Below(len(from)), all
 		if own > 0 && len(from) == some {
-			k, n = d.draw(own), min(all, own*len(d.zones)) // a small zone's workers are asked more than others
+			k, n = d.chance.Below(own), min(all, own*len(d.zones)) // a small zone's workers are asked more than others
 		}
 		i := from[k]
 		if from = slices.Delete(from, k, k+1); d.spared(o, &d.workers[i], n) {
@@ -1154,7 +1084,7 @@
 	switch {
 	case awaited == taking:
 		return 2 * d.site.call // a dial, and as long again
-	case !d.site.tellsStart || len(d.starts) < lastFew/4 || awaited == progress && every <= 0:
+	case !d.site.tellsStart || len(d.starts) < sample.Few/4 || awaited == progress && every <= 0:
 		return never
 	case awaited == starting:
 		return 2*d.figures().longest + second/10 + every
@@ -1188,7 +1118,7 @@
 			return d.cold(&d.workers[i]) && !let
 		})
 		if len(from) > 0 {
-			return from[d.draw(len(from))]
+			return from[d.chance.Below(len(from))]
 		}
 		return -1
 	case 1:
@@ -1209,7 +1139,7 @@
 	case lowX && lowY && nearX != nearY:
 		return may[btoi(nearY)] // crossing is paid for, and buys nothing while both are Low
 	case lowX && lowY || lowX == lowY && x == y:
-		return may[d.draw(2)]
+		return may[d.chance.Below(2)]
 	}
 	return may[btoi(lowY || !lowX && y < x)]
 }
@@ -1241,17 +1171,10 @@
 	return d.categories[o.cat].target
 }
 
-// slow is how much longer than expected jobs run on a worker; while samples are few, those of its kind weigh in.
+// slow is how much longer than expected jobs run on a worker; while samples are few, its kind's weigh in.
 func (d *Dispatcher) slow(i int) float64 {
-	all, few := d.kinds[d.workers[i].kind].strides, d.workers[i].strides
-	if len(all) == 0 {
-		return 1
-	}
-	for range 3 {
-		few = append(few[:len(few):len(few)], all[len(all)/2])
-	}
-	few = slices.Sorted(slices.Values(few))
-	return few[len(few)/2]
+	w := &d.workers[i]
+	return d.kinds[w.kind].strides.Middle(w.strides)
 }
 
 // fits guards against Low workers on which a wide op must wait for room while others wait behind it.
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"testing"
+
+	"woaddyke/internal/sample"
 )
 
 func TestThresholdByHand(t *testing.T) {
@@ -76,7 +78,7 @@
 		took := map[bool]int{}
 		for i := range 40 {
 			d := fleet(6, nil)
-			d.chance += uint64(i) * 7919
+			d.chance += sample.Chance(i * 7919)
 			low(d)
 			x, y := probed(t, d, 0, 0)
 			took[pushed(t, d, x, jobs(c.jx), y, jobs(c.jy)) == y]++
@@ -354,7 +356,7 @@
 func silent(t *testing.T, n int, speaks bool) bool {
 	t.Helper()
 	d := fleet(2, nil)
-	for range lastFew {
+	for range sample.Few {
 		d.starts = append(d.starts, 100)
 	}
 	for i := range n {
@@ -523,7 +525,7 @@
 	for cat, want := range []bool{true, true, true, true, false} { // an at-most-once op can't be pushed again
 		d := fleet(8, map[string]any{"extra.progress": 10_000.0})
 		d.categories[cat].window = 50_000
-		for range lastFew {
+		for range sample.Few {
 			d.starts = append(d.starts, 100)
 		}
 		x, y := probed(t, d, 0, cat)
@@ -724,10 +726,10 @@
 	}
 	for s := range 12 {
 		other := at(float64(s))
-		if want := other.workers[worker].regular && s != 1; want != (told[s] == 1) {
+		if want := slices.Contains(other.workers[worker].audience, s) && s != 1; want != (told[s] == 1) {
 			t.Errorf("scheduler %d meets the worker: %v; told of %d", s, want, told[s])
 		}
-		if !other.workers[worker].regular || s == 1 {
+		if !slices.Contains(other.workers[worker].audience, s) || s == 1 {
 			continue
 		}
 		other.Report(worker, 50, jobs(0))
--- /dev/null
+++ b/internal/sample/sample.go
@@ -0,0 +1,88 @@
+// Package sample holds the plain arithmetic of small samples and of chance: the last few of a measurement, a pool in
+// order with its middle, a generator, and an order of things that everybody works out alike.
+package sample
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Few is how many of a measurement are kept.
+const Few = 32
+
+// Keep adds a value to the last few.
+func Keep[T any](few []T, v T) []T {
+	if few = append(few, v); len(few) > Few {
+		few = few[1:]
+	}
+	return few
+}
+
+// Quantile is the value at the share q of the last few, of which there must be one at least.
+func Quantile[T cmp.Ordered](few []T, q float64) T {
+	var room [Few]T
+	s := append(room[:0], few...)
+	slices.Sort(s)
+	return s[int(q*float64(len(s)-1)+0.5)]
+}
+
+// Mean of integers rounds towards 0; of none it is 0.
+func Mean[T ~int64](few []T) T {
+	var sum T
+	for _, t := range few {
+		sum += t
+	}
+	return sum / T(max(len(few), 1))
+}
+
+// Pool is values in order.
+type Pool []float64
+
+// Add puts a value in its place.
+func (p *Pool) Add(x float64) {
+	k, _ := slices.BinarySearch(*p, x)
+	*p = slices.Insert(*p, k, x)
+}
+
+// Drop takes out one value, which must be in it.
+func (p *Pool) Drop(x float64) {
+	k, _ := slices.BinarySearch(*p, x)
+	*p = slices.Delete(*p, k, k+1)
+}
+
+// Middle is the upper median of the pool, or of few values and three times that one; 1 where the pool is empty.
+func (p Pool) Middle(few []float64) float64 {
+	if len(p) == 0 {
+		return 1
+	}
+	all := p[len(p)/2]
+	s := append([]float64{all, all, all}, few...)
+	slices.Sort(s)
+	return s[len(s)/2]
+}
+
+// Chance is a multiply-with-carry generator.
+type Chance uint64
+
+// NewChance starts a generator from a seed.
+func NewChance(seed uint64) Chance { return Chance(seed&0xffffffff | 1<<32) }
+
+// Below is a number from 0 to under n.
+func (c *Chance) Below(n int) int {
+	*c = 4294957665*(*c&0xffffffff) + *c>>32
+	return int(*c & 0xffffffff * Chance(n) >> 32)
+}
+
+// Uniform is a number from 0 to under 1.
+func (c *Chance) Uniform() float64 { return float64(c.Below(1<<30)) / (1 << 30) }
+
+// Order sorts items by a hash of a key and their marks: an order of the key's own, which everybody who knows the marks
+// works out alike, and in which what comes or goes moves nothing else.
+func Order(key uint64, items []int, mark func(item int) uint64) {
+	rank := func(i int) uint64 {
+		h := (key ^ mark(i)) * 0x9e3779b97f4a7c15
+		h = (h ^ h>>32) * 0xd6e8feb86659fd93
+		return h ^ h>>32
+	}
+	slices.SortFunc(items, func(i, j int) int { return cmp.Compare(rank(i), rank(j)) })
+}
--- /dev/null
+++ b/internal/sample/sample_test.go
@@ -0,0 +1,39 @@
+package sample
+
+import (
+	"slices"
+	"testing"
+)
+
+// A pool out of order gives a middle that is none, and drops the wrong value.
+func TestPoolStaysInOrder(t *testing.T) {
+	var p Pool
+	for _, x := range []float64{5, 1, 3, 3, 2} {
+		p.Add(x)
+	}
+	p.Drop(3)
+	if !slices.Equal(p, Pool{1, 2, 3, 5}) || p.Middle(nil) != 3 || p.Middle([]float64{9, 9, 9, 9}) != 9 {
+		t.Errorf("%v, middle %g, with four nines %g", p, p.Middle(nil), p.Middle([]float64{9, 9, 9, 9}))
+	}
+}
+
+// A worker that goes must not move the keys of others: with each change of the list all would be fetched anew.
+func TestAnOrderKeepsTheOthersPlaces(t *testing.T) {
+	mark := func(i int) uint64 { return uint64(i+1) * 0x51ed2701_9b3c1d77 }
+	firsts := map[int]int{}
+	for key := range uint64(400) {
+		all := []int{0, 1, 2, 3, 4, 5, 6, 7}
+		Order(key+1, all, mark)
+		firsts[all[0]]++
+		some := []int{7, 6, 5, 4, 2, 1, 0}
+		Order(key+1, some, mark)
+		if want := slices.DeleteFunc(all, func(i int) bool { return i == 3 }); !slices.Equal(some, want) {
+			t.Fatalf("key %d: %v without worker 3, want %v", key, some, want)
+		}
+	}
+	for i := range 8 {
+		if firsts[i] < 25 || firsts[i] > 85 {
+			t.Errorf("worker %d is first of %d keys in 400", i, firsts[i])
+		}
+	}
+}
