--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -14,6 +14,7 @@
 	"slices"
 
 	"woaddyke/internal/agenda"
+	"woaddyke/internal/doubt"
 	"woaddyke/internal/sample"
 )
 
@@ -38,6 +39,15 @@
 	Tell // another scheduler, its number in the op's place, that the span is the pushes out here at a worker
 )
 
+// Watched is a kind of decision: the two workers asked, the one pushed to, a word to another scheduler.
+type Watched int
+
+const (
+	Asked Watched = iota
+	Chosen
+	Spoken
+)
+
 // Outcome is how a push ended.
 type Outcome int
 
@@ -85,18 +95,6 @@
 	paired bool
 }
 
-type verdict struct {
-	at Time
-	ok bool
-}
-
-// health is what outcomes say of a worker, or of the way to a zone.
-type health struct {
-	verdicts []verdict // the last few, newest last
-	failed   Time      // when the last bad one came
-	p0, p1   float64   // an ordinary chance of failure, and one that is none
-}
-
 // place is where a push stood in a worker's queue, and how long it took to start.
 type place struct {
 	place float64
@@ -110,12 +108,12 @@
 	since                Time
 	readings             []reading // the last few, newest last
 	places               []place
-	strides              []float64 // how long jobs ran, over what was expected
-	health               health
-	out                  []*op  // this scheduler's pushes that are out there
-	words                []word // of other schedulers, in order of their numbers
-	audience             []int  // schedulers whose regular it is, by number: told what is pushed to it
-	heard                Time   // when it last said anything of a push
+	strides              []float64        // how long jobs ran, over what was expected
+	health               doubt.Test[Time] // what outcomes say of it
+	out                  []*op            // this scheduler's pushes that are out there
+	words                []word           // of other schedulers, in order of their numbers
+	audience             []int            // schedulers whose regular it is, by number: told what is pushed to it
+	heard                Time             // when it last said anything of a push
 }
 
 // word is how many pushes to a worker another scheduler last said that it has out.
@@ -167,18 +165,20 @@
 	coldFrom, overload, crossZone, connections          float64
 	me, all                                             int
 	maxPushes, myZone                                   int
-	probes, cancel, tellsStart, perWork, peers          bool
+	probes, cancel, tellsStart, perWork, peers, keys    bool
 }
 
 // Dispatcher is one scheduler's decisions and what they rest on.
 type Dispatcher struct {
 	chance            sample.Chance
 	site              site
+	other             *site // of another shape that is watched for
+	otherwise         [Spoken + 1]int
 	categories        []category
 	now               Time
 	workers           []worker
 	ready             int
-	zones             []health                     // by zone: can its workers be reached from here?
+	zones             []doubt.Test[Time]           // by zone: can its workers be reached from here?
 	ops               []*op                        // by index
 	tells             [][2]int                     // to whom, of which worker
 	numbered          int                          // ops so far
@@ -205,18 +205,19 @@
 	woken             Time
 }
 
-// New starts a scheduler's dispatcher from its seed and the site's terms.
-func New(seed uint64, terms map[string]any) *Dispatcher {
-	num := func(name string, otherwise float64) float64 {
+func reader(terms map[string]any) (num func(string, float64) float64, span func(string, Time) Time) {
+	num = func(name string, otherwise float64) float64 {
 		if v, ok := terms[name].(float64); ok {
 			return v
 		}
 		return otherwise
 	}
-	span := func(name string, otherwise Time) Time { return Time(num(name, float64(otherwise))) }
-	d := &Dispatcher{chance: sample.NewChance(seed), least: math.MaxInt64, asks: map[uint64]float64{},
-		kinds: make([]machines, 1)}
-	d.site = site{step: span("step", 0), dial: span("bounds.connectTimeout", 0),
+	return num, func(name string, otherwise Time) Time { return Time(num(name, float64(otherwise))) }
+}
+
+func siteOf(terms map[string]any) site {
+	num, span := reader(terms)
+	s := site{step: span("step", 0), dial: span("bounds.connectTimeout", 0),
 		call: span("bounds.connectTimeout", second), warmAfter: span("safety.warmAfter", 0),
 		progress: span("extra.progress", 0), coldFrom: num("safety.coldFrom", 1),
 		overload: num("safety.overloadFactor", 1), crossZone: num("prices.crossZone", 0),
@@ -224,10 +225,19 @@
 		peers: terms["bounds.peerMessages"] == true, maxPushes: int(num("bounds.maxPushes", 1)),
 		myZone: int(num("myZone", 0)), probes: terms["bounds.probes"] == true,
 		cancel: terms["bounds.cancel"] == true, tellsStart: terms["extra.tellsStart"] == true,
-		perWork: terms["benefitPer"] == "work"}
+		perWork: terms["benefitPer"] == "work", keys: terms["keys"] == true}
 	if terms["bounds.retryAfter"] == true {
-		d.site.longestPause = span("bounds.maxRetryAfter", 0)
+		s.longestPause = span("bounds.maxRetryAfter", 0)
 	}
+	return s
+}
+
+// New starts a scheduler's dispatcher from its seed and the site's terms.
+func New(seed uint64, terms map[string]any) *Dispatcher {
+	num, span := reader(terms)
+	d := &Dispatcher{chance: sample.NewChance(seed), least: math.MaxInt64, asks: map[uint64]float64{},
+		kinds: make([]machines, 1)}
+	d.site = siteOf(terms)
 	for i := 0; ; i++ {
 		at := fmt.Sprintf("categories.%d.", i)
 		if _, ok := terms[at+"ttl"]; !ok {
@@ -249,6 +259,29 @@
 	return d
 }
 
+// Watch has this dispatcher count how often another shape's terms would have had it decide otherwise.
+func (d *Dispatcher) Watch(terms map[string]any) {
+	s := siteOf(terms)
+	d.other = &s
+}
+
+// Otherwise is what a watch has counted.
+func (d *Dispatcher) Otherwise() [Spoken + 1]int { return d.otherwise }
+
+// both decides, under a watch first as the other terms would, with the same luck. No words come there.
+func (d *Dispatcher) both(kind Watched, decide func() []int) []int {
+	if d.other == nil {
+		return decide()
+	}
+	site, chance := d.site, d.chance
+	d.site, d.site.peers = *d.other, false
+	would := decide()
+	d.site, d.chance = site, chance
+	is := decide()
+	d.otherwise[kind] += btoi(!slices.Equal(would, is))
+	return is
+}
+
 // Clock tells the time; it never goes back.
 func (d *Dispatcher) Clock(now Time) {
 	d.now = max(d.now, now)
@@ -276,13 +309,13 @@
 		for len(w.strides) > 0 {
 			d.forgetStride(w)
 		}
-		*w = worker{known: true, since: since, out: w.out, health: health{p0: 0.05, p1: 0.5}}
+		*w = worker{known: true, since: since, out: w.out, health: doubt.New(0.05, 0.5, healthMax)}
 		for _, o := range w.out {
 			d.await(o) // silence of what the old process has is measured from its sending again
 		}
 	}
 	for len(d.zones) <= zone {
-		d.zones = append(d.zones, health{p0: 0.2, p1: 0.9}) // a few dead workers don't make a zone lost
+		d.zones = append(d.zones, doubt.New(0.2, 0.9, healthMax)) // a few dead workers don't make a zone lost
 	}
 	w.zone, w.cell, w.ready, w.listed = zone, cell, ready, true
 }
@@ -305,7 +338,7 @@
 		w.ready = w.ready && w.listed
 		d.ready += btoi(w.ready)
 	}
-	if d.site.peers && d.site.connections > 0 {
+	if s := d.site; s.peers && s.connections > 0 || d.other != nil && d.other.peers && d.other.connections > 0 {
 		d.audiences()
 	}
 }
@@ -348,7 +381,7 @@
 	d.trips, d.fresh = sample.Keep(d.trips, elapsed), false
 	d.answered(i, elapsed, true)
 	w := &d.workers[i]
-	d.zones[w.zone].add(d.now, true)
+	d.zones[w.zone].Add(d.now, true)
 	k := &d.kinds[w.kind]
 	if k.slots = max(k.slots, math.Round(load.Free)); load.Jobs < 0 && load.Free >= 0 && load.Waiting >= 0 {
 		// Without a count each reading was one of no jobs: T stayed 0 and all were Low. A slot not free is busy.
@@ -362,7 +395,7 @@
 // Unanswered is a probe that failed. A zone that is cut off shows in probes first: over many workers each
 // scheduler has too few outcomes of any one to notice. A probe turned away has reached its worker.
 func (d *Dispatcher) Unanswered(i int, elapsed Time, how Outcome) {
-	d.zones[d.workers[i].zone].add(d.now, how == Refused)
+	d.zones[d.workers[i].zone].Add(d.now, how == Refused)
 	d.answered(i, elapsed, false)
 }
 
@@ -476,7 +509,7 @@
 			d.starts = sample.Keep(d.starts, d.now-o.sentAt)
 		}
 		d.taus = sample.Keep(d.taus, d.now-o.askedAt)
-		d.zones[d.workers[o.worker].zone].add(d.now, true) // of the worker a start says little: it may fail all
+		d.zones[d.workers[o.worker].zone].Add(d.now, true) // of the worker a start says little: it may fail all
 		if o.place > 0 {
 			d.learnPlace(&d.workers[o.worker], place{o.place, d.now - o.sentAt})
 		}
@@ -572,49 +605,8 @@
 
 func (d *Dispatcher) judge(i int, ok bool) {
 	w := &d.workers[i]
-	d.zones[w.zone].add(d.now, ok)
-	w.health.add(d.now, ok)
-}
-
-func (h *health) add(now Time, ok bool) {
-	if h.verdicts = sample.Keep(h.verdicts, verdict{now, ok}); !ok {
-		h.failed = now
-	}
-}
-
-// doubtful is a sequential test on outcomes: an ordinary chance of failure against a high one.
-func (h *health) doubtful(now Time) bool {
-	const accept = 2.9 // ln((1-beta)/alpha) for both errors near 0.05
-	s := 0.0
-	if h.failed == 0 || now-h.failed > healthMax {
-		return false
-	}
-	for now-h.verdicts[0].at > healthMax {
-		h.verdicts = h.verdicts[1:]
-	}
-	says := [2]float64{math.Log(h.p1 / h.p0), math.Log((1 - h.p1) / (1 - h.p0))}
-	for _, v := range h.verdicts {
-		s = max(s+says[btoi(v.ok)], 0)
-	}
-	return s >= accept
-}
-
-// admitted draws a doubtful chance of success from its posterior, so that nobody is ever forgotten.
-func (d *Dispatcher) admitted(h *health) bool {
-	if !h.doubtful(d.now) {
-		return true
-	}
-	good := 1
-	for _, v := range h.verdicts {
-		good += btoi(v.ok)
-	}
-	// Beta(good, bad), each one over its count, is the good-th smallest of good+bad-1 uniform draws.
-	draws := make([]float64, len(h.verdicts)+1)
-	for i := range draws {
-		draws[i] = d.chance.Uniform()
-	}
-	slices.Sort(draws)
-	return d.chance.Uniform() < draws[good-1]
+	d.zones[w.zone].Add(d.now, ok)
+	w.health.Add(d.now, ok)
 }
 
 // allowed keeps rules 2 and 3: may this op be pushed to this worker now? Rule 4 is kept by spared and choose.
@@ -764,13 +756,14 @@
 	var may, sound []int
 	open := make([]bool, len(d.zones))
 	for z := range open {
-		open[z] = d.admitted(&d.zones[z])
+		open[z] = d.zones[z].Admitted(d.now, &d.chance)
 	}
 	for i := range d.workers {
 		if d.allowed(o, i) {
 			may = append(may, i)
 			h := &d.workers[i].health // drawn twice: what fails its ops at once always looks Low
-			if (o.legs == 0 || i != o.worker) && open[d.workers[i].zone] && d.admitted(h) && d.admitted(h) {
+			if (o.legs == 0 || i != o.worker) && open[d.workers[i].zone] &&
+				h.Admitted(d.now, &d.chance) && h.Admitted(d.now, &d.chance) {
 				sound = append(sound, i)
 			}
 		}
@@ -782,12 +775,12 @@
 }
 
 // homes are the workers that an op's pair is drawn from. With a key: the first of the key's own order, as
-// many as its share of the ops fills and two more; any worker of the fleet fetched most keys anew, and the store
-// stalled all. Else, where connections cost, the regulars: hundreds of schedulers kept one to half the fleet.
+// many as its share of the ops fills and two more; over all the fleet each worker fetched most keys anew, and
+// their store stalled. Else, where connections cost, the regulars: hundreds of schedulers kept half the fleet.
 func (d *Dispatcher) homes(o *op, from []int) []int {
 	key, n := o.key, 2.0
 	switch {
-	case key > 0:
+	case key > 0 && d.site.keys:
 		share := (d.asks[key] + d.askedBefore[key]) / max(d.asks[allKeys]+d.askedBefore[allKeys], 1)
 		n += homeShare * share * float64(d.ready)
 	case d.site.connections > 0:
@@ -822,7 +815,7 @@
 // tell lets the others know that meet the worker too.
 func (d *Dispatcher) tell(i int) {
 	for _, s := range d.workers[i].audience {
-		if s != d.site.me {
+		if d.otherwise[Spoken] += btoi(s != d.site.me && !d.site.peers); s != d.site.me && d.site.peers {
 			d.tells = append(d.tells, [2]int{s, i})
 		}
 	}
@@ -851,7 +844,7 @@
 	}
 	_, ok = slices.BinarySearch(w.audience, d.site.me)
 	slots = d.kinds[w.kind].slots
-	return n + float64(len(w.out)), slots, ok && slots > 0 && !d.cold(w)
+	return n + float64(len(w.out)), slots, ok && d.site.peers && slots > 0 && !d.cold(w)
 }
 
 // pair draws the two workers to probe; one of them from the own zone where crossing is paid for. Among all of
@@ -1011,7 +1004,7 @@
 			}
 			return Nothing, 0, 0
 		}
-		o.pair = d.pair(o, d.homes(o, from), len(from))
+		o.pair = d.both(Asked, func() []int { return d.pair(o, d.homes(o, slices.Clone(from)), len(from)) })
 		o.got = make([]bool, len(o.pair))
 		o.askedAt = d.now
 	}
@@ -1022,7 +1015,7 @@
 	if o.asked > 0 && slices.Contains(o.got, false) && d.now < o.askedAt+d.shortWait() {
 		return Nothing, 0, 0
 	}
-	i, spare, wait := d.choose(o), d.spare(o), Time(0)
+	i, spare, wait := d.both(Chosen, func() []int { return []int{d.choose(o)} })[0], d.spare(o), Time(0)
 	excess := max(spare, 1)
 	if i >= 0 {
 		wait = d.wait(o, i)
--- /dev/null
+++ b/internal/doubt/doubt.go
@@ -0,0 +1,77 @@
+// Package doubt tells from verdicts, good and bad, whether something fails more often than it ordinarily does, and
+// lets what is doubtful be tried as often as it may still be sound.
+package doubt
+
+import (
+	"math"
+	"slices"
+
+	"woaddyke/internal/sample"
+)
+
+type verdict[M ~int64] struct {
+	at M
+	ok bool
+}
+
+// Test is a sequential test of an ordinary chance of failure against one that is none, over the last few verdicts.
+type Test[M ~int64] struct {
+	verdicts []verdict[M] // newest last
+	failed   M            // when the last bad one came
+	p0, p1   float64
+	old      M // a verdict older than this says nothing about now
+}
+
+// New makes a test of p0 against p1.
+func New[M ~int64](p0, p1 float64, old M) Test[M] { return Test[M]{p0: p0, p1: p1, old: old} }
+
+// Add is another verdict.
+func (t *Test[M]) Add(now M, ok bool) {
+	if t.verdicts = sample.Keep(t.verdicts, verdict[M]{now, ok}); !ok {
+		t.failed = now
+	}
+}
+
+// Failed tells whether any verdict was bad.
+func (t *Test[M]) Failed() bool { return t.failed > 0 }
+
+// Doubtful tells whether the verdicts speak for the high chance.
+func (t *Test[M]) Doubtful(now M) bool {
+	const accept = 2.9 // ln((1-beta)/alpha) for both errors near 0.05
+	s := 0.0
+	if t.failed == 0 || now-t.failed > t.old {
+		return false
+	}
+	for now-t.verdicts[0].at > t.old {
+		t.verdicts = t.verdicts[1:]
+	}
+	bad, good := math.Log(t.p1/t.p0), math.Log((1-t.p1)/(1-t.p0))
+	for _, v := range t.verdicts {
+		if v.ok {
+			s = max(s+good, 0)
+		} else {
+			s = max(s+bad, 0)
+		}
+	}
+	return s >= accept
+}
+
+// Admitted draws a doubtful chance of success from its posterior, so that nothing is ever forgotten.
+func (t *Test[M]) Admitted(now M, chance *sample.Chance) bool {
+	if !t.Doubtful(now) {
+		return true
+	}
+	good := 1
+	for _, v := range t.verdicts {
+		if v.ok {
+			good++
+		}
+	}
+	// Beta(good, bad), each one over its count, is the good-th smallest of good+bad-1 uniform draws.
+	draws := make([]float64, len(t.verdicts)+1)
+	for i := range draws {
+		draws[i] = chance.Uniform()
+	}
+	slices.Sort(draws)
+	return chance.Uniform() < draws[good-1]
+}
--- /dev/null
+++ b/internal/doubt/doubt_test.go
@@ -0,0 +1,34 @@
+package doubt
+
+import (
+	"testing"
+
+	"woaddyke/internal/sample"
+)
+
+// Two failures in a row are chance at one in twenty; three are not. Old verdicts must not speak, nor the doubtful be shut out.
+func TestDoubtComesAndGoes(t *testing.T) {
+	d, chance := New[int64](0.05, 0.5, 100), sample.NewChance(3)
+	d.Add(10, true)
+	d.Add(11, false)
+	if d.Doubtful(11) {
+		t.Error("doubted after one failure")
+	}
+	d.Add(12, false)
+	d.Add(13, false)
+	if !d.Doubtful(13) {
+		t.Error("not doubted after three failures")
+	}
+	in := 0
+	for range 1000 {
+		if d.Admitted(13, &chance) {
+			in++
+		}
+	}
+	if in < 100 || in > 600 { // a mean of 2 in 6
+		t.Errorf("admitted %d of 1000 times", in)
+	}
+	if d.Doubtful(114) {
+		t.Error("doubted for verdicts that are old")
+	}
+}
--- a/internal/front/door.go
+++ b/internal/front/door.go
@@ -69,7 +69,7 @@
 		return nil, &refusal{http.StatusServiceUnavailable, "no time left"}
 	}
 	h.TTL = terms.Down(f.loop.clock.nanos(until))
-	if no := h.facts(r.Header); no != nil {
+	if no := f.facts(h, r.Header); no != nil {
 		return nil, no
 	}
 	var no *refusal
@@ -83,7 +83,7 @@
 }
 
 // facts reads the figures that help decisions; an op without them is an op still.
-func (h *held) facts(from http.Header) *refusal {
+func (f *Front) facts(h *held, from http.Header) *refusal {
 	if hint := from.Get(workHeader); hint != "" {
 		us, err := figure(hint)
 		if err != nil {
@@ -94,6 +94,9 @@
 	for _, fact := range strings.Split(from.Get(factsHeader), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(fact), "=")
 		var err error
+		if name == f.sheet.Fact && value != "" {
+			h.Key = terms.Hash(value)
+		}
 		switch name {
 		case "slots":
 			h.Slots, err = figure(value)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -68,6 +68,10 @@
 		out:       map[uint64]*conns.Exchange{},
 		wake:      time.NewTimer(0),
 	}
+	if sheet.Other != nil {
+		f.loop.reducer.Watch(sheet.Other)
+		f.loop.watches = true
+	}
 	var known roster.Message
 	if len(sheet.Known) > 0 {
 		if err := json.Unmarshal(sheet.Known, &known); err != nil {
@@ -105,6 +109,14 @@
 	defer close(quit)
 	watching, unwatch := context.WithCancel(context.Background())
 	defer unwatch()
+	if p := f.sheet.Peers; p != nil {
+		var err error
+		if f.loop.peers, err = listen(p, f.log); err != nil {
+			return err
+		}
+		defer f.loop.peers.conn.Close()
+		go f.loop.peers.hear(f.loop.tell)
+	}
 	go f.roster.Keep(watching)
 	go f.loop.run(quit)
 	s := &http.Server{Handler: f, ConnState: f.clients.track, ConnContext: withGuest, ReadHeaderTimeout: headTime,
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	backlog    = 256         // inputs that wait for the loop
-	sweepEvery = time.Second // idle connections are looked over this often
+	backlog    = 256              // inputs that wait for the loop
+	countEvery = 10 * time.Second // the counts of a watch are logged
+	sweepEvery = time.Second      // idle connections are looked over this often
 )
 
 // message is an input on its way to the loop; an op comes with the client's request.
@@ -38,34 +39,51 @@
 	log       zerolog.Logger
 	clock     clock
 
-	held map[uint64]*held
-	out  map[uint64]*conns.Exchange
-	wake *time.Timer
+	watches bool
+	taken   uint64
+	peers   *peers
+	held    map[uint64]*held
+	out     map[uint64]*conns.Exchange
+	wake    *time.Timer
 }
 
 func (l *loop) tell(in ops.Input) { l.in <- message{in: in} }
 
 // run works until quit is closed.
 func (l *loop) run(quit <-chan struct{}) {
-	sweep := time.NewTicker(sweepEvery)
+	sweep, count := time.NewTicker(sweepEvery), time.NewTicker(countEvery)
 	defer sweep.Stop()
+	defer count.Stop()
+	defer l.otherwise()
 	for {
 		select {
 		case m := <-l.in:
 			if m.held != nil {
 				l.held[m.held.Op] = m.held
+				l.taken++
 			}
 			l.step(m.in)
 		case <-l.wake.C:
 			l.step(ops.Woken{})
 		case now := <-sweep.C:
 			go l.pool.Sweep(now)
+		case <-count.C:
+			l.otherwise()
 		case <-quit:
 			return
 		}
 	}
 }
 
+// otherwise logs what a watch has counted since the start.
+func (l *loop) otherwise() {
+	if l.watches {
+		asked, chosen, spoken := l.reducer.Otherwise()
+		l.log.Info().Int("asked", asked).Int("chosen", chosen).Int("spoken", spoken).Uint64("ops", l.taken).
+			Msg("decided otherwise by the settings watched for")
+	}
+}
+
 func (l *loop) step(in ops.Input) {
 	now := time.Now()
 	switch in := in.(type) {
@@ -99,6 +117,8 @@
 			l.log.Debug().Uint64("op", e.Op).Str("id", h.ID).Stringer("verdict", e.Verdict).Msg("answer")
 			h.answer <- e
 		}
+	case ops.Tell:
+		l.peers.tell(e.To, e.Text)
 	case ops.Wake:
 		l.wake.Reset(span(e.In))
 	}
--- /dev/null
+++ b/internal/front/peers_test.go
@@ -0,0 +1,170 @@
+package front
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"woaddyke/internal/ops"
+	"woaddyke/internal/terms"
+)
+
+type safeBuffer struct {
+	sync.Mutex
+	bytes.Buffer
+}
+
+func (b *safeBuffer) Write(p []byte) (int, error) {
+	b.Lock()
+	defer b.Unlock()
+	return b.Buffer.Write(p)
+}
+
+// moved starts a scheduler beside four stand-in workers with the given parts of a new shape, sends ops and stops it.
+func moved(t *testing.T, change func(*terms.Sheet, map[string]any), n int) (log string) {
+	t.Helper()
+	worker := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		id := r.Header.Get(idHeader)
+		fmt.Fprintf(w, "{\"id\":%q,\"state\":\"started\"}\n{\"id\":%q,\"state\":\"done\",\"result\":\"ok\"}\n", id, id)
+	}))
+	t.Cleanup(worker.Close)
+	var targets []string
+	for i := range 4 {
+		targets = append(targets, fmt.Sprintf(`{"uid":"w%d","endpoint":%q,"model":"m%d","state":"SERVING"}`, i,
+			worker.Listener.Addr(), i%2))
+	}
+	known := `{"rev":1,"all":true,"targets":[` + strings.Join(targets, ",") + `]}`
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprintln(w, known)
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}))
+	t.Cleanup(discovery.Close)
+	sheet := &terms.Sheet{Discovery: discovery.Listener.Addr().String(), Known: json.RawMessage(known),
+		Limits: terms.Limits{Cores: 1, MemoryMB: 64, Sockets: 256}}
+	sheet.Site = terms.Flat(map[string]any{"bounds": map[string]any{"maxPushes": 3.0}, "instances": 2.0, "myNumber": 0.0,
+		"categories": []any{map[string]any{"name": "look", "effect": "retryable", "ttlNs": 3e9, "targetLatencyNs": 2e9}}})
+	change(sheet, sheet.Site)
+	var out safeBuffer
+	f, err := New(sheet, zerolog.New(&out))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- f.Serve(ctx, l, 200*time.Millisecond) }()
+	for i := range n {
+		r, _ := http.NewRequest(http.MethodPost, "http://"+l.Addr().String()+"/", strings.NewReader("x"))
+		r.Header = http.Header{idHeader: {fmt.Sprint("op-", i)}, categoryHeader: {"look"}, timeLeftHeader: {"2500"},
+			factsHeader: {fmt.Sprintf("slots=1,routeKey=k%d", i%3)}}
+		answer, err := http.DefaultClient.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		answer.Body.Close()
+		if answer.StatusCode != http.StatusOK {
+			t.Fatalf("op %d: status %d", i, answer.StatusCode)
+		}
+	}
+	stop()
+	if err := <-ended; err != nil {
+		t.Fatal(err)
+	}
+	for wait := time.Now().Add(2 * time.Second); ; time.Sleep(time.Millisecond) { // the loop ends just after Serve
+		out.Lock()
+		log = out.String()
+		out.Unlock()
+		if sheet.Other == nil || strings.Contains(log, "otherwise") || time.Now().After(wait) {
+			return log
+		}
+	}
+}
+
+// Operators want to see what the new settings would change before they switch: the counts must come from real ops.
+func TestAWatchOnSocketsCountsByKind(t *testing.T) {
+	watch := func(other map[string]any) string {
+		return moved(t, func(s *terms.Sheet, site map[string]any) {
+			s.Fact, s.Other = "routeKey", map[string]any{}
+			for k, v := range site {
+				s.Other[k] = v
+			}
+			for k, v := range other {
+				s.Other[k] = v
+			}
+		}, 20)
+	}
+	if log := watch(nil); !strings.Contains(log, `"asked":0,"chosen":0,"spoken":0,"ops":20`) {
+		t.Errorf("the same settings decide otherwise: %s", log)
+	}
+	log := watch(map[string]any{"keys": true, "prices.connection": 0.05, "bounds.peerMessages": true})
+	if !strings.Contains(log, `"ops":20`) || strings.Contains(log, `"asked":0`) || strings.Contains(log, `"spoken":0`) {
+		t.Errorf("counted nothing: %s", log)
+	}
+}
+
+// Each push is told to the scheduler that meets the worker too; one that is not configured is not heard.
+func TestPushesAreToldToTheOthers(t *testing.T) {
+	other, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	moved(t, func(s *terms.Sheet, site map[string]any) {
+		site["prices.connection"], site["bounds.peerMessages"] = 0.05, true
+		s.Peers = &terms.Peers{Listen: "127.0.0.1:0",
+			ByNumber: map[int]netip.AddrPort{1: other.LocalAddr().(*net.UDPAddr).AddrPort()}}
+	}, 1)
+	tags := map[string]int{}
+	for i := range 4 {
+		tags[terms.Tag(fmt.Sprint("w", i))] = i
+	}
+	other.SetReadDeadline(time.Now().Add(2 * time.Second))
+	var room [longestWord]byte
+	for _, want := range []int{1, 0} { // out, and ended
+		n, _, err := other.ReadFromUDP(room[:])
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, out, ok := terms.Unword(string(room[:n]), tags); !ok || out != want {
+			t.Errorf("told %q, want one of %d pushes out", room[:n], want)
+		}
+	}
+}
+
+func TestOnlyConfiguredSchedulersAreHeard(t *testing.T) {
+	friend, _ := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	stranger, _ := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	defer friend.Close()
+	defer stranger.Close()
+	s, err := listen(&terms.Peers{Listen: "127.0.0.1:0",
+		ByNumber: map[int]netip.AddrPort{7: friend.LocalAddr().(*net.UDPAddr).AddrPort()}}, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.conn.Close()
+	heard := make(chan ops.Input, 9)
+	go s.hear(func(in ops.Input) { heard <- in })
+	to := s.conn.LocalAddr().(*net.UDPAddr).AddrPort()
+	stranger.WriteToUDPAddrPort([]byte("abc9"), to)
+	friend.WriteToUDPAddrPort([]byte("abc1"), to)
+	if got := <-heard; got != (ops.Told{By: 7, Text: "abc1"}) {
+		t.Errorf("heard %+v", got)
+	}
+}
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -11,13 +11,14 @@
 	"woaddyke/internal/terms"
 )
 
-// Input is one of Listed, Arrived, Left, Noted, Ended, Probed, Woken and Stopping.
+// Input is one of Listed, Arrived, Left, Noted, Ended, Probed, Told, Woken and Stopping.
 type Input interface{ input() }
 
 // Entry is one worker in a list.
 type Entry struct {
 	Worker, Addr string
 	Zone         string
+	Kind         string // of machine
 	Cell         int
 	Ready        bool
 	Since        dispatch.Time // 0: long ago
@@ -37,6 +38,7 @@
 	TTL           dispatch.Time // the moment at which the client gives up
 	Slots, Memory float64
 	Work          dispatch.Time
+	Key           uint64 // what it needs at its worker, hashed; 0: nothing that workers keep
 }
 
 // Left says that an op's client has gone.
@@ -64,6 +66,12 @@
 	Report []byte
 }
 
+// Told is another scheduler's message.
+type Told struct {
+	By   int
+	Text string
+}
+
 // Woken says that the moment asked for with Wake has come.
 type Woken struct{}
 
@@ -76,10 +84,11 @@
 func (Noted) input()    {}
 func (Ended) input()    {}
 func (Probed) input()   {}
+func (Told) input()     {}
 func (Woken) input()    {}
 func (Stopping) input() {}
 
-// Effect is one of Push, Close, Probe, Answer and Wake.
+// Effect is one of Push, Close, Probe, Answer, Tell and Wake.
 type Effect interface{ effect() }
 
 // Push sends an op to a worker and waits for its end at most Within.
@@ -129,6 +138,12 @@
 	Result  []byte
 }
 
+// Tell sends another scheduler a message, which may be lost.
+type Tell struct {
+	To   int
+	Text string
+}
+
 // Wake asks for Woken after a span, in place of what was asked for before.
 type Wake struct{ In dispatch.Time }
 
@@ -136,6 +151,7 @@
 func (Close) effect()  {}
 func (Probe) effect()  {}
 func (Answer) effect() {}
+func (Tell) effect()   {}
 func (Wake) effect()   {}
 
 type worker struct {
@@ -167,6 +183,8 @@
 	cancel     bool
 	categories map[string]int
 	zones      map[string]int
+	kinds      map[string]int
+	tags       map[string]int // workers by what messages call them
 	indices    map[string]int // of workers
 	workers    []worker
 	live       map[uint64]int           // op number to index
@@ -182,7 +200,7 @@
 // New starts a reducer from a scheduler's seed and its site's terms.
 func New(seed uint64, site map[string]any) *Reducer {
 	r := &Reducer{d: dispatch.New(seed, site), report: terms.ReportOf(site), categories: map[string]int{},
-		zones: map[string]int{}, indices: map[string]int{}, live: map[uint64]int{}, probes: map[uint64]probe{},
+		zones: map[string]int{}, kinds: map[string]int{}, tags: map[string]int{}, indices: map[string]int{}, live: map[uint64]int{}, probes: map[uint64]probe{},
 		ids: map[string]dispatch.Time{}}
 	r.inline = site["report.how"] == "inline"
 	r.cancel = site["bounds.cancel"] == true
@@ -199,6 +217,15 @@
 	return r
 }
 
+// Watch has the module count what other terms would have had it decide otherwise.
+func (r *Reducer) Watch(terms map[string]any) { r.d.Watch(terms) }
+
+// Otherwise is what a watch has counted, by kind of decision.
+func (r *Reducer) Otherwise() (asked, chosen, spoken int) {
+	n := r.d.Otherwise()
+	return n[dispatch.Asked], n[dispatch.Chosen], n[dispatch.Spoken]
+}
+
 // Take tells the module of an input and returns what is to be done.
 func (r *Reducer) Take(now dispatch.Time, in Input) []Effect {
 	r.d.Clock(now)
@@ -218,6 +245,10 @@
 		todo = r.end(now, in)
 	case Probed:
 		r.probed(now, in)
+	case Told:
+		if i, n, ok := terms.Unword(in.Text, r.tags); ok {
+			r.d.Told(in.By, i, n)
+		}
 	case Stopping:
 		todo = r.stop(now, in.By)
 	}
@@ -236,6 +267,7 @@
 		if !ok {
 			i = len(r.workers)
 			r.indices[e.Worker] = i
+			r.tags[terms.Tag(e.Worker)] = i
 			r.workers = append(r.workers, worker{name: e.Worker})
 		}
 		z, ok := r.zones[e.Zone]
@@ -245,7 +277,13 @@
 		}
 		w := &r.workers[i]
 		w.addr, w.ready = e.Addr, e.Ready && e.Addr != ""
+		k, ok := r.kinds[e.Kind]
+		if !ok {
+			k = len(r.kinds)
+			r.kinds[e.Kind] = k
+		}
 		r.d.Entry(i, z, e.Cell, w.ready, e.Since)
+		r.d.Mark(i, terms.Hash(e.Worker), k)
 	}
 	r.d.ListEnd()
 	for i := range r.ops {
@@ -276,6 +314,9 @@
 		r.free = append(r.free, i)
 		return []Effect{Answer{Op: in.Op, Verdict: UnknownCategory}}
 	}
+	if in.Key != 0 {
+		r.d.Key(i, in.Key)
+	}
 	r.ops[i] = op{number: in.Op, id: in.ID, ttl: in.TTL}
 	r.ids[in.ID] = 0
 	r.live[in.Op] = i
@@ -368,6 +409,8 @@
 				o.answered = true
 				todo = append(todo, Answer{Op: o.number, Verdict: verdict, Pause: span})
 			}
+		case dispatch.Tell:
+			todo = append(todo, Tell{To: i, Text: terms.Word(r.workers[w].name, int(span))})
 		case dispatch.Wake:
 			todo = append(todo, Wake{span})
 		case dispatch.Forget:
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -45,6 +45,7 @@
 	Endpoint string `json:"endpoint"`
 	AZ       string `json:"az"`
 	PodGroup int    `json:"pod_group"`
+	Model    string `json:"model"`
 	State    string `json:"state"`
 	BootMS   int64  `json:"boot_ms"`
 }
@@ -56,7 +57,7 @@
 		if t.UID == "" {
 			continue // nobody could ever be told that it has gone
 		}
-		in.Entries = append(in.Entries, ops.Entry{Worker: t.UID, Addr: t.Endpoint, Zone: t.AZ, Cell: t.PodGroup,
+		in.Entries = append(in.Entries, ops.Entry{Worker: t.UID, Addr: t.Endpoint, Zone: t.AZ, Kind: t.Model, Cell: t.PodGroup,
 			Ready: t.State == "SERVING", Since: terms.Up(t.BootMS * int64(time.Millisecond))})
 	}
 	return in
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -223,6 +223,7 @@
 		}
 	}
 	site := terms.Flat(it.Setup)
+	site["keys"] = true // ops carry them only where workers keep something
 	s := &scheduler{workers: map[string]int{}, tags: map[string]int{}, ops: map[string]int{}, report: terms.ReportOf(site)}
 	s.d = dispatch.New(seed, site)
 	s.d.Clock(terms.Up(wall))
--- a/internal/terms/sheet.go
+++ b/internal/terms/sheet.go
@@ -1,9 +1,13 @@
 package terms
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
+	"math"
+	"net/netip"
 	"os"
 	"strconv"
 	"time"
@@ -18,8 +22,132 @@
 	Limits    Limits          `json:"limits"`
 	Known     json.RawMessage `json:"known"` // the workers as last heard of, in discovery's form
 	Settings  map[string]any  `json:"settings"`
-	Chance    uint64          `json:"-"` // the seed as a number
-	Site      map[string]any  `json:"-"` // the settings as the module takes them
+	Keys      *Keys           `json:"keys"`  // nil: keys are not read
+	Peers     *Peers          `json:"peers"` // nil: no messages, whatever the settings allow
+	Watch     *Watch          `json:"watch"` // nil: nothing is watched for
+	Chance    uint64          `json:"-"`     // the seed as a number
+	Site      map[string]any  `json:"-"`     // the settings as the module takes them
+	Other     map[string]any  `json:"-"`     // those that a watch compares with, nil without one
+	Fact      string          `json:"-"`     // where an op's key is read, for use or for a watch; empty: nowhere
+}
+
+// Keys tells where an op names the data that workers keep for it.
+type Keys struct {
+	Fact string `json:"fact"` // its name in X-Facts
+}
+
+// Peers are the other schedulers, by their numbers, and where they are told and heard by datagrams.
+type Peers struct {
+	Listen string            `json:"listen"`
+	Others map[string]string `json:"others"`
+
+	ByNumber map[int]netip.AddrPort `json:"-"`
+}
+
+// Watch is another shape's settings: decisions stay as they are, and those that it would change are counted.
+type Watch struct {
+	Keys     *Keys          `json:"keys"`
+	Settings map[string]any `json:"settings"` // in place of those of the same name
+}
+
+const mostSchedulers = 4096
+
+// own decodes the parts that are this project's and not the platform's: there a slip of the pen is an error.
+func own(text []byte, s *Sheet) error {
+	var raw map[string]json.RawMessage
+	if err := json.Unmarshal(text, &raw); err != nil {
+		return err
+	}
+	for name, into := range map[string]any{"keys": &s.Keys, "peers": &s.Peers, "watch": &s.Watch} {
+		if len(raw[name]) == 0 {
+			continue
+		}
+		d := json.NewDecoder(bytes.NewReader(raw[name]))
+		d.DisallowUnknownFields()
+		if err := d.Decode(into); err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	return nil
+}
+
+// shape checks what the module reads of a deployment's shape.
+func shape(site map[string]any) error {
+	number := func(name string, least, most float64) error {
+		v, there := site[name]
+		n, ok := v.(float64)
+		if there && (!ok || n < least || n > most || most > 1e3 && n != math.Trunc(n)) {
+			return fmt.Errorf("%s: %v is no number from %g to %g", name, v, least, most)
+		}
+		return nil
+	}
+	all, _ := site["instances"].(float64)
+	err := errors.Join(number("prices.connection", 0, 1e3), number("instances", 1, mostSchedulers),
+		number("myNumber", 0, mostSchedulers-1))
+	if me, _ := site["myNumber"].(float64); err == nil && site["instances"] != nil && me >= all {
+		err = fmt.Errorf("myNumber: %g is none of %g schedulers", me, all)
+	}
+	if v, there := site["bounds.peerMessages"]; err == nil && there {
+		if _, ok := v.(bool); !ok {
+			err = fmt.Errorf("bounds.peerMessages: %v is neither true nor false", v)
+		}
+	}
+	return err
+}
+
+func (k *Keys) check() error {
+	if k != nil && (k.Fact == "" || k.Fact == "slots" || k.Fact == "memory") {
+		return fmt.Errorf("keys: %q is no fact that names a key", k.Fact)
+	}
+	return nil
+}
+
+// move checks the parts that belong to another shape of deployment and works out what they make of the settings.
+func (s *Sheet) move() error {
+	if err := errors.Join(shape(s.Site), s.Keys.check()); err != nil {
+		return err
+	}
+	if s.Keys != nil {
+		s.Fact = s.Keys.Fact
+	}
+	s.Site["keys"] = s.Keys != nil
+	if p := s.Peers; p != nil {
+		if s.Site["bounds.peerMessages"] != true {
+			return errors.New("peers: the settings do not allow messages (bounds.peerMessages)")
+		}
+		if _, err := netip.ParseAddrPort(p.Listen); err != nil {
+			return fmt.Errorf("peers: listen: %w", err)
+		}
+		p.ByNumber = map[int]netip.AddrPort{}
+		all, _ := s.Site["instances"].(float64)
+		for name, addr := range p.Others {
+			n, err := strconv.Atoi(name)
+			if err != nil || n < 0 || float64(n) >= all {
+				return fmt.Errorf("peers: %q is no number of a scheduler, of %g", name, all)
+			}
+			if p.ByNumber[n], err = netip.ParseAddrPort(addr); err != nil {
+				return fmt.Errorf("peers: %s: %w", name, err)
+			}
+		}
+	} else {
+		// The module would take the silence of the others for idle workers.
+		s.Site["bounds.peerMessages"] = false
+	}
+	if s.Watch == nil {
+		return nil
+	}
+	s.Other = maps.Clone(s.Site)
+	maps.Copy(s.Other, Flat(s.Watch.Settings))
+	if k := s.Watch.Keys; k != nil {
+		if s.Fact != "" && s.Fact != k.Fact {
+			return fmt.Errorf("watch: keys are read from %q already", s.Fact)
+		}
+		s.Fact, s.Other["keys"] = k.Fact, true
+	}
+	if err := errors.Join(shape(s.Other), s.Watch.Keys.check()); err != nil {
+		return fmt.Errorf("watch: %w", err)
+	}
+	return nil
 }
 
 // Limits are what the machine gives a scheduler.
@@ -42,6 +170,9 @@
 	if err := json.Unmarshal(text, s); err != nil {
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
 	}
+	if err := own(text, s); err != nil {
+		return nil, fmt.Errorf("configuration %s: %w", path, err)
+	}
 	if s.Chance, err = strconv.ParseUint(s.Seed, 16, 64); err != nil {
 		return nil, fmt.Errorf("configuration %s: seed: %w", path, err)
 	}
@@ -56,6 +187,8 @@
 	case s.Limits.Cores <= 0 || s.Limits.MemoryMB < 32 || s.Limits.Sockets < 64:
 		err = fmt.Errorf("limits of %g cores, %d MB and %d sockets are too small", s.Limits.Cores,
 			s.Limits.MemoryMB, s.Limits.Sockets)
+	default:
+		err = s.move()
 	}
 	if err != nil {
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
--- a/internal/terms/terms_test.go
+++ b/internal/terms/terms_test.go
@@ -47,3 +47,68 @@
 		t.Error("a row is no object")
 	}
 }
+
+// Half a move is worse than none: each slip in what a new shape needs must be named before the first op.
+func TestASlipInTheShapeIsNamed(t *testing.T) {
+	sheet := func(settings, more string) (*Sheet, error) {
+		path := filepath.Join(t.TempDir(), "sheet")
+		text := `{"listen":"a:1","discovery":"a:2","seed":"ff",` + more + `"settings":{` + settings +
+			`"categories":[{"ttlNs":5}]}}`
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return ReadSheet(path)
+	}
+	const all = `"instances":3,"myNumber":1,"bounds":{"peerMessages":true},`
+	for _, c := range [][3]string{
+		{"", "", ""},
+		{`"instances":3,"myNumber":3,`, "", "myNumber"},
+		{`"instances":2.5,`, "", "instances"},
+		{`"instances":1e9,`, "", "instances"},
+		{`"prices":{"connection":-1},`, "", "prices.connection"},
+		{`"prices":{"connection":"much"},`, "", "prices.connection"},
+		{`"bounds":{"peerMessages":1},`, "", "bounds.peerMessages"},
+		{"", `"keys":{"fact":"routeKey"},`, ""},
+		{"", `"keys":{"fact":""},`, "keys"},
+		{"", `"keys":{"fact":"slots"},`, "keys"},
+		{"", `"keys":{"fcat":"routeKey"},`, "fcat"},
+		{all, `"peers":{"listen":"127.0.0.1:0","others":{"0":"127.0.0.1:7"}},`, ""},
+		{"", `"peers":{"listen":"127.0.0.1:0"},`, "do not allow messages"},
+		{all, `"peers":{"listen":"here"},`, "listen"},
+		{all, `"peers":{"listen":"127.0.0.1:0","others":{"3":"127.0.0.1:7"}},`, `"3"`},
+		{all, `"peers":{"listen":"127.0.0.1:0","others":{"2":"there"}},`, "peers: 2"},
+		{"", `"watch":{"settings":{"prices":{"connection":0.05}},"keys":{"fact":"routeKey"}},`, ""},
+		{"", `"watch":{"settings":{"prices":{"connection":-5}}},`, "watch: prices.connection"},
+		{"", `"watch":{"keys":{"fact":"memory"}},`, "watch: keys"},
+		{"", `"keys":{"fact":"a"},"watch":{"keys":{"fact":"b"}},`, "already"},
+	} {
+		if _, err := sheet(c[0], c[1]); c[2] == "" && err != nil ||
+			c[2] != "" && (err == nil || !strings.Contains(err.Error(), c[2])) {
+			t.Errorf("%s %s: error %v, want %q", c[0], c[1], err, c[2])
+		}
+	}
+	// Where no others are named the module would take their silence for idle workers.
+	if s, err := sheet(all, ""); err != nil || s.Site["bounds.peerMessages"] != false || s.Site["keys"] != false {
+		t.Errorf("%v, %v: messages and keys are off by default", s, err)
+	}
+	s, err := sheet(all, `"watch":{"keys":{"fact":"k"},"settings":{"prices":{"connection":0.05}}},`)
+	if err != nil || s.Other["prices.connection"] != 0.05 || s.Site["prices.connection"] != nil ||
+		s.Other["keys"] != true || s.Site["keys"] != false || s.Fact != "k" {
+		t.Errorf("%+v, %v: the watch's settings must stay apart", s, err)
+	}
+}
+
+// A message that is cut, or of a worker not known here, must not count for another one.
+func TestAWordComesThroughOrNotAtAll(t *testing.T) {
+	tags := map[string]int{Tag("w1"): 1, Tag("w2"): 2}
+	for _, n := range []int{0, 1, 35, 63, 900} {
+		if i, got, ok := Unword(Word("w2", n), tags); i != 2 || got != min(n, 63) || !ok {
+			t.Errorf("%d came as worker %d, %d, %v", n, i, got, ok)
+		}
+	}
+	for _, text := range []string{"", "w", Tag("w1"), Tag("w1") + "!", Tag("w1") + "11", Word("w3", 1)} {
+		if _, _, ok := Unword(text, tags); ok {
+			t.Errorf("%q is taken for a message", text)
+		}
+	}
+}
