--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -101,6 +101,9 @@
 	took  Time
 }
 
+// start is when a job started and how long after its push.
+type start struct{ at, took Time }
+
 type worker struct {
 	known, ready, listed bool
 	zone, cell, kind     int
@@ -156,6 +159,7 @@
 // worker of each op took more CPU than a scheduler has.
 type digest struct {
 	trip, longest Time   // the middle probe round trip; the longest start of late
+	misled        bool   // reports come late
 	middle, usual []Time // run of each category: the median, the mean
 }
 
@@ -188,9 +192,9 @@
 	at                int                          // the number that Next goes on from
 	a, b              [maxCount + 1]float64
 	halved            Time
-	taus              []Time // from probe to start, the last few
-	trips             []Time // probe round trips, the last few
-	starts            []Time // of jobs that were to start at once, the last few
+	taus              []Time  // from probe to start, the last few
+	trips             []Time  // probe round trips, the last few
+	starts            []start // of jobs that were to start at once, the last few
 	runs              [][]Time
 	least             Time // the least target latency
 	kinds             []machines
@@ -278,7 +282,7 @@
 	would := decide()
 	d.site, d.chance = site, chance
 	is := decide()
-	d.otherwise[kind] += btoi(!slices.Equal(would, is))
+	d.otherwise[kind] += sample.Bit(!slices.Equal(would, is))
 	return is
 }
 
@@ -336,7 +340,7 @@
 	for i := range d.workers {
 		w := &d.workers[i]
 		w.ready = w.ready && w.listed
-		d.ready += btoi(w.ready)
+		d.ready += sample.Bit(w.ready)
 	}
 	if s := d.site; s.peers && s.connections > 0 || d.other != nil && d.other.peers && d.other.connections > 0 {
 		d.audiences()
@@ -427,7 +431,7 @@
 		r.paired = true
 		l := cell(r.load)
 		d.a[l]++
-		d.b[l] += float64(btoi(idle(next.load)))
+		d.b[l] += float64(sample.Bit(idle(next.load)))
 	}
 }
 
@@ -452,16 +456,6 @@
 
 func cell(l Load) int { return min(max(int(math.Round(l.Jobs)), 0), maxCount) }
 
-func entropy(b, a float64) float64 {
-	s := 0.0
-	for _, p := range [2]float64{b / a, 1 - b/a} {
-		if p > 0 { // 0 ln 0 is 0; of an empty side p is no number
-			s -= p * math.Log(p)
-		}
-	}
-	return s
-}
-
 // threshold is T: the count that parts the readings with the least conditional entropy.
 func (d *Dispatcher) threshold() int {
 	d.age()
@@ -474,7 +468,7 @@
 	for l := range d.a {
 		a += d.a[l]
 		b += d.b[l]
-		h := (a*entropy(b, a) + (allA-a)*entropy(allB-b, allA-a)) / allA
+		h := (a*sample.Entropy(b/a) + (allA-a)*sample.Entropy((allB-b)/(allA-a))) / allA
 		// The paper leaves T open where no cut tells much. A cut is no threshold if counts above it mostly lead to
 		// idleness too: a quiet fleet would have T = 0, and call idle workers High.
 		if allA-a > 0 && 2*(allB-b) > allA-a {
@@ -506,7 +500,7 @@
 	if started && o.started == 0 {
 		o.started = d.now
 		if o.looked {
-			d.starts = sample.Keep(d.starts, d.now-o.sentAt)
+			d.starts = sample.Keep(d.starts, start{d.now, d.now - o.sentAt})
 		}
 		d.taus = sample.Keep(d.taus, d.now-o.askedAt)
 		d.zones[d.workers[o.worker].zone].Add(d.now, true) // of the worker a start says little: it may fail all
@@ -632,7 +626,7 @@
 	if !o.ran && !o.out || c.effect == "redeliverable" {
 		return true
 	}
-	ranAt := [2]Time{o.sentAt, o.ranAt}[btoi(o.ran)] // the push that is out may be the first that runs
+	ranAt := [2]Time{o.sentAt, o.ranAt}[sample.Bit(o.ran)] // the push that is out may be the first that runs
 	return c.effect == "deduplicated" && d.now+d.site.dial < ranAt+c.window
 }
 
@@ -684,10 +678,16 @@
 	if d.ranAnew = false; len(d.trips) > 0 {
 		g.trip = sample.Quantile(d.trips, 0.5)
 	}
+	// Reports seconds late send all schedulers to the workers that look idle. They are taken for late while many
+	// of the last pushes that were to start at once did not; old lateness must not keep reports out.
+	late, n, prompt := 0, 0, 5*g.trip+4*d.site.step
 	g.longest = 0
 	for _, s := range d.starts {
-		g.longest = max(g.longest, s)
+		if g.longest = max(g.longest, s.took); d.now-s.at < healthMax/3 {
+			late, n = late+sample.Bit(s.took > prompt), n+1
+		}
 	}
+	g.misled = len(d.trips) > 0 && n >= sample.Few/4 && 5*late > 3*n
 	return g
 }
 
@@ -740,6 +740,13 @@
 	if n, slots, ok := d.tally(i); ok {
 		return max(n+o.slots-slots, 0)
 	}
+	if d.figures().misled {
+		n := 0
+		for _, p := range w.out {
+			n += sample.Bit(p.started == 0)
+		}
+		return float64(n)
+	}
 	r := w.last()
 	if r == nil || d.fits(o, i) {
 		return 0
@@ -774,9 +781,9 @@
 	return may
 }
 
-// homes are the workers that an op's pair is drawn from. With a key: the first of the key's own order, as
-// many as its share of the ops fills and two more; over all the fleet each worker fetched most keys anew, and
-// their store stalled. Else, where connections cost, the regulars: hundreds of schedulers kept half the fleet.
+// homes are the workers that an op's pair is drawn from. With a key: the first of the key's own order, as many
+// as its share of the ops fills and two more; over a whole fleet workers fetched most keys anew, and the store
+// stalled. Else, where connections cost, the regulars: hundreds of schedulers kept one to half the fleet.
 func (d *Dispatcher) homes(o *op, from []int) []int {
 	key, n := o.key, 2.0
 	switch {
@@ -815,7 +822,7 @@
 // tell lets the others know that meet the worker too.
 func (d *Dispatcher) tell(i int) {
 	for _, s := range d.workers[i].audience {
-		if d.otherwise[Spoken] += btoi(s != d.site.me && !d.site.peers); s != d.site.me && d.site.peers {
+		if d.otherwise[Spoken] += sample.Bit(s != d.site.me && !d.site.peers); s != d.site.me && d.site.peers {
 			d.tells = append(d.tells, [2]int{s, i})
 		}
 	}
@@ -854,7 +861,7 @@
 	var jobs, seen [2]float64
 	if d.site.crossZone > 0 {
 		for k, i := range from {
-			near := btoi(d.near(i))
+			near := sample.Bit(d.near(i))
 			if r := d.workers[i].last(); r != nil {
 				jobs[near], seen[near] = jobs[near]+max(r.load.Jobs, 0), seen[near]+1
 			}
@@ -1118,36 +1125,32 @@
 		return may[0]
 	}
 	t := float64(d.threshold())
+	if _, _, ok := d.tally(may[0]); d.figures().misled && !ok {
+		t = -1 // nobody is known to be Low: the lower count of own pushes wins, else the draw
+	}
 	x, y := d.count(may[0]), d.count(may[1])
 	lowX, lowY := x <= t && d.fits(o, may[0]), y <= t && d.fits(o, may[1])
 	if lowX == lowY {
 		// A slow worker with a short queue still counts as Low, and what it takes finishes late.
 		x, y := d.finish(o, may[0]), d.finish(o, may[1])
 		if float64(max(x, y)) > telling*float64(min(x, y)) {
-			return may[btoi(y < x)]
+			return may[sample.Bit(y < x)]
 		}
 	}
 	nearX, nearY := d.near(may[0]), d.near(may[1])
 	switch {
 	case lowX && lowY && nearX != nearY:
-		return may[btoi(nearY)] // crossing is paid for, and buys nothing while both are Low
+		return may[sample.Bit(nearY)] // crossing is paid for, and buys nothing while both are Low
 	case lowX && lowY || lowX == lowY && x == y:
 		return may[d.chance.Below(2)]
 	}
-	return may[btoi(lowY || !lowX && y < x)]
+	return may[sample.Bit(lowY || !lowX && y < x)]
 }
 
 func (d *Dispatcher) near(i int) bool {
 	return d.site.crossZone == 0 || d.workers[i].zone == d.site.myZone
 }
 
-func btoi(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 // finish is when the op would end on a worker, from now.
 func (d *Dispatcher) finish(o *op, i int) Time {
 	return d.wait(o, i) + Time(d.slow(i)*float64(d.expected(o)))
@@ -1212,7 +1215,7 @@
 // count is a worker's jobs: its last report and this scheduler's own pushes since.
 func (d *Dispatcher) count(i int) float64 {
 	w := &d.workers[i]
-	if n, _, ok := d.tally(i); ok {
+	if n, _, ok := d.tally(i); ok || d.figures().misled {
 		return n
 	}
 	r := w.last()
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -300,8 +300,8 @@
 		none, far := 0, 0
 		for i := range 40 {
 			x, y := probed(t, d, i, 0)
-			none += btoi(x%4 != 1 && y%4 != 1)
-			far += btoi(x%4 != 1 || y%4 != 1)
+			none += sample.Bit(x%4 != 1 && y%4 != 1)
+			far += sample.Bit(x%4 != 1 || y%4 != 1)
 		}
 		if price > 0 && none > 0 || price == 0 && none == 0 || far == 0 {
 			t.Errorf("price %v: %d of 40 pairs without a near worker, %d with a far one", price, none, far)
@@ -315,13 +315,13 @@
 	d.Clock(1_000_000)
 	for i := range 40 {
 		d.Entry(i, i%4, i, true, 0)
-		d.Report(i, 0, jobs(3*float64(btoi(i%4 == 0))))
+		d.Report(i, 0, jobs(3*float64(sample.Bit(i%4 == 0))))
 	}
 	d.ListEnd()
 	near := 0
 	for i := range 40 {
 		x, y := probed(t, d, i, 0)
-		near += btoi(x%4 == 0) + btoi(y%4 == 0)
+		near += sample.Bit(x%4 == 0) + sample.Bit(y%4 == 0)
 	}
 	if near > 30 {
 		t.Errorf("%d of 80 probes went to the own zone, busier than the rest", near)
@@ -357,7 +357,7 @@
 	t.Helper()
 	d := fleet(2, nil)
 	for range sample.Few {
-		d.starts = append(d.starts, 100)
+		d.starts = append(d.starts, start{d.now, 100})
 	}
 	for i := range n {
 		d.Op(i, 0, d.now+50_000, 1, 0, 0)
@@ -423,6 +423,27 @@
 	}
 }
 
+// Reports seconds late sent all schedulers to the workers that looked idle; starts then came a second late.
+func TestLateReportsAreSetAside(t *testing.T) {
+	d := fleet(2, nil)
+	d.trips = []Time{100}
+	for i := range sample.Few {
+		d.starts = append(d.starts, start{d.now, []Time{9_000, 9_000, 100}[i%3]})
+	}
+	probed(t, d, 0, 0)
+	first := pushed(t, d, 0, jobs(0), 1, jobs(0))
+	probed(t, d, 1, 0)
+	loads := []Load{jobs(2), jobs(2)}
+	loads[first] = jobs(0)
+	if second := pushed(t, d, 0, loads[0], 1, loads[1]); second == first {
+		t.Error("followed a late report to the worker that has this scheduler's own push")
+	}
+	d.Clock(d.now + healthMax)
+	if d.figures().misled {
+		t.Error("old lateness still sets reports aside")
+	}
+}
+
 // Reports are noisy: an empty worker of four slots that told 3.4 free ones was no place for an op of four.
 func TestEmptyWorkerHasRoomForWideOp(t *testing.T) {
 	d := fleet(2, nil)
@@ -512,7 +533,7 @@
 		}
 		bad := 0
 		for i := range d.workers {
-			bad += btoi(d.workers[i].health.Failed())
+			bad += sample.Bit(d.workers[i].health.Failed())
 		}
 		if bad != want {
 			t.Errorf("%d workers with a bad verdict, want %d", bad, want)
@@ -526,7 +547,7 @@
 		d := fleet(8, map[string]any{"extra.progress": 10_000.0})
 		d.categories[cat].window = 50_000
 		for range sample.Few {
-			d.starts = append(d.starts, 100)
+			d.starts = append(d.starts, start{d.now, 100})
 		}
 		x, y := probed(t, d, 0, cat)
 		first := pushed(t, d, x, jobs(0), y, jobs(0))
@@ -593,12 +614,12 @@
 		bad := push(t, d) == 0 && i%5 > 0
 		d.Clock(d.now + 10)
 		d.Note(i, 0, true, 0)
-		how := Outcome(btoi(bad) * int(Errored))
+		how := Outcome(sample.Bit(bad) * int(Errored))
 		d.Outcome(i, 0, how, 10, how == Served)
 	}
 	in := 0
 	for range 1000 {
-		in += btoi(slices.Contains(d.candidates(&op{}), 0))
+		in += sample.Bit(slices.Contains(d.candidates(&op{}), 0))
 	}
 	if in > 300 || in == 0 {
 		t.Errorf("a candidate %d times in 1000", in)
--- a/dispatch/rules_test.go
+++ b/dispatch/rules_test.go
@@ -5,6 +5,8 @@
 	"math/rand"
 	"testing"
 	"testing/quick"
+
+	"woaddyke/internal/sample"
 )
 
 // plain is the rules, told slowly: it keeps all that happened and works out afresh what is allowed.
@@ -301,7 +303,7 @@
 			all[i].Clock(1_000_000)
 			all[i].ListWhole()
 			for w := range workers {
-				all[i].Entry(w, 0, 0, true, Time(1_000_000*btoi(w == 0)))
+				all[i].Entry(w, 0, 0, true, Time(1_000_000*sample.Bit(w == 0)))
 			}
 			all[i].ListEnd()
 		}
@@ -317,7 +319,7 @@
 			d.Op(0, 0, now+50_000, 1, 0, 0)
 			for _, a := range decisions(d) {
 				if a.do == Probe {
-					d.Report(a.worker, 0, jobs(2*float64(btoi(a.worker > 0)))) // the cold one reads idle
+					d.Report(a.worker, 0, jobs(2*float64(sample.Bit(a.worker > 0)))) // the cold one reads idle
 				}
 			}
 			d.Clock(now)
--- a/internal/sample/sample.go
+++ b/internal/sample/sample.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 )
 
@@ -35,6 +36,25 @@
 	return sum / T(max(len(few), 1))
 }
 
+// Entropy is that of a chance: 0 where it is none or certain, or no number.
+func Entropy(chance float64) float64 {
+	s := 0.0
+	for _, p := range [2]float64{chance, 1 - chance} {
+		if p > 0 { // 0 ln 0 is 0; of an empty side p is no number
+			s -= p * math.Log(p)
+		}
+	}
+	return s
+}
+
+// Bit is 1 for true, to count with.
+func Bit(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // Pool is values in order.
 type Pool []float64
 
