--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -783,7 +783,7 @@
 
 // homes are the workers that an op's pair is drawn from. With a key: the first of the key's own order, as
 // many as its share of the ops fills and two more; over a whole fleet workers fetched most keys anew, and the
-// store stalled. Else, where connections cost, the regulars: many quiet schedulers kept one to half the fleet.
+// store stalled. Else, where connections cost, the regulars: each scheduler kept one to half of the fleet.
 func (d *Dispatcher) homes(o *op, from []int) []int {
 	key, n := o.key, 2.0
 	switch {
