--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -183,6 +183,7 @@
 	cancel     bool
 	categories map[string]int
 	zones      map[string]int
+	byKind     bool // kinds are told apart
 	kinds      map[string]int
 	tags       map[string]int // workers by what messages call them
 	indices    map[string]int // of workers
@@ -202,6 +203,7 @@
 	r := &Reducer{d: dispatch.New(seed, site), report: terms.ReportOf(site), categories: map[string]int{},
 		zones: map[string]int{}, kinds: map[string]int{}, tags: map[string]int{}, indices: map[string]int{}, live: map[uint64]int{}, probes: map[uint64]probe{},
 		ids: map[string]dispatch.Time{}}
+	r.byKind = site["kinds"] == true
 	r.inline = site["report.how"] == "inline"
 	r.cancel = site["bounds.cancel"] == true
 	for i := 0; ; i++ {
@@ -277,10 +279,14 @@
 		}
 		w := &r.workers[i]
 		w.addr, w.ready = e.Addr, e.Ready && e.Addr != ""
-		k, ok := r.kinds[e.Kind]
+		kind := e.Kind
+		if !r.byKind {
+			kind = ""
+		}
+		k, ok := r.kinds[kind]
 		if !ok {
 			k = len(r.kinds)
-			r.kinds[e.Kind] = k
+			r.kinds[kind] = k
 		}
 		r.d.Entry(i, z, e.Cell, w.ready, e.Since)
 		r.d.Mark(i, terms.Hash(e.Worker), k)
--- a/internal/ops/ops_test.go
+++ b/internal/ops/ops_test.go
@@ -232,3 +232,14 @@
 		t.Fatal(err)
 	}
 }
+
+// Kinds that nobody switched on must not change how a deployment that runs on learns its workers' speeds.
+func TestKindsAreToldApartOnlyWhereSwitchedOn(t *testing.T) {
+	for _, on := range []bool{false, true} {
+		r := New(1, map[string]any{"kinds": on})
+		r.Take(1, Listed{Whole: true, Entries: []Entry{{Worker: "a", Kind: "x", Ready: true}, {Worker: "b", Kind: "y"}}})
+		if n := len(r.kinds); n != 1 && !on || n != 2 && on {
+			t.Errorf("switched on: %v, kinds: %d", on, n)
+		}
+	}
+}
--- a/internal/terms/sheet.go
+++ b/internal/terms/sheet.go
@@ -22,6 +22,7 @@
 	Limits    Limits          `json:"limits"`
 	Known     json.RawMessage `json:"known"` // the workers as last heard of, in discovery's form
 	Settings  map[string]any  `json:"settings"`
+	Kinds     bool            `json:"kinds"` // speeds are learned by the kind of machine that the list tells
 	Keys      *Keys           `json:"keys"`  // nil: keys are not read
 	Peers     *Peers          `json:"peers"` // nil: no messages, whatever the settings allow
 	Watch     *Watch          `json:"watch"` // nil: nothing is watched for
@@ -110,7 +111,7 @@
 	if s.Keys != nil {
 		s.Fact = s.Keys.Fact
 	}
-	s.Site["keys"] = s.Keys != nil
+	s.Site["keys"], s.Site["kinds"] = s.Keys != nil, s.Kinds
 	if p := s.Peers; p != nil {
 		if s.Site["bounds.peerMessages"] != true {
 			return errors.New("peers: the settings do not allow messages (bounds.peerMessages)")
