--- a/internal/sample/sample.go
+++ b/internal/sample/sample.go
@@ -99,10 +99,18 @@
 // Order sorts items by a hash of a key and their marks: an order of the key's own, which everybody who knows the marks
 // works out alike, and in which what comes or goes moves nothing else.
 func Order(key uint64, items []int, mark func(item int) uint64) {
-	rank := func(i int) uint64 {
+	type ranked struct {
+		rank uint64
+		item int
+	}
+	all := make([]ranked, len(items)) // hashed once each and not at each comparison
+	for k, i := range items {
 		h := (key ^ mark(i)) * 0x9e3779b97f4a7c15
 		h = (h ^ h>>32) * 0xd6e8feb86659fd93
-		return h ^ h>>32
+		all[k] = ranked{h ^ h>>32, i}
+	}
+	slices.SortFunc(all, func(a, b ranked) int { return cmp.Compare(a.rank, b.rank) })
+	for k := range all {
+		items[k] = all[k].item
 	}
-	slices.SortFunc(items, func(i, j int) int { return cmp.Compare(rank(i), rank(j)) })
 }
