--- a/internal/doubt/doubt.go
+++ b/internal/doubt/doubt.go
@@ -39,7 +39,7 @@
 func (t *Test[M]) Doubtful(now M) bool {
 	const accept = 2.9 // ln((1-beta)/alpha) for both errors near 0.05
 	s := 0.0
-	if t.failed == 0 || now-t.failed > t.old {
+	if !t.Failed() || now-t.failed > t.old {
 		return false
 	}
 	for now-t.verdicts[0].at > t.old {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -25,21 +25,26 @@
 	return schedulerBehind(t, work, func(l net.Listener) net.Listener { return l })
 }
 
-// schedulerBehind puts something before the scheduler's listener.
-func schedulerBehind(t *testing.T, work http.HandlerFunc, before func(net.Listener) net.Listener) (addr string, stop func(),
-	ended chan error) {
-	worker := httptest.NewServer(work)
-	t.Cleanup(worker.Close)
-	known := fmt.Sprintf(`{"rev":1,"all":true,"targets":[{"uid":"w","endpoint":%q,"state":"SERVING"}]}`,
-		worker.Listener.Addr())
+// sheetOf is a sheet without settings, beside a stand-in discovery that tells of the workers known and then no more.
+func sheetOf(t *testing.T, known string) *terms.Sheet {
 	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		fmt.Fprintln(w, known)
 		w.(http.Flusher).Flush()
 		<-r.Context().Done()
 	}))
 	t.Cleanup(discovery.Close)
-	sheet := &terms.Sheet{Discovery: discovery.Listener.Addr().String(), Known: json.RawMessage(known),
+	return &terms.Sheet{Discovery: discovery.Listener.Addr().String(), Known: json.RawMessage(known),
 		Limits: terms.Limits{Cores: 1, MemoryMB: 64, Sockets: 256}}
+}
+
+// schedulerBehind puts something before the scheduler's listener.
+func schedulerBehind(t *testing.T, work http.HandlerFunc, before func(net.Listener) net.Listener) (addr string, stop func(),
+	ended chan error) {
+	worker := httptest.NewServer(work)
+	t.Cleanup(worker.Close)
+	known := fmt.Sprintf(`{"rev":1,"all":true,"targets":[{"uid":"w","endpoint":%q,"state":"SERVING"}]}`,
+		worker.Listener.Addr())
+	sheet := sheetOf(t, known)
 	sheet.Site = terms.Flat(map[string]any{"bounds": map[string]any{"maxPushes": 3.0, "cancel": true},
 		"categories": []any{map[string]any{"name": "look", "effect": "fragile", "ttlNs": 3e8,
 			"targetLatencyNs": 2e8}}})
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -23,11 +23,7 @@
 }
 
 func listen(p *terms.Peers, log zerolog.Logger) (*peers, error) {
-	at, err := netip.ParseAddrPort(p.Listen)
-	if err != nil {
-		return nil, fmt.Errorf("peers: %w", err)
-	}
-	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(at))
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(p.At))
 	if err != nil {
 		return nil, fmt.Errorf("peers: %w", err)
 	}
--- a/internal/front/peers_test.go
+++ b/internal/front/peers_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -32,6 +31,17 @@
 	return b.Buffer.Write(p)
 }
 
+// datagrams opens a stand-in's socket.
+func datagrams(t *testing.T) (*net.UDPConn, netip.AddrPort) {
+	t.Helper()
+	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return conn, conn.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
 // moved starts a scheduler beside four stand-in workers with the given parts of a new shape, sends ops and stops it.
 func moved(t *testing.T, change func(*terms.Sheet, map[string]any), n int) (log string) {
 	t.Helper()
@@ -47,14 +57,7 @@
 			worker.Listener.Addr(), i%2))
 	}
 	known := `{"rev":1,"all":true,"targets":[` + strings.Join(targets, ",") + `]}`
-	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		fmt.Fprintln(w, known)
-		w.(http.Flusher).Flush()
-		<-r.Context().Done()
-	}))
-	t.Cleanup(discovery.Close)
-	sheet := &terms.Sheet{Discovery: discovery.Listener.Addr().String(), Known: json.RawMessage(known),
-		Limits: terms.Limits{Cores: 1, MemoryMB: 64, Sockets: 256}}
+	sheet := sheetOf(t, known)
 	sheet.Site = terms.Flat(map[string]any{"bounds": map[string]any{"maxPushes": 3.0}, "instances": 2.0, "myNumber": 0.0,
 		"categories": []any{map[string]any{"name": "look", "effect": "retryable", "ttlNs": 3e9, "targetLatencyNs": 2e9}}})
 	change(sheet, sheet.Site)
@@ -116,15 +119,11 @@
 
 // Each push is told to the scheduler that meets the worker too; one that is not configured is not heard.
 func TestPushesAreToldToTheOthers(t *testing.T) {
-	other, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer other.Close()
+	other, at := datagrams(t)
 	moved(t, func(s *terms.Sheet, site map[string]any) {
 		site["prices.connection"], site["bounds.peerMessages"] = 0.05, true
-		s.Peers = &terms.Peers{Listen: "127.0.0.1:0",
-			ByNumber: map[int]netip.AddrPort{1: other.LocalAddr().(*net.UDPAddr).AddrPort()}}
+		s.Peers = &terms.Peers{At: netip.MustParseAddrPort("127.0.0.1:0"),
+			ByNumber: map[int]netip.AddrPort{1: at}}
 	}, 1)
 	tags := map[string]int{}
 	for i := range 4 {
@@ -144,12 +143,10 @@
 }
 
 func TestOnlyConfiguredSchedulersAreHeard(t *testing.T) {
-	friend, _ := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	stranger, _ := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	defer friend.Close()
-	defer stranger.Close()
-	s, err := listen(&terms.Peers{Listen: "127.0.0.1:0",
-		ByNumber: map[int]netip.AddrPort{7: friend.LocalAddr().(*net.UDPAddr).AddrPort()}}, zerolog.Nop())
+	friend, at := datagrams(t)
+	stranger, _ := datagrams(t)
+	s, err := listen(&terms.Peers{At: netip.MustParseAddrPort("127.0.0.1:0"),
+		ByNumber: map[int]netip.AddrPort{7: at}}, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -166,13 +163,9 @@
 
 // An address that another process has must end the start with a plain error, not leave it waiting for its own loop.
 func TestAnAddressThatIsTakenEndsTheStart(t *testing.T) {
-	taken, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer taken.Close()
+	_, at := datagrams(t)
 	sheet := &terms.Sheet{Discovery: "127.0.0.1:1", Limits: terms.Limits{Cores: 1, MemoryMB: 64, Sockets: 256},
-		Site: map[string]any{}, Peers: &terms.Peers{Listen: taken.LocalAddr().String()}}
+		Site: map[string]any{}, Peers: &terms.Peers{At: at}}
 	f, err := New(sheet, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -203,8 +203,8 @@
 // New starts a reducer from a scheduler's seed and its site's terms.
 func New(seed uint64, site map[string]any) *Reducer {
 	r := &Reducer{d: dispatch.New(seed, site), report: terms.ReportOf(site), categories: map[string]int{},
-		zones: map[string]int{}, kinds: map[string]int{}, tags: map[string]int{}, indices: map[string]int{}, live: map[uint64]int{}, probes: map[uint64]probe{},
-		ids: map[string]dispatch.Time{}}
+		zones: map[string]int{}, kinds: map[string]int{}, tags: map[string]int{}, indices: map[string]int{},
+		live: map[uint64]int{}, probes: map[uint64]probe{}, ids: map[string]dispatch.Time{}}
 	r.byKind = site["kinds"] == true
 	r.inline = site["report.how"] == "inline"
 	r.cancel = site["bounds.cancel"] == true
--- a/internal/terms/sheet.go
+++ b/internal/terms/sheet.go
@@ -42,6 +42,7 @@
 	Listen string            `json:"listen"`
 	Others map[string]string `json:"others"`
 
+	At       netip.AddrPort         `json:"-"` // Listen and Others, read
 	ByNumber map[int]netip.AddrPort `json:"-"`
 }
 
@@ -74,17 +75,17 @@
 
 // shape checks what the module reads of a deployment's shape.
 func shape(site map[string]any) error {
-	number := func(name string, least, most float64) error {
+	number := func(name string, least, most float64, whole bool) error {
 		v, there := site[name]
 		n, ok := v.(float64)
-		if there && (!ok || n < least || n > most || most > 1e3 && n != math.Trunc(n)) {
+		if there && (!ok || n < least || n > most || whole && n != math.Trunc(n)) {
 			return fmt.Errorf("%s: %v is no number from %g to %g", name, v, least, most)
 		}
 		return nil
 	}
 	all, _ := site["instances"].(float64)
-	err := errors.Join(number("prices.connection", 0, 1e3), number("instances", 1, mostSchedulers),
-		number("myNumber", 0, mostSchedulers-1))
+	err := errors.Join(number("prices.connection", 0, 1e3, false), number("instances", 1, mostSchedulers, true),
+		number("myNumber", 0, mostSchedulers-1, true))
 	if me, _ := site["myNumber"].(float64); err == nil && site["instances"] != nil && me >= all {
 		err = fmt.Errorf("myNumber: %g is none of %g schedulers", me, all)
 	}
@@ -116,7 +117,8 @@
 		if s.Site["bounds.peerMessages"] != true {
 			return errors.New("peers: the settings do not allow messages (bounds.peerMessages)")
 		}
-		if _, err := netip.ParseAddrPort(p.Listen); err != nil {
+		var err error
+		if p.At, err = netip.ParseAddrPort(p.Listen); err != nil {
 			return fmt.Errorf("peers: listen: %w", err)
 		}
 		p.ByNumber = map[int]netip.AddrPort{}
--- a/internal/terms/terms_test.go
+++ b/internal/terms/terms_test.go
@@ -91,6 +91,10 @@
 	if s, err := sheet(all, ""); err != nil || s.Site["bounds.peerMessages"] != false || s.Site["keys"] != false {
 		t.Errorf("%v, %v: messages and keys are off by default", s, err)
 	}
+	named, err := sheet(all, `"peers":{"listen":"127.0.0.1:9","others":{"0":"127.0.0.1:7"}},`)
+	if err != nil || named.Peers.At.String() != "127.0.0.1:9" || named.Peers.ByNumber[0].String() != "127.0.0.1:7" {
+		t.Errorf("%+v, %v: the addresses must be those of the file", named, err)
+	}
 	s, err := sheet(all, `"watch":{"keys":{"fact":"k"},"settings":{"prices":{"connection":0.05}}},`)
 	if err != nil || s.Other["prices.connection"] != 0.05 || s.Site["prices.connection"] != nil ||
 		s.Other["keys"] != true || s.Site["keys"] != false || s.Fact != "k" {
