Doubt is drawn by the verdicts since the change; a lost zone was tried as if still sound

From 6 to 10 s 841 probes and 201 pushes went to lost workers and waited 200 ms for a dial. Checked: schedulers did doubt the zone (two failures in a row suffice), but Admitted drew from all of the last 32 verdicts; after thirty good ones the next try was let through 31 times in 33 (internal/doubt, Admitted). Ruled out: the watch (it told within 50 ms of discovery's change), the dial's time-out (the stated 200 ms). Change: the posterior counts the verdicts since the test's last zero, which is where the change is held to lie.

--- a/internal/doubt/doubt.go
+++ b/internal/doubt/doubt.go
@@ -37,38 +37,50 @@
 
 // Doubtful tells whether the verdicts speak for the high chance.
 func (t *Test[M]) Doubtful(now M) bool {
+	doubtful, _ := t.change(now)
+	return doubtful
+}
+
+// change tells whether the verdicts speak for the high chance, and since which of them they do.
+func (t *Test[M]) change(now M) (doubtful bool, since int) {
 	const accept = 2.9 // ln((1-beta)/alpha) for both errors near 0.05
 	s := 0.0
 	if !t.Failed() || now-t.failed > t.old {
-		return false
+		return false, 0
 	}
 	for now-t.verdicts[0].at > t.old {
 		t.verdicts = t.verdicts[1:]
 	}
 	bad, good := math.Log(t.p1/t.p0), math.Log((1-t.p1)/(1-t.p0))
-	for _, v := range t.verdicts {
+	for k, v := range t.verdicts {
 		if v.ok {
 			s = max(s+good, 0)
 		} else {
-			s = max(s+bad, 0)
+			s += bad
+		}
+		if s == 0 {
+			since = k + 1
 		}
 	}
-	return s >= accept
+	return s >= accept, since
 }
 
-// Admitted draws a doubtful chance of success from its posterior, so that nothing is ever forgotten.
+// Admitted draws a doubtful chance of success from its posterior, so that nothing is ever forgotten. The verdicts from
+// before the change count for nothing: of a zone lost after thirty good ones the next thirty tries were let through.
 func (t *Test[M]) Admitted(now M, chance *sample.Chance) bool {
-	if !t.Doubtful(now) {
+	doubtful, since := t.change(now)
+	if !doubtful {
 		return true
 	}
+	few := t.verdicts[since:]
 	good := 1
-	for _, v := range t.verdicts {
+	for _, v := range few {
 		if v.ok {
 			good++
 		}
 	}
 	// Beta(good, bad), each one over its count, is the good-th smallest of good+bad-1 uniform draws.
-	draws := make([]float64, len(t.verdicts)+1)
+	draws := make([]float64, len(few)+1)
 	for i := range draws {
 		draws[i] = chance.Uniform()
 	}
--- a/internal/doubt/doubt_test.go
+++ b/internal/doubt/doubt_test.go
@@ -32,3 +32,24 @@
 		t.Error("doubted for verdicts that are old")
 	}
 }
+
+// Of a zone that was lost after thirty good verdicts the next tries were let through nine times in ten: what came before
+// the change says nothing of it.
+func TestWhatCameBeforeAChangeDoesNotSpeakForIt(t *testing.T) {
+	d, chance := New[int64](0.2, 0.9, 1000), sample.NewChance(3)
+	for now := range int64(30) {
+		d.Add(now, true)
+	}
+	for range 3 {
+		d.Add(30, false)
+	}
+	in := 0
+	for range 1000 {
+		if d.Admitted(31, &chance) {
+			in++
+		}
+	}
+	if in < 50 || in > 400 { // a mean of 1 in 5
+		t.Errorf("admitted %d of 1000 times after three failures", in)
+	}
+}
