Cold workers are asked up to twice as often where reports prove true

At fault: spared() kept a cold worker in a pair with 0.625 of its warmth and filled its place from the warm, so three ops in four went to workers that were 45% of what the fleet could do. Each scheduler's lot is harmless; all of them together left the zone idle. What the budget is for, reports that say nothing, was not the case: a cold worker without room is not pushed to. Ruled out: doubt of the zone (gone with the first two answers), the list (whole by 12.7 s), dials. Change: the lot is the same where nothing is known, and up to twice that by the share of starts of the last 5 s that came at once as a report had said. The dispatcher also logs ops, reports and listed workers at debug level.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -158,9 +158,10 @@
 // digest is what is worked out of the samples for many decisions: over a large fleet, working it out for each
 // worker of each op took more CPU than a scheduler has.
 type digest struct {
-	trip, longest Time   // the middle probe round trip; the longest start of late
-	misled        bool   // reports come late
-	middle, usual []Time // run of each category: the median, the mean
+	trip, longest Time    // the middle probe round trip; the longest start of late
+	misled        bool    // reports come late
+	truth         float64 // the share of pushes that started at once, of those that a report said would
+	middle, usual []Time  // run of each category: the median, the mean
 }
 
 // site is what is picked out of the terms, once: looked up by name at each use, they took half of the CPU.
@@ -646,15 +647,17 @@
 // spared draws whether a cold worker is kept out of an op's pair. An equal share of the budget was under one
 // op a span among hundreds of schedulers, most of them quiet: new workers lay idle. But all ops ask a worker
 // for twice what a fleet at full load can do there, whoever sends them: a lot for each op keeps their sum to
-// half the stated multiple. Later pairs of an op, and fewer workers to draw from, ask more.
+// half the stated multiple; to all of it where reports prove true, as most that ask are then told of no room:
+// at half a zone that was back lay idle, and the few warm workers had its ops. Later pairs of an op, and
+// fewer workers to draw from, ask more.
 func (d *Dispatcher) spared(o *op, w *worker, from int) bool {
 	if !d.cold(w) {
 		return false
 	}
 	least := d.site.coldFrom
 	warmth := least + (1-least)*(float64(d.now-w.since)/float64(d.site.warmAfter))
-	half := d.site.overload / 2 * warmth
-	return d.chance.Uniform() >= half/2*float64(from)/float64(max(d.ready, 1)*(1+o.looks))
+	quarter := d.site.overload / 4 * warmth
+	return d.chance.Uniform() >= quarter*(1+d.figures().truth)*float64(from)/float64(max(d.ready, 1)*(1+o.looks))
 }
 
 // spare is how long the op may still wait and end in time, if it runs like the middle one of its category.
@@ -687,7 +690,7 @@
 			late, n = late+sample.Bit(s.took > prompt), n+1
 		}
 	}
-	g.misled = len(d.trips) > 0 && n >= sample.Few/4 && 5*late > 3*n
+	g.misled, g.truth = len(d.trips) > 0 && n >= sample.Few/4 && 5*late > 3*n, float64(n-late)/float64(n+1)
 	return g
 }
 
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -790,7 +790,7 @@
 			asked := decisions(d)
 			for _, a := range asked {
 				d.Clock(d.now + 10)
-				d.Report(a.worker, 10, jobs(0))
+				d.Report(a.worker, 0, jobs(0))
 			}
 			sent := decisions(d)
 			d.Clock(d.now + 10)
@@ -820,3 +820,36 @@
 		}
 	}
 }
+
+// A zone came back cold and lay idle, while the fifteen warm workers had three quarters of its ops: the lot asked cold
+// workers as seldom where reports were true as where they said nothing.
+func TestColdWorkersAreAskedMoreWhereReportsProveTrue(t *testing.T) {
+	asked := func(took Time) (n int) {
+		d := New(7, terms(nil))
+		d.Clock(1_000_000)
+		d.ListWhole()
+		for i := range 20 {
+			d.Entry(i, 0, 0, true, Time(999_000*sample.Bit(i > 9))) // half of them are cold
+		}
+		d.ListEnd()
+		for i := range 200 {
+			d.Op(i, 0, d.now+50_000, 1, 0, 0)
+			for _, a := range decisions(d) {
+				n += sample.Bit(a.worker > 9)
+				d.Report(a.worker, 0, jobs(0))
+			}
+			d.Clock(d.now)
+			push(t, d)
+			d.Clock(d.now + took)
+			d.Note(i, 0, true, 0)
+			d.Outcome(i, 0, Served, took, true)
+			decisions(d)
+			d.Clock(d.now + 320 - took)
+		}
+		return n
+	}
+	prompt, late := asked(10), asked(300)
+	if 2*prompt < 3*late {
+		t.Errorf("of 400 probes %d went to cold workers where reports were true, %d where pushes started late", prompt, late)
+	}
+}
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -61,6 +61,8 @@
 			if m.held != nil {
 				l.held[m.held.Op] = m.held
 				l.taken++
+				l.log.Debug().Uint64("op", m.held.Op).Str("id", m.held.ID).Str("category", m.held.Category).
+					Float64("slots", m.held.Slots).Int64("work_us", int64(m.held.Work)*100).Msg("op")
 			}
 			l.step(m.in)
 		case <-l.wake.C:
@@ -108,7 +110,7 @@
 	case ops.Probe:
 		l.pool.Probe(e.Addr, l.probeHead, now.Add(l.probeWait), func(end conns.End) {
 			l.log.Debug().Str("worker", e.Worker).Stringer("how", end.How).Bool("dialed", end.Dialed).
-				Dur("took_ms", time.Since(now)).Msg("probe ended")
+				Dur("took_ms", time.Since(now)).Bytes("report", end.Load).Msg("probe ended")
 			l.tell(ops.Probed{Probe: e.Probe, How: end.How, Report: end.Load})
 		})
 	case ops.Answer:
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -171,6 +171,9 @@
 		}
 		r.rev = m.Rev
 		r.log.Debug().Int64("rev", m.Rev).Bool("whole", m.All).Int("entries", len(m.Targets)).Msg("list")
+		for _, t := range m.Targets {
+			r.log.Debug().Str("worker", t.UID).Str("state", t.State).Str("zone", t.AZ).Int64("boot_ms", t.BootMS).Msg("listed")
+		}
 		r.tell(m.Listed())
 	}
 	if err := lines.Err(); err != nil {
