A scheduler asks for its watch within a drain's grace of its start or of a break

Of 31 schedulers that restarted at 10.61 s with their remembered lists some asked only up to 4 s later, and what discovery would have told them at their start, had they asked, counts as told. Line at fault: the spread of 80/20 s in roster.New, which knew nothing of the grace. Ruled out: late answers (all 31 calls were served at once). Change: the spread is at most four fifths of the grace that the settings state, so that there is time for the answer.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -81,7 +81,8 @@
 	list := known.Listed()
 	list.Whole, list.Remembered = true, true
 	f.loop.tell(list)
-	f.roster = roster.New(sheet.Discovery, known.Rev, sheet.Schedulers(), sheet.Chance, f.loop.tell, log)
+	spread := roster.Spread(sheet.Schedulers(), sheet.Span("safety.drainGrace", time.Second))
+	f.roster = roster.New(sheet.Discovery, known.Rev, spread, sheet.Chance, f.loop.tell, log)
 	f.proxy = &httputil.ReverseProxy{
 		Transport:  f,
 		Rewrite:    func(r *httputil.ProxyRequest) { r.Out.URL.RawQuery = r.In.URL.RawQuery },
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -36,6 +36,9 @@
 	// too long fails though the work is done: asked by all at once, and by all again, it answered none for good. So they
 	// come back at this many a second, in sum, and at half of that and less after each call that was turned away.
 	callRate = 20
+	// What discovery would have told a scheduler, had it asked, counts as told: it must have asked, and have its answer,
+	// before a drain's grace has passed.
+	inGrace = 0.8
 	// The longest of the waits that double, before it is spread by half either way.
 	longestWait = 16 * time.Second
 )
@@ -89,11 +92,18 @@
 	end  context.CancelFunc // of the watch that is on
 }
 
-// New makes a roster that goes on from the version of a remembered list. It is one of so many schedulers that ask the
-// same discovery, and spreads its calls among theirs by its seed.
-func New(addr string, rev int64, schedulers int, seed uint64, tell func(ops.Input), log zerolog.Logger) *Roster {
+// Spread is the time over which so many schedulers that ask the same discovery come back to it, within the grace of a
+// drain.
+func Spread(schedulers int, grace time.Duration) time.Duration {
+	all := time.Duration(schedulers) * time.Second / callRate
+	return max(min(all, time.Duration(inGrace*float64(grace))), firstWait)
+}
+
+// New makes a roster that goes on from the version of a remembered list, and draws the moments of its calls from its seed
+// over a spread that it shares with the other schedulers.
+func New(addr string, rev int64, spread time.Duration, seed uint64, tell func(ops.Input), log zerolog.Logger) *Roster {
 	return &Roster{addr: addr, rev: rev, tell: tell, log: log, end: func() {}, moved: make(chan struct{}, 1),
-		chance: rand.New(rand.NewPCG(seed, 0)), spread: max(firstWait, time.Duration(schedulers)*time.Second/callRate),
+		chance: rand.New(rand.NewPCG(seed, 0)), spread: spread,
 		client: http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true,
 			DialContext: (&net.Dialer{Timeout: dialed}).DialContext}}}
 }
