Where even the dearest ops find no place, cheap ones probe less, and most not at all

Work acked of work offered, by category: preview 0.48, cue-publish 0.38, broadcast-deliver 0.31, segment-render 0.26 - the dearest (10 for its work, preview 2) fared no better than the rest, since patience tells them apart only in queues and a free slot goes to whoever asks first. Checked: readings full 0.73 of the time in the storm, 0.15 to 0.43 before. At fault: decide() gives every op three pairs whatever it is worth and however many have just been refused. Change: a sequential test (0.1 against 0.5, verdicts of 5 s) of whether narrow ops with all looks find a place; while it says no, an op is probed for at first with the chance of its rank, and gets looks by it. Given-up ops are nacked at once, with a pause.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -16,6 +16,7 @@
 	"woaddyke/internal/agenda"
 	"woaddyke/internal/doubt"
 	"woaddyke/internal/sample"
+	"woaddyke/internal/words"
 )
 
 // Time is a moment or a span in tenths of a millisecond.
@@ -111,18 +112,12 @@
 	since                Time
 	readings             []reading // the last few, newest last
 	places               []place
-	strides              []float64        // how long jobs ran, over what was expected
-	health               doubt.Test[Time] // what outcomes say of it
-	out                  []*op            // this scheduler's pushes that are out there
-	words                []word           // of other schedulers, in order of their numbers
-	audience             []int            // schedulers whose regular it is, by number: told what is pushed to it
-	heard                Time             // when it last said anything of a push
-}
-
-// word is how many pushes to a worker another scheduler last said that it has out.
-type word struct {
-	by, n int
-	at    Time
+	strides              sample.Part       // how long jobs ran, over what was expected
+	health               doubt.Test[Time]  // what outcomes say of it
+	out                  []*op             // this scheduler's pushes that are out there
+	words                words.Words[Time] // of other schedulers: how many pushes they have out there
+	audience             []int             // schedulers whose regular it is, by number: told what is pushed to it
+	heard                Time              // when it last said anything of a push
 }
 
 // machines is what is learned of a kind: who meets a worker once a minute learns little of that one.
@@ -160,6 +155,7 @@
 type digest struct {
 	trip, longest Time    // the middle probe round trip; the longest start of late
 	misled        bool    // reports come late
+	scarce        bool    // ops that were given all looks find no place
 	truth         float64 // the share of pushes that started at once, of those that a report said would
 	middle, usual []Time  // run of each category: the median, the mean
 }
@@ -193,9 +189,10 @@
 	at                int                          // the number that Next goes on from
 	a, b              [maxCount + 1]float64
 	halved            Time
-	taus              []Time  // from probe to start, the last few
-	trips             []Time  // probe round trips, the last few
-	starts            []start // of jobs that were to start at once, the last few
+	taus              []Time           // from probe to start, the last few
+	trips             []Time           // probe round trips, the last few
+	room              doubt.Test[Time] // do ops find a place?
+	starts            []start          // of jobs that were to start at once, the last few
 	runs              [][]Time
 	least             Time // the least target latency
 	kinds             []machines
@@ -241,7 +238,7 @@
 func New(seed uint64, terms map[string]any) *Dispatcher {
 	num, span := reader(terms)
 	d := &Dispatcher{chance: sample.NewChance(seed), least: math.MaxInt64, asks: map[uint64]float64{},
-		kinds: make([]machines, 1)}
+		kinds: make([]machines, 1), room: doubt.New(0.1, 0.5, healthMax/3)}
 	d.site = siteOf(terms)
 	for i := 0; ; i++ {
 		at := fmt.Sprintf("categories.%d.", i)
@@ -311,9 +308,7 @@
 		for _, p := range w.places {
 			d.placed, d.took = d.placed-p.place, d.took-p.took
 		}
-		for len(w.strides) > 0 {
-			d.forgetStride(w)
-		}
+		w.strides.Leave(&d.kinds[w.kind].strides)
 		*w = worker{known: true, since: since, out: w.out, health: doubt.New(0.05, 0.5, healthMax)}
 		for _, o := range w.out {
 			d.await(o) // silence of what the old process has is measured from its sending again
@@ -535,7 +530,7 @@
 			d.judge(i, false)
 		}
 		if o.started > 0 {
-			d.learnStride(w, float64(d.now-o.started)/float64(max(d.expected(o), 1)))
+			w.strides.Add(&d.kinds[w.kind].strides, float64(d.now-o.started)/float64(max(d.expected(o), 1)))
 			d.runs[o.cat] = sample.Keep(d.runs[o.cat], d.now-o.started)
 			d.fresh, d.ranAnew = false, true
 		} else if !d.site.tellsStart {
@@ -566,19 +561,6 @@
 	d.placed, d.took = d.placed+p.place, d.took+p.took
 }
 
-func (d *Dispatcher) learnStride(w *worker, x float64) {
-	if len(w.strides) == sample.Few {
-		d.forgetStride(w)
-	}
-	w.strides = append(w.strides, x)
-	d.kinds[w.kind].strides.Add(x)
-}
-
-func (d *Dispatcher) forgetStride(w *worker) {
-	d.kinds[w.kind].strides.Drop(w.strides[0])
-	w.strides = w.strides[1:]
-}
-
 // unask lets the next pair be drawn.
 func (o *op) unask() { o.pair, o.got, o.asked = nil, nil, 0 }
 
@@ -683,6 +665,7 @@
 	}
 	// Reports seconds late send all schedulers to the workers that look idle. They are taken for late while many
 	// of the last pushes that were to start at once did not; old lateness must not keep reports out.
+	g.scarce = d.room.Doubtful(d.now)
 	late, n, prompt := 0, 0, 5*g.trip+4*d.site.step
 	g.longest = 0
 	for _, s := range d.starts {
@@ -836,25 +819,15 @@
 	if by < 0 || by >= d.site.all || by == d.site.me || n < 0 {
 		return
 	}
-	w := &d.workers[i]
-	k, found := slices.BinarySearchFunc(w.words, by, func(x word, by int) int { return x.by - by })
-	if !found {
-		w.words = slices.Insert(w.words, k, word{})
-	}
-	w.words[k] = word{by, n, d.now}
+	d.workers[i].words.Put(by, n, d.now)
 }
 
 // tally is a worker's jobs by all schedulers' word, and its slots; false where it is none of the regulars.
 func (d *Dispatcher) tally(i int) (n, slots float64, ok bool) {
 	w := &d.workers[i]
-	for _, x := range w.words {
-		if d.now-x.at < recent {
-			n += float64(x.n)
-		}
-	}
 	_, ok = slices.BinarySearch(w.audience, d.site.me)
 	slots = d.kinds[w.kind].slots
-	return n + float64(len(w.out)), slots, ok && d.site.peers && slots > 0 && !d.cold(w)
+	return float64(w.words.Sum(d.now, recent) + len(w.out)), slots, ok && d.site.peers && slots > 0 && !d.cold(w)
 }
 
 // pair draws the two workers to probe; one of them from the own zone where crossing is paid for. Among all of
@@ -1000,11 +973,15 @@
 		if d.now < o.next {
 			return Nothing, 0, 0
 		}
+		if o.legs+o.looks == 0 && o.next == 0 && d.figures().scarce && d.chance.Uniform() > d.rank(o) {
+			return d.giveUp(o, d.spare(o)/2)
+		}
 		from := d.candidates(o)
 		if o.looks > 0 || d.site.peers {
 			// Looking again where a queue was just seen costs probes and finds it still there.
 			from = slices.DeleteFunc(from, func(i int) bool { return d.hopeless(o, i) })
 			if len(from) == 0 {
+				d.found(o, false)
 				return d.giveUp(o, d.spare(o)/2)
 			}
 		}
@@ -1033,13 +1010,15 @@
 	}
 	if excess > 0 {
 		// A queue that outlasts the op's time only makes it late there, and others too: look again, or say no.
-		if o.looks++; spare <= 0 || o.looks >= maxLooks {
+		if o.looks++; spare <= 0 || o.looks >= d.looks(o) {
+			d.found(o, false)
 			return d.giveUp(o, min(excess, spare/2))
 		}
 		o.unask()
 		o.next = d.now + spare/4 + 1
 		return Nothing, 0, 0
 	}
+	d.found(o, true)
 	o.place, o.foretold, o.looked = d.place(o, i), wait, d.fits(o, i)
 	w := &d.workers[i]
 	o.out, o.worker, o.sentAt, o.heard, o.started, o.silent = true, i, d.now, d.now, 0, false
@@ -1197,6 +1176,25 @@
 		r.load.Waiting < 0.5
 }
 
+// found tells whether an op has found a place. Of those that are given all looks only narrow ones say something
+// of the fleet: wide ops lack room on quiet days too.
+func (d *Dispatcher) found(o *op, ok bool) {
+	if o.legs == 0 && o.slots < 1.5 && d.looks(o) == maxLooks {
+		d.room.Add(d.now, ok)
+		d.fresh = false
+	}
+}
+
+// looks is how many pairs are probed for an op before it is given up. Where even the dearest find no place, cheap
+// ones probe less, and some not at all: with a quarter of the fleet left all ops and their clients' repeats asked
+// for every free slot, workers spent a tenth of their time on probes, and a slot went to whoever came first.
+func (d *Dispatcher) looks(o *op) int {
+	if !d.figures().scarce {
+		return maxLooks
+	}
+	return 1 + int((maxLooks-1)*d.rank(o))
+}
+
 // last is a worker's newest reading, nil before there is one.
 func (w *worker) last() *reading {
 	if len(w.readings) == 0 {
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -680,8 +680,8 @@
 		d.Mark(i, uint64(i+1), i%2)
 	}
 	for range 8 {
-		d.learnStride(&d.workers[0], 0.5)
-		d.learnStride(&d.workers[1], 2)
+		d.workers[0].strides.Add(&d.kinds[d.workers[0].kind].strides, 0.5)
+		d.workers[1].strides.Add(&d.kinds[d.workers[1].kind].strides, 2)
 	}
 	if fast, slow := d.slow(2), d.slow(3); fast != 0.5 || slow != 2 {
 		t.Errorf("workers not met: %g and %g, want 0.5 and 2", fast, slow)
@@ -853,3 +853,47 @@
 		t.Errorf("of 400 probes %d went to cold workers where reports were true, %d where pushes started late", prompt, late)
 	}
 }
+
+// With a quarter of the fleet left, all ops and their clients' repeats asked for every free slot: workers spent a tenth
+// of their time on probes, and the cheapest ops found as many places as the dearest.
+func TestWhereDearOpsFindNoPlaceCheapOnesAskLess(t *testing.T) {
+	d := fleet(20, map[string]any{"benefitPer": "work", "categories.0.benefit": 1.0, "categories.1.benefit": 10.0})
+	d.placed, d.took = 10, 50_000 // a place in a queue takes half a second
+	next := 0
+	probes := func(ops, cat int, load Load) (n int) {
+		for range ops {
+			d.Op(next, cat, d.now+50_000, 1, 0, 1000)
+			next++
+		}
+		for range 30 { // 0.9 s
+			for _, a := range decisions(d) {
+				switch a.do {
+				case Probe:
+					n++
+					d.Report(a.worker, 0, load)
+				case Push:
+					d.Outcome(a.op, 0, Served, 0, true)
+				}
+			}
+			d.Clock(d.now + 300)
+		}
+		return n
+	}
+	full := Load{Jobs: 20, Waiting: 16, Memory: -1}
+	if n := probes(40, 0, jobs(0)); n != 80 {
+		t.Errorf("%d probes for 40 cheap ops where there is room", n)
+	}
+	if n := probes(6, 1, full); n < 24 {
+		t.Errorf("%d probes for 6 dear ops where there is none", n)
+	}
+	if n := probes(40, 0, full); n > 24 { // one in ten asks, once
+		t.Errorf("%d probes for 40 cheap ops where dear ones find no place", n)
+	}
+	if n := probes(6, 1, full); n < 12 {
+		t.Errorf("%d probes for 6 dear ops where dear ones find no place", n)
+	}
+	d.Clock(d.now + 5*second)
+	if n := probes(40, 0, jobs(0)); n != 80 {
+		t.Errorf("%d probes for 40 cheap ops 5 s later", n)
+	}
+}
--- a/internal/sample/sample.go
+++ b/internal/sample/sample.go
@@ -70,6 +70,27 @@
 	*p = slices.Delete(*p, k, k+1)
 }
 
+// Part is the last few of one's values, which count in a pool too.
+type Part []float64
+
+// Add is another value, here and in the pool.
+func (p *Part) Add(pool *Pool, x float64) {
+	if len(*p) == Few {
+		pool.Drop((*p)[0])
+		*p = (*p)[1:]
+	}
+	*p = append(*p, x)
+	pool.Add(x)
+}
+
+// Leave takes all of them out of the pool.
+func (p *Part) Leave(pool *Pool) {
+	for _, x := range *p {
+		pool.Drop(x)
+	}
+	*p = nil
+}
+
 // Middle is the upper median of the pool, or of few values and three times that one; 1 where the pool is empty.
 func (p Pool) Middle(few []float64) float64 {
 	if len(p) == 0 {
--- a/internal/sample/sample_test.go
+++ b/internal/sample/sample_test.go
@@ -37,3 +37,20 @@
 		}
 	}
 }
+
+// What a worker has learned goes with it: left in the pool, it spoke for the fleet for good.
+func TestAPartLeavesThePoolWhole(t *testing.T) {
+	var pool Pool
+	var one, other Part
+	other.Add(&pool, 7)
+	for i := range 2 * Few {
+		one.Add(&pool, float64(i))
+	}
+	if len(one) != Few || len(pool) != Few+1 || one[0] != Few {
+		t.Errorf("%d kept from %g, %d in the pool", len(one), one[0], len(pool))
+	}
+	one.Leave(&pool)
+	if len(pool) != 1 || pool[0] != 7 {
+		t.Errorf("left behind: %v", pool)
+	}
+}
--- /dev/null
+++ b/internal/words/words.go
@@ -0,0 +1,31 @@
+// Package words keeps what others last said of something: one number each, with the time of its saying.
+package words
+
+import "slices"
+
+type word[M ~int64] struct {
+	by, n int
+	at    M
+}
+
+// Words are the last words of others, in order of their numbers.
+type Words[M ~int64] []word[M]
+
+// Put is another's word, in place of its last.
+func (w *Words[M]) Put(by, n int, now M) {
+	k, found := slices.BinarySearchFunc(*w, by, func(x word[M], by int) int { return x.by - by })
+	if !found {
+		*w = slices.Insert(*w, k, word[M]{})
+	}
+	(*w)[k] = word[M]{by, n, now}
+}
+
+// Sum is of the words younger than old: one who has fallen silent says nothing about now.
+func (w Words[M]) Sum(now, old M) (n int) {
+	for _, x := range w {
+		if now-x.at < old {
+			n += x.n
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/words/words_test.go
@@ -0,0 +1,19 @@
+package words
+
+import "testing"
+
+// A scheduler that has died left its pushes in the others' counts for good.
+func TestOnlyLastAndYoungWordsCount(t *testing.T) {
+	var w Words[int64]
+	w.Put(3, 5, 10)
+	w.Put(1, 2, 20)
+	w.Put(3, 1, 30)
+	for _, x := range []struct {
+		now  int64
+		want int
+	}{{30, 3}, {45, 1}, {60, 0}} {
+		if got := w.Sum(x.now, 20); got != x.want {
+			t.Errorf("at %d: %d, want %d", x.now, got, x.want)
+		}
+	}
+}
