A second address answers staff: readiness and figures

Change: internal/console (calls, a listener and sixteen callers of its own), internal/tally (counts where things happen), workers known and avoided published by the loop every 0.2 s.

--- a/cmd/woaddyke/main.go
+++ b/cmd/woaddyke/main.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
 
+	"woaddyke/internal/console"
 	"woaddyke/internal/front"
 	"woaddyke/internal/terms"
 )
@@ -35,7 +36,7 @@
 }
 
 func serve() *cobra.Command {
-	var path, level string
+	var path, level, staff string
 	var within time.Duration
 	c := &cobra.Command{Use: "serve", Short: "Run a scheduler until SIGTERM; SIGHUP rereads the configuration", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
@@ -51,6 +52,9 @@
 			if err != nil {
 				return err
 			}
+			if sheet.Console == "" {
+				sheet.Console = staff
+			}
 			runtime.GOMAXPROCS(max(1, int(math.Ceil(sheet.Limits.Cores))))
 			// The rest is for stacks, the program itself and what the kernel counts against it.
 			debug.SetMemoryLimit(int64(sheet.Limits.MemoryMB) << 20 * 3 / 4)
@@ -64,6 +68,14 @@
 			if err != nil {
 				return fmt.Errorf("listening: %w", err)
 			}
+			if sheet.Console != "" {
+				calls, err := net.Listen("tcp", sheet.Console)
+				if err != nil {
+					return fmt.Errorf("listening for staff: %w", err)
+				}
+				defer calls.Close()
+				console.Serve(calls, f, log)
+			}
 			go func() {
 				for range reread {
 					f.Reread(path)
@@ -72,6 +84,7 @@
 			return f.Serve(ctx, at, within)
 		}}
 	c.Flags().StringVar(&path, "config", os.Getenv("RELAY_CONFIG"), "file with what this scheduler is told")
+	c.Flags().StringVar(&staff, "console", os.Getenv("RELAY_CONSOLE"), "address for staff, where the configuration names none")
 	c.Flags().StringVar(&level, "log", "info", "least level that is logged")
 	c.Flags().DurationVar(&within, "stop-within", 3*time.Second,
 		"after SIGTERM, wait for workers at most this long, or the longest TTL")
--- a/internal/conns/exchange.go
+++ b/internal/conns/exchange.go
@@ -65,11 +65,12 @@
 	}
 }
 
-// Push writes a request and reads job lines until the last one. It tells notes as they come and the end once,
-// after the connection is closed or the worker has said its last word on it.
-func (p *Pool) Push(addr, id string, request []byte, limit time.Time, note func(Line),
+// Push writes a request and reads job lines until the last one. It tells once that the request is written whole, notes
+// as they come, and the end once, after the connection is closed or the worker has said its last word on it.
+func (p *Pool) Push(addr, id string, request []byte, limit time.Time, written func(), note func(Line),
 	end func(End)) *Exchange {
 	return p.begin(addr, request, limit, func(c *conn, e End) (*http.Response, End) {
+		written()
 		return job(c, id, note, e)
 	}, end)
 }
--- /dev/null
+++ b/internal/console/console.go
@@ -0,0 +1,49 @@
+// Package console serves the second address, which is for staff and their tools: HTTP/1.1, one call to a connection.
+package console
+
+import (
+	"encoding/json"
+	stdlog "log"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"woaddyke/internal/guests"
+	"woaddyke/internal/tally"
+)
+
+const (
+	mostCallers = 16              // connections at once; beyond them the one that has waited longest gives way
+	callTime    = 2 * time.Second // for a whole call to come, and for its answer to be read
+)
+
+// Scheduler is what calls are answered from. None of its methods may wait: answers are owed under any load.
+type Scheduler interface {
+	Ready() bool // it can serve
+	Figures() tally.Figures
+}
+
+// Serve answers calls until the listener is closed. It returns at once.
+func Serve(l net.Listener, of Scheduler, log zerolog.Logger) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /api/ready", func(w http.ResponseWriter, _ *http.Request) {
+		if !of.Ready() {
+			http.Error(w, "not ready yet", http.StatusServiceUnavailable)
+		}
+	})
+	mux.HandleFunc("GET /api/telemetry", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		if err := json.NewEncoder(w).Encode(of.Figures()); err != nil {
+			log.Debug().Err(err).Msg("figures not read")
+		}
+	})
+	callers := guests.New(mostCallers, mostCallers)
+	callers.Listener = l
+	s := &http.Server{Handler: mux, ConnState: callers.Track, ReadTimeout: callTime, WriteTimeout: callTime,
+		MaxHeaderBytes: 8 << 10, ErrorLog: stdlog.New(log.With().Str("level", "warn").Logger(), "", 0)}
+	s.SetKeepAlivesEnabled(false)
+	go s.Serve(callers)
+	log.Info().Str("console", l.Addr().String()).Msg("answering staff")
+}
--- /dev/null
+++ b/internal/console/console_test.go
@@ -0,0 +1,89 @@
+package console
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"woaddyke/internal/tally"
+)
+
+type scheduler struct{ ready bool }
+
+func (s *scheduler) Ready() bool            { return s.ready }
+func (s *scheduler) Figures() tally.Figures { return tally.Figures{InFlight: 14} }
+
+func serve(t *testing.T, of Scheduler) (addr string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	Serve(l, of, zerolog.Nop())
+	return l.Addr().String()
+}
+
+func call(t *testing.T, addr, method, path string) (status int, text string) {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", method, path)
+	c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	whole, err := io.ReadAll(c) // to its end: a connection has one call
+	if err != nil {
+		t.Fatalf("%s %s: %v after %q", method, path, err, whole)
+	}
+	head, text, _ := strings.Cut(string(whole), "\r\n\r\n")
+	if _, err := fmt.Sscanf(head, "HTTP/1.1 %d", &status); err != nil {
+		t.Fatalf("%q: %v", head, err)
+	}
+	return status, text
+}
+
+// A tool that takes any answer for a yes must not find one at a wrong path or by a wrong method.
+func TestOnlyACallThatIsOneGetsAYes(t *testing.T) {
+	of := &scheduler{}
+	addr := serve(t, of)
+	if status, _ := call(t, addr, "GET", "/api/ready"); status != http.StatusServiceUnavailable {
+		t.Errorf("not ready yet: %d", status)
+	}
+	of.ready = true
+	for _, c := range []struct {
+		method, path string
+		want         int
+	}{{"GET", "/api/ready", 200}, {"POST", "/api/ready", 405}, {"GET", "/api/telemetry", 200}, {"GET", "/", 404},
+		{"GET", "/api/readyx", 404}, {"POST", "/api/telemetry", 405}} {
+		if status, _ := call(t, addr, c.method, c.path); status != c.want {
+			t.Errorf("%s %s: %d, want %d", c.method, c.path, status, c.want)
+		}
+	}
+	if _, text := call(t, addr, "GET", "/api/telemetry"); !strings.Contains(text, `"in_flight":14,"workers_known":0`) {
+		t.Errorf("figures %q", text)
+	}
+}
+
+// Callers that hold connections and say nothing kept the others out.
+func TestCallersWhoSayNothingGiveWay(t *testing.T) {
+	addr := serve(t, &scheduler{ready: true})
+	for range 4 * mostCallers {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		fmt.Fprint(c, "GET /api/re")
+	}
+	began := time.Now()
+	if status, _ := call(t, addr, "GET", "/api/ready"); status != http.StatusOK || time.Since(began) > callTime/2 {
+		t.Errorf("%d after %v", status, time.Since(began))
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -22,8 +22,10 @@
 	"github.com/rs/zerolog"
 
 	"woaddyke/internal/conns"
+	"woaddyke/internal/guests"
 	"woaddyke/internal/ops"
 	"woaddyke/internal/roster"
+	"woaddyke/internal/tally"
 	"woaddyke/internal/terms"
 )
 
@@ -33,6 +35,7 @@
 	bodyTime  = time.Second             // for a body after that: on a whole request nobody waits for 3 s
 	patience  = 10 * time.Second        // with a client that does not read its answer
 	stopSlack = 600 * time.Millisecond  // after the longest TTL a process that stops may be killed
+	listWait  = 3 * time.Second         // for discovery's first list, before the remembered one has to do
 	stays     = 0.6                     // of its last time it keeps connections: their clients may have no other
 )
 
@@ -45,7 +48,9 @@
 	log      zerolog.Logger
 	numbers  atomic.Uint64
 	stopping atomic.Bool
-	clients  *clients
+	serving  atomic.Bool
+	clients  *guests.Guests
+	tally    *tally.Tally
 }
 
 type heldKey struct{}
@@ -53,7 +58,8 @@
 // New makes a scheduler from what it is told at its start.
 func New(sheet *terms.Sheet, log zerolog.Logger) (*Front, error) {
 	f := &Front{sheet: sheet, log: log}
-	f.clients = newClients(f.share(0.3), f.share(0.55))
+	f.clients = guests.New(f.share(0.3), f.share(0.55))
+	f.tally = tally.New(sheet.Categories())
 	dial := sheet.Span("bounds.connectTimeout", time.Second)
 	f.loop = &loop{
 		in:      make(chan message, backlog),
@@ -64,6 +70,9 @@
 		probeWait: 2 * dial, // nothing says how long a probe may take: a dial, and as long again
 		log:       log,
 		clock:     clock{time.Now()},
+		tally:     f.tally,
+		shows:     sheet.Console != "",
+		listed:    make(chan struct{}),
 		held:      map[uint64]*held{},
 		out:       map[uint64]*conns.Exchange{},
 		wake:      time.NewTimer(0),
@@ -126,13 +135,14 @@
 		defer close(ended)
 		f.loop.run(quit)
 	}()
-	s := &http.Server{Handler: f, ConnState: f.clients.track, ConnContext: withGuest, ReadHeaderTimeout: headTime,
+	s := &http.Server{Handler: f, ConnState: f.clients.Track, ConnContext: guests.With, ReadHeaderTimeout: headTime,
 		IdleTimeout: 5 * time.Minute, MaxHeaderBytes: 16 << 10,
 		ErrorLog: stdlog.New(f.log.With().Str("level", "warn").Logger(), "", 0)}
 	failed := make(chan error, 1)
 	f.clients.Listener = l
 	go func() { failed <- s.Serve(f.clients) }()
-	f.log.Info().Str("name", f.sheet.Name).Str("listen", f.sheet.Listen).Int("most_clients", f.clients.most).
+	f.serving.Store(true)
+	f.log.Info().Str("name", f.sheet.Name).Str("listen", f.sheet.Listen).Int("most_clients", f.clients.Most()).
 		Msg("serving")
 	select {
 	case err := <-failed:
@@ -143,18 +153,34 @@
 	return nil
 }
 
+// Figures are what staff read. They wait for nothing.
+func (f *Front) Figures() tally.Figures { return f.tally.Figures() }
+
+// Ready tells whether this process can serve: it takes clients, and discovery has told it of the workers. One whose
+// discovery says nothing serves by the list that it remembers.
+func (f *Front) Ready() bool {
+	select {
+	case <-f.loop.listed:
+		return f.serving.Load()
+	default:
+		return f.serving.Load() && time.Since(f.loop.clock.start) > listWait
+	}
+}
+
 // Reread takes up a configuration that was replaced: where discovery is now. Workers, ops and connections stay
 // as they are, and so does all else until a restart.
 func (f *Front) Reread(path string) {
 	sheet, err := terms.ReadSheet(path)
 	if err != nil {
 		f.log.Error().Err(err).Msg("configuration kept")
+		f.tally.Reread(false)
 		return
 	}
 	if sheet.Listen != f.sheet.Listen || sheet.Limits != f.sheet.Limits || !maps.Equal(sheet.Site, f.sheet.Site) {
 		f.log.Warn().Msg("listen address, limits and settings change with a restart only")
 	}
 	f.roster.Move(sheet.Discovery)
+	f.tally.Reread(true)
 	f.log.Info().Str("discovery", sheet.Discovery).Msg("configuration reread")
 }
 
@@ -207,9 +233,11 @@
 	}
 	h, no := f.read(w, r, came)
 	if no != nil {
+		f.tally.TurnedAway(r.Header.Get(categoryHeader), endOf(no.status))
 		f.refuse(w, no)
 		return
 	}
+	f.tally.Took()
 	r.Body = http.NoBody
 	f.proxy.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), heldKey{}, h)))
 }
@@ -240,10 +268,13 @@
 	select {
 	case a := <-h.answer:
 		if a.Verdict == ops.Acked {
-			f.clients.served(r.Context())
+			f.clients.Served(r.Context())
 		}
-		return answer(r, a), nil
+		resp := answer(r, a)
+		f.tally.Ended(h.Category, endOf(resp.StatusCode))
+		return resp, nil
 	case <-r.Context().Done():
+		f.tally.Ended(h.Category, tally.Failed)
 		f.loop.tell(ops.Left{Op: h.Op})
 		return nil, r.Context().Err()
 	}
@@ -273,6 +304,17 @@
 	return resp
 }
 
+// endOf is what an answer's status tells a client.
+func endOf(status int) tally.End {
+	switch status {
+	case http.StatusOK:
+		return tally.Served
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return tally.Refused
+	}
+	return tally.Failed
+}
+
 // buffers keeps the proxy from making a new buffer for each answer.
 type buffers struct{ pool sync.Pool }
 
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -8,6 +8,7 @@
 	"woaddyke/dispatch"
 	"woaddyke/internal/conns"
 	"woaddyke/internal/ops"
+	"woaddyke/internal/tally"
 	"woaddyke/internal/terms"
 )
 
@@ -15,6 +16,7 @@
 	backlog    = 256              // inputs that wait for the loop
 	countEvery = 10 * time.Second // the counts of a watch are logged
 	sweepEvery = time.Second      // idle connections are looked over this often
+	fleetEvery = time.Second / 5  // figures that only the loop knows are owed half a second old at most
 )
 
 // message is an input on its way to the loop; an op comes with the client's request.
@@ -39,6 +41,10 @@
 	log       zerolog.Logger
 	clock     clock
 
+	tally   *tally.Tally
+	shows   bool          // staff read the figures
+	listed  chan struct{} // closed with the first list that is not remembered
+	heard   bool          // it is closed
 	watches bool
 	taken   uint64
 	peers   *peers
@@ -55,6 +61,12 @@
 	defer sweep.Stop()
 	defer count.Stop()
 	defer l.otherwise()
+	var fleet <-chan time.Time
+	if l.shows {
+		often := time.NewTicker(fleetEvery)
+		defer often.Stop()
+		fleet = often.C
+	}
 	for {
 		select {
 		case m := <-l.in:
@@ -69,6 +81,8 @@
 			l.step(ops.Woken{})
 		case now := <-sweep.C:
 			go l.pool.Sweep(now)
+		case <-fleet:
+			l.tally.Fleet(l.reducer.Fleet(terms.Up(l.clock.nanos(time.Now()))))
 		case <-count.C:
 			l.otherwise()
 		case <-quit:
@@ -93,6 +107,11 @@
 		delete(l.out, in.Op)
 	case ops.Left:
 		delete(l.held, in.Op)
+	case ops.Listed:
+		if !in.Remembered && !l.heard {
+			l.heard = true
+			close(l.listed)
+		}
 	}
 	for _, e := range l.reducer.Take(terms.Up(l.clock.nanos(now)), in) {
 		l.do(now, e)
@@ -130,7 +149,9 @@
 	h := l.held[e.Op] // a push is never asked for after the answer, or after its client left
 	wait := span(e.Within)
 	l.log.Debug().Uint64("op", e.Op).Str("id", h.ID).Str("worker", e.Worker).Int("leg", e.Leg).Msg("push")
-	l.out[e.Op] = l.pool.Push(e.Addr, h.ID, h.request.Bytes(wait), now.Add(wait), func(line conns.Line) {
+	l.out[e.Op] = l.pool.Push(e.Addr, h.ID, h.request.Bytes(wait), now.Add(wait), func() {
+		l.tally.Pushed(h.Category)
+	}, func(line conns.Line) {
 		l.log.Debug().Uint64("op", e.Op).Str("state", line.State).Float64("share", line.Share).Msg("job line")
 		l.tell(ops.Noted{Op: e.Op, Started: line.State == "started", Done: line.Share})
 	}, func(end conns.End) {
--- a/internal/front/unread.go
+++ b/internal/front/unread.go
@@ -2,19 +2,19 @@
 
 import (
 	"context"
-	"net"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"woaddyke/internal/guests"
 )
 
 // unread is how long ago the newest bytes of a request came to this machine. They lie in the kernel while the
 // process is stopped, starved or busy accepting others; taken as new, such requests were pushed seconds after their
 // clients' TTL. A beat that told of halts was dearer (67 us forty times a second) and saw only long ones.
 func unread(ctx context.Context) time.Duration {
-	nc, _ := ctx.Value(guestKey{}).(net.Conn)
-	c, ok := nc.(syscall.Conn)
+	c, ok := guests.Of(ctx).(syscall.Conn)
 	if !ok {
 		return 0
 	}
--- a/internal/guests/guests.go
+++ b/internal/guests/guests.go
@@ -1,4 +1,5 @@
-package front
+// Package guests holds the connections that others open to a scheduler, within a bound on their number.
+package guests
 
 import (
 	"context"
@@ -10,66 +11,71 @@
 	"woaddyke/internal/conns"
 )
 
-// clients are the connections from clients. They share the descriptors with those to workers: too many of
+// Guests are the connections at one address. They share the descriptors with those to workers: too many of
 // them would leave ops that can't be pushed. Those that were never served give way first, so that a flood
 // takes its room from itself.
-type clients struct {
+type Guests struct {
 	net.Listener
 	most, full int // from the first on others give way to a newcomer; at the second it is closed unread
 
-	mu     sync.Mutex
-	guests map[net.Conn]*guest
+	mu   sync.Mutex
+	open map[net.Conn]*guest
 }
 
 type guest struct {
 	since  time.Time // as it is now
 	state  http.ConnState
-	served bool // a worker's result was sent on it
+	served bool // it was given what it came for
 }
 
-func newClients(most, full int) *clients {
-	return &clients{most: most, full: full, guests: map[net.Conn]*guest{}}
+// New makes room for so many connections: from the first bound on others give way to a newcomer, at the second it
+// is closed unread.
+func New(most, full int) *Guests {
+	return &Guests{most: most, full: full, open: map[net.Conn]*guest{}}
 }
 
+// Most is the first bound.
+func (g *Guests) Most() int { return g.most }
+
 // Accept takes connections while there is room. What is closed here costs no goroutine and no buffer; the
 // server's own loop would take hundreds before the first of them gives way.
-func (c *clients) Accept() (net.Conn, error) {
+func (g *Guests) Accept() (net.Conn, error) {
 	for {
-		nc, err := c.Listener.Accept()
-		if err != nil || c.admit(nc) {
+		nc, err := g.Listener.Accept()
+		if err != nil || g.admit(nc) {
 			return nc, err
 		}
 		nc.Close()
 	}
 }
 
-func (c *clients) admit(nc net.Conn) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for len(c.guests) >= c.most {
-		if old := c.oldest(); old != nil {
-			c.part(old)
+func (g *Guests) admit(nc net.Conn) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for len(g.open) >= g.most {
+		if old := g.oldest(); old != nil {
+			g.part(old)
 			continue
 		}
-		if len(c.guests) >= c.full {
+		if len(g.open) >= g.full {
 			return false
 		}
 		break
 	}
-	c.guests[nc] = &guest{since: time.Now(), state: http.StateNew}
+	g.open[nc] = &guest{since: time.Now(), state: http.StateNew}
 	return true
 }
 
 // oldest is the connection that gives way: that which has waited longest among those never served, else among
 // all that wait for a request. One whose request has come but is not read yet is none of them.
-func (c *clients) oldest() net.Conn {
+func (g *Guests) oldest() net.Conn {
 	for {
 		var old net.Conn
 		var o *guest
-		for nc, g := range c.guests {
-			waits := g.state == http.StateIdle || g.state == http.StateNew
-			if waits && (o == nil || !g.served && o.served || g.served == o.served && g.since.Before(o.since)) {
-				old, o = nc, g
+		for nc, x := range g.open {
+			waits := x.state == http.StateIdle || x.state == http.StateNew
+			if waits && (o == nil || !x.served && o.served || x.served == o.served && x.since.Before(o.since)) {
+				old, o = nc, x
 			}
 		}
 		if old == nil {
@@ -84,42 +90,46 @@
 
 // part ends the wait of a connection. One between requests is not closed but told that its wait is over: a
 // request read a moment ago would be lost with it.
-func (c *clients) part(nc net.Conn) {
-	g := c.guests[nc]
-	delete(c.guests, nc)
-	if g.state == http.StateNew {
+func (g *Guests) part(nc net.Conn) {
+	x := g.open[nc]
+	delete(g.open, nc)
+	if x.state == http.StateNew {
 		nc.Close()
 		return
 	}
 	nc.SetReadDeadline(time.Unix(1, 0))
 }
 
-// track is told of each change by the server.
-func (c *clients) track(nc net.Conn, state http.ConnState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	g := c.guests[nc]
+// Track is told of each change by the server.
+func (g *Guests) Track(nc net.Conn, state http.ConnState) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	x := g.open[nc]
 	switch {
-	case g == nil || state == http.StateNew:
+	case x == nil || state == http.StateNew:
 	case state == http.StateClosed || state == http.StateHijacked:
-		delete(c.guests, nc)
+		delete(g.open, nc)
 	default:
-		g.state, g.since = state, time.Now()
+		x.state, x.since = state, time.Now()
 	}
 }
 
-type guestKey struct{}
+type key struct{}
+
+// With lets a request's context tell its connection.
+func With(ctx context.Context, nc net.Conn) context.Context { return context.WithValue(ctx, key{}, nc) }
 
-func withGuest(ctx context.Context, nc net.Conn) context.Context {
-	return context.WithValue(ctx, guestKey{}, nc)
+// Of is the connection of a request, nil where its context does not tell.
+func Of(ctx context.Context) net.Conn {
+	nc, _ := ctx.Value(key{}).(net.Conn)
+	return nc
 }
 
-// served marks the connection of a request whose client has proved to be one of ours.
-func (c *clients) served(ctx context.Context) {
-	nc, _ := ctx.Value(guestKey{}).(net.Conn)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if g := c.guests[nc]; g != nil {
-		g.served = true
+// Served marks the connection of a request whose client has proved to be one of ours.
+func (g *Guests) Served(ctx context.Context) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if x := g.open[Of(ctx)]; x != nil {
+		x.served = true
 	}
 }
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -8,6 +8,7 @@
 
 	"woaddyke/dispatch"
 	"woaddyke/internal/ending"
+	"woaddyke/internal/sample"
 	"woaddyke/internal/terms"
 )
 
@@ -23,6 +24,7 @@
 	Kind         string // of machine
 	Cell         int
 	Ready        bool
+	Gone         bool          // it is in the list no more
 	Since        dispatch.Time // 0: long ago
 }
 
@@ -157,8 +159,8 @@
 func (Wake) effect()   {}
 
 type worker struct {
-	name, addr string
-	ready      bool
+	name, addr    string
+	listed, ready bool
 }
 
 type op struct {
@@ -230,6 +232,17 @@
 	return n[dispatch.Asked], n[dispatch.Chosen], n[dispatch.Spoken]
 }
 
+// Fleet is how many workers are in the list, and how many of them get nothing new, or in doubt only little.
+func (r *Reducer) Fleet(now dispatch.Time) (known, avoided int) {
+	for i, w := range r.workers {
+		if w.listed {
+			known++
+			avoided += sample.Bit(!w.ready || r.d.Doubted(i, now))
+		}
+	}
+	return known, avoided
+}
+
 // Take tells the module of an input and returns what is to be done.
 func (r *Reducer) Take(now dispatch.Time, in Input) []Effect {
 	r.d.Clock(now)
@@ -263,7 +276,7 @@
 	if in.Whole {
 		r.d.ListWhole()
 		for i := range r.workers {
-			r.workers[i].ready = false
+			r.workers[i].listed, r.workers[i].ready = false, false
 		}
 	}
 	for _, e := range in.Entries {
@@ -280,7 +293,7 @@
 			r.zones[e.Zone] = z
 		}
 		w := &r.workers[i]
-		w.addr, w.ready = e.Addr, e.Ready && e.Addr != ""
+		w.addr, w.listed, w.ready = e.Addr, !e.Gone, e.Ready && e.Addr != ""
 		kind := e.Kind
 		if _, known := r.kinds[kind]; !r.byKind || !known && len(r.kinds) >= mostKinds {
 			kind = "" // what is not told apart is learned together
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -71,7 +71,7 @@
 			continue // nobody could ever be told that it has gone
 		}
 		in.Entries = append(in.Entries, ops.Entry{Worker: t.UID, Addr: t.Endpoint, Zone: t.AZ, Kind: t.Model, Cell: t.PodGroup,
-			Ready: t.State == "SERVING", Since: terms.Up(t.BootMS * int64(time.Millisecond))})
+			Ready: t.State == "SERVING", Gone: t.State == "DELETED", Since: terms.Up(t.BootMS * int64(time.Millisecond))})
 	}
 	return in
 }
--- a/internal/terms/sheet.go
+++ b/internal/terms/sheet.go
@@ -17,6 +17,7 @@
 type Sheet struct {
 	Name      string          `json:"name"`
 	Listen    string          `json:"listen"`
+	Console   string          `json:"console"` // where staff call; empty: nowhere
 	Discovery string          `json:"discovery"`
 	Seed      string          `json:"seed"`
 	Limits    Limits          `json:"limits"`
@@ -199,6 +200,17 @@
 	return s, nil
 }
 
+// Categories are the names of those that are served.
+func (s *Sheet) Categories() (names []string) {
+	for i := 0; ; i++ {
+		name, ok := s.Site[Item("categories", i, "name")].(string)
+		if !ok {
+			return names
+		}
+		names = append(names, name)
+	}
+}
+
 // Schedulers is how many there are, 1 where the settings do not tell.
 func (s *Sheet) Schedulers() int {
 	n, _ := s.Site["instances"].(float64)
