A second process takes over the listening socket, and nobody is turned away

Change: internal/handover (message, parting of descriptors), internal/handover/pass (Unix socket, SCM_RIGHTS, same user only), the stop with an heir in internal/front/front.go; the roster keeps the whole list; answers end their connections while clients are to move. A Heir(true) after the message raced with SIGTERM: the giver is told before its heir can know.

--- /dev/null
+++ b/cmd/woaddyke/process.go
@@ -0,0 +1,129 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
+
+	"woaddyke/internal/front"
+	"woaddyke/internal/handover"
+	"woaddyke/internal/handover/pass"
+	"woaddyke/internal/terms"
+)
+
+// process is one scheduler's process, which may take the place of another and be replaced by one.
+type process struct {
+	sheet *terms.Sheet
+	front *front.Front
+	log   zerolog.Logger
+}
+
+// memory sets how much the collector may let grow, with so many processes beside one another. The rest is for stacks, the
+// program itself and what the kernel counts against it.
+func (p *process) memory(processes int64) {
+	debug.SetMemoryLimit(int64(p.sheet.Limits.MemoryMB) << 20 * 3 / 4 / processes)
+}
+
+// begin makes the scheduler and its listening socket, from those of a process that is to be replaced if there is one.
+func (p *process) begin() (at net.Listener, err error) {
+	var legacy *pass.Legacy
+	if p.sheet.Console != "" {
+		if legacy, err = pass.Ask(pass.Path(p.sheet.Listen)); err != nil && !errors.Is(err, os.ErrNotExist) &&
+			!errors.Is(err, syscall.ECONNREFUSED) {
+			p.log.Warn().Err(err).Msg("nothing taken over")
+		}
+	}
+	if legacy != nil {
+		if at, err = p.inherit(legacy); err == nil {
+			return at, nil
+		}
+		legacy.Close()
+		p.log.Warn().Err(err).Msg("nothing taken over")
+	}
+	if p.front, err = front.New(p.sheet, p.log); err != nil {
+		return nil, err
+	}
+	var how net.ListenConfig
+	if p.sheet.Console != "" {
+		how.Control = shared
+	}
+	if at, err = how.Listen(context.Background(), "tcp", p.sheet.Listen); err != nil {
+		return nil, fmt.Errorf("listening: %w", err)
+	}
+	return at, nil
+}
+
+// shared lets the process that takes this one's place listen beside it, where it could not take the socket over.
+func shared(_, _ string, c syscall.RawConn) error {
+	var no error
+	err := c.Control(func(fd uintptr) { no = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1) })
+	return errors.Join(err, no)
+}
+
+// inherit makes the scheduler from what came, and its listening socket from the one that came.
+func (p *process) inherit(legacy *pass.Legacy) (net.Listener, error) {
+	state, err := handover.Read(legacy.Text)
+	if err != nil {
+		return nil, err
+	}
+	if len(legacy.Files) == 0 {
+		return nil, errors.New("handover: no socket came")
+	}
+	at, err := net.FileListener(legacy.Files[0])
+	if err != nil {
+		return nil, fmt.Errorf("handover: %w", err)
+	}
+	var peers *net.UDPConn
+	if len(legacy.Files) > 1 && p.sheet.Peers != nil {
+		conn, err := net.FilePacketConn(legacy.Files[1])
+		if err != nil {
+			return nil, fmt.Errorf("handover: %w", err)
+		}
+		peers, _ = conn.(*net.UDPConn)
+	}
+	p.sheet.Known = state.Known
+	if p.front, err = front.New(p.sheet, p.log); err != nil {
+		return nil, err
+	}
+	for _, f := range legacy.Files {
+		f.Close() // what is used of them was duplicated
+	}
+	p.front.Inherit(state, peers)
+	p.memory(2)
+	p.log.Info().Int("sockets", state.Sockets).Msg("took over")
+	go func() {
+		<-legacy.Ended
+		p.front.Limit(p.sheet.Limits.Sockets)
+		p.memory(1)
+		p.log.Info().Msg("the process before has ended")
+	}()
+	return at, nil
+}
+
+// offer lets another process take the place of this one, once this one serves.
+func (p *process) offer() {
+	<-p.front.Ready()
+	if _, err := pass.Offer(pass.Path(p.sheet.Listen), p, p.log); err != nil {
+		p.log.Warn().Err(err).Msg("no process can take over from this one")
+	}
+}
+
+// Give is the front's.
+func (p *process) Give() ([]byte, []syscall.Conn, error) { return p.front.Give() }
+
+// Heir shares what only one process may use.
+func (p *process) Heir(there bool) {
+	p.front.Heir(there)
+	if there {
+		p.memory(2)
+	} else {
+		p.memory(1)
+	}
+}
--- /dev/null
+++ b/cmd/woaddyke/process_test.go
@@ -0,0 +1,135 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"woaddyke/internal/terms"
+)
+
+// replaceable is a process with a stand-in discovery that knows no worker.
+func replaceable(t *testing.T, listen string) *process {
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprintln(w, `{"rev":7,"all":true,"targets":[]}`)
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}))
+	t.Cleanup(discovery.Close)
+	return &process{log: zerolog.Nop(), sheet: &terms.Sheet{Listen: listen, Console: "127.0.0.1:0",
+		Discovery: discovery.Listener.Addr().String(), Limits: terms.Limits{Cores: 1, MemoryMB: 64, Sockets: 256},
+		Site: terms.Flat(map[string]any{"categories": []any{map[string]any{"name": "look", "ttlNs": 3e9}}})}}
+}
+
+// start serves until the context that stop ends; ended tells what Serve said.
+func (p *process) start(at net.Listener) (stop func(), ended chan error) {
+	ctx, stop := context.WithCancel(context.Background())
+	ended = make(chan error, 1)
+	go func() { ended <- p.front.Serve(ctx, at, 3*time.Second) }()
+	return stop, ended
+}
+
+// health asks on a connection and tells whether the answer ends it.
+func health(t *testing.T, c net.Conn) (status int, ends bool) {
+	t.Helper()
+	c.SetDeadline(time.Now().Add(5 * time.Second))
+	fmt.Fprint(c, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	return resp.StatusCode, resp.Close
+}
+
+func dial(t *testing.T, addr string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+// The second process could not listen and ended, and the first one had sent its clients away: jobs were lost at the door.
+func TestAProcessIsReplacedAndNobodyIsTurnedAway(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := free.Addr().String()
+	free.Close()
+	first := replaceable(t, addr)
+	at, err := first.begin()
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop, ended := first.start(at)
+	defer stop()
+	first.offer()
+	kept := dial(t, addr)
+	if status, ends := health(t, kept); status != http.StatusOK || ends {
+		t.Fatalf("the first process: %d, ends %v", status, ends)
+	}
+
+	second := replaceable(t, addr)
+	heirs, err := second.begin()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var known struct{ Rev int }
+	if err := json.Unmarshal(second.sheet.Known, &known); err != nil || known.Rev != 7 {
+		t.Errorf("the list that came: %s, %v", second.sheet.Known, err)
+	}
+	stop()
+	if status, ends := health(t, kept); status != http.StatusOK || !ends {
+		t.Errorf("on the connection from before: %d, ends %v; it must move and the front must not be told to", status, ends)
+	}
+	kept.Close()
+	if err := <-ended; err != nil {
+		t.Errorf("the first process: %v", err)
+	}
+	waits := dial(t, addr) // nobody accepts now, and nothing may be lost
+	stop, ended = second.start(heirs)
+	defer stop()
+	if status, ends := health(t, waits); status != http.StatusOK || ends {
+		t.Errorf("the second process: %d, ends %v", status, ends)
+	}
+	second.offer()
+	third := replaceable(t, addr)
+	if last, err := third.begin(); err != nil || third.sheet.Known == nil {
+		t.Errorf("the third process: %v", err)
+	} else {
+		last.Close()
+	}
+	stop()
+	waits.Close()
+	<-ended
+}
+
+// A process that hands over what the next one can't use must not keep that one from starting.
+func TestWithoutALegacyAProcessListensBesideTheOther(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	first := replaceable(t, "127.0.0.1:0")
+	at, err := first.begin()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer at.Close()
+	second := replaceable(t, at.Addr().String())
+	beside, err := second.begin()
+	if err != nil {
+		t.Fatal(err)
+	}
+	beside.Close()
+}
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -40,6 +40,32 @@
 // New makes a pool without connections.
 func New(b Bounds) *Pool { return &Pool{bounds: b, idle: map[string][]*conn{}} }
 
+// Limit sets another bound on the connections that are open. Idle ones beyond it are closed.
+func (p *Pool) Limit(open int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.bounds.Open = open
+	for p.open > open && p.evict() {
+	}
+}
+
+// evict closes the connection that stood idle longest, with the lock held; false where none is idle.
+func (p *Pool) evict() bool {
+	var oldest *conn
+	for _, few := range p.idle {
+		if len(few) > 0 && (oldest == nil || few[0].since.Before(oldest.since)) {
+			oldest = few[0]
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	p.idle[oldest.addr] = p.idle[oldest.addr][1:]
+	oldest.Close()
+	p.open--
+	return true
+}
+
 // Counts tells how many connections are open, and how many were dialled.
 func (p *Pool) Counts() (open, dialed int) {
 	p.mu.Lock()
@@ -113,19 +139,8 @@
 func (p *Pool) room() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.open >= p.bounds.Open {
-		var oldest *conn
-		for _, few := range p.idle {
-			if len(few) > 0 && (oldest == nil || few[0].since.Before(oldest.since)) {
-				oldest = few[0]
-			}
-		}
-		if oldest == nil {
-			return false
-		}
-		p.idle[oldest.addr] = p.idle[oldest.addr][1:]
-		oldest.Close()
-		p.open--
+	if p.open >= p.bounds.Open && !p.evict() {
+		return false
 	}
 	p.open++
 	p.dialed++
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -21,7 +21,7 @@
 
 // Scheduler is what calls are answered from. None of its methods may wait: answers are owed under any load.
 type Scheduler interface {
-	Ready() bool // it can serve
+	Ready() <-chan struct{} // closed once it can serve
 	Figures() tally.Figures
 }
 
@@ -29,7 +29,9 @@
 func Serve(l net.Listener, of Scheduler, log zerolog.Logger) {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /api/ready", func(w http.ResponseWriter, _ *http.Request) {
-		if !of.Ready() {
+		select {
+		case <-of.Ready():
+		default:
 			http.Error(w, "not ready yet", http.StatusServiceUnavailable)
 		}
 	})
--- a/internal/console/console_test.go
+++ b/internal/console/console_test.go
@@ -14,9 +14,9 @@
 	"woaddyke/internal/tally"
 )
 
-type scheduler struct{ ready bool }
+type scheduler struct{ ready chan struct{} }
 
-func (s *scheduler) Ready() bool            { return s.ready }
+func (s *scheduler) Ready() <-chan struct{} { return s.ready }
 func (s *scheduler) Figures() tally.Figures { return tally.Figures{InFlight: 14} }
 
 func serve(t *testing.T, of Scheduler) (addr string) {
@@ -51,12 +51,12 @@
 
 // A tool that takes any answer for a yes must not find one at a wrong path or by a wrong method.
 func TestOnlyACallThatIsOneGetsAYes(t *testing.T) {
-	of := &scheduler{}
+	of := &scheduler{make(chan struct{})}
 	addr := serve(t, of)
 	if status, _ := call(t, addr, "GET", "/api/ready"); status != http.StatusServiceUnavailable {
 		t.Errorf("not ready yet: %d", status)
 	}
-	of.ready = true
+	close(of.ready)
 	for _, c := range []struct {
 		method, path string
 		want         int
@@ -73,7 +73,9 @@
 
 // Callers that hold connections and say nothing kept the others out.
 func TestCallersWhoSayNothingGiveWay(t *testing.T) {
-	addr := serve(t, &scheduler{ready: true})
+	of := &scheduler{make(chan struct{})}
+	close(of.ready)
+	addr := serve(t, of)
 	for range 4 * mostCallers {
 		c, err := net.Dial("tcp", addr)
 		if err != nil {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -30,13 +30,17 @@
 )
 
 const (
-	spare     = 32                      // descriptors kept for the listener, discovery and the runtime
-	headTime  = 1500 * time.Millisecond // for a head, and for a connection to say anything at all
-	bodyTime  = time.Second             // for a body after that: on a whole request nobody waits for 3 s
-	patience  = 10 * time.Second        // with a client that does not read its answer
-	stopSlack = 600 * time.Millisecond  // after the longest TTL a process that stops may be killed
-	listWait  = 3 * time.Second         // for discovery's first list, before the remembered one has to do
-	stays     = 0.6                     // of its last time it keeps connections: their clients may have no other
+	spare      = 32                      // descriptors kept for the listener, discovery and the runtime
+	headTime   = 1500 * time.Millisecond // for a head, and for a connection to say anything at all
+	bodyTime   = time.Second             // for a body after that: on a whole request nobody waits for 3 s
+	patience   = 10 * time.Second        // with a client that does not read its answer
+	forSome    = 0.3                     // of the descriptors are for clients; beyond them those that wait give way
+	forClients = 0.55                    // so many are for clients at the most
+	forWorkers = 0.45
+	stopSlack  = 600 * time.Millisecond // after the longest TTL a process that stops may be killed
+	listWait   = 3 * time.Second        // for discovery's first list, before the remembered one has to do
+	lookEvery  = 20 * time.Millisecond  // while the last connections end
+	stays      = 0.6                    // of its last time it keeps connections: their clients may have no other
 )
 
 // Front is one scheduler on sockets.
@@ -48,23 +52,28 @@
 	log      zerolog.Logger
 	numbers  atomic.Uint64
 	stopping atomic.Bool
-	serving  atomic.Bool
+	heir     atomic.Bool // another process takes the place of this one
+	leaving  atomic.Bool // answers end their connections
+	ready    chan struct{}
 	clients  *guests.Guests
 	tally    *tally.Tally
+
+	at      net.Listener // for clients
+	peersAt *net.UDPConn // that of the process before, nil without one
 }
 
 type heldKey struct{}
 
 // New makes a scheduler from what it is told at its start.
 func New(sheet *terms.Sheet, log zerolog.Logger) (*Front, error) {
-	f := &Front{sheet: sheet, log: log}
-	f.clients = guests.New(f.share(0.3), f.share(0.55))
+	f, all := &Front{sheet: sheet, log: log, ready: make(chan struct{})}, sheet.Limits.Sockets
+	f.clients = guests.New(share(forSome, all), share(forClients, all))
 	f.tally = tally.New(sheet.Categories())
 	dial := sheet.Span("bounds.connectTimeout", time.Second)
 	f.loop = &loop{
 		in:      make(chan message, backlog),
 		reducer: ops.New(sheet.Chance, sheet.Site),
-		pool: conns.New(conns.Bounds{Open: f.share(0.45), Dial: dial,
+		pool: conns.New(conns.Bounds{Open: share(forWorkers, all), Dial: dial,
 			Idle: sheet.Span("bounds.keepalive", 10*time.Second)}),
 		probeHead: []byte("GET /load HTTP/1.1\r\nHost: worker\r\n\r\n"),
 		probeWait: 2 * dial, // nothing says how long a probe may take: a dial, and as long again
@@ -91,13 +100,13 @@
 	list.Whole, list.Remembered = true, true
 	f.loop.tell(list)
 	spread := roster.Spread(sheet.Schedulers(), sheet.Span("safety.drainGrace", time.Second))
-	f.roster = roster.New(sheet.Discovery, known.Rev, spread, sheet.Chance, f.loop.tell, log)
+	f.roster = roster.New(sheet.Discovery, known, spread, sheet.Chance, f.loop.tell, log)
 	f.proxy = &httputil.ReverseProxy{
 		Transport:  f,
 		Rewrite:    func(r *httputil.ProxyRequest) { r.Out.URL.RawQuery = r.In.URL.RawQuery },
 		BufferPool: &buffers{},
 		ModifyResponse: func(r *http.Response) error {
-			closeBehind(r.Header, r.StatusCode)
+			f.closeBehind(r.Header, r.StatusCode)
 			return nil
 		},
 		ErrorHandler: func(w http.ResponseWriter, r *http.Request, err error) {
@@ -110,8 +119,8 @@
 	return f, nil
 }
 
-// share is a part of the descriptors.
-func (f *Front) share(part float64) int { return int(part * float64(f.sheet.Limits.Sockets-spare)) }
+// share is a part of so many descriptors, less those that are kept.
+func share(part float64, sockets int) int { return max(int(part*float64(sockets-spare)), 1) }
 
 // Serve takes ops until the context ends, and then answers what it has taken within the time given.
 func (f *Front) Serve(ctx context.Context, l net.Listener, within time.Duration) error {
@@ -119,7 +128,7 @@
 	defer unwatch()
 	if p := f.sheet.Peers; p != nil {
 		var err error
-		if f.loop.peers, err = listen(p, f.log); err != nil {
+		if f.loop.peers, err = listen(p, f.peersAt, f.log); err != nil {
 			return err
 		}
 		defer f.loop.peers.conn.Close()
@@ -139,9 +148,15 @@
 		IdleTimeout: 5 * time.Minute, MaxHeaderBytes: 16 << 10,
 		ErrorLog: stdlog.New(f.log.With().Str("level", "warn").Logger(), "", 0)}
 	failed := make(chan error, 1)
-	f.clients.Listener = l
+	f.clients.Listener, f.at = l, l
 	go func() { failed <- s.Serve(f.clients) }()
-	f.serving.Store(true)
+	go func() {
+		select {
+		case <-f.loop.listed:
+		case <-time.After(listWait):
+		}
+		close(f.ready)
+	}()
 	f.log.Info().Str("name", f.sheet.Name).Str("listen", f.sheet.Listen).Int("most_clients", f.clients.Most()).
 		Msg("serving")
 	select {
@@ -156,16 +171,9 @@
 // Figures are what staff read. They wait for nothing.
 func (f *Front) Figures() tally.Figures { return f.tally.Figures() }
 
-// Ready tells whether this process can serve: it takes clients, and discovery has told it of the workers. One whose
+// Ready is closed when this process can serve: it takes clients, and discovery has told it of the workers. One whose
 // discovery says nothing serves by the list that it remembers.
-func (f *Front) Ready() bool {
-	select {
-	case <-f.loop.listed:
-		return f.serving.Load()
-	default:
-		return f.serving.Load() && time.Since(f.loop.clock.start) > listWait
-	}
-}
+func (f *Front) Ready() <-chan struct{} { return f.ready }
 
 // Reread takes up a configuration that was replaced: where discovery is now. Workers, ops and connections stay
 // as they are, and so does all else until a restart.
@@ -185,17 +193,32 @@
 }
 
 // stop answers all that was taken. Connections go on being accepted and used for a while: what a client wrote to
-// one that the machine had accepted counts as taken, and the scheduler that it would turn to may be down still.
+// one that the machine had accepted counts as taken, and the scheduler that it would turn to may be down still. With an
+// heir, that one accepts from the same socket, so this process does no more, and no client need be sent away.
 func (f *Front) stop(s *http.Server, within time.Duration) {
 	within = min(within, f.longestTTL()) + stopSlack/3
 	by := time.Now().Add(within)
-	f.stopping.Store(true)
-	f.log.Info().Time("by", by).Msg("stopping")
+	heir := f.heir.Load()
+	f.stopping.Store(!heir)
+	f.leaving.Store(heir)
+	f.log.Info().Time("by", by).Bool("heir", heir).Msg("stopping")
 	last := ops.Stopping{By: terms.Down(f.loop.clock.nanos(by))}
 	f.loop.tell(last)
 	defer time.AfterFunc(time.Until(by), func() { f.loop.tell(last) }).Stop()
-	time.Sleep(time.Duration(stays * float64(within)))
-	s.SetKeepAlivesEnabled(false)
+	some := time.Duration(stays * float64(within))
+	if heir {
+		f.clients.Close()
+		f.loop.peers.deaf()
+		for f.clients.Count() > 0 && time.Now().Before(by) {
+			if time.Until(by) < within-some {
+				f.clients.Part(0)
+			}
+			time.Sleep(lookEvery)
+		}
+	} else {
+		time.Sleep(some)
+		s.SetKeepAlivesEnabled(false)
+	}
 	ctx, cancel := context.WithDeadline(context.Background(), by.Add(stopSlack/3))
 	defer cancel()
 	if err := s.Shutdown(ctx); err != nil { // it waits for the answers that are still owed
@@ -226,9 +249,7 @@
 		return
 	}
 	if r.Method == http.MethodGet && r.URL.Path == "/healthz" {
-		if f.stopping.Load() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
+		f.health(w)
 		return
 	}
 	h, no := f.read(w, r, came)
@@ -242,9 +263,20 @@
 	f.proxy.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), heldKey{}, h)))
 }
 
-// closeBehind ends the connection of a request that is at fault: so may be what follows it.
-func closeBehind(h http.Header, status int) {
-	if status/100 == 4 {
+// health tells whoever deals out clients whether to send them here.
+func (f *Front) health(w http.ResponseWriter) {
+	status := http.StatusOK
+	if f.stopping.Load() {
+		status = http.StatusServiceUnavailable
+	}
+	f.closeBehind(w.Header(), status)
+	w.WriteHeader(status)
+}
+
+// closeBehind ends the connection of a request that is at fault: so may be what follows it. While clients are to leave, it
+// ends any with its answer: one that is closed between requests may cross the next one.
+func (f *Front) closeBehind(h http.Header, status int) {
+	if status/100 == 4 || f.leaving.Load() {
 		h.Set("Connection", "close")
 	}
 }
@@ -252,7 +284,7 @@
 // refuse tells a client that its request is no op.
 func (f *Front) refuse(w http.ResponseWriter, no *refusal) {
 	f.log.Debug().Str("error", no.text).Int("status", no.status).Msg("no op")
-	closeBehind(w.Header(), no.status)
+	f.closeBehind(w.Header(), no.status)
 	http.Error(w, no.text, no.status)
 }
 
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -22,10 +23,13 @@
 	log  zerolog.Logger
 }
 
-func listen(p *terms.Peers, log zerolog.Logger) (*peers, error) {
-	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(p.At))
-	if err != nil {
-		return nil, fmt.Errorf("peers: %w", err)
+// listen hears on the socket given, or on one of its own.
+func listen(p *terms.Peers, conn *net.UDPConn, log zerolog.Logger) (*peers, error) {
+	if conn == nil {
+		var err error
+		if conn, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(p.At)); err != nil {
+			return nil, fmt.Errorf("peers: %w", err)
+		}
 	}
 	s := &peers{conn: conn, to: p.ByNumber, by: map[netip.AddrPort]int{}, log: log}
 	for n, addr := range p.ByNumber {
@@ -48,6 +52,13 @@
 	}
 }
 
+// deaf leaves what comes to the process that shares the socket.
+func (s *peers) deaf() {
+	if s != nil {
+		s.conn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
 func (s *peers) tell(to int, text string) {
 	addr, known := s.to[to]
 	if !known {
--- a/internal/front/peers_test.go
+++ b/internal/front/peers_test.go
@@ -146,7 +146,7 @@
 	friend, at := datagrams(t)
 	stranger, _ := datagrams(t)
 	s, err := listen(&terms.Peers{At: netip.MustParseAddrPort("127.0.0.1:0"),
-		ByNumber: map[int]netip.AddrPort{7: at}}, zerolog.Nop())
+		ByNumber: map[int]netip.AddrPort{7: at}}, nil, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/guests/guests.go
+++ b/internal/guests/guests.go
@@ -16,10 +16,10 @@
 // takes its room from itself.
 type Guests struct {
 	net.Listener
-	most, full int // from the first on others give way to a newcomer; at the second it is closed unread
 
-	mu   sync.Mutex
-	open map[net.Conn]*guest
+	mu         sync.Mutex
+	most, full int // from the first on others give way to a newcomer; at the second it is closed unread
+	open       map[net.Conn]*guest
 }
 
 type guest struct {
@@ -35,7 +35,40 @@
 }
 
 // Most is the first bound.
-func (g *Guests) Most() int { return g.most }
+func (g *Guests) Most() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.most
+}
+
+// Limit sets other bounds. Those that are open may stay.
+func (g *Guests) Limit(most, full int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.most, g.full = most, full
+}
+
+// Count is how many are open.
+func (g *Guests) Count() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.open)
+}
+
+// Part ends the wait of all that have waited for a request for so long. One on which bytes have come is none of them.
+func (g *Guests) Part(waited time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	before := time.Now().Add(-waited)
+	for nc, x := range g.open {
+		if x.state != http.StateIdle && x.state != http.StateNew || x.since.After(before) {
+			continue
+		}
+		if n, _ := conns.Peek(nc); n == 0 {
+			g.part(nc)
+		}
+	}
+}
 
 // Accept takes connections while there is room. What is closed here costs no goroutine and no buffer; the
 // server's own loop would take hundreds before the first of them gives way.
--- /dev/null
+++ b/internal/handover/handover_test.go
@@ -0,0 +1,29 @@
+package handover
+
+import "testing"
+
+// Half a message, or one of another build, must leave the second process to start as if it were alone.
+func TestWhatCanNotBeReadIsNoState(t *testing.T) {
+	whole, err := State{Sockets: 288, Known: []byte(`{"rev":7}`)}.Bytes()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s, err := Read(whole); err != nil || s.Sockets != 288 || string(s.Known) != `{"rev":7}` {
+		t.Errorf("%+v, %v", s, err)
+	}
+	for _, text := range []string{"", string(whole[:len(whole)/2]), `{"version":2,"sockets":9}`, `{"version":1}`, `[]`} {
+		if _, err := Read([]byte(text)); err == nil {
+			t.Errorf("%q was read", text)
+		}
+	}
+}
+
+// Both processes together may hold no more than one scheduler.
+func TestDescriptorsAreParted(t *testing.T) {
+	for _, c := range [][3]int{{384, 70, 96}, {384, 150, 150}, {384, 380, 288}, {64, 0, 16}} {
+		giver, heir := Split(c[0], c[1])
+		if giver != c[2] || giver+heir != c[0] {
+			t.Errorf("%d with %d held: %d and %d", c[0], c[1], giver, heir)
+		}
+	}
+}
--- /dev/null
+++ b/internal/handover/pass/pass.go
@@ -0,0 +1,214 @@
+// Package pass carries a handover from one process to another on the same machine: a message and open sockets, over a Unix
+// socket that only the same user reaches. The connection stays open while both run, so each sees the other's end.
+package pass
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	sendTime    = time.Second // for a whole message
+	longest     = 16 << 20    // bytes of one
+	mostSockets = 4           // that come with one
+)
+
+// Path is where a scheduler with this address for clients hands over.
+func Path(listen string) string {
+	h := fnv.New32a()
+	h.Write([]byte(listen)) // never fails
+	return filepath.Join(os.TempDir(), fmt.Sprintf("woaddyke-%08x", h.Sum32()))
+}
+
+// Legacy is what a process got from the one before it.
+type Legacy struct {
+	Text  []byte
+	Files []*os.File    // the sockets, in the order in which they were given
+	Ended chan struct{} // closed when the giver has ended
+	line  *net.UnixConn
+}
+
+// Close lets the giver go on alone: what it gave is of no use.
+func (l *Legacy) Close() {
+	for _, f := range l.Files {
+		f.Close()
+	}
+	l.line.Close()
+}
+
+// Ask takes over from the process that offers at the path. The error is os.ErrNotExist or ECONNREFUSED where there is none.
+func Ask(path string) (*Legacy, error) {
+	nc, err := net.DialTimeout("unix", path, sendTime)
+	if err != nil {
+		return nil, fmt.Errorf("handover: %w", err)
+	}
+	line := nc.(*net.UnixConn)
+	l, err := receive(line)
+	if err != nil {
+		line.Close()
+		return nil, fmt.Errorf("handover: %w", err)
+	}
+	go func() {
+		defer close(l.Ended)
+		awaitEnd(line)
+	}()
+	return l, nil
+}
+
+func receive(line *net.UnixConn) (*Legacy, error) {
+	if err := sameUser(line); err != nil {
+		return nil, err
+	}
+	line.SetDeadline(time.Now().Add(sendTime))
+	var size [4]byte
+	rights := make([]byte, unix.CmsgSpace(4*mostSockets))
+	n, m, _, _, err := line.ReadMsgUnix(size[:], rights)
+	if err != nil {
+		return nil, err
+	}
+	l := &Legacy{Ended: make(chan struct{}), line: line}
+	fail := func(err error) (*Legacy, error) {
+		for _, f := range l.Files {
+			f.Close()
+		}
+		return nil, err
+	}
+	messages, err := unix.ParseSocketControlMessage(rights[:m])
+	if err != nil {
+		return nil, err
+	}
+	for _, c := range messages {
+		fds, err := unix.ParseUnixRights(&c)
+		if err != nil {
+			return fail(err)
+		}
+		for _, fd := range fds {
+			unix.CloseOnExec(fd)
+			l.Files = append(l.Files, os.NewFile(uintptr(fd), "handed over"))
+		}
+	}
+	if _, err := io.ReadFull(line, size[n:]); err != nil {
+		return fail(err)
+	}
+	length := binary.BigEndian.Uint32(size[:])
+	if length > longest {
+		return fail(fmt.Errorf("a message of %d bytes", length))
+	}
+	l.Text = make([]byte, length)
+	if _, err := io.ReadFull(line, l.Text); err != nil {
+		return fail(err)
+	}
+	return l, line.SetDeadline(time.Time{})
+}
+
+// Giver is asked for a handover, and told when an heir is there and when it has gone.
+type Giver interface {
+	Give() (text []byte, sockets []syscall.Conn, err error)
+	Heir(there bool)
+}
+
+// Offer hands over to whoever of the same user asks at the path, one at a time, until the closer is closed. It takes the
+// place of whoever offered there before.
+func Offer(path string, g Giver, log zerolog.Logger) (io.Closer, error) {
+	fresh := path + ".new"
+	if err := os.Remove(fresh); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return nil, fmt.Errorf("handover: %w", err)
+	}
+	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: fresh, Net: "unix"})
+	if err != nil {
+		return nil, fmt.Errorf("handover: %w", err)
+	}
+	l.SetUnlinkOnClose(false) // by then the path may be the heir's
+	if err := os.Rename(fresh, path); err != nil {
+		l.Close()
+		return nil, fmt.Errorf("handover: %w", err)
+	}
+	go func() {
+		for {
+			line, err := l.AcceptUnix()
+			if err != nil {
+				return
+			}
+			given, err := send(line, g)
+			if err != nil {
+				log.Warn().Err(err).Msg("not handed over")
+			} else {
+				log.Info().Msg("handed over")
+				awaitEnd(line)
+				log.Info().Msg("the process that took over has ended")
+			}
+			line.Close()
+			if given {
+				g.Heir(false)
+			}
+		}
+	}()
+	return l, nil
+}
+
+// send hands over. The giver is told of its heir before that one can know of it: it may be told to end at once.
+func send(line *net.UnixConn, g Giver) (given bool, err error) {
+	if err := sameUser(line); err != nil {
+		return false, err
+	}
+	text, sockets, err := g.Give()
+	if err != nil {
+		return false, err
+	}
+	g.Heir(true)
+	return true, write(line, text, sockets)
+}
+
+func write(line *net.UnixConn, text []byte, sockets []syscall.Conn) error {
+	var fds []int
+	for _, s := range sockets {
+		raw, err := s.SyscallConn()
+		if err != nil {
+			return err
+		}
+		// The number alone: what duplicates it for the way would turn the socket to blocking for both processes.
+		if err := raw.Control(func(fd uintptr) { fds = append(fds, int(fd)) }); err != nil {
+			return err
+		}
+	}
+	line.SetDeadline(time.Now().Add(sendTime))
+	size := binary.BigEndian.AppendUint32(nil, uint32(len(text)))
+	if _, _, err := line.WriteMsgUnix(size, unix.UnixRights(fds...), nil); err != nil {
+		return err
+	}
+	if _, err := line.Write(text); err != nil {
+		return err
+	}
+	return line.SetDeadline(time.Time{})
+}
+
+// awaitEnd returns when the other side has ended or closed.
+func awaitEnd(line *net.UnixConn) {
+	io.Copy(io.Discard, line) // nothing more is said; the end comes with an error or without
+}
+
+// sameUser keeps others on the machine from taking a socket, or from giving one.
+func sameUser(line *net.UnixConn) error {
+	raw, err := line.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var cred *unix.Ucred
+	var no error
+	err = raw.Control(func(fd uintptr) { cred, no = unix.GetsockoptUcred(int(fd), unix.SOL_SOCKET, unix.SO_PEERCRED) })
+	if err = errors.Join(err, no); err == nil && int(cred.Uid) != os.Getuid() {
+		err = fmt.Errorf("the other side is user %d", cred.Uid)
+	}
+	return err
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -9,9 +9,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -46,6 +48,8 @@
 // errTurnedAway is a call that discovery had no time for.
 var errTurnedAway = errors.New("turned away")
 
+const deleted = "DELETED" // the state, among changes only, of a worker that has left the list
+
 // Message is a list as discovery words it.
 type Message struct {
 	Rev     int64    `json:"rev"`
@@ -71,7 +75,7 @@
 			continue // nobody could ever be told that it has gone
 		}
 		in.Entries = append(in.Entries, ops.Entry{Worker: t.UID, Addr: t.Endpoint, Zone: t.AZ, Kind: t.Model, Cell: t.PodGroup,
-			Ready: t.State == "SERVING", Gone: t.State == "DELETED", Since: terms.Up(t.BootMS * int64(time.Millisecond))})
+			Ready: t.State == "SERVING", Gone: t.State == deleted, Since: terms.Up(t.BootMS * int64(time.Millisecond))})
 	}
 	return in
 }
@@ -81,7 +85,6 @@
 	tell   func(ops.Input)
 	client http.Client
 	log    zerolog.Logger
-	rev    int64
 	one    sync.Mutex    // held by the watch that is on
 	chance *rand.Rand    // Keep's
 	spread time.Duration // over which all schedulers come back
@@ -90,6 +93,8 @@
 	mu   sync.Mutex
 	addr string
 	end  context.CancelFunc // of the watch that is on
+	rev  int64              // of the list
+	list map[string]target  // by uid
 }
 
 // Spread is the time over which so many schedulers that ask the same discovery come back to it, within the grace of a
@@ -99,13 +104,41 @@
 	return max(min(all, time.Duration(inGrace*float64(grace))), firstWait)
 }
 
-// New makes a roster that goes on from the version of a remembered list, and draws the moments of its calls from its seed
+// New makes a roster that goes on from a remembered list, and draws the moments of its calls from its seed
 // over a spread that it shares with the other schedulers.
-func New(addr string, rev int64, spread time.Duration, seed uint64, tell func(ops.Input), log zerolog.Logger) *Roster {
-	return &Roster{addr: addr, rev: rev, tell: tell, log: log, end: func() {}, moved: make(chan struct{}, 1),
+func New(addr string, known Message, spread time.Duration, seed uint64, tell func(ops.Input), log zerolog.Logger) *Roster {
+	known.All = true
+	r := &Roster{addr: addr, tell: tell, log: log, end: func() {}, moved: make(chan struct{}, 1),
 		chance: rand.New(rand.NewPCG(seed, 0)), spread: spread,
 		client: http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true,
 			DialContext: (&net.Dialer{Timeout: dialed}).DialContext}}}
+	r.keep(&known)
+	return r
+}
+
+// keep takes a message into the list.
+func (r *Roster) keep(m *Message) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.rev = m.Rev; m.All {
+		r.list = map[string]target{}
+	}
+	for _, t := range m.Targets {
+		if r.list[t.UID] = t; t.State == deleted {
+			delete(r.list, t.UID)
+		}
+	}
+}
+
+// Known is the whole list as of now, in discovery's form.
+func (r *Roster) Known() ([]byte, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := Message{Rev: r.rev, All: true, Targets: []target{}}
+	for _, uid := range slices.Sorted(maps.Keys(r.list)) {
+		m.Targets = append(m.Targets, r.list[uid])
+	}
+	return json.Marshal(m)
 }
 
 // Move goes over to another address at once, also where no watch is on: the old one may tell nothing more.
@@ -174,13 +207,13 @@
 	r.one.Lock()
 	defer r.one.Unlock()
 	r.mu.Lock()
-	addr := r.addr
+	addr, rev := r.addr, r.rev
 	r.mu.Unlock()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	silence := time.AfterFunc(settle, func() { cancel(errors.New("nothing came")) }) // a lost agent says nothing
 	defer silence.Stop()
-	url := fmt.Sprintf("http://%s/v1/servers?stream=1&index=%d", addr, r.rev)
+	url := fmt.Sprintf("http://%s/v1/servers?stream=1&index=%d", addr, rev)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return false, fmt.Errorf("watch: %w", err)
@@ -210,7 +243,7 @@
 		if err := json.Unmarshal(line, &m); err != nil {
 			return heard, fmt.Errorf("watch: %w", err)
 		}
-		r.rev = m.Rev
+		r.keep(&m)
 		r.log.Debug().Int64("rev", m.Rev).Bool("whole", m.All).Int("entries", len(m.Targets)).Msg("list")
 		for _, t := range m.Targets {
 			r.log.Debug().Str("worker", t.UID).Str("state", t.State).Str("zone", t.AZ).Int64("boot_ms", t.BootMS).Msg("listed")
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -39,7 +39,7 @@
 	told := make(chan ops.Input, 9)
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	go New(addr, 41, firstWait, 7, func(in ops.Input) { told <- in }, zerolog.Nop()).Keep(ctx)
+	go New(addr, Message{Rev: 41}, firstWait, 7, func(in ops.Input) { told <- in }, zerolog.Nop()).Keep(ctx)
 	for _, want := range []string{"stream=1&index=41", "stream=1&index=43"} {
 		select {
 		case got := <-calls:
@@ -67,7 +67,7 @@
 	defer s.Close()
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	r := New("127.0.0.1:1", 1, firstWait, 7, func(ops.Input) {}, zerolog.Nop())
+	r := New("127.0.0.1:1", Message{Rev: 1}, firstWait, 7, func(ops.Input) {}, zerolog.Nop())
 	go r.Keep(ctx)
 	r.Move(s.Listener.Addr().String())
 	for range 2 {
@@ -158,7 +158,7 @@
 		})}
 		go s.Serve(p)
 		for i := range schedulers {
-			r := New("discovery", 0, Spread(schedulers, 2500*time.Millisecond), uint64(i), func(ops.Input) {}, zerolog.Nop())
+			r := New("discovery", Message{}, Spread(schedulers, 2500*time.Millisecond), uint64(i), func(ops.Input) {}, zerolog.Nop())
 			r.client.Transport.(*http.Transport).DialContext = p.dial
 			go r.Keep(ctx)
 		}
