Categories and pushes are taken up at SIGHUP; open ops keep their rules

Cause: Front.Reread took only discovery from the file, and turned down only what it could not parse. Change: Dispatcher.Categories (a list that only grows; op.most), ops.Retuned with a while for dropped categories, Sheet.Follows and counts. Tests: open ops' rules, dropped categories, files turned down.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -9,7 +9,6 @@
 package dispatch
 
 import (
-	"fmt"
 	"math"
 	"slices"
 
@@ -83,10 +82,12 @@
 )
 
 type category struct {
+	name             string
 	target, window   Time
 	stretch, benefit float64
 	effect, scope    string
 	longest          Time // the longest time that a client was seen to give
+	served           bool // the terms in force name it
 }
 
 type reading struct {
@@ -128,6 +129,7 @@
 
 type op struct {
 	index, number, cat int  // number: in order of arrival
+	most               int  // pushes, as of when it came
 	ttl, came, work    Time // came: when the client first asked, as far as can be told
 	slots, memory      float64
 	key                uint64 // what it needs at its worker, hashed; 0: nothing that workers keep
@@ -207,57 +209,17 @@
 	woken             Time
 }
 
-func reader(terms map[string]any) (num func(string, float64) float64, span func(string, Time) Time) {
-	num = func(name string, otherwise float64) float64 {
-		if v, ok := terms[name].(float64); ok {
-			return v
-		}
-		return otherwise
-	}
-	return num, func(name string, otherwise Time) Time { return Time(num(name, float64(otherwise))) }
-}
-
-func siteOf(terms map[string]any) site {
-	num, span := reader(terms)
-	s := site{step: span("step", 0), dial: span("bounds.connectTimeout", 0),
-		call: span("bounds.connectTimeout", second), warmAfter: span("safety.warmAfter", 0),
-		progress: span("extra.progress", 0), coldFrom: num("safety.coldFrom", 1),
-		overload: num("safety.overloadFactor", 1), crossZone: num("prices.crossZone", 0),
-		connections: num("prices.connection", 0), me: int(num("myNumber", 0)), all: int(num("instances", 1)),
-		peers: terms["bounds.peerMessages"] == true, maxPushes: int(num("bounds.maxPushes", 1)),
-		myZone: int(num("myZone", 0)), probes: terms["bounds.probes"] == true,
-		cancel: terms["bounds.cancel"] == true, tellsStart: terms["extra.tellsStart"] == true,
-		perWork: terms["benefitPer"] == "work", keys: terms["keys"] == true}
-	if terms["bounds.retryAfter"] == true {
-		s.longestPause = span("bounds.maxRetryAfter", 0)
-	}
-	return s
-}
-
 // New starts a scheduler's dispatcher from its seed and the site's terms.
 func New(seed uint64, terms map[string]any) *Dispatcher {
-	num, span := reader(terms)
-	d := &Dispatcher{chance: sample.NewChance(seed), least: math.MaxInt64, asks: map[uint64]float64{},
+	d := &Dispatcher{chance: sample.NewChance(seed), asks: map[uint64]float64{},
 		kinds: make([]machines, 1), room: doubt.New(0.1, 0.5, healthMax/3)}
 	d.site = siteOf(terms)
-	for i := 0; ; i++ {
-		at := fmt.Sprintf("categories.%d.", i)
-		if _, ok := terms[at+"ttl"]; !ok {
-			break
-		}
-		c := category{target: span(at+"targetLatency", 0), window: span(at+"window", 0),
-			stretch: num(fmt.Sprintf("extra.classStretch.%d", i), 0), benefit: num(at+"benefit", 1)}
-		c.effect, _ = terms[at+"effect"].(string)
-		c.scope, _ = terms[at+"dedupScope"].(string)
-		d.categories, d.least = append(d.categories, c), min(d.least, c.target)
-	}
+	d.Categories(terms)
 	for k := range d.out {
 		d.out[k] = agenda.New(func(o *op) (base, ttl Time, counts bool) {
 			return d.silentFrom(o, k), o.ttl, o.out && !o.over && !o.silent && d.awaited(o) == k
 		})
 	}
-	d.runs = make([][]Time, len(d.categories))
-	d.digest.middle, d.digest.usual = make([]Time, len(d.categories)), make([]Time, len(d.categories))
 	return d
 }
 
@@ -354,7 +316,8 @@
 	// A client's TTL runs over all its tries: one that comes with less of it than others has come before.
 	c := &d.categories[cat]
 	c.longest = max(c.longest, ttl-d.now)
-	o := &op{index: i, cat: cat, ttl: ttl, came: ttl - c.longest, slots: slots, memory: memory, work: work}
+	o := &op{index: i, cat: cat, ttl: ttl, came: ttl - c.longest, slots: slots, memory: memory, work: work,
+		most: d.site.maxPushes}
 	o.number, d.numbered = d.numbered, d.numbered+1
 	d.ops[i], d.held = o, append(d.held, o)
 	return true
@@ -603,7 +566,7 @@
 // two workers call unfit is: six pushes of each such op had its workers taken for sick.
 func (d *Dispatcher) repeatable(o *op) bool {
 	c := &d.categories[o.cat]
-	if o.legs >= d.site.maxPushes || len(o.unfit) > 1 {
+	if o.legs >= o.most || len(o.unfit) > 1 {
 		return false
 	}
 	if !o.ran && !o.out || c.effect == "redeliverable" {
@@ -697,6 +660,9 @@
 func (d *Dispatcher) rank(o *op) float64 {
 	most, own := 0.0, 0.0
 	for i, c := range d.categories {
+		if !c.served && i != o.cat {
+			continue
+		}
 		b := c.benefit
 		if !d.site.perWork {
 			b /= float64(max(d.figures().usual[i], 1))
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -619,7 +619,7 @@
 	}
 	in := 0
 	for range 1000 {
-		in += sample.Bit(slices.Contains(d.candidates(&op{}), 0))
+		in += sample.Bit(slices.Contains(d.candidates(&op{most: 1}), 0))
 	}
 	if in > 300 || in == 0 {
 		t.Errorf("a candidate %d times in 1000", in)
--- a/dispatch/rules_test.go
+++ b/dispatch/rules_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand"
+	"slices"
 	"testing"
 	"testing/quick"
 
@@ -348,3 +349,60 @@
 		t.Errorf("%.2f of a cold worker's budget was sent", worst)
 	}
 }
+
+// Settings that change while ops are open: an op pushed again under rules that it was not taken with breaks rule 2.
+func TestOpenOpsKeepTheRulesThatTheyCameWith(t *testing.T) {
+	terms := func(effect string, pushes float64) map[string]any {
+		return map[string]any{"step": 10.0, "bounds.maxPushes": pushes, "categories.0.ttl": 50_000.0,
+			"categories.0.targetLatency": 1000.0, "categories.0.name": "pay", "categories.0.effect": effect}
+	}
+	d := New(3, terms("redeliverable", 3))
+	d.Clock(1)
+	d.ListWhole()
+	for i := range 3 {
+		d.Entry(i, 0, i, true, 0)
+	}
+	d.ListEnd()
+	broken := func(op, place int) (pushes int) { // how often an op is pushed whose pushes all break
+		if !d.Op(op, place, d.now+50_000, 1, 0, 0) {
+			t.Fatalf("no place %d", place)
+		}
+		for {
+			do, i, _, _ := d.Next()
+			switch {
+			case do == Push && i == op:
+				pushes++
+				if op == 0 && pushes == 1 { // under the first op the settings change
+					if places := d.Categories(terms("at-most-once", 1)); !slices.Equal(places, []int{1}) {
+						t.Fatalf("another effect has place %v", places)
+					}
+				}
+				d.Clock(d.now + 10)
+				d.Outcome(op, pushes-1, Broke, 10, false)
+			case do == Nothing:
+				return pushes
+			}
+		}
+	}
+	if n := broken(0, 0); n != 3 {
+		t.Errorf("an op of before is pushed %d times, not 3", n)
+	}
+	if n := broken(1, 1); n != 1 {
+		t.Errorf("an at-most-once op that may have run is pushed %d times", n)
+	}
+	if places := d.Categories(terms("redeliverable", 2)); !slices.Equal(places, []int{0}) {
+		t.Errorf("terms that were known have place %v: what was learned is lost", places)
+	}
+	if n := broken(2, 0); n != 2 {
+		t.Errorf("an op is pushed %d times where the settings now say 2", n)
+	}
+}
+
+// Two categories alike in all but nothing: each needs a place of its own, or their names would mean one another.
+func TestCategoriesAlikeHavePlacesOfTheirOwn(t *testing.T) {
+	terms := map[string]any{"categories.0.ttl": 5.0, "categories.1.ttl": 5.0}
+	d := New(3, terms)
+	if places := d.Categories(terms); !slices.Equal(places, []int{0, 1}) {
+		t.Errorf("places %v", places)
+	}
+}
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -15,7 +15,8 @@
 )
 
 const (
-	mostCallers = 16              // connections at once; beyond them the one that has waited longest gives way
+	mostCallers = 16 // connections at once; beyond them the one that has waited longest gives way
+	roomTime    = 200 * time.Millisecond
 	callTime    = 2 * time.Second // for a whole call to come, and for its answer to be read
 )
 
@@ -47,6 +48,7 @@
 	mux.HandleFunc("POST /api/rejoin", func(http.ResponseWriter, *http.Request) { of.Rejoin() })
 	callers := guests.New(mostCallers, mostCallers)
 	callers.Listener = l
+	callers.Patience = roomTime // those before are read and answered, or found to say nothing
 	s := &http.Server{Handler: mux, ConnState: callers.Track, ReadTimeout: callTime, WriteTimeout: callTime,
 		MaxHeaderBytes: 8 << 10, ErrorLog: stdlog.New(log.With().Str("level", "warn").Logger(), "", 0)}
 	s.SetKeepAlivesEnabled(false)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -10,7 +10,6 @@
 	"fmt"
 	"io"
 	stdlog "log"
-	"maps"
 	"net"
 	"net/http"
 	"net/http/httputil"
@@ -39,6 +38,7 @@
 	forWorkers = 0.45
 	stopSlack  = 600 * time.Millisecond // after the longest TTL a process that stops may be killed
 	listWait   = 3 * time.Second        // for discovery's first list, before the remembered one has to do
+	mostPlaces = 1024                   // categories taken up since the start: the module keeps them all
 	lookEvery  = 20 * time.Millisecond  // while the last connections end
 	stays      = 0.6                    // of its last time it keeps connections: their clients may have no other
 )
@@ -58,6 +58,8 @@
 	clients  *guests.Guests
 	tally    *tally.Tally
 
+	inForce atomic.Pointer[terms.Sheet] // that was read last
+	places  int                         // categories that were taken up since the start
 	drain   *drainer
 	at      net.Listener // for clients
 	peersAt *net.UDPConn // that of the process before, nil without one
@@ -69,6 +71,8 @@
 func New(sheet *terms.Sheet, log zerolog.Logger) (*Front, error) {
 	f, all := &Front{sheet: sheet, log: log, ready: make(chan struct{})}, sheet.Limits.Sockets
 	f.clients = guests.New(share(forSome, all), share(forClients, all))
+	f.inForce.Store(sheet)
+	f.places = len(sheet.Categories())
 	f.drain = &drainer{clients: f.clients}
 	f.tally = tally.New(sheet.Categories())
 	dial := sheet.Span("bounds.connectTimeout", time.Second)
@@ -177,28 +181,46 @@
 // discovery says nothing serves by the list that it remembers.
 func (f *Front) Ready() <-chan struct{} { return f.ready }
 
-// Reread takes up a configuration that was replaced: where discovery is now. Workers, ops and connections stay
-// as they are, and so does all else until a restart.
+// Reread takes up a configuration that was replaced: where discovery is now, the categories and how often an op is pushed.
+// Workers, ops and connections stay as they are, and so does all else until a restart. A file that is at fault changes nothing.
 func (f *Front) Reread(path string) {
+	before := f.inForce.Load()
 	sheet, err := terms.ReadSheet(path)
+	if err == nil {
+		err = sheet.Follows(before)
+	}
+	retunes, rest := false, false
+	if err == nil {
+		retunes, rest = sheet.Retunes(before)
+		if retunes && f.places+len(sheet.Categories()) > mostPlaces {
+			err = fmt.Errorf("over %d categories since the start: replace the process", mostPlaces)
+		}
+	}
+	f.tally.Reread(err == nil)
 	if err != nil {
 		f.log.Error().Err(err).Msg("configuration kept")
-		f.tally.Reread(false)
 		return
 	}
-	if sheet.Listen != f.sheet.Listen || sheet.Limits != f.sheet.Limits || !maps.Equal(sheet.Site, f.sheet.Site) {
-		f.log.Warn().Msg("listen address, limits and settings change with a restart only")
+	if rest {
+		f.log.Warn().Msg("all but discovery, categories and pushes changes with a restart only")
+	}
+	if retunes {
+		f.places += len(sheet.Categories())
+		f.tally.Serves(sheet.Categories())
+		// What comes for a category that is served no more was sent before its client knew, or is its next try.
+		until := time.Now().Add(longestOf(before))
+		f.loop.tell(ops.Retuned{Site: sheet.Site, Until: terms.Down(f.loop.clock.nanos(until))})
 	}
+	f.inForce.Store(sheet)
 	f.roster.Move(sheet.Discovery)
-	f.tally.Reread(true)
-	f.log.Info().Str("discovery", sheet.Discovery).Msg("configuration reread")
+	f.log.Info().Str("discovery", sheet.Discovery).Bool("settings", retunes).Msg("configuration reread")
 }
 
 // stop answers all that was taken. Connections go on being accepted and used for a while: what a client wrote to
 // one that the machine had accepted counts as taken, and the scheduler that it would turn to may be down still. With an
 // heir, that one accepts from the same socket, so this process does no more, and no client need be sent away.
 func (f *Front) stop(s *http.Server, within time.Duration) {
-	within = min(within, f.longestTTL()) + stopSlack/3
+	within = min(within, longestOf(f.inForce.Load())) + stopSlack/3
 	by := time.Now().Add(within)
 	heir := f.heir.Load()
 	f.stopping.Store(!heir)
@@ -230,10 +252,10 @@
 	f.log.Info().Int("open", open).Int("dialed", dialed).Msg("stopped")
 }
 
-// longestTTL is that of the site's categories: no op taken before is out for longer.
-func (f *Front) longestTTL() (longest time.Duration) {
-	for i := 0; f.sheet.Site[terms.Item("categories", i, "ttl")] != nil; i++ {
-		longest = max(longest, f.sheet.Span(terms.Item("categories", i, "ttl"), 0))
+// longestOf is the longest TTL of a site's categories: no op taken under them is out for longer.
+func longestOf(s *terms.Sheet) (longest time.Duration) {
+	for i := 0; s.Site[terms.Item("categories", i, "ttl")] != nil; i++ {
+		longest = max(longest, s.Span(terms.Item("categories", i, "ttl"), 0))
 	}
 	return longest
 }
--- a/internal/guests/guests.go
+++ b/internal/guests/guests.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -14,11 +15,17 @@
 	"woaddyke/internal/conns"
 )
 
+const (
+	look      = 2 * time.Millisecond // between two looks for room
+	mostLooks = 8                    // at connections that wait, for one on which nothing has come
+)
+
 // Guests are the connections at one address. They share the descriptors with those to workers: too many of
 // them would leave ops that can't be pushed. Those that were never served give way first, so that a flood
 // takes its room from itself.
 type Guests struct {
 	net.Listener
+	Patience time.Duration // for which a newcomer that finds no room waits, and all behind it, before it is closed
 
 	mu         sync.Mutex
 	most, full int // from the first on others give way to a newcomer; at the second it is closed unread
@@ -103,7 +110,13 @@
 		if err != nil {
 			return nil, err
 		}
-		if c := (&conn{Conn: nc}); g.admit(c) {
+		c, until := &conn{Conn: nc}, time.Now().Add(g.Patience)
+		let := g.admit(c)
+		for !let && time.Now().Before(until) {
+			time.Sleep(look)
+			let = g.admit(c)
+		}
+		if let {
 			return c, nil
 		}
 		nc.Close()
@@ -130,11 +143,12 @@
 // oldest is the connection that gives way: that which has waited longest among those never served, else among
 // all that wait for a request. One whose request has come but is not read yet is none of them.
 func (g *Guests) oldest() *conn {
-	for {
+	var unread []*conn
+	for range mostLooks {
 		var old *conn
 		var o *guest
 		for nc, x := range g.open {
-			waits := x.state == http.StateIdle || x.state == http.StateNew
+			waits := (x.state == http.StateIdle || x.state == http.StateNew) && !slices.Contains(unread, nc)
 			if waits && (o == nil || !x.served && o.served || x.served == o.served && x.since.Before(o.since)) {
 				old, o = nc, x
 			}
@@ -145,8 +159,9 @@
 		if n, _ := conns.Peek(old); n == 0 {
 			return old
 		}
-		o.state = http.StateActive
+		unread = append(unread, old)
 	}
+	return nil
 }
 
 // part ends the wait of a connection. One between requests is not closed but told that its wait is over: a
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -14,7 +14,7 @@
 
 const mostKinds = 256 // of machines told apart; the module keeps something for each
 
-// Input is one of Listed, Arrived, Left, Noted, Ended, Probed, Told, Woken and Stopping.
+// Input is one of Listed, Arrived, Left, Noted, Ended, Probed, Told, Woken, Retuned and Stopping.
 type Input interface{ input() }
 
 // Entry is one worker in a list.
@@ -82,6 +82,13 @@
 // Stopping says that all ops must have their answer by then; the host says it again at that moment.
 type Stopping struct{ By dispatch.Time }
 
+// Retuned brings other settings, of which the categories and the number of pushes are taken up. Ops that were taken keep the
+// rules that they were taken with, and so do those that still come for a category that is served no more, until then.
+type Retuned struct {
+	Site  map[string]any
+	Until dispatch.Time
+}
+
 func (Listed) input()   {}
 func (Arrived) input()  {}
 func (Left) input()     {}
@@ -90,6 +97,7 @@
 func (Probed) input()   {}
 func (Told) input()     {}
 func (Woken) input()    {}
+func (Retuned) input()  {}
 func (Stopping) input() {}
 
 // Effect is one of Push, Close, Probe, Answer, Tell and Wake.
@@ -185,7 +193,9 @@
 	report     terms.Report
 	inline     bool
 	cancel     bool
-	categories map[string]int
+	categories map[string]int // by name: the place of each at the module
+	dropped    map[string]int // those that are served no more but for a while
+	until      dispatch.Time  // which ends then
 	zones      map[string]int
 	byKind     bool // kinds are told apart
 	kinds      map[string]int
@@ -204,25 +214,50 @@
 
 // New starts a reducer from a scheduler's seed and its site's terms.
 func New(seed uint64, site map[string]any) *Reducer {
-	r := &Reducer{d: dispatch.New(seed, site), report: terms.ReportOf(site), categories: map[string]int{},
+	r := &Reducer{d: dispatch.New(seed, site), report: terms.ReportOf(site),
 		zones: map[string]int{}, kinds: map[string]int{}, tags: map[string]int{}, indices: map[string]int{},
 		live: map[uint64]int{}, probes: map[uint64]probe{}, ids: map[string]dispatch.Time{}}
 	r.byKind = site["kinds"] == true
 	r.inline = site["report.how"] == "inline"
 	r.cancel = site["bounds.cancel"] == true
-	for i := 0; ; i++ {
-		name, ok := site[terms.Item("categories", i, "name")].(string)
-		if !ok {
-			break
-		}
-		r.categories[name] = i
-	}
+	r.categories = named(site, r.d.Categories(site))
 	for i, z := range terms.Row(site, "failureDomains") {
 		r.zones[z] = i
 	}
 	return r
 }
 
+// named are the places of a site's categories by their names.
+func named(site map[string]any, places []int) map[string]int {
+	by := map[string]int{}
+	for i, place := range places {
+		if name, ok := site[terms.Item("categories", i, "name")].(string); ok {
+			by[name] = place
+		}
+	}
+	return by
+}
+
+// retune takes up other categories.
+func (r *Reducer) retune(in Retuned) {
+	before := r.categories
+	r.categories = named(in.Site, r.d.Categories(in.Site))
+	r.dropped, r.until = map[string]int{}, in.Until
+	for name, place := range before {
+		if _, served := r.categories[name]; !served {
+			r.dropped[name] = place
+		}
+	}
+}
+
+// place is where the module has a category; false where it is not served.
+func (r *Reducer) place(now dispatch.Time, category string) (place int, ok bool) {
+	if place, ok = r.categories[category]; !ok && now <= r.until {
+		place, ok = r.dropped[category]
+	}
+	return place, ok
+}
+
 // Watch has the module count what other terms would have had it decide otherwise.
 func (r *Reducer) Watch(terms map[string]any) { r.d.Watch(terms) }
 
@@ -266,6 +301,8 @@
 		if i, n, ok := terms.Unword(in.Text, r.tags); ok {
 			r.d.Told(in.By, i, n)
 		}
+	case Retuned:
+		r.retune(in)
 	case Stopping:
 		todo = r.stop(now, in.By)
 	}
@@ -317,7 +354,7 @@
 }
 
 func (r *Reducer) arrive(now dispatch.Time, in Arrived) []Effect {
-	cat, ok := r.categories[in.Category]
+	cat, ok := r.place(now, in.Category)
 	if !ok {
 		return []Effect{Answer{Op: in.Op, Verdict: UnknownCategory}}
 	}
--- a/internal/ops/ops_test.go
+++ b/internal/ops/ops_test.go
@@ -249,3 +249,31 @@
 		}
 	}
 }
+
+// Clients go on with a category that was dropped until they know, and their ops failed; and a new one was unknown.
+func TestADroppedCategoryIsServedForAWhile(t *testing.T) {
+	r := started()
+	r.Take(2, Retuned{Until: 2 + second, Site: map[string]any{"bounds.maxPushes": 1.0, "categories.0.name": "look",
+		"categories.0.ttl": 5.0, "categories.0.effect": "redeliverable", "categories.0.targetLatency": float64(second),
+		"categories.1.name": "pay-2", "categories.1.ttl": 5.0, "categories.1.effect": "redeliverable",
+		"categories.1.targetLatency": float64(second)}})
+	for number, c := range []struct {
+		category string
+		at       dispatch.Time
+		served   bool
+	}{{"pay", 2, true}, {"pay-2", 2, true}, {"look", 2, true}, {"pay", 2 + second, true}, {"pay", 3 + second, false},
+		{"pay-2", 3 + second, true}} {
+		todo := r.Take(c.at, Arrived{Op: uint64(number), ID: fmt.Sprint(number), Category: c.category, TTL: c.at + 5*second})
+		if _, pushed := first[Push](todo); pushed != c.served {
+			t.Errorf("%s at %d: %v", c.category, c.at, todo)
+		}
+		// What broke may have run: by the old rules pay is never pushed again, by the new ones no op is.
+		todo = r.Take(c.at, Ended{Op: uint64(number), How: ending.Reset})
+		if push, again := first[Push](todo); again {
+			t.Errorf("%s is pushed again: %+v", c.category, push)
+		}
+		if a, _ := first[Answer](todo); c.served && (a.Verdict == DeadLettered) != (c.category == "pay") {
+			t.Errorf("%s: %v", c.category, a.Verdict)
+		}
+	}
+}
--- /dev/null
+++ b/internal/terms/reread_test.go
@@ -0,0 +1,71 @@
+package terms
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// A file that was cut short or slipped in editing must not be half in force: it is turned down whole, and says why.
+func TestAFileThatCanNotFollowIsTurnedDown(t *testing.T) {
+	const whole = `{"listen":"a:1","discovery":"a:2","seed":"ff","known":{"rev":1,"targets":[]},"settings":{"bounds":` +
+		`{"maxPushes":6,"cancel":true},"zones":["a"],"categories":[{"name":"look","ttlNs":5,"effect":"dedup","windowNs":7},` +
+		`{"name":"see","ttlNs":5,"effect":"retryable"}]}}`
+	read := func(text string) (*Sheet, error) {
+		path := filepath.Join(t.TempDir(), "sheet")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return ReadSheet(path)
+	}
+	before, err := read(whole)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ old, new, want string }{
+		{"", "", ""},
+		{`"look"`, `"other"`, ""},
+		{`"dedup"`, `"fragile"`, ""},
+		{`"maxPushes":6`, `"maxPushes":1`, ""},
+		{`{"rev":1,"targets":[]}`, `{"rev":9}`, ""},
+		{`,"windowNs":7`, ``, ""}, // not all categories have one
+		{whole, "", "unexpected end"},
+		{whole[len(whole)/2:], "", "unexpected end"},
+		{`"discovery":"a:2",`, "", "no discovery"},
+		{`"known"`, `"unknown"`, "known is missing"},
+		{`"cancel"`, `"cancels"`, "settings.bounds.cancel is missing"},
+		{`"maxPushes":6,`, "", "settings.bounds.maxPushes is missing"},
+		{`,"effect":"retryable"`, "", "settings.categories.1.effect is missing"},
+		{`"ttlNs":5,"effect":"dedup"`, `"effect":"dedup"`, "no category"},
+		{`"see","ttlNs":5`, `"see"`, "settings.categories.1.ttlNs is missing"},
+		{`"see","ttlNs":5`, `"see","ttlNs":0`, "categories.1.ttlNs: 0 is no number above 0"},
+		{`"see","ttlNs":5`, `"see","ttlNs":"5"`, "is no number above 0"},
+		{`"maxPushes":6`, `"maxPushes":-1`, "bounds.maxPushes: -1 is no number above 0"},
+		{`"maxPushes":6`, `"maxPushes":null`, "is no number above 0"},
+		{`"cancel":true`, `"cancel":1`, "neither true nor false"},
+		{`["a"]`, `"a"`, "settings.zones is no list"},
+	} {
+		s, err := read(strings.Replace(whole, c.old, c.new, 1))
+		if err == nil {
+			err = s.Follows(before)
+		}
+		if c.want == "" && err != nil || c.want != "" && (err == nil || !strings.Contains(err.Error(), c.want)) {
+			t.Errorf("%s for %s: error %v, want %q", c.new, c.old, err, c.want)
+		}
+	}
+	other, err := read(strings.Replace(strings.Replace(whole, `"retryable"`, `"dedup"`, 1), `"a:2"`, `"a:3"`, 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if retunes, rest := other.Retunes(before); !retunes || rest {
+		t.Errorf("another effect and another discovery: retunes %v, a restart is needed %v", retunes, rest)
+	}
+	zones, err := read(strings.Replace(whole, `["a"]`, `["b"]`, 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if retunes, rest := zones.Retunes(before); retunes || !rest {
+		t.Errorf("another zone: retunes %v, a restart is needed %v", retunes, rest)
+	}
+}
--- a/internal/terms/sheet.go
+++ b/internal/terms/sheet.go
@@ -30,7 +30,8 @@
 	Chance    uint64          `json:"-"`     // the seed as a number
 	Site      map[string]any  `json:"-"`     // the settings as the module takes them
 	Other     map[string]any  `json:"-"`     // those that a watch compares with, nil without one
-	Fact      string          `json:"-"`     // where an op's key is read, for use or for a watch; empty: nowhere
+	raw       map[string]any  // the file as it is
+	Fact      string          `json:"-"` // where an op's key is read, for use or for a watch; empty: nowhere
 }
 
 // Keys tells where an op names the data that workers keep for it.
@@ -174,7 +175,7 @@
 	if err := json.Unmarshal(text, s); err != nil {
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
 	}
-	if err := own(text, s); err != nil {
+	if err := errors.Join(json.Unmarshal(text, &s.raw), own(text, s)); err != nil {
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
 	}
 	if s.Chance, err = strconv.ParseUint(s.Seed, 16, 64); err != nil {
@@ -192,7 +193,7 @@
 		err = fmt.Errorf("limits of %g cores, %d MB and %d sockets are too small", s.Limits.Cores,
 			s.Limits.MemoryMB, s.Limits.Sockets)
 	default:
-		err = s.move()
+		err = errors.Join(s.counts(), s.move())
 	}
 	if err != nil {
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
