Ops that come in chunks are served

Change: internal/guests/head.go follows each head as it is read; refused is only what has a Content-Length beside its chunks, or a head that was not seen whole (a pipelined one).

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -266,10 +266,10 @@
 	control := http.NewResponseController(w)
 	control.SetWriteDeadline(came.Add(patience))
 	control.SetReadDeadline(came.Add(bodyTime)) // the server itself would wait for the rest of what is refused
-	if len(r.TransferEncoding) > 0 {
+	if len(r.TransferEncoding) > 0 && !guests.OnlyChunked(r.Context()) {
 		// net/http has dropped a Content-Length beside it. A peer that went by that one would take what follows the
 		// last chunk for body, so nothing more may be read from this connection (RFC 9112, 6.1).
-		f.refuse(w, &refusal{http.StatusLengthRequired, "an op comes with its Content-Length"})
+		f.refuse(w, &refusal{http.StatusLengthRequired, "an op comes with a Content-Length or in chunks, not with both"})
 		return
 	}
 	if r.Method == http.MethodGet && r.URL.Path == "/healthz" {
--- a/internal/guests/guests.go
+++ b/internal/guests/guests.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -38,18 +37,36 @@
 	served bool // it was given what it came for
 }
 
-// conn counts what was read of a request whose head is not whole yet: till then the server says that the connection waits.
+// conn follows what is read of a request: until its head is whole the server says that the connection waits.
 type conn struct {
 	net.Conn
-	got atomic.Int64
+
+	mu   sync.Mutex
+	head head
 }
 
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	c.got.Add(int64(n))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head.feed(b[:n])
 	return n, err
 }
 
+// begun tells whether the first byte of a request has been read.
+func (c *conn) begun() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.head.inside
+}
+
+// next awaits another request.
+func (c *conn) next() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head = head{}
+}
+
 // SyscallConn is for those who look at the socket and leave it as it is.
 func (c *conn) SyscallConn() (syscall.RawConn, error) {
 	s, ok := c.Conn.(syscall.Conn)
@@ -96,7 +113,7 @@
 		if x.state != http.StateIdle && x.state != http.StateNew || x.since.After(before) {
 			continue
 		}
-		if n, _ := conns.Peek(nc); n == 0 && nc.got.Load() == 0 {
+		if n, _ := conns.Peek(nc); n == 0 && !nc.begun() {
 			g.part(nc)
 		}
 	}
@@ -188,7 +205,7 @@
 		delete(g.open, c)
 	default:
 		if state == http.StateIdle {
-			c.got.Store(0)
+			c.next()
 		}
 		x.state, x.since = state, time.Now()
 	}
