A drain closes connections bit by bit and refuses late ops; figures count at the last byte

Need: an op that comes two seconds into a drain must not be held at four, and connections closed at one moment send their clients to the others in one burst. Answers worded at the door (411, errors of the proxy) and clients that left were in no count or in the wrong one. Change: Drain.Takes and Drain.Part, Guests.Part by age and number; one place counts each answer (front.answer) after its flush, with gone and other, so that all that was taken adds up.

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -7,9 +7,14 @@
 const (
 	// Whoever deals out clients has noticed the no by then, and sends no more: it asks ten times a second, and goes on sending
 	// for two tenths after the first no.
-	noticed = time.Second
-	// A connection that has waited so long for a request has none coming from a client that is busy. It must end well within
-	// two seconds of the first: no connection may be kept idle, nor take new jobs, for longer than a few.
+	noticed = time.Second / 2
+	// From noticed on those that wait are closed, spread until then: all at once their clients would come to the other
+	// schedulers in one burst.
+	closed = 3 * time.Second / 2
+	// An op that comes later is turned away: by four seconds after the call no connection may have one of the last two, and a
+	// tenth is for the way to here.
+	takes = 19 * time.Second / 10
+	// A connection that has waited for so long has no request coming from a client that is busy.
 	longest = time.Second / 4
 )
 
@@ -32,7 +37,19 @@
 // On tells whether clients are sent away: health checks say no, and each answer ends its connection.
 func (d *Drain) On() bool { return d.on }
 
-// Wait is how long a connection may wait for a request; false where nothing limits it.
-func (d *Drain) Wait(now time.Time) (time.Duration, bool) {
-	return longest, d.on && now.Sub(d.since) >= noticed
+// Takes tells whether an op that comes now is taken. One that is not is refused, and its client may come again elsewhere.
+func (d *Drain) Takes(now time.Time) bool { return !d.on || now.Sub(d.since) < takes }
+
+// Part is how many of the connections that wait are to be closed now, the longest waiting first, and how long each must have
+// waited. It is asked again after a step.
+func (d *Drain) Part(now time.Time, waiting int, step time.Duration) (most int, waited time.Duration) {
+	age := now.Sub(d.since)
+	switch {
+	case !d.on || age < noticed:
+		return 0, 0
+	case age+step >= closed:
+		return waiting, longest
+	}
+	steps := int((closed - age) / step)
+	return (waiting + steps - 1) / steps, longest
 }
--- a/internal/front/drain.go
+++ b/internal/front/drain.go
@@ -22,6 +22,12 @@
 	return x.d.On()
 }
 
+func (x *drainer) takes(now time.Time) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.d.Takes(now)
+}
+
 // Evacuate sends clients away until Rejoin. Ops and all else go on.
 func (f *Front) Evacuate() {
 	x := f.drain
@@ -46,16 +52,14 @@
 func (x *drainer) run() {
 	for {
 		x.mu.Lock()
-		wait, limited := x.d.Wait(time.Now())
+		most, waited := x.d.Part(time.Now(), x.clients.Waiting(), lookEvery)
 		if !x.d.On() {
 			x.runs = false
 			x.mu.Unlock()
 			return
 		}
 		x.mu.Unlock()
-		if limited {
-			x.clients.Part(wait)
-		}
+		x.clients.Part(most, waited)
 		time.Sleep(lookEvery)
 	}
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -235,7 +235,7 @@
 		f.loop.peers.deaf()
 		for f.clients.Count() > 0 && time.Now().Before(by) {
 			if time.Until(by) < within-some {
-				f.clients.Part(0)
+				f.clients.Part(f.clients.Count(), 0)
 			}
 			time.Sleep(lookEvery)
 		}
@@ -269,7 +269,7 @@
 	if len(r.TransferEncoding) > 0 && !guests.OnlyChunked(r.Context()) {
 		// net/http has dropped a Content-Length beside it. A peer that went by that one would take what follows the
 		// last chunk for body, so nothing more may be read from this connection (RFC 9112, 6.1).
-		f.refuse(w, &refusal{http.StatusLengthRequired, "an op comes with a Content-Length or in chunks, not with both"})
+		f.answer(w, r, nil, &refusal{http.StatusLengthRequired, "an op comes with a Content-Length or in chunks, not with both"})
 		return
 	}
 	if r.Method == http.MethodGet && r.URL.Path == "/healthz" {
@@ -277,14 +277,53 @@
 		return
 	}
 	h, no := f.read(w, r, came)
-	if no != nil {
-		f.tally.TurnedAway(r.Header.Get(categoryHeader), endOf(no.status))
-		f.refuse(w, no)
-		return
+	if no == nil && !f.drain.takes(time.Now()) {
+		w.Header().Set("Retry-After", "0") // to another scheduler, at once
+		no = &refusal{http.StatusServiceUnavailable, "clients are sent away"}
 	}
+	f.answer(w, r, h, no)
+}
+
+// answer answers a request, which is an op or is refused, and counts it.
+func (f *Front) answer(w http.ResponseWriter, r *http.Request, h *held, no *refusal) {
 	f.tally.Took()
-	r.Body = http.NoBody
-	f.proxy.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), heldKey{}, h)))
+	said := &answered{ResponseWriter: w}
+	if no == nil {
+		r.Body = http.NoBody
+		f.proxy.ServeHTTP(said, r.WithContext(context.WithValue(r.Context(), heldKey{}, h)))
+	} else {
+		f.refuse(said, no)
+	}
+	f.tally.Ended(r.Header.Get(categoryHeader), said.end(r.Context()))
+}
+
+// answered keeps the status of an answer, whoever worded it.
+type answered struct {
+	http.ResponseWriter
+	status int
+}
+
+func (a *answered) WriteHeader(status int) {
+	a.status = status
+	a.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap is for http.ResponseController.
+func (a *answered) Unwrap() http.ResponseWriter { return a.ResponseWriter }
+
+// end writes what is left of an answer and tells what it was for its client.
+func (a *answered) end(ctx context.Context) tally.End {
+	left := ctx.Err() // what leaves later has had its answer
+	if err := http.NewResponseController(a).Flush(); err != nil || left != nil {
+		return tally.Gone
+	}
+	switch a.status {
+	case http.StatusOK:
+		return tally.Served
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return tally.Refused
+	}
+	return tally.Failed
 }
 
 // health tells whoever deals out clients whether to send them here.
@@ -326,17 +365,14 @@
 		if a.Verdict == ops.Acked {
 			f.clients.Served(r.Context())
 		}
-		resp := answer(r, a)
-		f.tally.Ended(h.Category, endOf(resp.StatusCode))
-		return resp, nil
+		return response(r, a), nil
 	case <-r.Context().Done():
-		f.tally.Ended(h.Category, tally.Failed)
 		f.loop.tell(ops.Left{Op: h.Op})
 		return nil, r.Context().Err()
 	}
 }
 
-func answer(r *http.Request, a ops.Answer) *http.Response {
+func response(r *http.Request, a ops.Answer) *http.Response {
 	resp := &http.Response{ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{}, Request: r}
 	text := a.Result
 	switch a.Verdict {
@@ -360,17 +396,6 @@
 	return resp
 }
 
-// endOf is what an answer's status tells a client.
-func endOf(status int) tally.End {
-	switch status {
-	case http.StatusOK:
-		return tally.Served
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
-		return tally.Refused
-	}
-	return tally.Failed
-}
-
 // buffers keeps the proxy from making a new buffer for each answer.
 type buffers struct{ pool sync.Pool }
 
--- a/internal/guests/guests.go
+++ b/internal/guests/guests.go
@@ -37,6 +37,8 @@
 	served bool // it was given what it came for
 }
 
+func (x *guest) waits() bool { return x.state == http.StateIdle || x.state == http.StateNew }
+
 // conn follows what is read of a request: until its head is whole the server says that the connection waits.
 type conn struct {
 	net.Conn
@@ -103,20 +105,40 @@
 	return len(g.open)
 }
 
-// Part ends the wait of all that have waited for a request for so long. One on which a first byte has come is none of
-// them: the rest comes in pieces, and once its last byte is written the request is taken.
-func (g *Guests) Part(waited time.Duration) {
+// Part ends the wait of at most so many that have waited for a request for so long, the longest waiting first. One on which a
+// first byte has come is none of them: the rest comes in pieces, and once its last byte is written the request is taken.
+func (g *Guests) Part(most int, waited time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	before := time.Now().Add(-waited)
+	var wait []*conn
 	for nc, x := range g.open {
-		if x.state != http.StateIdle && x.state != http.StateNew || x.since.After(before) {
-			continue
+		if x.waits() && !x.since.After(before) {
+			wait = append(wait, nc)
+		}
+	}
+	slices.SortFunc(wait, func(a, b *conn) int { return g.open[a].since.Compare(g.open[b].since) })
+	for _, nc := range wait {
+		if most == 0 {
+			return
 		}
 		if n, _ := conns.Peek(nc); n == 0 && !nc.begun() {
 			g.part(nc)
+			most--
+		}
+	}
+}
+
+// Waiting is how many wait for a request.
+func (g *Guests) Waiting() (n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, x := range g.open {
+		if x.waits() {
+			n++
 		}
 	}
+	return n
 }
 
 // Accept takes connections while there is room. What is closed here costs no goroutine and no buffer; the
@@ -165,7 +187,7 @@
 		var old *conn
 		var o *guest
 		for nc, x := range g.open {
-			waits := (x.state == http.StateIdle || x.state == http.StateNew) && !slices.Contains(unread, nc)
+			waits := x.waits() && !slices.Contains(unread, nc)
 			if waits && (o == nil || !x.served && o.served || x.served == o.served && x.since.Before(o.since)) {
 				old, o = nc, x
 			}
--- a/internal/tally/tally.go
+++ b/internal/tally/tally.go
@@ -13,14 +13,17 @@
 type Ops struct {
 	Served   int `json:"served"`   // acked
 	Refused  int `json:"refused"`  // turned away or nacked: trying again is harmless
-	Failed   int `json:"failed"`   // any other end
+	Failed   int `json:"failed"`   // any other answer
+	Gone     int `json:"gone"`     // the client had left before its answer was written
 	Attempts int `json:"attempts"` // pushes written whole to workers
 }
 
 // Figures are all that staff read, at one moment.
 type Figures struct {
-	Requests        map[string]Ops `json:"requests"` // by category
-	Attempts        int            `json:"attempts"` // of all categories
+	Requests        map[string]Ops `json:"requests"`       // by category
+	Taken           int            `json:"requests_taken"` // requests whose fate is in the other figures, of all categories and none
+	Other           Ops            `json:"other"`          // of what has no category that is known
+	Attempts        int            `json:"attempts"`       // of all categories
 	InFlight        int            `json:"in_flight"`
 	WorkersKnown    int            `json:"workers_known"`
 	WorkersExcluded int            `json:"workers_excluded"`
@@ -36,6 +39,7 @@
 	Served End = iota
 	Refused
 	Failed
+	Gone
 )
 
 // Tally keeps the figures. Its methods may be called from any goroutine, and none of them waits for more than the
@@ -68,6 +72,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.f.InFlight++
+	t.f.Taken++
 }
 
 // Ended counts an op's one answer.
@@ -75,31 +80,25 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.f.InFlight--
-	t.count(category, how)
-}
-
-// TurnedAway counts an op that was answered at the door and never held.
-func (t *Tally) TurnedAway(category string, how End) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.count(category, how)
-}
-
-// count is of a category that is known: strangers' names would fill the memory.
-func (t *Tally) count(category string, how End) {
 	o, known := t.f.Requests[category]
-	if !known {
-		return
+	if !known { // one by one strangers' names would fill the memory
+		o = t.f.Other
 	}
 	switch how {
 	case Served:
 		o.Served++
 	case Refused:
 		o.Refused++
+	case Gone:
+		o.Gone++
 	default:
 		o.Failed++
 	}
-	t.f.Requests[category] = o
+	if known {
+		t.f.Requests[category] = o
+	} else {
+		t.f.Other = o
+	}
 }
 
 // Pushed counts a push that was written whole.
@@ -110,6 +109,8 @@
 	if o, known := t.f.Requests[category]; known {
 		o.Attempts++
 		t.f.Requests[category] = o
+	} else {
+		t.f.Other.Attempts++
 	}
 }
 
