A dropped category is refused harmlessly; a configuration cut at any byte is turned down

Need: after the while in which a dropped category is served, 400 told its clients that they were at fault; they had only not heard. Change: such ops are nacked; bounds on TTL and pushes, checked at start, SIGHUP and by check. Tests: every cut of a whole file, each key's absence, figures that are none, corpora of both fuzz tests.

--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -27,3 +27,23 @@
 		}
 	}
 }
+
+// Whatever comes over the line is a state that can be sent on as it is, or an error.
+func FuzzState(f *testing.F) {
+	f.Add([]byte(`{"version":1,"sockets":288,"known":{"rev":7},"drained":true}`))
+	f.Add([]byte(`{"version":1,"sockets":1e99}`))
+	f.Add([]byte("{"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		s, err := Read(text)
+		if err != nil {
+			return
+		}
+		again, err := s.Bytes()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if s2, err := Read(again); err != nil || s2.Sockets != s.Sockets || s2.Drained != s.Drained {
+			t.Errorf("%q came through as %+v, %v", text, s2, err)
+		}
+	})
+}
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -194,7 +194,7 @@
 	inline     bool
 	cancel     bool
 	categories map[string]int // by name: the place of each at the module
-	dropped    map[string]int // those that are served no more but for a while
+	dropped    map[string]int // those that are served no more but for a while; the host bounds how many there can be
 	until      dispatch.Time  // which ends then
 	zones      map[string]int
 	byKind     bool // kinds are told apart
@@ -214,7 +214,7 @@
 
 // New starts a reducer from a scheduler's seed and its site's terms.
 func New(seed uint64, site map[string]any) *Reducer {
-	r := &Reducer{d: dispatch.New(seed, site), report: terms.ReportOf(site),
+	r := &Reducer{d: dispatch.New(seed, site), report: terms.ReportOf(site), dropped: map[string]int{},
 		zones: map[string]int{}, kinds: map[string]int{}, tags: map[string]int{}, indices: map[string]int{},
 		live: map[uint64]int{}, probes: map[uint64]probe{}, ids: map[string]dispatch.Time{}}
 	r.byKind = site["kinds"] == true
@@ -242,12 +242,12 @@
 func (r *Reducer) retune(in Retuned) {
 	before := r.categories
 	r.categories = named(in.Site, r.d.Categories(in.Site))
-	r.dropped, r.until = map[string]int{}, in.Until
-	for name, place := range before {
-		if _, served := r.categories[name]; !served {
-			r.dropped[name] = place
-		}
-	}
+	r.until = in.Until
+	maps.Copy(r.dropped, before)
+	maps.DeleteFunc(r.dropped, func(name string, _ int) bool {
+		_, served := r.categories[name]
+		return served
+	})
 }
 
 // place is where the module has a category; false where it is not served.
@@ -356,7 +356,11 @@
 func (r *Reducer) arrive(now dispatch.Time, in Arrived) []Effect {
 	cat, ok := r.place(now, in.Category)
 	if !ok {
-		return []Effect{Answer{Op: in.Op, Verdict: UnknownCategory}}
+		verdict := UnknownCategory
+		if _, was := r.dropped[in.Category]; was {
+			verdict = Nacked // it was never pushed, and its client has done nothing wrong
+		}
+		return []Effect{Answer{Op: in.Op, Verdict: verdict}}
 	}
 	// A second push under one id is a second copy for its worker, also after the answer: the first may still run.
 	if until, taken := r.ids[in.ID]; taken && (until == 0 || now <= until) {
--- a/internal/ops/ops_test.go
+++ b/internal/ops/ops_test.go
@@ -276,4 +276,10 @@
 			t.Errorf("%s: %v", c.category, a.Verdict)
 		}
 	}
+	for category, want := range map[string]Verdict{"pay": Nacked, "never": UnknownCategory} {
+		todo := r.Take(3+second, Arrived{Op: 99, ID: "99", Category: category, TTL: 9 * second})
+		if a, _ := first[Answer](todo); a.Verdict != want {
+			t.Errorf("%s after the while: %v, want %v", category, a.Verdict, want)
+		}
+	}
 }
--- a/internal/terms/reread.go
+++ b/internal/terms/reread.go
@@ -6,17 +6,26 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 )
 
-const mostCategories = 256 // in one file
+const (
+	mostCategories = 256  // in one file
+	mostPushes     = 1000 // of one op
+	longestTTL     = 24 * time.Hour
+)
 
 // counts checks the figures without which no op can be kept to its rules.
 func (s *Sheet) counts() error {
-	positive := func(in map[string]any, name, at string) error {
+	positive := func(in map[string]any, name, at string, most float64) error {
 		v, there := in[name]
-		if n, ok := v.(float64); there && (!ok || n <= 0) {
+		n, ok := v.(float64)
+		if there && (!ok || n <= 0) {
 			return fmt.Errorf("%s%s: %v is no number above 0", at, name, v)
 		}
+		if n > most {
+			return fmt.Errorf("%s%s: %g is over %g", at, name, n, most)
+		}
 		return nil
 	}
 	var err error
@@ -27,13 +36,14 @@
 	for i, c := range list {
 		one, _ := c.(map[string]any)
 		at := fmt.Sprintf("categories.%d.", i)
-		err = errors.Join(err, positive(one, "ttlNs", at), positive(one, "targetLatencyNs", at))
+		err = errors.Join(err, positive(one, "ttlNs", at, float64(longestTTL)),
+			positive(one, "targetLatencyNs", at, float64(longestTTL)))
 	}
 	bounds, _ := s.Settings["bounds"].(map[string]any)
 	if n, ok := bounds["maxPushes"].(float64); ok && n > 0 && n < 1 {
 		return fmt.Errorf("bounds.maxPushes: %g is no push", n)
 	}
-	return errors.Join(err, positive(bounds, "maxPushes", "bounds."))
+	return errors.Join(err, positive(bounds, "maxPushes", "bounds.", mostPushes))
 }
 
 // Follows tells what keeps this sheet from taking the place of one in force: a key that it lacks, or a value of another kind.
--- a/internal/terms/reread_test.go
+++ b/internal/terms/reread_test.go
@@ -43,6 +43,14 @@
 		{`"see","ttlNs":5`, `"see","ttlNs":"5"`, "is no number above 0"},
 		{`"maxPushes":6`, `"maxPushes":-1`, "bounds.maxPushes: -1 is no number above 0"},
 		{`"maxPushes":6`, `"maxPushes":null`, "is no number above 0"},
+		{`"maxPushes":6`, `"maxPushes":0.5`, "is no push"},
+		{`"maxPushes":6`, `"maxPushes":1e9`, "is over 1000"},
+		{`"maxPushes":6`, `"maxPushes":NaN`, "invalid character"},
+		{`"see","ttlNs":5`, `"see","ttlNs":1e300`, "is over"},
+		{`"see","ttlNs":5`, `"see","ttlNs":[5]`, "is no number above 0"},
+		{`"seed":"ff"`, `"seed":"xyz"`, "seed"},
+		{`"listen":"a:1",`, "", "no listen"},
+		{`"seed":"ff",`, "", "seed"},
 		{`"cancel":true`, `"cancel":1`, "neither true nor false"},
 		{`["a"]`, `"a"`, "settings.zones is no list"},
 	} {
@@ -54,6 +62,11 @@
 			t.Errorf("%s for %s: error %v, want %q", c.new, c.old, err, c.want)
 		}
 	}
+	for n := range len(whole) {
+		if _, err := read(whole[:n]); err == nil {
+			t.Errorf("cut to %d bytes it was read", n)
+		}
+	}
 	other, err := read(strings.Replace(strings.Replace(whole, `"retryable"`, `"dedup"`, 1), `"a:2"`, `"a:3"`, 1))
 	if err != nil {
 		t.Fatal(err)
@@ -69,3 +82,28 @@
 		t.Errorf("another zone: retunes %v, a restart is needed %v", retunes, rest)
 	}
 }
+
+// Whatever a file holds, reading it gives a sheet or an error, and a sheet always may follow itself.
+func FuzzSheet(f *testing.F) {
+	for _, text := range []string{"", "{", "[]", `{"listen":"a:1","discovery":"a:2","seed":"ff","settings":{"bounds":{"maxPushes":6},` +
+		`"categories":[{"name":"look","ttlNs":5},{"name":"see","ttlNs":7,"windowNs":1}]}}`,
+		`{"listen":"a:1","discovery":"a:2","seed":"0","settings":{"categories":[{"ttlNs":5},7,null]},"keys":{"fact":"k"}}`} {
+		f.Add([]byte(text))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		path := filepath.Join(t.TempDir(), "sheet")
+		if err := os.WriteFile(path, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		s, err := ReadSheet(path)
+		if err != nil {
+			return
+		}
+		if err := s.Follows(s); err != nil {
+			t.Errorf("%q can't follow itself: %v", text, err)
+		}
+		if retunes, rest := s.Retunes(s); retunes || rest {
+			t.Errorf("%q differs from itself", text)
+		}
+	})
+}
