What was learned and the ids that are taken are handed over; both processes get half

Need: a process that takes over met each bad worker anew, had T at 0 and freed ids that the one before still held. Seen by the new test of real processes under load: ops nacked unsent in the moments when both run. Its log: 52 pushes and 88 probes ended 'no-descriptor' in the giver, whose quarter left 14 worker connections for 8 ops and their probes. To blame: handover.Split and Front.Limit, which kept the sum of what the giver held but not its part for workers. Now half each, and the giver's connections to workers at the least. Ruled out: foretold waits, doubt (pushes that reached a worker were all done).

--- /dev/null
+++ b/cmd/woaddyke/upgrade_test.go
@@ -0,0 +1,219 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// TestMain lets this test's program be the command itself, for tests of real processes.
+func TestMain(m *testing.M) {
+	if os.Getenv("WOADDYKE_TEST_SERVES") != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// upgrades is how often the process is replaced; outside CI, UPGRADES=20.
+func upgrades() int {
+	if n, err := strconv.Atoi(os.Getenv("UPGRADES")); err == nil {
+		return n
+	}
+	return 3
+}
+
+// record is what the stand-in workers saw: how often each op came whole.
+type record struct {
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+func (r *record) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	if req.Method == http.MethodGet {
+		fmt.Fprintln(w, `{"waiting":0,"running":0}`)
+		return
+	}
+	io.Copy(io.Discard, req.Body)
+	id := req.Header.Get("X-Correlation-Id")
+	r.mu.Lock()
+	r.runs[id]++
+	r.mu.Unlock()
+	time.Sleep(5 * time.Millisecond) // a job's work
+	fmt.Fprintf(w, `{"id":%q,"state":"done","result":%q}`+"\n", id, id)
+}
+
+// started is one real process, and where staff call it.
+type started struct {
+	cmd     *exec.Cmd
+	console string
+	log     *bytes.Buffer
+}
+
+func startProcess(t *testing.T, dir, listen, discovery string, n int) started {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := started{console: l.Addr().String(), log: &bytes.Buffer{}}
+	l.Close()
+	path := filepath.Join(dir, fmt.Sprintf("%d.json", n))
+	text, err := json.Marshal(map[string]any{"name": "n", "listen": listen, "console": s.console, "discovery": discovery, "seed": "7",
+		"limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": 256}, "settings": map[string]any{
+			"bounds":     map[string]any{"maxPushes": 3, "probes": true, "cancel": true, "connectTimeoutNs": 2e8},
+			"report":     map[string]any{"fields": []string{"waiting", "running"}, "how": "on_probe"},
+			"categories": []any{map[string]any{"name": "pay", "effect": "fragile", "ttlNs": 5e9, "targetLatencyNs": 5e9}}}})
+	if err == nil {
+		err = os.WriteFile(path, text, 0o600)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.cmd = exec.Command(os.Args[0], "serve", "--config", path)
+	s.cmd.Env = append(os.Environ(), "WOADDYKE_TEST_SERVES=1", "TMPDIR="+dir)
+	s.cmd.Stderr = s.log
+	if err := s.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { s.cmd.Process.Kill() })
+	for until := time.Now().Add(20 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		if resp, err := http.Get("http://" + s.console + "/api/ready"); err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return s
+			}
+		}
+		if time.Now().After(until) {
+			t.Fatalf("process %d is not ready: %s", n, s.log)
+		}
+	}
+}
+
+// client sends one op after another, each on the connection before if that stayed open, until told to stop.
+func client(listen, name string, stop <-chan struct{}, told func(id string, status int, err error)) {
+	var c net.Conn
+	var answers *bufio.Reader
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			if c != nil {
+				c.Close()
+			}
+			return
+		default:
+		}
+		id := fmt.Sprintf("%s-%d", name, n)
+		for try := range 2 { // a close between requests may cross one: it is sent once more on a new connection
+			var err error
+			fresh := c == nil
+			if fresh {
+				if c, err = net.Dial("tcp", listen); err != nil {
+					told(id, 0, err)
+					break
+				}
+				answers = bufio.NewReader(c)
+			}
+			c.SetDeadline(time.Now().Add(10 * time.Second))
+			fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: %s\r\nX-Service-Class: pay\r\nX-Time-Left-Ms: 5000\r\n"+
+				"Content-Length: 0\r\n\r\n", id)
+			resp, err := http.ReadResponse(answers, nil)
+			if err != nil {
+				c.Close()
+				if c = nil; !fresh && try == 0 {
+					continue
+				}
+				told(id, 0, err)
+				break
+			}
+			io.Copy(io.Discard, resp.Body)
+			if resp.Close {
+				c.Close()
+				c = nil
+			}
+			told(id, resp.StatusCode, nil)
+			break
+		}
+	}
+}
+
+// Under load, by the workers' own record: no op is lost or run twice while processes take one another's place, and none is
+// turned away.
+func TestProcessesTakeOneAnothersPlaceUnderLoad(t *testing.T) {
+	runs := &record{runs: map[string]int{}}
+	known := `{"rev":1,"all":true,"targets":[`
+	for i := range 3 {
+		worker := httptest.NewServer(runs)
+		t.Cleanup(worker.Close)
+		known += fmt.Sprintf(`%s{"uid":"w%d","endpoint":%q,"state":"SERVING"}`, []string{"", ","}[min(i, 1)], i, worker.Listener.Addr())
+	}
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprintln(w, known+"]}")
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}))
+	t.Cleanup(discovery.Close)
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listen, dir := free.Addr().String(), t.TempDir()
+	free.Close()
+	p := startProcess(t, dir, listen, discovery.Listener.Addr().String(), 0)
+	var mu sync.Mutex
+	acked, other := map[string]bool{}, 0
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	for i := range 8 {
+		clients.Go(func() {
+			client(listen, fmt.Sprint("c", i), stop, func(id string, status int, err error) {
+				mu.Lock()
+				defer mu.Unlock()
+				if acked[id] = status == http.StatusOK; !acked[id] {
+					other++
+					t.Errorf("%s: status %d, %v", id, status, err)
+				}
+			})
+		})
+	}
+	for n := range upgrades() {
+		before := p
+		p = startProcess(t, dir, listen, discovery.Listener.Addr().String(), n+1)
+		if err := before.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+			t.Fatal(err)
+		}
+		if err := before.cmd.Wait(); err != nil {
+			t.Errorf("process %d: %v, %s", n, err, before.log)
+		}
+	}
+	close(stop)
+	clients.Wait()
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	if err := p.cmd.Wait(); err != nil {
+		t.Errorf("the last process: %v, %s", err, p.log)
+	}
+	runs.mu.Lock()
+	defer runs.mu.Unlock()
+	if len(acked) == 0 {
+		t.Error("no op was served")
+	}
+	for id := range acked {
+		if n := runs.runs[id]; n != 1 {
+			t.Errorf("%s ran %d times", id, n)
+		}
+	}
+	t.Logf("%d ops over %d upgrades", len(acked), upgrades())
+}
--- /dev/null
+++ b/dispatch/learned.go
@@ -0,0 +1,134 @@
+package dispatch
+
+import (
+	"math"
+
+	"woaddyke/internal/doubt"
+	"woaddyke/internal/sample"
+)
+
+// Verdict is one on a worker, a zone or the fleet's room.
+type Verdict = doubt.Verdict[Time]
+
+// Learned is what a dispatcher has learned, for that of the process that takes its place on the same machine.
+type Learned struct {
+	Counts     [2][maxCount + 1]float64  `json:"counts"` // the design's a and b
+	Halved     Time                      `json:"halved"`
+	Taus       []Time                    `json:"taus"`
+	Trips      []Time                    `json:"trips"`
+	Starts     [][2]Time                 `json:"starts"` // when, and how long after the push
+	Room       []Verdict                 `json:"room"`
+	Zones      [][]Verdict               `json:"zones"`
+	Categories map[string]LearnedRuns    `json:"categories"` // by name
+	Workers    map[uint64]*LearnedWorker `json:"workers"`    // by mark
+	Takes      bool                      `json:"takes"`
+}
+
+// LearnedRuns is what was learned of a category's ops.
+type LearnedRuns struct {
+	Longest Time   `json:"longest"`
+	Runs    []Time `json:"runs"`
+}
+
+// LearnedWorker is what was learned of a worker as of its last start.
+type LearnedWorker struct {
+	Since   Time         `json:"since"`
+	Slots   float64      `json:"slots"` // the most that were seen free at one of its kind
+	Strides []float64    `json:"strides"`
+	Places  [][2]float64 `json:"places"` // in its queue, and how long each took to start
+	Health  []Verdict    `json:"health"`
+}
+
+// Learned tells what this dispatcher has learned. The lists in it may be read while it goes on: they only grow at their ends.
+func (d *Dispatcher) Learned() Learned {
+	l := Learned{Counts: [2][maxCount + 1]float64{d.a, d.b}, Halved: d.halved, Taus: d.taus, Trips: d.trips,
+		Room: d.room.Verdicts(), Categories: map[string]LearnedRuns{}, Workers: map[uint64]*LearnedWorker{}, Takes: d.takes}
+	for _, s := range d.starts {
+		l.Starts = append(l.Starts, [2]Time{s.at, s.took})
+	}
+	for z := range d.zones {
+		l.Zones = append(l.Zones, d.zones[z].Verdicts())
+	}
+	for i, c := range d.categories {
+		if c.served {
+			l.Categories[c.name] = LearnedRuns{c.longest, d.runs[i]}
+		}
+	}
+	for i := range d.workers {
+		w := &d.workers[i]
+		if !w.listed {
+			continue
+		}
+		x := &LearnedWorker{Since: w.since, Slots: d.kinds[w.kind].slots, Strides: w.strides, Health: w.health.Verdicts()}
+		for _, p := range w.places {
+			x.Places = append(x.Places, [2]float64{p.place, float64(p.took)})
+		}
+		l.Workers[w.mark] = x
+	}
+	return l
+}
+
+// Learn starts from what another process's dispatcher had learned, once the workers are listed. What can't be, such as a
+// negative span or a moment to come, is left out: the other build may have a fault that this one has not.
+func (d *Dispatcher) Learn(l Learned) {
+	spans := func(few []Time) (good []Time) {
+		for _, t := range few {
+			if t >= 0 && t < never {
+				good = sample.Keep(good, t)
+			}
+		}
+		return good
+	}
+	judge := func(t *doubt.Test[Time], verdicts []Verdict) {
+		for _, v := range verdicts[max(0, len(verdicts)-sample.Few):] {
+			if v.At > 0 && v.At <= d.now {
+				t.Add(v.At, v.OK)
+			}
+		}
+	}
+	usable := func(x float64) bool { return x >= 0 && x < math.MaxInt32 }
+	for k, a := range l.Counts[0] {
+		if b := l.Counts[1][k]; usable(a) && usable(b) && b <= a {
+			d.a[k], d.b[k] = a, b
+		}
+	}
+	d.halved = min(max(l.Halved, 0), d.now)
+	d.taus, d.trips, d.takes = spans(l.Taus), spans(l.Trips), l.Takes
+	for _, s := range l.Starts {
+		if s[0] > 0 && s[0] <= d.now && s[1] >= 0 && s[1] < never {
+			d.starts = sample.Keep(d.starts, start{s[0], s[1]})
+		}
+	}
+	judge(&d.room, l.Room)
+	for z := range min(len(l.Zones), len(d.zones)) {
+		judge(&d.zones[z], l.Zones[z])
+	}
+	for i := range d.categories {
+		if r, ok := l.Categories[d.categories[i].name]; ok {
+			d.categories[i].longest, d.runs[i] = min(max(r.Longest, 0), never), spans(r.Runs)
+		}
+	}
+	for i := range d.workers {
+		w := &d.workers[i]
+		x := l.Workers[w.mark]
+		if x == nil || x.Since != w.since || len(w.strides) > 0 {
+			continue // unknown there, restarted since, or better known here
+		}
+		k := &d.kinds[w.kind]
+		if usable(x.Slots) {
+			k.slots = max(k.slots, x.Slots)
+		}
+		for _, s := range x.Strides {
+			if usable(s) {
+				w.strides.Add(&k.strides, s)
+			}
+		}
+		for _, p := range x.Places {
+			if usable(p[0]) && usable(p[1]) {
+				d.learnPlace(w, place{p[0], Time(p[1])})
+			}
+		}
+		judge(&w.health, x.Health)
+	}
+	d.fresh, d.ranAnew = false, true
+}
--- a/internal/doubt/doubt.go
+++ b/internal/doubt/doubt.go
@@ -9,14 +9,15 @@
 	"woaddyke/internal/sample"
 )
 
-type verdict[M ~int64] struct {
-	at M
-	ok bool
+// Verdict is one, good or bad, and when it came.
+type Verdict[M ~int64] struct {
+	At M    `json:"at"`
+	OK bool `json:"ok"`
 }
 
 // Test is a sequential test of an ordinary chance of failure against one that is none, over the last few verdicts.
 type Test[M ~int64] struct {
-	verdicts []verdict[M] // newest last
+	verdicts []Verdict[M] // newest last
 	failed   M            // when the last bad one came
 	p0, p1   float64
 	old      M // a verdict older than this says nothing about now
@@ -27,11 +28,14 @@
 
 // Add is another verdict.
 func (t *Test[M]) Add(now M, ok bool) {
-	if t.verdicts = sample.Keep(t.verdicts, verdict[M]{now, ok}); !ok {
+	if t.verdicts = sample.Keep(t.verdicts, Verdict[M]{now, ok}); !ok {
 		t.failed = now
 	}
 }
 
+// Verdicts are the last few, the newest last.
+func (t *Test[M]) Verdicts() []Verdict[M] { return t.verdicts }
+
 // Failed tells whether any verdict was bad.
 func (t *Test[M]) Failed() bool { return t.failed > 0 }
 
@@ -48,12 +52,12 @@
 	if !t.Failed() || now-t.failed > t.old {
 		return false, 0
 	}
-	for now-t.verdicts[0].at > t.old {
+	for now-t.verdicts[0].At > t.old {
 		t.verdicts = t.verdicts[1:]
 	}
 	bad, good := math.Log(t.p1/t.p0), math.Log((1-t.p1)/(1-t.p0))
 	for k, v := range t.verdicts {
-		if v.ok {
+		if v.OK {
 			s = max(s+good, 0)
 		} else {
 			s += bad
@@ -75,7 +79,7 @@
 	few := t.verdicts[since:]
 	good := 1
 	for _, v := range few {
-		if v.ok {
+		if v.OK {
 			good++
 		}
 	}
--- a/internal/front/handover.go
+++ b/internal/front/handover.go
@@ -1,11 +1,14 @@
 package front
 
 import (
+	"encoding/json"
 	"errors"
+	"fmt"
 	"net"
 	"syscall"
 
 	"woaddyke/internal/handover"
+	"woaddyke/internal/ops"
 )
 
 // Give is what the process that takes the place of this one needs. From here on this one uses only its part of the
@@ -24,10 +27,18 @@
 	}
 	workers, _ := f.loop.pool.Counts()
 	giver, heir := handover.Split(f.sheet.Limits.Sockets, f.clients.Count()+workers+spare)
-	if text, err = (handover.State{Sockets: heir, Known: known, Drained: f.drain.on()}).Bytes(); err != nil {
+	state := handover.State{Sockets: heir, Known: known, Drained: f.drain.on()}
+	if learned, ok := f.loop.learned(); ok {
+		if state.Learned, err = json.Marshal(learned); err != nil {
+			return nil, nil, fmt.Errorf("handover: %w", err)
+		}
+	} else {
+		f.log.Warn().Msg("nothing learned is handed over: the loop is busy")
+	}
+	if text, err = state.Bytes(); err != nil {
 		return nil, nil, err
 	}
-	f.Limit(giver)
+	f.limit(giver, workers)
 	return text, sockets, nil
 }
 
@@ -35,6 +46,12 @@
 func (f *Front) Inherit(s handover.State, peers *net.UDPConn) {
 	f.peersAt = peers
 	f.Limit(s.Sockets)
+	var learned ops.Learned
+	if err := json.Unmarshal(s.Learned, &learned); err == nil {
+		f.loop.tell(ops.Inherited{Learned: learned})
+	} else if len(s.Learned) > 0 {
+		f.log.Warn().Err(err).Msg("nothing learned is taken over")
+	}
 	if s.Drained {
 		f.Evacuate()
 	}
@@ -48,7 +65,12 @@
 }
 
 // Limit sets how many descriptors this process may use.
-func (f *Front) Limit(sockets int) {
-	f.clients.Limit(share(forSome, sockets), share(forClients, sockets))
-	f.loop.pool.Limit(share(forWorkers, sockets))
+func (f *Front) Limit(sockets int) { f.limit(sockets, 0) }
+
+// limit leaves room for so many connections to workers at the least, of clients' room: ops that can't be pushed only wait.
+func (f *Front) limit(sockets, workers int) {
+	all := sockets - spare
+	workers = max(share(forWorkers, sockets), min(workers, all-share(forSome, sockets)))
+	f.clients.Limit(min(share(forSome, sockets), all-workers), max(all-workers, 1))
+	f.loop.pool.Limit(workers)
 }
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -13,16 +13,19 @@
 )
 
 const (
-	backlog    = 256              // inputs that wait for the loop
-	countEvery = 10 * time.Second // the counts of a watch are logged
-	sweepEvery = time.Second      // idle connections are looked over this often
-	fleetEvery = time.Second / 5  // figures that only the loop knows are owed half a second old at most
+	backlog     = 256                    // inputs that wait for the loop
+	countEvery  = 10 * time.Second       // the counts of a watch are logged
+	learnedTime = 300 * time.Millisecond // for what was learned, before a process takes over without it
+	sweepEvery  = time.Second            // idle connections are looked over this often
+	fleetEvery  = time.Second / 5        // figures that only the loop knows are owed half a second old at most
 )
 
-// message is an input on its way to the loop; an op comes with the client's request.
+// message is an input on its way to the loop; an op comes with the client's request. One with a call is none: the loop
+// makes that call.
 type message struct {
 	in   ops.Input
 	held *held
+	call func()
 }
 
 // clock is Unix time as of the start that only goes forward: one that is set back must not keep ops beyond
@@ -55,6 +58,22 @@
 
 func (l *loop) tell(in ops.Input) { l.in <- message{in: in} }
 
+// learned asks the loop what its reducer has learned; false where it has no time for that.
+func (l *loop) learned() (ops.Learned, bool) {
+	got, late := make(chan ops.Learned, 1), time.After(learnedTime)
+	select {
+	case l.in <- message{call: func() { got <- l.reducer.Learned() }}:
+	case <-late:
+		return ops.Learned{}, false
+	}
+	select {
+	case x := <-got:
+		return x, true
+	case <-late:
+		return ops.Learned{}, false
+	}
+}
+
 // run works until quit is closed.
 func (l *loop) run(quit <-chan struct{}) {
 	sweep, count := time.NewTicker(sweepEvery), time.NewTicker(countEvery)
@@ -70,6 +89,10 @@
 	for {
 		select {
 		case m := <-l.in:
+			if m.call != nil {
+				m.call()
+				continue
+			}
 			if m.held != nil {
 				l.held[m.held.Op] = m.held
 				l.taken++
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -15,6 +15,7 @@
 	Version int             `json:"version"`
 	Sockets int             `json:"sockets"` // descriptors that the heir may use until the giver has ended
 	Known   json.RawMessage `json:"known"`   // the workers as of now, in discovery's form
+	Learned json.RawMessage `json:"learned"` // what ops.Learned says, empty where nothing could be asked
 	Drained bool            `json:"drained"` // its staff have sent its clients away
 }
 
@@ -43,9 +44,9 @@
 	return s, nil
 }
 
-// Split parts a scheduler's descriptors between a giver that holds so many and its heir. The giver keeps what it holds,
-// as closing that would lose ops, within a quarter and three quarters of all: its heir takes every new connection.
+// Split parts a scheduler's descriptors between a giver that holds so many and its heir: half each, as both serve for a while;
+// the giver keeps what it holds, as closing that would lose ops, up to three quarters.
 func Split(all, held int) (giver, heir int) {
-	giver = min(max(held, all/4), all*3/4)
+	giver = min(max(held, all/2), all*3/4)
 	return giver, all - giver
 }
--- /dev/null
+++ b/internal/ops/learned.go
@@ -0,0 +1,53 @@
+package ops
+
+import (
+	"maps"
+
+	"woaddyke/dispatch"
+)
+
+// Learned is what a reducer hands on to that of the process that takes its place.
+type Learned struct {
+	Module dispatch.Learned         `json:"module"`
+	Zones  []string                 `json:"zones"` // whose verdicts the module's are, in their order
+	IDs    map[string]dispatch.Time `json:"ids"`   // taken until then
+}
+
+// Learned tells what is known now that the next process can't read anywhere.
+func (r *Reducer) Learned() Learned {
+	l := Learned{Module: r.d.Learned(), Zones: make([]string, len(r.zones)), IDs: maps.Clone(r.ids)}
+	for name, z := range r.zones {
+		l.Zones[z] = name
+	}
+	for i := range r.ops {
+		if o := &r.ops[i]; o.id != "" && l.IDs[o.id] == 0 {
+			l.IDs[o.id] = o.ttl
+		}
+	}
+	return l
+}
+
+// Inherited brings what another process's reducer had learned, after its list.
+type Inherited struct{ Learned }
+
+func (Inherited) input() {}
+
+// inherit goes on from it. A zone that is not known here, or by no place there, is left out.
+func (r *Reducer) inherit(in Inherited) {
+	theirs := in.Module.Zones
+	in.Module.Zones = nil
+	ours := make([][]dispatch.Verdict, len(r.zones))
+	for k, name := range in.Zones[:min(len(in.Zones), len(theirs))] {
+		if z, ok := r.zones[name]; ok {
+			ours[z] = theirs[k]
+		}
+	}
+	in.Module.Zones = ours
+	r.d.Learn(in.Module)
+	for id, until := range in.IDs {
+		if _, held := r.ids[id]; !held && until > 0 {
+			r.ids[id] = until // also one that is held there: it has its answer by then
+		}
+	}
+	r.sweepAt = 2 * len(r.ids)
+}
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -14,7 +14,8 @@
 
 const mostKinds = 256 // of machines told apart; the module keeps something for each
 
-// Input is one of Listed, Arrived, Left, Noted, Ended, Probed, Told, Woken, Retuned and Stopping.
+// Input is one of Listed, Arrived, Left, Noted, Ended, Probed, Told, Woken, Retuned, Inherited and
+// Stopping.
 type Input interface{ input() }
 
 // Entry is one worker in a list.
@@ -303,6 +304,8 @@
 		}
 	case Retuned:
 		r.retune(in)
+	case Inherited:
+		r.inherit(in)
 	case Stopping:
 		todo = r.stop(now, in.By)
 	}
