Every reader takes its input a byte at a time, split and cut at each place: tests

Need: peers write in pieces, leave or end their sending at any byte; nothing tested that all readers take it alike.

--- a/internal/console/console_test.go
+++ b/internal/console/console_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"woaddyke/internal/pieces"
 	"woaddyke/internal/tally"
 )
 
@@ -99,3 +100,35 @@
 		t.Errorf("%d after %v", status, time.Since(began))
 	}
 }
+
+// A call in pieces is that call; one that is cut off is none, and leaves the others theirs.
+func TestCallsInPiecesAreTheSame(t *testing.T) {
+	of := &scheduler{make(chan struct{}), make(chan string, 999)}
+	addr := serve(t, of)
+	const whole = "POST /api/evacuate HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"
+	send := func(way pieces.Way) string {
+		c := pieces.Dial(t, addr)
+		defer c.Close()
+		way.Write(c)
+		c.SetReadDeadline(time.Now().Add(20 * time.Second))
+		text, _ := io.ReadAll(c)
+		return string(text)
+	}
+	for n, way := range pieces.Whole(whole) {
+		if text := send(way); !strings.HasPrefix(text, "HTTP/1.1 200") || len(of.calls) != n+1 {
+			t.Errorf("%s: %q, %d calls", way.Name, text, len(of.calls))
+		}
+	}
+	called := len(of.calls)
+	for _, way := range pieces.Cuts(whole) {
+		if text := send(way); strings.HasPrefix(text, "HTTP/1.1 2") {
+			t.Errorf("%s: %q", way.Name, text)
+		}
+	}
+	if len(of.calls) != called {
+		t.Errorf("%d calls that were never whole were carried out", len(of.calls)-called)
+	}
+	if text := send(pieces.Way{Parts: []string{"GET /api/ready\r\n\r\n"}}); !strings.HasPrefix(text, "HTTP/1.1 400") {
+		t.Errorf("a head that can't be read: %q", text)
+	}
+}
--- a/internal/front/drain_test.go
+++ b/internal/front/drain_test.go
@@ -5,12 +5,14 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"woaddyke/internal/drain"
+	"woaddyke/internal/handover"
 )
 
 // ask sends a request on a connection, and tells the answer's status and whether it ends the connection.
@@ -87,3 +89,52 @@
 		}
 	}
 }
+
+// A scheduler that its staff had drained took clients again when its process was replaced.
+func TestTheHeirOfADrainedProcessIsDrained(t *testing.T) {
+	whole := `{"rev":5,"all":true,"targets":[]}`
+	was, err := New(sheetOf(t, whole), zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop := serveUntil(t, was, l)
+	<-was.Ready()
+	was.Evacuate()
+	text, sockets, err := was.Give()
+	if err != nil || len(sockets) != 1 {
+		t.Fatalf("%d sockets, %v", len(sockets), err)
+	}
+	state, err := handover.Read(text)
+	if err != nil || !state.Drained || len(state.Learned) == 0 {
+		t.Fatalf("%s, %v", text, err)
+	}
+	is, err := New(sheetOf(t, whole), zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	is.Inherit(state, nil)
+	if !is.drain.on() {
+		t.Error("the heir takes clients")
+	}
+	is.Rejoin()
+	// With an heir the front is not told to go elsewhere at the end, unless staff have sent it away.
+	was.Heir(true)
+	stop()
+	if recorder := httptest.NewRecorder(); !was.leaving.Load() {
+		for until := time.Now().Add(10 * time.Second); !was.leaving.Load() && time.Now().Before(until); {
+			time.Sleep(time.Millisecond)
+		}
+		if was.health(recorder); recorder.Code != 503 {
+			t.Errorf("drained, at its end: %d", recorder.Code)
+		}
+	}
+	was.Rejoin()
+	recorder := httptest.NewRecorder()
+	if was.health(recorder); recorder.Code != 200 || recorder.Header().Get("Connection") != "close" {
+		t.Errorf("with an heir, at its end: %d %v", recorder.Code, recorder.Header())
+	}
+}
--- a/internal/handover/pass/pass_test.go
+++ b/internal/handover/pass/pass_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 )
@@ -116,3 +117,32 @@
 		again.Close()
 	}
 }
+
+// A process that is stopped, or dies or hangs in the middle of its message, must not hold up the start of the next one.
+func TestAGiverThatHangsOrDiesIsNotWaitedFor(t *testing.T) {
+	for name, serve := range map[string]func(net.Conn){
+		"says nothing":       nil,
+		"dies at once":       func(c net.Conn) { c.Close() },
+		"dies in the middle": func(c net.Conn) { c.Write([]byte{0, 0, 1, 0, 'x'}); c.Close() },
+		"hangs":              func(c net.Conn) { c.Write([]byte{0, 0, 1, 0, 'x'}) },
+		"says too much":      func(c net.Conn) { c.Write([]byte{255, 255, 255, 255}) },
+	} {
+		path := filepath.Join(t.TempDir(), "h")
+		l, err := net.Listen("unix", path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if serve != nil {
+			go func() {
+				if c, err := l.Accept(); err == nil {
+					serve(c)
+				}
+			}()
+		}
+		began := time.Now()
+		if _, err := Ask(path); err == nil || time.Since(began) > 5*sendTime {
+			t.Errorf("%s: %v after %v", name, err, time.Since(began))
+		}
+		l.Close()
+	}
+}
