--- a/dispatch/learned_test.go
+++ b/dispatch/learned_test.go
@@ -85,6 +85,11 @@
 	if len(d.workers[0].strides) > 0 || d.Doubted(0, d.now) {
 		t.Error("the worker that has restarted is judged by its past")
 	}
+	for _, v := range d.workers[1].health.Verdicts() {
+		if v.At > d.now {
+			t.Error("a verdict of a time to come is kept")
+		}
+	}
 	if w := d.workers[1]; len(w.strides) != 1 || len(w.places) != 1 || len(d.taus) != 1 || len(d.trips) > sample.Few ||
 		len(d.starts) > 0 || d.a[0] != 0 || d.b[1] > d.a[1] || d.halved > d.now {
 		t.Errorf("%+v, taus %v, %d trips, %d starts, a %v, b %v", w, d.taus, len(d.trips), len(d.starts), d.a, d.b)
--- a/internal/handover/pass/pass_test.go
+++ b/internal/handover/pass/pass_test.go
@@ -89,8 +89,13 @@
 		t.Fatalf("%v", err)
 	}
 	line.Close()
-	if <-g.heirs {
-		t.Error("the heir has ended")
+	select {
+	case there := <-g.heirs:
+		if there {
+			t.Error("the heir has ended")
+		}
+	case <-time.After(20 * time.Second):
+		t.Fatal("the giver has not seen that its heir has ended")
 	}
 	if got, err := Ask(path); err != nil || !<-g.heirs {
 		t.Errorf("the next heir: %v, %v", got, err)
