A test for the newcomer that waits for room at the second address

Breaking that guard failed no test once the flood's connections gave way without it in most runs; this one holds the moment in which they do not.

--- a/internal/guests/guests_test.go
+++ b/internal/guests/guests_test.go
@@ -1,10 +1,14 @@
 package guests
 
 import (
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"testing"
 	"time"
+
+	"woaddyke/internal/conns"
 )
 
 // pair is a connection from a client as the server sees it, and the client's side.
@@ -65,3 +69,42 @@
 		t.Errorf("%d are left: after its answer the one in pieces waits like the others", g.Count())
 	}
 }
+
+// With a flood just before it, a caller of staff was closed unread: what had come on the others was not read yet.
+func TestANewcomerWaitsForRoom(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	g := New(1, 1)
+	g.Listener, g.Patience = l, 20*time.Second
+	half, flood := pair(t, g)
+	flood.Write([]byte("G"))
+	for until := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		if n, _ := conns.Peek(half); n == 1 {
+			break
+		}
+		if time.Now().After(until) {
+			t.Fatal("the byte does not come")
+		}
+	}
+	let := make(chan net.Conn, 1)
+	go func() {
+		c, _ := g.Accept()
+		let <- c
+	}()
+	caller, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer caller.Close()
+	caller.SetReadDeadline(time.Now().Add(50 * time.Millisecond)) // time to be closed in, if it is to be
+	if _, err := caller.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("the newcomer: %v", err)
+	}
+	half.Read(make([]byte, 1)) // the server has it now: half a call, and no reason to keep others out
+	if c := <-let; c == nil || c.RemoteAddr().String() != caller.LocalAddr().String() {
+		t.Errorf("let in: %v", c)
+	}
+}
