A process whose heir has died can be taken over again

Seen by the new test of real processes: after an heir that had been ready was killed, the next process found nobody at the path, listened beside the old one, and took clients though staff had drained the scheduler ('health 200, want 503'). Cause: pass.Offer renames its socket over the path, so the dead heir's stood there; nobody offered for the old process any more (process.go, Heir). Change: when its heir has ended a process offers again.

--- a/cmd/woaddyke/process.go
+++ b/cmd/woaddyke/process.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"runtime/debug"
+	"sync"
 	"syscall"
 
 	"github.com/rs/zerolog"
@@ -23,6 +25,9 @@
 	sheet *terms.Sheet
 	front *front.Front
 	log   zerolog.Logger
+
+	mu      sync.Mutex
+	offered io.Closer // ends the offer that is on
 }
 
 // memory sets how much the collector may let grow, with so many processes beside one another. The rest is for stacks, the
@@ -110,7 +115,13 @@
 // offer lets another process take the place of this one, once this one serves.
 func (p *process) offer() {
 	<-p.front.Ready()
-	if _, err := pass.Offer(pass.Path(p.sheet.Listen), p, p.log); err != nil {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.offered != nil {
+		p.offered.Close()
+	}
+	var err error
+	if p.offered, err = pass.Offer(pass.Path(p.sheet.Listen), p, p.log); err != nil {
 		p.log.Warn().Err(err).Msg("no process can take over from this one")
 	}
 }
@@ -118,12 +129,14 @@
 // Give is the front's.
 func (p *process) Give() ([]byte, []syscall.Conn, error) { return p.front.Give() }
 
-// Heir shares what only one process may use.
+// Heir shares what only one process may use. An heir that was ready has offered in this one's place; when it has ended, the
+// next would find nobody there.
 func (p *process) Heir(there bool) {
 	p.front.Heir(there)
 	if there {
 		p.memory(2)
-	} else {
-		p.memory(1)
+		return
 	}
+	p.memory(1)
+	p.offer()
 }
--- a/cmd/woaddyke/upgrade_test.go
+++ b/cmd/woaddyke/upgrade_test.go
@@ -150,29 +150,35 @@
 	}
 }
 
-// Under load, by the workers' own record: no op is lost or run twice while processes take one another's place, and none is
-// turned away.
-func TestProcessesTakeOneAnothersPlaceUnderLoad(t *testing.T) {
-	runs := &record{runs: map[string]int{}}
+// standIns are three workers and their discovery, and a free address for clients.
+func standIns(t *testing.T, runs *record) (discovery, listen string) {
 	known := `{"rev":1,"all":true,"targets":[`
 	for i := range 3 {
 		worker := httptest.NewServer(runs)
 		t.Cleanup(worker.Close)
 		known += fmt.Sprintf(`%s{"uid":"w%d","endpoint":%q,"state":"SERVING"}`, []string{"", ","}[min(i, 1)], i, worker.Listener.Addr())
 	}
-	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	lists := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		fmt.Fprintln(w, known+"]}")
 		w.(http.Flusher).Flush()
 		<-r.Context().Done()
 	}))
-	t.Cleanup(discovery.Close)
+	t.Cleanup(lists.Close)
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	listen, dir := free.Addr().String(), t.TempDir()
-	free.Close()
-	p := startProcess(t, dir, listen, discovery.Listener.Addr().String(), 0)
+	defer free.Close()
+	return lists.Listener.Addr().String(), free.Addr().String()
+}
+
+// Under load, by the workers' own record: no op is lost or run twice while processes take one another's place, and none is
+// turned away.
+func TestProcessesTakeOneAnothersPlaceUnderLoad(t *testing.T) {
+	runs := &record{runs: map[string]int{}}
+	discovery, listen := standIns(t, runs)
+	dir := t.TempDir()
+	p := startProcess(t, dir, listen, discovery, 0)
 	var mu sync.Mutex
 	acked, other := map[string]bool{}, 0
 	stop := make(chan struct{})
@@ -191,7 +197,7 @@
 	}
 	for n := range upgrades() {
 		before := p
-		p = startProcess(t, dir, listen, discovery.Listener.Addr().String(), n+1)
+		p = startProcess(t, dir, listen, discovery, n+1)
 		if err := before.cmd.Process.Signal(syscall.SIGTERM); err != nil {
 			t.Fatal(err)
 		}
@@ -217,3 +223,86 @@
 	}
 	t.Logf("%d ops over %d upgrades", len(acked), upgrades())
 }
+
+// A new process that died took the old one with it, or left it as if it had an heir; and what staff had said to the old one
+// was lost on the next.
+func TestAnHeirThatDiesLeavesTheOtherServing(t *testing.T) {
+	runs := &record{runs: map[string]int{}}
+	discovery, listen := standIns(t, runs)
+	dir, n := t.TempDir(), 0
+	serves := func(want bool) {
+		t.Helper()
+		n++
+		done, status := make(chan struct{}), 0
+		client(listen, fmt.Sprint("x", n), done, func(_ string, got int, _ error) {
+			if status = got; got != 0 {
+				close(done)
+			} else {
+				t.Fatal("no answer")
+			}
+		})
+		if (status == http.StatusOK) != want {
+			t.Errorf("an op is answered %d", status)
+		}
+	}
+	healthy := func(want int) {
+		t.Helper()
+		resp, err := http.Get("http://" + listen + "/healthz")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if resp.Body.Close(); resp.StatusCode != want {
+			t.Errorf("health %d, want %d", resp.StatusCode, want)
+		}
+	}
+	call := func(s started, path string) {
+		t.Helper()
+		resp, err := http.Post("http://"+s.console+path, "", nil)
+		if err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatalf("%s: %v, %v", path, resp, err)
+		}
+		resp.Body.Close()
+	}
+	first := startProcess(t, dir, listen, discovery, 0)
+	serves(true)
+	heir := startProcess(t, dir, listen, discovery, 1)
+	first.cmd.Process.Signal(syscall.SIGHUP) // staff may reread while both run
+	heir.cmd.Process.Kill()
+	heir.cmd.Wait()
+	for range 5 {
+		serves(true)
+	}
+	healthy(http.StatusOK)
+	var figures struct {
+		ReloadsOK int `json:"reloads_ok"`
+		Requests  map[string]struct{ Served int }
+	}
+	for until := time.Now().Add(10 * time.Second); figures.ReloadsOK == 0 && time.Now().Before(until); {
+		resp, err := http.Get("http://" + first.console + "/api/telemetry")
+		if err == nil {
+			err = json.NewDecoder(resp.Body).Decode(&figures)
+			resp.Body.Close()
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	if figures.ReloadsOK != 1 || figures.Requests["pay"].Served < 5 {
+		t.Errorf("figures of the process that stayed: %+v", figures)
+	}
+	call(first, "/api/evacuate")
+	healthy(http.StatusServiceUnavailable)
+	second := startProcess(t, dir, listen, discovery, 2)
+	first.cmd.Process.Signal(syscall.SIGTERM)
+	if err := first.cmd.Wait(); err != nil {
+		t.Errorf("the first process: %v, %s", err, first.log)
+	}
+	healthy(http.StatusServiceUnavailable)
+	call(second, "/api/rejoin")
+	healthy(http.StatusOK)
+	serves(true)
+	second.cmd.Process.Signal(syscall.SIGTERM)
+	if err := second.cmd.Wait(); err != nil {
+		t.Errorf("the second process: %v, %s", err, second.log)
+	}
+}
--- a/internal/handover/pass/pass.go
+++ b/internal/handover/pass/pass.go
@@ -112,7 +112,8 @@
 	return l, line.SetDeadline(time.Time{})
 }
 
-// Giver is asked for a handover, and told when an heir is there and when it has gone.
+// Giver is asked for a handover, and told when an heir is there and when it has gone. By then the path may be the heir's: who
+// wants to be asked again must offer again.
 type Giver interface {
 	Give() (text []byte, sockets []syscall.Conn, err error)
 	Heir(there bool)
