One place parts descriptors; tests share their servers and stand-ins

Found on reading the change again: front.New and front.limit each worked out the bounds on connections, one apart from the other after a handover (193 and 194 of 384 for clients); the listener was kept twice; three tests had accept loops, discoveries and servers of their own. Change: limit is the only place, with New's figures; the handover reads the guests' listener; pieces.Serve, serveUntil and discoveryOf serve them all.

--- a/cmd/woaddyke/process_test.go
+++ b/cmd/woaddyke/process_test.go
@@ -16,16 +16,21 @@
 	"woaddyke/internal/terms"
 )
 
-// replaceable is a process with a stand-in discovery that knows no worker.
-func replaceable(t *testing.T, listen string) *process {
-	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		fmt.Fprintln(w, `{"rev":7,"all":true,"targets":[]}`)
+// discoveryOf is a stand-in that tells of the workers known and then no more.
+func discoveryOf(t *testing.T, known string) (addr string) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprintln(w, known)
 		w.(http.Flusher).Flush()
 		<-r.Context().Done()
 	}))
-	t.Cleanup(discovery.Close)
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+// replaceable is a process with a stand-in discovery that knows no worker.
+func replaceable(t *testing.T, listen string) *process {
 	return &process{log: zerolog.Nop(), sheet: &terms.Sheet{Listen: listen, Console: "127.0.0.1:0",
-		Discovery: discovery.Listener.Addr().String(), Limits: terms.Limits{Cores: 1, MemoryMB: 64, Sockets: 256},
+		Discovery: discoveryOf(t, `{"rev":7,"all":true,"targets":[]}`), Limits: terms.Limits{Cores: 1, MemoryMB: 64, Sockets: 256},
 		Site: terms.Flat(map[string]any{"categories": []any{map[string]any{"name": "look", "ttlNs": 3e9}}})}}
 }
 
--- a/cmd/woaddyke/upgrade_test.go
+++ b/cmd/woaddyke/upgrade_test.go
@@ -158,18 +158,12 @@
 		t.Cleanup(worker.Close)
 		known += fmt.Sprintf(`%s{"uid":"w%d","endpoint":%q,"state":"SERVING"}`, []string{"", ","}[min(i, 1)], i, worker.Listener.Addr())
 	}
-	lists := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		fmt.Fprintln(w, known+"]}")
-		w.(http.Flusher).Flush()
-		<-r.Context().Done()
-	}))
-	t.Cleanup(lists.Close)
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer free.Close()
-	return lists.Listener.Addr().String(), free.Addr().String()
+	return discoveryOf(t, known+"]}"), free.Addr().String()
 }
 
 // Under load, by the workers' own record: no op is lost or run twice while processes take one another's place, and none is
--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"woaddyke/internal/ending"
+	"woaddyke/internal/pieces"
 )
 
 var request = []byte("POST /api HTTP/1.1\r\nHost: w\r\nContent-Length: 0\r\n\r\n")
@@ -27,25 +28,10 @@
 
 // worker accepts connections and hands each to a function when the first request has come.
 func worker(t *testing.T, serve func(net.Conn)) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				c.Read(make([]byte, 4096))
-				serve(c)
-			}()
-		}
-	}()
-	return l.Addr().String()
+	return pieces.Serve(t, func(c *net.TCPConn) {
+		c.Read(make([]byte, 4096))
+		serve(c)
+	})
 }
 
 // What a worker may say, and what each proves: one read wrongly loses an op or runs it twice.
--- a/internal/front/drain_test.go
+++ b/internal/front/drain_test.go
@@ -34,14 +34,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	stop := serveUntil(t, f, l)
+	addr, stop := serveUntil(t, f)
 	defer stop()
 	dial := func() net.Conn {
-		c, err := net.Dial("tcp", l.Addr().String())
+		c, err := net.Dial("tcp", addr)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -97,11 +93,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	stop := serveUntil(t, was, l)
+	_, stop := serveUntil(t, was)
 	<-was.Ready()
 	was.Evacuate()
 	text, sockets, err := was.Give()
--- a/internal/front/figures_test.go
+++ b/internal/front/figures_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -56,11 +55,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	serveUntil(t, f, l)
+	addr, _ := serveUntil(t, f)
 	var look, other book
 	pushed := 0
 	sum := func(o tally.Ops) int { return o.Served + o.Refused + o.Failed + o.Gone }
@@ -83,7 +78,7 @@
 		}
 	}
 	id := 0
-	url := "http://" + l.Addr().String()
+	url := "http://" + addr
 	request := func(ctx context.Context, path, category, left string) *http.Request {
 		id++
 		r, _ := http.NewRequestWithContext(ctx, http.MethodPost, url+path, nil)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -61,7 +61,6 @@
 	inForce atomic.Pointer[terms.Sheet] // that was read last
 	places  int                         // categories that were taken up since the start
 	drain   *drainer
-	at      net.Listener // for clients
 	peersAt *net.UDPConn // that of the process before, nil without one
 }
 
@@ -69,18 +68,17 @@
 
 // New makes a scheduler from what it is told at its start.
 func New(sheet *terms.Sheet, log zerolog.Logger) (*Front, error) {
-	f, all := &Front{sheet: sheet, log: log, ready: make(chan struct{})}, sheet.Limits.Sockets
-	f.clients = guests.New(share(forSome, all), share(forClients, all))
+	f := &Front{sheet: sheet, log: log, ready: make(chan struct{})}
+	f.clients = guests.New(0, 0) // limit sets both bounds
 	f.inForce.Store(sheet)
 	f.places = len(sheet.Categories())
 	f.drain = &drainer{clients: f.clients}
 	f.tally = tally.New(sheet.Categories())
 	dial := sheet.Span("bounds.connectTimeout", time.Second)
 	f.loop = &loop{
-		in:      make(chan message, backlog),
-		reducer: ops.New(sheet.Chance, sheet.Site),
-		pool: conns.New(conns.Bounds{Open: share(forWorkers, all), Dial: dial,
-			Idle: sheet.Span("bounds.keepalive", 10*time.Second)}),
+		in:        make(chan message, backlog),
+		reducer:   ops.New(sheet.Chance, sheet.Site),
+		pool:      conns.New(conns.Bounds{Dial: dial, Idle: sheet.Span("bounds.keepalive", 10*time.Second)}),
 		probeHead: []byte("GET /load HTTP/1.1\r\nHost: worker\r\n\r\n"),
 		probeWait: 2 * dial, // nothing says how long a probe may take: a dial, and as long again
 		log:       log,
@@ -92,6 +90,7 @@
 		out:       map[uint64]*conns.Exchange{},
 		wake:      time.NewTimer(0),
 	}
+	f.Limit(sheet.Limits.Sockets)
 	if sheet.Other != nil {
 		f.loop.reducer.Watch(sheet.Other)
 		f.loop.watches = true
@@ -154,7 +153,7 @@
 		IdleTimeout: 5 * time.Minute, MaxHeaderBytes: 16 << 10,
 		ErrorLog: stdlog.New(f.log.With().Str("level", "warn").Logger(), "", 0)}
 	failed := make(chan error, 1)
-	f.clients.Listener, f.at = l, l
+	f.clients.Listener = l
 	go func() { failed <- s.Serve(f.clients) }()
 	go func() {
 		select {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -64,12 +64,16 @@
 	return l.Addr().String(), stop, ended
 }
 
-// serveUntil serves until it is told to stop.
-func serveUntil(t *testing.T, f *Front, l net.Listener) (stop func()) {
+// serveUntil serves at an address until it is told to stop.
+func serveUntil(t *testing.T, f *Front) (addr string, stop func()) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	go f.Serve(ctx, l, time.Second)
 	t.Cleanup(stop)
-	return stop
+	return l.Addr().String(), stop
 }
 
 // post sends an op; headers given as "name: value" stand over the usual ones.
--- a/internal/front/handover.go
+++ b/internal/front/handover.go
@@ -14,7 +14,7 @@
 // Give is what the process that takes the place of this one needs. From here on this one uses only its part of the
 // descriptors.
 func (f *Front) Give() (text []byte, sockets []syscall.Conn, err error) {
-	at, ok := f.at.(syscall.Conn)
+	at, ok := f.clients.Listener.(syscall.Conn)
 	if !ok {
 		return nil, nil, errors.New("handover: the listening socket can't be shared")
 	}
@@ -71,6 +71,6 @@
 func (f *Front) limit(sockets, workers int) {
 	all := sockets - spare
 	workers = max(share(forWorkers, sockets), min(workers, all-share(forSome, sockets)))
-	f.clients.Limit(min(share(forSome, sockets), all-workers), max(all-workers, 1))
+	f.clients.Limit(min(share(forSome, sockets), all-workers), max(min(share(forClients, sockets), all-workers), 1))
 	f.loop.pool.Limit(workers)
 }
--- a/internal/pieces/pieces.go
+++ b/internal/pieces/pieces.go
@@ -64,9 +64,8 @@
 	}
 }
 
-// Answer is a server that waits for the end of a request's head on each connection and then writes in the way that next
-// tells.
-func Answer(t *testing.T, next func() Way) (addr string) {
+// Serve hands each connection that it accepts to a function, and closes it after that.
+func Serve(t *testing.T, with func(*net.TCPConn)) (addr string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -80,21 +79,29 @@
 			}
 			go func() {
 				defer c.Close()
-				head, b := "", make([]byte, 1)
-				for !strings.HasSuffix(head, "\r\n\r\n") {
-					if _, err := c.Read(b); err != nil {
-						return
-					}
-					head += string(b)
-				}
-				next().Write(c.(*net.TCPConn))
-				io.Copy(io.Discard, c) // until the other side is done with it
+				with(c.(*net.TCPConn))
 			}()
 		}
 	}()
 	return l.Addr().String()
 }
 
+// Answer is a server that waits for the end of a request's head on each connection and then writes in the way that next
+// tells.
+func Answer(t *testing.T, next func() Way) (addr string) {
+	return Serve(t, func(c *net.TCPConn) {
+		head, b := "", make([]byte, 1)
+		for !strings.HasSuffix(head, "\r\n\r\n") {
+			if _, err := c.Read(b); err != nil {
+				return
+			}
+			head += string(b)
+		}
+		next().Write(c)
+		io.Copy(io.Discard, c) // until the other side is done with it
+	})
+}
+
 // Dial is a connection to a server under test.
 func Dial(t *testing.T, addr string) *net.TCPConn {
 	t.Helper()
