--- a/internal/lab/links/conn.go
+++ b/internal/lab/links/conn.go
@@ -14,7 +14,8 @@
 // and what comes from the socket is read late or never. The socket is the mouth of the link.
 type Conn struct {
 	net.Conn
-	weather *Weather
+	weather *Weather // of what comes
+	away    *Weather // of what is written
 	out     *Lane
 
 	mu      sync.Mutex
@@ -56,10 +57,13 @@
 )
 
 // Through puts a link before a socket.
-func Through(c net.Conn, w *Weather) *Conn {
-	x := &Conn{Conn: c, weather: w, out: w.Lane(), queue: make(chan sending, mostSending), done: make(chan struct{})}
+func Through(c net.Conn, w *Weather) *Conn { return Between(c, w, w) }
+
+// Between puts a link before a socket whose two directions have weathers of their own.
+func Between(c net.Conn, in, out *Weather) *Conn {
+	x := &Conn{Conn: c, weather: in, away: out, out: out.Lane(), queue: make(chan sending, mostSending), done: make(chan struct{})}
 	x.came = sync.NewCond(&x.mu)
-	go x.read(w.Lane())
+	go x.read(in.Lane())
 	go x.send()
 	return x
 }
@@ -222,7 +226,7 @@
 			if !x.pause(time.Until(s.fate.At)) {
 				return
 			}
-			if silent, over := x.weather.Silent(); silent {
+			if silent, over := x.away.Silent(); silent {
 				select {
 				case <-over:
 				case <-x.done:
