Members: a pure core that tells who is here, doubted or gone, and a swarm that judges it

Need: nobody notices a scheduler that died, was paused, came back as another process or hears without being heard. internal/members takes a message or a tick with its time and returns what to send and what has changed: SWIM's asking through others and refutable doubts, Lifeguard's doubt of oneself (own lateness voids what was out), an incarnation for each process and a turn for each refutation, views that are one again through digests. internal/members/swarm plays a cluster under one seed and knows what was true.

--- /dev/null
+++ b/internal/members/members.go
@@ -0,0 +1,542 @@
+// Package members decides who the other schedulers of a cluster are, and which of them are here, doubted or gone. It takes an
+// input with its time and returns what to send and what has changed; it does no input or output, reads no clock, and draws from
+// its seed alone. docs/members.md says what it promises.
+package members
+
+import (
+	"cmp"
+	"math"
+	"math/bits"
+	"math/rand/v2"
+	"slices"
+)
+
+type phase int
+
+const (
+	joining  phase = iota // asks what is known of its name
+	serving               // is a member
+	asking                // was away for so long that others may have given it up
+	leaving               // tells that it ends
+	standing              // another process has its name; it waits until that one has ended
+	over
+)
+
+// entry is what is held of one other member.
+type entry struct {
+	claim Claim // what has been said, by anybody
+	state State // what is held here: of what was said, a member has time to refute it first
+	since Time
+	ended Time // when it was first held to be no more, here or elsewhere
+	place int  // in live or lost
+
+	held     Time // since when a doubt of this turn is known here
+	accusers []string
+	own      bool // found here, not only heard of
+	gone     bool // somebody says that it is gone
+	lastSaid bool // it has been asked once more
+	private  bool // found while this process heard nobody: it tells nobody
+
+	rtt, vary Time
+	far       int // direct pings in a row without an answer
+	heard     Time
+	nudged    Time
+	window    window
+}
+
+func (e *entry) is(s State) bool { return e.state == s }
+
+// probe is an own ping that is out.
+type probe struct {
+	nonce   uint64
+	of      *entry
+	at      Time
+	through bool // others were asked
+	again   bool // it was asked twice
+}
+
+// relay is a ping for another that is out.
+type relay struct {
+	of     string // who asked
+	at     Time
+	nonce  uint64 // its own
+	target string
+}
+
+// duel asks whether the other process of this name lives.
+type duel struct {
+	with        Claim
+	nonce       uint64
+	next, until Time
+}
+
+// Members is one process's view of a cluster.
+type Members struct {
+	t      Terms
+	rand   *rand.Rand
+	me     Claim
+	marked Claim // me as it stands in the digests
+	phase  phase
+	seq    uint64
+	now    Time
+	due    Time // when Next wants a tick
+	out    []Effect
+
+	by      map[string]*entry
+	live    []*entry // here or doubted
+	lost    []*entry // gone, not left
+	ended   int      // entries of those that are gone or left
+	doubts  []*entry
+	round   []*entry // whom to ping next, from its end
+	digests [buckets]uint64
+	queue   []queued
+
+	probes []probe
+	relays map[uint64]relay
+	duel   *duel
+	known  Claim // what was told of this name
+	told   bool  // by somebody unsure, while this one asks
+	nonce  uint64
+	seed   int // that was tried last
+
+	askUntil, askNext                             Time
+	nextProbe, nextGossip, nextSeek, nextExchange Time
+	nextForget, nextLeave, lastOpen, lastTold     Time
+	leaves                                        int
+	heard                                         Time // anybody
+	deaf                                          bool
+	slack, slackAt, worst, late                   Time
+	loss                                          float64
+	counts                                        map[string]uint64
+}
+
+// New makes a process that joins. The terms have been checked.
+func New(t Terms, now Time) *Members {
+	m := blank(t, now)
+	m.me = Claim{Name: t.Name, Addr: t.Addr, Number: t.Number, Life: Life{Nonce: t.Nonce}, By: t.Name}
+	m.ask(joining)
+	return m
+}
+
+// Legacy is what a process tells the one that takes its place: both are one member.
+type Legacy struct {
+	Me     Claim
+	Seq    uint64
+	Claims []Claim
+}
+
+// Inherit makes a process that goes on as another did.
+func Inherit(t Terms, l Legacy, now Time) *Members {
+	m := blank(t, now)
+	m.me, m.seq, m.phase = l.Me, l.Seq+seqJump, serving
+	m.me.Addr, m.me.Number = t.Addr, t.Number
+	m.me.Turn++
+	m.remark()
+	for _, c := range l.Claims {
+		m.merge(c)
+	}
+	m.announce()
+	return m
+}
+
+func blank(t Terms, now Time) *Members {
+	return &Members{t: t, now: now, rand: rand.New(rand.NewPCG(t.Chance, t.Nonce)), by: map[string]*entry{}, relays: map[uint64]relay{},
+		counts: map[string]uint64{}, heard: now, nextProbe: now, nextSeek: now, nextExchange: now + t.Exchange/2, nextForget: now + t.Memory/50}
+}
+
+// Legacy is what an heir needs. The caller feeds no more inputs but Resuming.
+func (m *Members) Legacy() (Legacy, bool) {
+	if m.phase != serving {
+		return Legacy{}, false
+	}
+	l := Legacy{Me: m.me, Seq: m.seq}
+	for _, name := range m.names() {
+		l.Claims = append(l.Claims, m.aged(m.by[name]))
+	}
+	return l, true
+}
+
+// Take takes an input and returns what to do. Times never go back.
+func (m *Members) Take(now Time, in Input) []Effect {
+	m.now, m.out = max(now, m.now), m.out[:0:0]
+	m.woken()
+	switch in := in.(type) {
+	case Heard:
+		m.hear(in)
+	case Saying:
+		m.say(in)
+	case Leaving:
+		m.leave()
+	case Resuming:
+		m.resume()
+	}
+	m.timers()
+	m.due = m.next()
+	return m.out
+}
+
+// Next is when a Tick is due.
+func (m *Members) Next() Time { return m.due }
+
+func (m *Members) do(e Effect) { m.out = append(m.out, e) }
+
+func (m *Members) count(what string) { m.counts[what]++ }
+
+// jitter is a span of half to one and a half times the given one.
+func (m *Members) jitter(t Time) Time { return t/2 + Time(m.rand.Int64N(int64(t)+1)) }
+
+// woken finds out by how much this process is late. What it missed meanwhile speaks against nobody but itself.
+func (m *Members) woken() {
+	late := m.now - m.due
+	if m.due == 0 || late <= tolerance || m.phase == over {
+		return
+	}
+	m.slack, m.slackAt = min(m.eased()+late, mostSlack), m.now
+	m.late, m.worst = late, max(m.worst, late)
+	m.count("late")
+	m.probes = nil
+	clear(m.relays)
+	for _, e := range m.doubts {
+		e.held += late
+	}
+	m.heard += late
+	m.nextProbe, m.nextGossip, m.nextSeek = m.now, m.now, max(m.nextSeek, m.now)
+	if m.duel != nil {
+		m.duel.until += late
+	}
+	switch m.phase {
+	case serving:
+		if late >= m.t.Doubt {
+			m.do(Noted{"was away", span(late)})
+			m.ask(asking)
+		} else if late >= m.t.Window {
+			m.me.Turn++ // a doubt may be on its way already
+			m.renew()
+		}
+	case joining, asking:
+		m.askUntil += late
+	}
+}
+
+// eased is what is left of the own lateness.
+func (m *Members) eased() Time {
+	rest := 1 - float64(m.now-m.slackAt)/float64(slackEases)
+	return Time(float64(m.slack) * max(rest, 0))
+}
+
+// renew has all know the own claim as it is now.
+func (m *Members) renew() {
+	m.remark()
+	m.announce()
+}
+
+func (m *Members) announce() {
+	m.enqueue(m.me)
+	m.nextGossip = m.now
+}
+
+// ask begins to ask what is known of this name.
+func (m *Members) ask(p phase) {
+	m.phase, m.nonce, m.known, m.told = p, m.rand.Uint64(), Claim{}, false
+	m.askNext, m.askUntil = m.now, m.now+askSpan
+}
+
+func (m *Members) asks() {
+	if m.now < m.askNext {
+		return
+	}
+	m.askNext = m.now + askEvery/2 + Time(m.rand.Int64N(int64(askEvery)))
+	to := map[string]bool{}
+	for _, e := range m.pick(asked, nil) {
+		to[e.claim.Addr] = true
+	}
+	for _, e := range m.lost[:min(len(m.lost), asked)] {
+		to[e.claim.Addr] = true
+	}
+	for _, i := range m.rand.Perm(len(m.t.Seeds))[:min(len(m.t.Seeds), asked)] {
+		to[m.t.Seeds[i]] = true
+	}
+	delete(to, m.me.Addr)
+	addrs := make([]string, 0, len(to))
+	for a := range to {
+		addrs = append(addrs, a)
+	}
+	slices.Sort(addrs)
+	for _, a := range addrs {
+		m.send(a, Message{Kind: Ask, Nonce: m.nonce})
+	}
+	if m.now < m.askUntil && len(addrs) > 0 {
+		return
+	}
+	// Nobody that is sure has answered: it goes on with what it knows. If it was wrong, whom it meets will tell it so.
+	if m.phase == joining {
+		m.settle()
+	} else {
+		m.back()
+	}
+}
+
+// settle makes this process a member, later than any that was told of.
+func (m *Members) settle() {
+	m.me.Life = Life{m.known.Incarnation + 1, m.t.Nonce}
+	m.me.Turn, m.me.State, m.phase, m.heard = 0, Here, serving, m.now
+	m.renew()
+	m.do(Settled{})
+	m.exchange()
+}
+
+// back makes this process a member again after it was away.
+func (m *Members) back() {
+	if c := m.known; c.Life == m.me.Life && c.State >= Doubted {
+		m.do(Noted{"was called " + c.State.String(), c.By})
+		m.me.Turn = max(m.me.Turn, c.Turn)
+	}
+	m.phase, m.heard = serving, m.now
+	m.me.Turn++
+	m.renew()
+	m.do(Settled{})
+	m.exchange()
+}
+
+// relive makes this process a later one than any of its name that is known to have ended.
+func (m *Members) relive(after uint64) {
+	m.me.Life, m.me.Turn, m.me.State = Life{after + 1, m.t.Nonce}, 0, Here
+	m.renew()
+}
+
+// superseded ends this process as a member: another has its name.
+func (m *Members) superseded(by Claim) {
+	m.do(Noted{"superseded", by.Addr})
+	m.me.State, m.duel, m.probes, m.queue = Superseded, nil, nil, nil
+	clear(m.relays)
+	m.remark()
+	if m.phase = over; m.t.StandBy {
+		m.phase, m.nonce, m.known = standing, m.rand.Uint64(), by
+	}
+	m.do(Ended{Superseded: true})
+}
+
+func (m *Members) leave() {
+	if m.phase != serving {
+		m.phase = over
+		m.do(Ended{})
+		return
+	}
+	m.phase, m.leaves, m.nextLeave = leaving, leaveTimes, m.now
+	m.me.State = Left
+	m.remark()
+}
+
+// resume goes on as a member whose heir has ended. What that one said last stands, so this one goes beyond it.
+func (m *Members) resume() {
+	if m.phase != serving && m.phase != asking {
+		return
+	}
+	m.seq += 2 * seqJump
+	m.me.Turn += 2
+	m.renew()
+}
+
+func (m *Members) say(in Saying) {
+	if m.phase != serving {
+		return
+	}
+	for _, e := range m.live {
+		if e.claim.Number == in.Number {
+			m.send(e.claim.Addr, Message{Kind: Word, Text: in.Text})
+			return
+		}
+	}
+	m.count("word to nobody")
+}
+
+// send sends a datagram from this member.
+func (m *Members) send(to string, x Message) {
+	if to != m.me.Addr && to != "" {
+		m.do(Send{to, m.sealed(x)})
+	}
+}
+
+func (m *Members) sealed(x Message) Message {
+	m.seq++
+	x.Cluster, x.Seq, x.From = m.t.Cluster, m.seq, m.me
+	if m.phase == joining || m.phase == standing {
+		x.From.Life, x.From.State = Life{0, m.t.Nonce}, Joining
+	}
+	return x
+}
+
+// pick draws some that are here or doubted.
+func (m *Members) pick(n int, not *entry) (some []*entry) {
+	if len(m.live) <= n+1 {
+		for _, e := range m.live {
+			if e != not {
+				some = append(some, e)
+			}
+		}
+		m.rand.Shuffle(len(some), func(i, j int) { some[i], some[j] = some[j], some[i] })
+		return some[:min(n, len(some))]
+	}
+	for len(some) < n {
+		e := m.live[m.rand.IntN(len(m.live))]
+		if e != not && !slices.Contains(some, e) {
+			some = append(some, e)
+		}
+	}
+	return some
+}
+
+// names are those in the view, in order.
+func (m *Members) names() []string {
+	names := make([]string, 0, len(m.by))
+	for n := range m.by {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// patience is how long a direct answer of a member may take before others are asked.
+func (m *Members) patience(e *entry) Time {
+	if e.rtt == 0 {
+		return m.t.Window / 2
+	}
+	return min(max(e.rtt+4*e.vary, m.t.Window/8), m.t.Window/2)
+}
+
+// lossy is by which factor lost messages lengthen a doubt and multiply what is told.
+func (m *Members) lossy() float64 { return 1 + min(2*m.loss, 1) }
+
+// window is for how long a probe waits, direct and through others.
+func (m *Members) window() Time { return Time(float64(m.t.Window) * m.lossy()) }
+
+// ends is when a doubt is over.
+func (m *Members) ends(e *entry) Time {
+	k := min(confirms, len(m.live)-2) // without the doubted one and its first accuser
+	span := float64(m.t.Doubt)
+	if k > 0 {
+		part := math.Log(float64(min(len(e.accusers)-1, k)+1)) / math.Log(float64(k+1))
+		span = float64(m.t.Longest) - part*float64(m.t.Longest-m.t.Doubt)
+	}
+	if e.gone { // heard as well: no earlier than by own doubt, since that word may be about another side of a cut
+		span = float64(m.t.Doubt)
+	}
+	at := e.held + Time(span*m.lossy()) + m.eased()
+	if !e.own && !e.gone {
+		at += fallback
+	}
+	return at
+}
+
+// next is when something is due.
+func (m *Members) next() Time {
+	at := Time(math.MaxInt64)
+	until := func(t Time) { at = min(at, t) }
+	switch m.phase {
+	case over:
+		return m.now + second
+	case joining, asking:
+		return max(m.askNext, m.now+1)
+	case standing:
+		return max(m.nextSeek, m.now+1)
+	case leaving:
+		return max(m.nextLeave, m.now+1)
+	}
+	until(m.nextProbe)
+	until(m.nextSeek)
+	until(m.nextExchange)
+	until(m.nextForget)
+	if len(m.queue) > 0 && len(m.live) > 0 {
+		until(m.nextGossip)
+	}
+	if m.duel != nil {
+		until(m.duel.next)
+	}
+	for _, p := range m.probes {
+		if !p.again {
+			wait := m.patience(p.of)
+			if p.through {
+				wait *= 2
+			}
+			until(p.at + wait)
+		}
+		until(p.at + m.window())
+	}
+	for _, e := range m.doubts {
+		end := m.ends(e)
+		if until(end); e.own && !e.lastSaid {
+			until(end - lastWord)
+		}
+	}
+	return max(at, m.now+1)
+}
+
+// Seen is one member as it is held here.
+type Seen struct {
+	Name   string `json:"name"`
+	Addr   string `json:"address"`
+	Number int    `json:"number"`
+	State  State  `json:"state"`
+	Life
+	Turn      uint64 `json:"turn"`
+	By        string `json:"by"`        // who says so
+	Since     Time   `json:"-"`         // when it was found here
+	RTT       Time   `json:"-"`         // 0: not known
+	Reachable bool   `json:"reachable"` // from here, directly
+	Private   bool   `json:"private"`   // found while nobody was heard: told to nobody
+}
+
+func (m *Members) seen(e *entry) Seen {
+	s := Seen{Name: e.claim.Name, Addr: e.claim.Addr, Number: e.claim.Number, State: e.state, Life: e.claim.Life, Turn: e.claim.Turn,
+		By: e.claim.By, Since: e.since, RTT: e.rtt, Reachable: !e.state.Ended() && e.far < farAfter, Private: e.private}
+	if e.private || e.state == Doubted && e.own && e.claim.State < Doubted {
+		s.By = m.me.Name
+	}
+	return s
+}
+
+// View is all that is held of the others, in order of their names.
+func (m *Members) View() []Seen {
+	view := make([]Seen, 0, len(m.by))
+	for _, name := range m.names() {
+		view = append(view, m.seen(m.by[name]))
+	}
+	return view
+}
+
+// Own is what a process says of itself.
+type Own struct {
+	Name  string `json:"name"`
+	Addr  string `json:"address"`
+	State State  `json:"state"`
+	Life
+	Turn   uint64            `json:"turn"`
+	Live   int               `json:"live"` // others that are here or doubted
+	Deaf   bool              `json:"deaf"` // it hears nobody
+	Asks   bool              `json:"asks"` // it was away and does not know yet what it missed
+	Loss   float64           `json:"loss"` // share of direct pings lost to members that live
+	Late   Time              `json:"-"`    // by how much it was late last
+	Worst  Time              `json:"-"`    // and at worst
+	Counts map[string]uint64 `json:"counts"`
+}
+
+// Own is how this process itself is.
+func (m *Members) Own() Own {
+	o := Own{Name: m.me.Name, Addr: m.me.Addr, State: m.me.State, Life: m.me.Life, Turn: m.me.Turn, Live: len(m.live), Deaf: m.deaf,
+		Asks: m.phase == asking, Loss: m.loss, Late: m.late, Worst: m.worst, Counts: map[string]uint64{}}
+	for k, v := range m.counts {
+		o.Counts[k] = v
+	}
+	return o
+}
+
+// Digest is the same for two views that hold the same of everybody, this process included.
+func (m *Members) Digest() (sum uint64) {
+	for i, d := range m.digests {
+		sum ^= bits.RotateLeft64(d, i)
+	}
+	return sum
+}
+
+// span is a duration as text.
+func span(t Time) string { return cmp.Or(durationOf(t).String(), "0s") }
--- /dev/null
+++ b/internal/members/terms.go
@@ -0,0 +1,112 @@
+package members
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Time is a moment in tenths of a millisecond on a clock that only goes forward, and that goes on while the process stands still.
+type Time int64
+
+// Tenth is the unit of Time.
+const Tenth = 100 * time.Microsecond
+
+const (
+	ms     Time = 10
+	second Time = 1000 * ms
+)
+
+// Span is a duration in the unit of Time.
+func Span(d time.Duration) Time { return Time(d / Tenth) }
+
+// Terms are what a member is told at its start.
+type Terms struct {
+	Cluster string
+	Name    string
+	Addr    string // what it tells the others
+	Number  int
+	Seeds   []string
+	Nonce   uint64 // of this process alone: not drawn from the seed, which the next process may have too
+	Chance  uint64
+
+	Probe    Time // between two pings
+	Window   Time // for an answer, direct or through others
+	Doubt    Time // shortest span between a doubt and "gone"
+	Longest  Time // longest such span, with one accuser
+	Exchange Time // between full exchanges, in the mean
+	Seek     Time // between tries to reach seeds and those that are gone, in the mean
+	Memory   Time // of those that are gone or left
+	Most     int  // names in a view
+	StandBy  bool // one that is superseded waits until its name is free
+}
+
+// Defaults are stated here alone.
+func Defaults() Terms {
+	return Terms{Number: -1, Probe: 100 * ms, Window: 250 * ms, Doubt: 2 * second, Longest: 6 * second, Exchange: 10 * second,
+		Seek: second, Memory: 24 * 3600 * second, Most: 4096, StandBy: true}
+}
+
+// Fixed bounds and spans; each says what it is for.
+const (
+	helpers     = 3           // others that are asked to ping one who did not answer
+	confirms    = 3           // further accusers that shorten a doubt to its least
+	tolerance   = 60 * ms     // a timer that is later means that this process stood still
+	openEvery   = second / 2  // full exchanges with those that are new or back, at the most
+	lastWord    = 250 * ms    // before its end a doubter asks once more, directly and through others
+	fallback    = 500 * ms    // those who only heard of a doubt wait so much longer than those who found it
+	deafAfter   = second      // one that has heard nobody for so long accuses nobody aloud
+	askEvery    = 100 * ms    // one that joins or was away asks again
+	askSpan     = second      // it goes on alone where nobody that is sure has answered
+	asked       = 5           // members that are asked at once
+	spread      = 3           // members that gossip goes to at once
+	told        = 1.5         // each tells a claim so often, times the logarithm of the members: the rest is for full exchange
+	gossipEvery = 100 * ms    //
+	duelSpan    = second      // without an answer the other process of this name is held to be no more
+	leaveTimes  = 5           // a leave is told so often
+	leaveEvery  = 40 * ms     //
+	leaveTo     = 8           // to so many members each time
+	mostRelays  = 256         // pings for others that are out
+	mostProbes  = 64          // own pings that are out
+	mostQueue   = 1 << 14     // claims waiting to be told: what is left out, full exchange mends
+	claimRoom   = 1100        // bytes for claims in a datagram, by estimate
+	buckets     = 64          // of a view's digests
+	farAfter    = 4           // direct pings in a row without an answer: not reachable from here
+	mostSlack   = 2 * second  // by which own lateness lengthens a doubt
+	slackEases  = 10 * second // in which it is forgotten
+	seqJump     = 1 << 32     // a process that takes over goes on this far beyond
+	longName    = 255         // bytes of a name or an address
+	mostSeeds   = 256
+)
+
+// Check tells what is wrong with the terms.
+func (t *Terms) Check() error {
+	span := func(name string, v, least, most Time) error {
+		if v < least || v > most {
+			return fmt.Errorf("%s: %v lies outside %v to %v", name, time.Duration(v)*Tenth, time.Duration(least)*Tenth,
+				time.Duration(most)*Tenth)
+		}
+		return nil
+	}
+	for _, err := range []error{span("probe", t.Probe, 10*ms, 60*second), span("window", t.Window, 20*ms, 60*second),
+		span("doubt", t.Doubt, 100*ms, 3600*second), span("longest-doubt", t.Longest, t.Doubt, 24*3600*second),
+		span("exchange", t.Exchange, 100*ms, 24*3600*second), span("seek", t.Seek, 50*ms, 3600*second),
+		span("memory", t.Memory, 10*second, 365*24*3600*second)} {
+		if err != nil {
+			return err
+		}
+	}
+	switch {
+	case t.Name == "" || len(t.Name) > longName || strings.ContainsAny(t.Name, "\r\n"):
+		return fmt.Errorf("name: %q is no name of 1 to %d bytes in one line", t.Name, longName)
+	case t.Cluster == "" || len(t.Cluster) > longName:
+		return fmt.Errorf("cluster: %q is no name of 1 to %d bytes", t.Cluster, longName)
+	case t.Most < 2 || t.Most > 1<<16:
+		return fmt.Errorf("most: %d lies outside 2 to %d", t.Most, 1<<16)
+	case len(t.Seeds) > mostSeeds:
+		return fmt.Errorf("seeds: %d, more than %d", len(t.Seeds), mostSeeds)
+	case t.Window < t.Probe/4:
+		return fmt.Errorf("window: shorter than a quarter of probe")
+	}
+	return nil
+}
