Members on sockets: the mesh, the operator's own file, views for staff, one member over a takeover

An heir goes on as the same member, on the same sockets. Where the table says words = true, words between schedulers go by the view: what one that is gone said is void at once, one that is new is told all. woaddyke members and /api/members show a view.

--- a/cmd/woaddyke/main.go
+++ b/cmd/woaddyke/main.go
@@ -23,24 +23,30 @@
 func command() *cobra.Command {
 	root := &cobra.Command{Use: "woaddyke", Short: "Pushes ops to workers, beside each submitter",
 		SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(serve(), check(), version())
+	root.AddCommand(serve(), check(), showMembers(), version())
 	return root
 }
 
 func check() *cobra.Command {
-	return &cobra.Command{Use: "check FILE", Short: "Say what is wrong with a configuration",
+	var operators string
+	c := &cobra.Command{Use: "check FILE", Short: "Say what is wrong with a configuration",
 		Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
 			sheet, err := terms.ReadSheet(args[0])
 			if err != nil {
 				return err
 			}
+			if _, err := readOffers(operators, sheet); err != nil {
+				return err
+			}
 			if _, err := front.New(sheet, zerolog.Nop()); err != nil {
 				return err
 			}
 			fmt.Fprintf(c.OutOrStdout(), "%s: fit to serve at %s\n", sheet.Name, sheet.Listen)
 			return nil
 		}}
+	c.Flags().StringVar(&operators, "operator", "", "the operator's own file, checked too")
+	return c
 }
 
 func version() *cobra.Command {
--- /dev/null
+++ b/cmd/woaddyke/operator.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+
+	"woaddyke/internal/mesh"
+	"woaddyke/internal/operator"
+	"woaddyke/internal/terms"
+)
+
+// offers are the tables of the operator's file. What is nil is off: no socket, no goroutine and no timer.
+type offers struct {
+	Members *mesh.Table `toml:"members"`
+}
+
+// readOffers reads the operator's file; without one nothing is offered.
+func readOffers(path string, sheet *terms.Sheet) (*offers, error) {
+	if path == "" {
+		return &offers{}, nil
+	}
+	var named struct { // which tables are there: the others keep no defaults
+		Members *map[string]any `toml:"members"`
+	}
+	all := func() error { return nil }
+	if err := operator.Read(path, &named, all); err != nil {
+		return nil, err
+	}
+	o := &offers{}
+	if named.Members != nil {
+		o.Members = mesh.Defaults()
+	}
+	return o, operator.Read(path, o, func() error { return o.check(sheet) })
+}
+
+func (o *offers) check(sheet *terms.Sheet) error {
+	t := o.Members
+	if t == nil {
+		return nil
+	}
+	if err := t.Check(); err != nil {
+		return err
+	}
+	if sheet.Name == "" {
+		return &operator.Fault{Table: "members", Key: "cluster", Err: errors.New("the configuration gives this scheduler no name")}
+	}
+	if t.Words {
+		if err := sheet.Speak(); err != nil {
+			return &operator.Fault{Table: "members", Key: "words", Err: fmt.Errorf("words: %w", err)}
+		}
+	}
+	return nil
+}
--- a/cmd/woaddyke/process.go
+++ b/cmd/woaddyke/process.go
@@ -17,6 +17,7 @@
 	"woaddyke/internal/front"
 	"woaddyke/internal/handover"
 	"woaddyke/internal/handover/pass"
+	"woaddyke/internal/mesh"
 	"woaddyke/internal/terms"
 )
 
@@ -26,6 +27,10 @@
 	front *front.Front
 	log   zerolog.Logger
 
+	offers offers
+	mesh   *mesh.Mesh // nil where the operator's file has no members
+	stop   func()     // ends this process as SIGTERM does
+
 	mu      sync.Mutex
 	offered io.Closer // ends the offer that is on
 }
@@ -62,6 +67,10 @@
 	if at, err = how.Listen(context.Background(), "tcp", p.sheet.Listen); err != nil {
 		return nil, fmt.Errorf("listening: %w", err)
 	}
+	if err = p.join(nil, handover.State{}); err != nil {
+		at.Close()
+		return nil, err
+	}
 	return at, nil
 }
 
@@ -86,7 +95,7 @@
 		return nil, fmt.Errorf("handover: %w", err)
 	}
 	var peers *net.UDPConn
-	if len(legacy.Files) > 1 && p.sheet.Peers != nil {
+	if len(legacy.Files) > 1 && p.sheet.Peers != nil && len(state.Members) == 0 {
 		conn, err := net.FilePacketConn(legacy.Files[1])
 		if err != nil {
 			return nil, fmt.Errorf("handover: %w", err)
@@ -97,6 +106,9 @@
 	if p.front, err = front.New(p.sheet, p.log); err != nil {
 		return nil, err
 	}
+	if err = p.join(legacy, state); err != nil {
+		return nil, err
+	}
 	for _, f := range legacy.Files {
 		f.Close() // what is used of them was duplicated
 	}
@@ -127,7 +139,7 @@
 }
 
 // Give is the front's.
-func (p *process) Give() ([]byte, []syscall.Conn, error) { return p.front.Give() }
+func (p *process) Give() ([]byte, []syscall.Conn, error) { return p.front.Give(p.giveMember) }
 
 // Heir shares what only one process may use. An heir that was ready has offered in this one's place; when it has ended, the
 // next would find nobody there.
@@ -138,5 +150,8 @@
 		return
 	}
 	p.memory(1)
+	if p.mesh != nil {
+		p.mesh.Resume()
+	}
 	p.offer()
 }
--- a/cmd/woaddyke/serve.go
+++ b/cmd/woaddyke/serve.go
@@ -19,7 +19,7 @@
 )
 
 func serve() *cobra.Command {
-	var path, level, staff string
+	var path, level, staff, operators string
 	var within time.Duration
 	c := &cobra.Command{Use: "serve", Short: "Run a scheduler until SIGTERM; SIGHUP rereads the configuration", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
@@ -38,15 +38,23 @@
 			if sheet.Console == "" {
 				sheet.Console = staff
 			}
+			offers, err := readOffers(operators, sheet)
+			if err != nil {
+				return err
+			}
 			runtime.GOMAXPROCS(max(1, int(math.Ceil(sheet.Limits.Cores))))
-			p := &process{sheet: sheet, log: log}
+			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+			defer stop()
+			p := &process{sheet: sheet, log: log, offers: *offers, stop: stop}
 			p.memory(1)
 			at, err := p.begin()
 			if err != nil {
 				return err
 			}
-			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-			defer stop()
+			if p.mesh != nil {
+				defer p.mesh.Close()
+				defer context.AfterFunc(ctx, p.leave)()
+			}
 			go func() {
 				for range reread {
 					p.front.Reread(path)
@@ -58,13 +66,14 @@
 					return fmt.Errorf("listening for staff: %w", err)
 				}
 				defer calls.Close()
-				console.Serve(calls, p.front, log)
+				console.Serve(calls, p.front, log, p.calls()...)
 				go p.offer()
 			}
 			return p.front.Serve(ctx, at, within)
 		}}
 	c.Flags().StringVar(&path, "config", os.Getenv("RELAY_CONFIG"), "file with what this scheduler is told")
 	c.Flags().StringVar(&staff, "console", os.Getenv("RELAY_CONSOLE"), "address for staff, where the configuration names none")
+	c.Flags().StringVar(&operators, "operator", "", "the operator's own file: what is offered beyond the configuration")
 	c.Flags().StringVar(&level, "log", "info", "least level that is logged")
 	c.Flags().DurationVar(&within, "stop-within", 3*time.Second,
 		"after SIGTERM, wait for workers at most this long, or the longest TTL")
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -28,8 +28,14 @@
 	Rejoin()   // take them again
 }
 
+// Call is one that only some installations have.
+type Call struct {
+	Path   string
+	Answer func() any // what is shown, as JSON; it waits for nothing
+}
+
 // Serve answers calls until the listener is closed. It returns at once.
-func Serve(l net.Listener, of Scheduler, log zerolog.Logger) {
+func Serve(l net.Listener, of Scheduler, log zerolog.Logger, more ...Call) {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /api/ready", func(w http.ResponseWriter, _ *http.Request) {
 		select {
@@ -39,11 +45,11 @@
 		}
 	})
 	mux.HandleFunc("GET /api/telemetry", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		if err := json.NewEncoder(w).Encode(of.Figures()); err != nil {
-			log.Debug().Err(err).Msg("figures not read")
-		}
+		show(w, of.Figures(), log)
 	})
+	for _, c := range more {
+		mux.HandleFunc("GET "+c.Path, func(w http.ResponseWriter, _ *http.Request) { show(w, c.Answer(), log) })
+	}
 	mux.HandleFunc("POST /api/evacuate", func(http.ResponseWriter, *http.Request) { of.Evacuate() })
 	mux.HandleFunc("POST /api/rejoin", func(http.ResponseWriter, *http.Request) { of.Rejoin() })
 	callers := guests.New(mostCallers, mostCallers)
@@ -55,3 +61,10 @@
 	go s.Serve(callers)
 	log.Info().Str("console", l.Addr().String()).Msg("answering staff")
 }
+
+func show(w http.ResponseWriter, what any, log zerolog.Logger) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(what); err != nil {
+		log.Debug().Err(err).Msg("figures not read")
+	}
+}
--- a/internal/front/handover.go
+++ b/internal/front/handover.go
@@ -13,7 +13,8 @@
 
 // Give is what the process that takes the place of this one needs. From here on this one uses only its part of the
 // descriptors.
-func (f *Front) Give() (text []byte, sockets []syscall.Conn, err error) {
+// More are called for what others hand over beside it.
+func (f *Front) Give(more ...func(*handover.State) []syscall.Conn) (text []byte, sockets []syscall.Conn, err error) {
 	at, ok := f.clients.Listener.(syscall.Conn)
 	if !ok {
 		return nil, nil, errors.New("handover: the listening socket can't be shared")
@@ -35,6 +36,9 @@
 	} else {
 		f.log.Warn().Msg("nothing learned is handed over: the loop is busy")
 	}
+	for _, add := range more {
+		sockets = append(sockets, add(&state)...)
+	}
 	if text, err = state.Bytes(); err != nil {
 		return nil, nil, err
 	}
@@ -57,6 +61,9 @@
 	}
 }
 
+// Replaced tells whether a process is there that takes the place of this one.
+func (f *Front) Replaced() bool { return f.heir.Load() }
+
 // Heir says that a process is there to take the place of this one, or that it has ended and this one goes on alone.
 func (f *Front) Heir(there bool) {
 	if f.heir.Store(there); !there {
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -51,6 +51,7 @@
 	watches bool
 	taken   uint64
 	peers   *peers
+	say     func(to int, text string) // in place of peers where members carry words, nil without
 	held    map[uint64]*held
 	out     map[uint64]*conns.Exchange
 	wake    *time.Timer
@@ -162,7 +163,11 @@
 			h.answer <- e
 		}
 	case ops.Tell:
-		l.peers.tell(e.To, e.Text)
+		if l.say != nil {
+			l.say(e.To, e.Text)
+		} else {
+			l.peers.tell(e.To, e.Text)
+		}
 	case ops.Wake:
 		l.wake.Reset(span(e.In))
 	}
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -68,3 +68,18 @@
 		s.log.Debug().Err(err).Int("to", to).Msg("message lost")
 	}
 }
+
+// Speak has words to other schedulers go another way than by the configuration's addresses. It is called before Serve.
+func (f *Front) Speak(say func(to int, text string)) { f.loop.say = say }
+
+// Others takes what is learned of other schedulers from elsewhere: a word, that one is no more, that one is new. The loop is
+// never waited for: a word that finds no room is lost, as a datagram is.
+func (f *Front) Others(in ops.Input) {
+	select {
+	case f.loop.in <- message{in: in}:
+	default:
+		if _, word := in.(ops.Told); !word {
+			go f.loop.tell(in) // changes are few, and this one must not be missed
+		}
+	}
+}
--- /dev/null
+++ b/internal/mesh/wire.go
@@ -0,0 +1,155 @@
+package mesh
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+
+	"woaddyke/internal/members"
+)
+
+// A message is two letters, the version, a hash of the rest and the rest, in CBOR (RFC 8949). On a stream its length goes before it.
+const (
+	version         = 1
+	headSize        = 2 + 1 + 8
+	longestDatagram = 1900
+	claimSize       = 640 // of a claim at its longest, in a message on a stream
+	streamBase      = 64 << 10
+	mostClaims      = 1 << 16
+)
+
+// What is wrong with a message. Each is counted.
+var (
+	errTooLong = errors.New("too long")
+	errVersion = errors.New("wrong version")
+	errGarbled = errors.New("garbled")
+	errOutside = errors.New("outside the networks")
+)
+
+type wireClaim struct {
+	_           struct{} `cbor:",toarray"`
+	Name, Addr  string
+	Number      int
+	Incarnation uint64
+	Nonce       uint64
+	Turn        uint64
+	State       uint8
+	By          string
+	Age         uint64
+}
+
+type wireMessage struct {
+	Kind    uint8       `cbor:"1,keyasint"`
+	Cluster string      `cbor:"2,keyasint"`
+	From    wireClaim   `cbor:"3,keyasint"`
+	Seq     uint64      `cbor:"4,keyasint"`
+	Nonce   uint64      `cbor:"5,keyasint,omitempty"`
+	Target  string      `cbor:"6,keyasint,omitempty"`
+	Addr    string      `cbor:"7,keyasint,omitempty"`
+	Claims  []wireClaim `cbor:"8,keyasint,omitempty"`
+	Digests []uint64    `cbor:"9,keyasint,omitempty"`
+	Buckets []int       `cbor:"10,keyasint,omitempty"`
+	Unsure  bool        `cbor:"11,keyasint,omitempty"`
+	Text    string      `cbor:"12,keyasint,omitempty"`
+}
+
+var strict = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF, MaxNestedLevels: 6, MaxArrayElements: mostClaims,
+		MaxMapPairs: 16, IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden,
+		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField}.DecMode()
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	return mode
+}()
+
+func toWire(c members.Claim) wireClaim {
+	return wireClaim{Name: c.Name, Addr: c.Addr, Number: c.Number, Incarnation: c.Incarnation, Nonce: c.Nonce, Turn: c.Turn,
+		State: uint8(c.State), By: c.By, Age: c.Age}
+}
+
+func fromWire(c wireClaim) members.Claim {
+	return members.Claim{Name: c.Name, Addr: c.Addr, Number: c.Number, Life: members.Life{Incarnation: c.Incarnation, Nonce: c.Nonce},
+		Turn: c.Turn, State: members.State(c.State), By: c.By, Age: c.Age}
+}
+
+// encode is a message as it is sent.
+func encode(x members.Message) ([]byte, error) {
+	w := wireMessage{Kind: uint8(x.Kind), Cluster: x.Cluster, From: toWire(x.From), Seq: x.Seq, Nonce: x.Nonce, Target: x.Target,
+		Addr: x.Addr, Digests: x.Digests, Buckets: x.Buckets, Unsure: x.Unsure, Text: x.Text}
+	for _, c := range x.Claims {
+		w.Claims = append(w.Claims, toWire(c))
+	}
+	body, err := cbor.Marshal(w)
+	if err != nil {
+		return nil, fmt.Errorf("mesh: %w", err)
+	}
+	text := make([]byte, headSize, headSize+len(body))
+	text[0], text[1], text[2] = 'w', 'm', version
+	binary.BigEndian.PutUint64(text[3:], xxhash.Sum64(body))
+	return append(text, body...), nil
+}
+
+// decode reads a message. Addresses in it that nobody may be told anything at make it unfit as a whole: a member led to one would
+// send there.
+func decode(text []byte, inside func(netip.Addr) bool) (members.Message, error) {
+	var x members.Message
+	if len(text) < headSize || text[0] != 'w' || text[1] != 'm' {
+		return x, errGarbled
+	}
+	if text[2] != version {
+		return x, errVersion
+	}
+	body := text[headSize:]
+	if xxhash.Sum64(body) != binary.BigEndian.Uint64(text[3:]) {
+		return x, errGarbled
+	}
+	var w wireMessage
+	if err := strict.Unmarshal(body, &w); err != nil {
+		return x, errGarbled
+	}
+	addr := func(a string) bool {
+		p, err := netip.ParseAddrPort(a)
+		return err == nil && inside(p.Addr()) && p.Port() != 0
+	}
+	if !addr(w.From.Addr) {
+		return x, errOutside
+	}
+	x = members.Message{Kind: members.Kind(w.Kind), Cluster: w.Cluster, From: fromWire(w.From), Seq: w.Seq, Nonce: w.Nonce,
+		Target: w.Target, Addr: w.Addr, Digests: w.Digests, Buckets: w.Buckets, Unsure: w.Unsure, Text: w.Text}
+	for _, c := range w.Claims {
+		if !addr(c.Addr) {
+			return x, errOutside
+		}
+		x.Claims = append(x.Claims, fromWire(c))
+	}
+	return x, nil
+}
+
+// writeFrame and readFrame are of streams.
+func writeFrame(w io.Writer, text []byte) error {
+	head := binary.BigEndian.AppendUint32(make([]byte, 0, 4+len(text)), uint32(len(text)))
+	_, err := w.Write(append(head, text...))
+	return err
+}
+
+func readFrame(r io.Reader, most int) ([]byte, error) {
+	var head [4]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return nil, err
+	}
+	n := binary.BigEndian.Uint32(head[:])
+	if int64(n) > int64(most) {
+		return nil, errTooLong
+	}
+	text := make([]byte, n)
+	if _, err := io.ReadFull(r, text); err != nil {
+		return nil, err
+	}
+	return text, nil
+}
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -14,8 +14,8 @@
 
 const mostKinds = 256 // of machines told apart; the module keeps something for each
 
-// Input is one of Listed, Arrived, Left, Noted, Ended, Probed, Told, Woken, Retuned, Inherited and
-// Stopping.
+// Input is one of Listed, Arrived, Left, Noted, Ended, Probed, Told, Fell, Came, Woken, Retuned,
+// Inherited and Stopping.
 type Input interface{ input() }
 
 // Entry is one worker in a list.
@@ -77,6 +77,12 @@
 	Text string
 }
 
+// Fell says that another scheduler is no more: what it said is void at once.
+type Fell struct{ By int }
+
+// Came says that another scheduler is new, or back as another process: it is told all.
+type Came struct{ Number int }
+
 // Woken says that the moment asked for with Wake has come.
 type Woken struct{}
 
@@ -97,6 +103,8 @@
 func (Ended) input()    {}
 func (Probed) input()   {}
 func (Told) input()     {}
+func (Fell) input()     {}
+func (Came) input()     {}
 func (Woken) input()    {}
 func (Retuned) input()  {}
 func (Stopping) input() {}
@@ -302,6 +310,10 @@
 		if i, n, ok := terms.Unword(in.Text, r.tags); ok {
 			r.d.Told(in.By, i, n)
 		}
+	case Fell:
+		r.d.Fell(in.By)
+	case Came:
+		r.d.Came(in.Number)
 	case Retuned:
 		r.retune(in)
 	case Inherited:
--- a/internal/terms/sheet.go
+++ b/internal/terms/sheet.go
@@ -155,6 +155,26 @@
 	return nil
 }
 
+// Speak has schedulers tell one another by another way than the addresses in the configuration, where the settings allow messages.
+func (s *Sheet) Speak() error {
+	if s.Peers != nil {
+		return errors.New("the configuration names peers already")
+	}
+	if Flat(s.Settings)["bounds.peerMessages"] != true {
+		return errors.New("the settings do not allow messages (bounds.peerMessages)")
+	}
+	s.Site["bounds.peerMessages"] = true
+	return nil
+}
+
+// Number is this scheduler's among all, -1 where the settings do not tell.
+func (s *Sheet) Number() int {
+	if n, ok := s.Site["myNumber"].(float64); ok {
+		return int(n)
+	}
+	return -1
+}
+
 // Limits are what the machine gives a scheduler.
 type Limits struct {
 	Cores    float64 `json:"cores"`
--- a/internal/words/words.go
+++ b/internal/words/words.go
@@ -20,6 +20,11 @@
 	(*w)[k] = word[M]{by, n, now}
 }
 
+// Drop forgets another's word.
+func (w *Words[M]) Drop(by int) {
+	*w = slices.DeleteFunc(*w, func(x word[M]) bool { return x.by == by })
+}
+
 // Sum is of the words younger than old: one who has fallen silent says nothing about now.
 func (w Words[M]) Sum(now, old M) (n int) {
 	for _, x := range w {
