Lab: schedulers as members over links of the rig, troubles between them, views judged

Need: membership has to be proven by processes with faults between them. The lab gives each scheduler a bound and a told address, puts a link between every ordered pair, and plays cuts (both ways, out, in, refusing), flapping, loss, delay, pauses, starving, takeovers, a second process of a stopped one's name, a stranger's cluster. internal/lab/views judges what schedulers held of one another by the ledger's links and processes alone. An heir could not inherit: what is handed over lost its state as JSON; it goes as CBOR now.

--- a/internal/lab/figures/figures.go
+++ b/internal/lab/figures/figures.go
@@ -15,6 +15,7 @@
 	"woaddyke/internal/lab/ledger"
 	"woaddyke/internal/lab/plan"
 	"woaddyke/internal/lab/schedulers"
+	"woaddyke/internal/lab/views"
 )
 
 // Results are all figures of one run.
@@ -33,6 +34,7 @@
 	Queues      []Queue            `json:"queues,omitempty"`
 	Slices      []Slice            `json:"slices,omitempty"`
 	Faults      []Fault            `json:"faults,omitempty"`
+	Spans       []views.Span       `json:"spans,omitempty"` // what schedulers held of one another
 }
 
 // Category is what clients of one category saw.
@@ -179,7 +181,6 @@
 	f["broken"] = float64(len(j.Breaches))
 	f["crashed"] = float64(breaches(j, audit.Crashed))
 	r.use()
-	r.expect(e)
 	return r, nil
 }
 
@@ -345,8 +346,30 @@
 	}
 }
 
-// expect holds the figures against the file's own promises.
-func (r *Results) expect(e *plan.Experiment) {
+// Views takes what schedulers held of one another.
+func (r *Results) Views(j *views.Judgement) {
+	f := r.Figures
+	f["false_gone"], f["missed_gone"], f["views_apart"] = float64(j.FalseGone), float64(j.MissedGone), float64(j.Apart)
+	worst := func(all []ledger.Time) (ms float64) {
+		for _, t := range all {
+			ms = max(ms, float64(t)/10)
+		}
+		return ms
+	}
+	f["detect_worst_ms"], f["converge_worst_ms"], f["detected"] = worst(j.Detect), worst(j.Converge), float64(len(j.Detect))
+	if len(j.Detect) > 0 {
+		h := histogram()
+		for _, t := range j.Detect {
+			record(h, t)
+		}
+		f["detect_p50_ms"], f["detect_p99_ms"] = float64(h.ValueAtQuantile(50))/10, float64(h.ValueAtQuantile(99))/10
+	}
+	r.Unmet = append(r.Unmet, j.Breaches...)
+	r.Spans = j.Spans
+}
+
+// Expect holds the figures against the file's own promises, once all of them are there.
+func (r *Results) Expect(e *plan.Experiment) {
 	for _, x := range e.Expect {
 		v, ok := r.Figures[x.Figure]
 		switch {
@@ -362,7 +385,8 @@
 
 // told are the figures of the last line, in this order.
 var told = []string{"service", "acked", "nacked", "dead-lettered", "excused", "unread", "p50_ms", "p99_ms", "p99.9_ms", "waste",
-	"pushes_per_op", "probes_per_op", "dials_per_op", "sent_late", "lab_lag_ms", "cpu_us_per_op", "memory_mb", "files"}
+	"pushes_per_op", "probes_per_op", "dials_per_op", "sent_late", "lab_lag_ms", "cpu_us_per_op", "memory_mb", "files",
+	"false_gone", "missed_gone", "views_apart", "detect_worst_ms", "converge_worst_ms"}
 
 // Line is the last line that a run prints.
 func (r *Results) Line() string {
--- a/internal/lab/ledger/ledger.go
+++ b/internal/lab/ledger/ledger.go
@@ -56,6 +56,8 @@
 	Resumed  Kind = "resumed"  // schedulers: SIGCONT
 	Killed   Kind = "killed"   // schedulers: SIGKILL, before it is sent
 	Exited   Kind = "exited"   // schedulers: the process has ended; Text says how
+	Way      Kind = "way"      // links between schedulers: that from Scheduler to To is open or cut; State
+	Held     Kind = "held"     // a scheduler's own log: it holds the one with Name in State, at From
 	Fault    Kind = "fault"    // a fault begins or ends; Text
 	Finished Kind = "finished" // last line: the experiment is over
 )
@@ -117,6 +119,7 @@
 	Category  string  `json:"category,omitempty"`
 	Scheduler int     `json:"scheduler,omitempty"` // from 1
 	Client    int     `json:"client,omitempty"`    // from 1
+	To        int     `json:"to,omitempty"`        // another scheduler, from 1
 	Worker    string  `json:"worker,omitempty"`
 	Push      int     `json:"push,omitempty"` // numbers all pushes of an experiment, from 1
 	Try       int     `json:"try,omitempty"`
@@ -172,6 +175,9 @@
 // Wall is a moment of the ledger as a time of the process.
 func (b *Book) Wall(t Time) time.Time { return b.start.Add(time.Duration(t) * Tenth) }
 
+// Clock is a moment of the wall clock on the ledger's clock: only for what others' logs say.
+func (b *Book) Clock(t time.Time) Time { return Span(t.Sub(b.start.Round(0))) }
+
 // Add writes an event with the moment at which it is added.
 func (b *Book) Add(e Event) Time {
 	b.mu.Lock()
--- a/internal/lab/plan/plan.go
+++ b/internal/lab/plan/plan.go
@@ -36,6 +36,7 @@
 	Arrivals   Arrivals   `toml:"arrivals"`
 	Clients    Clients    `toml:"clients"`
 	Links      []Link     `toml:"links"`
+	Members    Members    `toml:"members"`
 	Faults     []Fault    `toml:"faults"`
 	Chaos      Chaos      `toml:"chaos"`
 
@@ -164,6 +165,23 @@
 	Mute       float64 `toml:"mute"`         // chance that a connection falls silent both ways
 }
 
+// Members has schedulers be members of one cluster, with a link between every ordered pair of them.
+type Members struct {
+	On       bool    `toml:"on"`
+	Words    bool    `toml:"words"`     // words between schedulers go by the view
+	Operator string  `toml:"operator"`  // further lines of the operator's table
+	PauseMS  float64 `toml:"pause_ms"`  // one that stands still up to so long must not be called gone
+	DetectMS float64 `toml:"detect_ms"` // one that is no more must be gone in all views within this
+	SettleMS float64 `toml:"settle_ms"` // and views that can be must be the same after this
+	GraceMS  float64 `toml:"grace_ms"`  // a word that one is gone may rest on what was so long ago
+	Loss     float64 `toml:"loss"`      // of datagrams, on each link
+	Dup      float64 `toml:"dup"`
+	Reorder  float64 `toml:"reorder"`
+	DelayMS  float64 `toml:"delay_ms"`
+	JitterMS float64 `toml:"jitter_ms"`
+	RateKBps float64 `toml:"rate_kbps"`
+}
+
 // Fault is one trouble.
 type Fault struct {
 	Kind    string  `toml:"kind"`
@@ -174,6 +192,9 @@
 	Zone    string  `toml:"zone"`
 	Size    float64 `toml:"size"`
 	EveryS  float64 `toml:"every_s"` // for pauses, restarts and the like
+	To      []int   `toml:"to"`      // mesh-: the other ends of the links, from 0; all others where there are none
+	Way     string  `toml:"way"`     // mesh-: both, out (from those hit) or in
+	Refuses bool    `toml:"refuses"` // mesh-: streams are reset, and not only silent
 }
 
 // Chaos draws faults by chance from the seed.
@@ -212,6 +233,17 @@
 	"scheduler-kill": {schedulers: true}, "scheduler-term": {schedulers: true}, "scheduler-stop": {schedulers: true},
 	"scheduler-reload": {schedulers: true}, "scheduler-stale": {schedulers: true},
 
+	"mesh-cut":   {schedulers: true},                                     // links between those hit and the others pass nothing
+	"mesh-flap":  {schedulers: true},                                     // the same, on and off every every_s
+	"mesh-loss":  {schedulers: true, size: true, least: 0, most: 1},      // chance that a datagram is lost
+	"mesh-delay": {schedulers: true, size: true, least: 0, most: 60_000}, // ms, and as much jitter
+
+	"scheduler-pauses":   {schedulers: true, size: true, least: 1, most: 60_000}, // ms each, every every_s
+	"scheduler-starve":   {schedulers: true, size: true, least: 0, most: 0.99},   // share of the time for which it stands still
+	"scheduler-takeover": {schedulers: true},                                     // a second process takes its place
+	"scheduler-twin":     {schedulers: true},                                     // it is stopped, and a second process has its name elsewhere; after for_s it wakes up
+	"scheduler-stranger": {schedulers: true},                                     // a member of another cluster knocks at it
+
 	"burst": {size: true, least: 0, most: 1000},
 }
 
@@ -290,6 +322,7 @@
 		Discovery: Discovery{LateMS: []float64{200, 1000}},
 		Clients:   Clients{Count: 8, Backoff: "exponential", WaitMS: 100, Honour: 1, Impatient: 300},
 		Arrivals:  Arrivals{Kind: "poisson", Rate: 50},
+		Members:   Members{PauseMS: 2000, DetectMS: 6000, SettleMS: 10_000, GraceMS: 8000},
 	}
 }
 
@@ -348,7 +381,7 @@
 // Bounds on what a file may ask of the machine.
 const (
 	mostWorkers    = 4096
-	mostSchedulers = 64
+	mostSchedulers = 400
 	mostRate       = 200_000
 	mostSeconds    = 3600
 	day            = 86_400_000 // ms
@@ -381,6 +414,13 @@
 	); err != nil {
 		return err
 	}
+	m := &e.Members
+	if err := first(number("members.pause_ms", m.PauseMS, 0, day), number("members.detect_ms", m.DetectMS, 1, day),
+		number("members.settle_ms", m.SettleMS, 1, day), number("members.grace_ms", m.GraceMS, 1, day), number("members.loss", m.Loss, 0, 1),
+		number("members.dup", m.Dup, 0, 1), number("members.reorder", m.Reorder, 0, 1), number("members.delay_ms", m.DelayMS, 0, day),
+		number("members.jitter_ms", m.JitterMS, 0, day), number("members.rate_kbps", m.RateKBps, 0, 1e9)); err != nil {
+		return err
+	}
 	if len(e.Zones) == 0 {
 		return errors.New("zones: there must be one")
 	}
@@ -547,6 +587,20 @@
 				return fmt.Errorf("%sindices: %d is none of 0 to %d", at, n, limit-1)
 			}
 		}
+		for _, n := range f.To {
+			if n < 0 || n >= e.Schedulers.Count {
+				return fmt.Errorf("%sto: %d is none of 0 to %d", at, n, e.Schedulers.Count-1)
+			}
+		}
+		if f.Way == "" {
+			f.Way = "both"
+		}
+		if err := oneOf(at+"way", f.Way, "both", "out", "in"); err != nil {
+			return err
+		}
+		if !e.Members.On && (strings.HasPrefix(f.Kind, "mesh-") || f.Kind == "scheduler-takeover" || f.Kind == "scheduler-twin" || f.Kind == "scheduler-stranger") {
+			return fmt.Errorf("%skind = %q: members.on is not set", at, f.Kind)
+		}
 		if f.Kind == "cut" && f.Zone == "" {
 			return fmt.Errorf("%szone is wanted", at)
 		}
--- /dev/null
+++ b/internal/lab/play/mesh.go
@@ -0,0 +1,286 @@
+package play
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"woaddyke/internal/lab/between"
+	"woaddyke/internal/lab/ledger"
+	"woaddyke/internal/lab/plan"
+	"woaddyke/internal/lab/schedulers"
+	"woaddyke/internal/lab/script"
+	"woaddyke/internal/lab/views"
+)
+
+const (
+	mostSeeds   = 3                     // that each scheduler is told of
+	starveSlice = 20 * time.Millisecond // of which one that is starved stands still for a part
+	longestLine = 1 << 20
+	endTime     = 20 * time.Millisecond // between the last judgement and the first leave: logs have whole milliseconds
+)
+
+// extra tells whether a turn needs a place of its own beside the schedulers.
+func extra(t script.Turn) bool {
+	return t.On && (t.Kind == "scheduler-twin" || t.Kind == "scheduler-stranger")
+}
+
+// setUpMesh opens the links between schedulers.
+func (r *run) setUpMesh() error {
+	if !r.plan.Members.On {
+		return nil
+	}
+	n := r.plan.Schedulers.Count
+	r.spare = n
+	for _, t := range r.script.Turns {
+		if extra(t) {
+			n += len(t.Targets)
+		}
+	}
+	var err error
+	r.mesh, err = between.New(n, r.plan.Seed, func(from, to int, cut between.Cut) {
+		if from < r.spare && to < r.spare {
+			r.book.Add(ledger.Event{Kind: ledger.Way, Scheduler: from + 1, To: to + 1,
+				State: []string{"open", "silent", "refusing"}[cut]})
+		}
+	})
+	if err != nil {
+		return err
+	}
+	m := &r.plan.Members
+	ms := func(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
+	for i := range n {
+		for j := range n {
+			r.mesh.Weather(i, j, func(s *between.Sky) {
+				*s = between.Sky{Loss: m.Loss, Dup: m.Dup, Reorder: m.Reorder, Delay: ms(m.DelayMS), Jitter: ms(m.JitterMS), Rate: 1000 * m.RateKBps}
+			})
+		}
+	}
+	return nil
+}
+
+// offer writes what the n-th scheduler is told of its cluster.
+func (r *run) offer(s *schedulers.Scheduler, n int, cluster string) error {
+	if r.mesh == nil {
+		return nil
+	}
+	// A port of its own address: nobody else takes it while the scheduler is down.
+	udp, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(between.Bound(n), 0)))
+	if err != nil {
+		return err
+	}
+	at := udp.LocalAddr().(*net.UDPAddr).AddrPort()
+	udp.Close()
+	r.mesh.Listens(n, at)
+	var seeds []string
+	for i := range min(mostSeeds, r.spare) {
+		seeds = append(seeds, fmt.Sprintf("%q", r.mesh.Told(i)))
+	}
+	s.Offer(fmt.Sprintf("[members]\ncluster = %q\nlisten = %q\nadvertise = %q\nseeds = [%s]\nwords = %v\n%s\n", cluster, at, r.mesh.Told(n),
+		strings.Join(seeds, ", "), r.plan.Members.Words, r.plan.Members.Operator))
+	return nil
+}
+
+// links are the ordered pairs that a trouble of the mesh hits at one scheduler.
+func (r *run) links(t script.Turn, n int, do func(from, to int)) {
+	for k := range r.spare {
+		if k == n || len(t.To) > 0 && !slices.Contains(t.To, k) || len(t.To) == 0 && slices.Contains(t.Targets, k) {
+			continue
+		}
+		if t.Way != "in" {
+			do(n, k)
+		}
+		if t.Way != "out" {
+			do(k, n)
+		}
+	}
+}
+
+// meshTrouble is one on the links or of a member; false for one of another kind.
+func (r *run) meshTrouble(t script.Turn, n int) bool {
+	span := time.Duration(t.For) * ledger.Tenth
+	switch t.Kind {
+	case "mesh-cut":
+		how := between.Open
+		if t.On {
+			if how = between.Silent; t.Refuses {
+				how = between.Refusing
+			}
+		}
+		r.links(t, n, func(from, to int) { r.mesh.Cut(from, to, how) })
+	case "mesh-loss", "mesh-delay":
+		m := &r.plan.Members
+		r.links(t, n, func(from, to int) {
+			r.mesh.Weather(from, to, func(s *between.Sky) {
+				ms := func(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
+				switch {
+				case t.Kind == "mesh-loss" && t.On:
+					s.Loss = t.Size
+				case t.Kind == "mesh-loss":
+					s.Loss = m.Loss
+				case t.On:
+					s.Delay, s.Jitter = ms(t.Size), ms(t.Size)
+				default:
+					s.Delay, s.Jitter = ms(m.DelayMS), ms(m.JitterMS)
+				}
+			})
+		})
+	case "scheduler-starve":
+		if t.On {
+			r.beside(func() error { return r.starve(n, t.Size, span) })
+		}
+	case "scheduler-takeover":
+		if t.On {
+			r.beside(func() error { return r.schedulers[n].Takeover(r.plan.Longest() + 2*time.Second) })
+		}
+	case "scheduler-twin":
+		if t.On {
+			r.beside(func() error { return r.twin(n, span) })
+		}
+	case "scheduler-stranger":
+		if t.On {
+			r.beside(func() error { return r.stranger(n, span) })
+		}
+	default:
+		return false
+	}
+	return true
+}
+
+// beside does what takes a while.
+func (r *run) beside(do func() error) {
+	r.work.Add(1)
+	go func() {
+		defer r.work.Done()
+		if err := do(); err != nil {
+			r.fail(err)
+		}
+	}()
+}
+
+// starve has a scheduler stand still for a part of each short slice. The ledger has no event for each: none is longer than a slice.
+func (r *run) starve(n int, part float64, span time.Duration) error {
+	p := r.schedulers[n].PID()
+	if p == 0 {
+		return nil
+	}
+	still := time.Duration(part * float64(starveSlice))
+	for until := time.Now().Add(span); time.Now().Before(until); {
+		syscall.Kill(p, syscall.SIGSTOP)
+		time.Sleep(still)
+		syscall.Kill(p, syscall.SIGCONT)
+		time.Sleep(starveSlice - still)
+	}
+	return nil
+}
+
+// place makes a scheduler without clients at a place of its own.
+func (r *run) place(name, label, cluster string, n int) (*schedulers.Scheduler, error) {
+	r.mu.Lock()
+	at := r.spare + r.placed
+	r.placed++
+	r.mu.Unlock()
+	s, err := schedulers.Twin(at, name, label, r.plan, r.stage.Make, r.agents[n], r.dir)
+	if err != nil {
+		return nil, err
+	}
+	r.mu.Lock()
+	r.twins = append(r.twins, s)
+	r.mu.Unlock()
+	return s, r.offer(s, at, cluster)
+}
+
+// twin stops a scheduler, starts another process of its name elsewhere and wakes the first one up.
+func (r *run) twin(n int, span time.Duration) error {
+	// Whom the others hold under this name is the later one from here on.
+	r.book.Add(ledger.Event{Kind: ledger.Way, Scheduler: n + 1, State: "aside"})
+	if err := r.schedulers[n].Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	s, err := r.place(fmt.Sprintf("n%d", n+1), fmt.Sprintf("n%d-twin", n+1), "lab", n)
+	if err == nil {
+		err = s.Start(false)
+	}
+	time.Sleep(span)
+	if went := r.schedulers[n].Signal(syscall.SIGCONT); err == nil {
+		err = went
+	}
+	return err
+}
+
+// stranger starts a scheduler of another cluster that asks this one's members for a while.
+func (r *run) stranger(n int, span time.Duration) error {
+	s, err := r.place("stranger", fmt.Sprintf("n%d-stranger", n+1), "another cluster", n)
+	if err == nil {
+		err = s.Start(false)
+	}
+	time.Sleep(span)
+	s.Kill()
+	return err
+}
+
+// endMesh ends what stands beside the schedulers, before they are told to end themselves.
+func (r *run) endMesh() {
+	if r.mesh == nil {
+		return
+	}
+	r.book.Add(ledger.Event{Kind: ledger.Way, Scheduler: 1, State: "end"})
+	time.Sleep(endTime)
+	for _, s := range r.twins {
+		s.Kill()
+	}
+}
+
+// heldLine is a line of a scheduler's log.
+type heldLine struct {
+	Time    int64  `json:"time"`
+	Message string `json:"message"`
+	Member  string `json:"member"`
+	State   string `json:"state"`
+	By      string `json:"by"`
+	Private bool   `json:"private"`
+}
+
+// heldOf reads from the schedulers' logs what they held of one another.
+func (r *run) heldOf() error {
+	for n := range r.schedulers {
+		f, err := os.Open(filepath.Join(r.dir, r.schedulers[n].Label()+".log"))
+		if err != nil {
+			return err
+		}
+		in := bufio.NewScanner(f)
+		in.Buffer(nil, longestLine)
+		for in.Scan() {
+			var l heldLine
+			if !strings.Contains(in.Text(), `"member changed"`) || json.Unmarshal(in.Bytes(), &l) != nil {
+				continue
+			}
+			ev := ledger.Event{Kind: ledger.Held, Scheduler: n + 1, Name: l.Member, State: l.State, Text: l.By,
+				From: r.book.Clock(time.UnixMilli(l.Time))}
+			if l.Private {
+				ev.Verdict = "private"
+			}
+			r.book.Add(ev)
+		}
+		f.Close()
+		if err := in.Err(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// viewTerms are what views are judged by.
+func viewTerms(e *plan.Experiment) views.Terms {
+	m := &e.Members
+	return views.Terms{Count: e.Schedulers.Count, Pause: plan.MS(m.PauseMS), Detect: plan.MS(m.DetectMS), Settle: plan.MS(m.SettleMS),
+		Grace: plan.MS(m.GraceMS)}
+}
--- a/internal/lab/play/play.go
+++ b/internal/lab/play/play.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"woaddyke/internal/lab/asks"
+	"woaddyke/internal/lab/between"
 	"woaddyke/internal/lab/box"
 	"woaddyke/internal/lab/clients"
 	"woaddyke/internal/lab/figures"
@@ -23,6 +24,7 @@
 	"woaddyke/internal/lab/plan"
 	"woaddyke/internal/lab/schedulers"
 	"woaddyke/internal/lab/script"
+	"woaddyke/internal/lab/views"
 )
 
 // Stage is where and with what an experiment is played.
@@ -58,6 +60,11 @@
 	queues     []figures.Queue
 	dir        string
 	lag        time.Duration // the longest by which the lab itself was late
+	stage      Stage
+	mesh       *between.Net // nil where schedulers are no members
+	spare      int          // the first place that is no scheduler's
+	placed     int
+	twins      []*schedulers.Scheduler
 }
 
 const (
@@ -72,7 +79,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &run{plan: e, script: s, dir: st.Out}
+	r := &run{plan: e, script: s, dir: st.Out, stage: st}
 	if r.dir == "" {
 		if r.dir, err = os.MkdirTemp("", "lab-"); err != nil {
 			return nil, err
@@ -89,6 +96,9 @@
 	if err == nil {
 		err = errors.Join(r.errs...)
 	}
+	if r.mesh != nil && err == nil {
+		err = r.heldOf()
+	}
 	text := ""
 	if ctx.Err() != nil {
 		text = "stopped before its time"
@@ -102,6 +112,13 @@
 	if err != nil {
 		return nil, err
 	}
+	if r.mesh != nil {
+		result.Views(views.Judge(events, viewTerms(e)))
+		if n := r.mesh.Crowded(); n > 0 {
+			result.Void = fmt.Sprintf("the links between schedulers lost %d datagrams for want of room", n)
+		}
+	}
+	result.Expect(e)
 	result.Script = s.Hash()
 	result.Lagged(float64(r.lag)/float64(time.Millisecond), e.Rules.SlackMS)
 	if st.Out != "" && !st.Quiet {
@@ -142,6 +159,9 @@
 	if err != nil {
 		return err
 	}
+	if err := r.setUpMesh(); err != nil {
+		return err
+	}
 	var servers []clients.Server
 	var addrs []string
 	for n := range e.Schedulers.Count {
@@ -149,6 +169,9 @@
 		if err != nil {
 			return err
 		}
+		if err := r.offer(s, n, "lab"); err != nil {
+			return err
+		}
 		r.schedulers = append(r.schedulers, s)
 		servers, addrs = append(servers, s), append(addrs, s.Listen)
 	}
@@ -169,6 +192,10 @@
 
 // tearDown ends all that was started.
 func (r *run) tearDown() {
+	r.endMesh()
+	if r.mesh != nil {
+		defer r.mesh.Close()
+	}
 	var all sync.WaitGroup
 	for _, s := range r.schedulers {
 		all.Add(1)
@@ -305,7 +332,9 @@
 // turn begins or ends a trouble at one worker or scheduler.
 func (r *run) turn(t script.Turn, n int) {
 	if plan.OfSchedulers(t.Kind) {
-		r.trouble(t, n)
+		if !r.meshTrouble(t, n) {
+			r.trouble(t, n)
+		}
 		return
 	}
 	span := time.Duration(t.For) * ledger.Tenth
--- a/internal/lab/schedulers/schedulers.go
+++ b/internal/lab/schedulers/schedulers.go
@@ -15,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"woaddyke/internal/lab/between"
 	"woaddyke/internal/lab/ledger"
 	"woaddyke/internal/lab/plan"
 )
@@ -44,7 +45,11 @@
 			return nil, err
 		}
 		defer out.Close()
-		cmd := exec.Command(path, append([]string{"serve", "--config", sheet}, args...)...)
+		args := append([]string{"serve", "--config", sheet}, args...)
+		if operator := operatorOf(sheet); operator != "" {
+			args = append(args, "--operator", operator)
+		}
+		cmd := exec.Command(path, args...)
 		cmd.Stdout, cmd.Stderr = out, out
 		// It must not outlive the lab, nor take the lab's Ctrl-C for its own.
 		cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
@@ -55,6 +60,15 @@
 	}
 }
 
+// operatorOf is the operator's file beside a sheet, empty where there is none.
+func operatorOf(sheet string) string {
+	path := strings.TrimSuffix(sheet, ".json") + ".operator.toml"
+	if _, err := os.Stat(path); err != nil {
+		return ""
+	}
+	return path
+}
+
 // Known gives a scheduler's discovery address and the list as it is now.
 type Known interface {
 	Addr() string
@@ -77,19 +91,45 @@
 	starts  uint64
 	first   json.RawMessage // the list of the first start, for one that comes back with an old one
 	up      bool
+	label   string // of its files and its name; Name stays n's own
+	name    string
+	console string
+	offers  string // the operator's file, empty for none
 }
 
+// Label is the name of its files.
+func (s *Scheduler) Label() string { return s.label }
+
+// Offer sets what stands in its operator's file, before it is started; it has a second address from then on.
+func (s *Scheduler) Offer(text string) { s.offers = text }
+
 // New reserves an address for the n-th scheduler.
 func New(n int, e *plan.Experiment, book *ledger.Book, m Maker, known Known, dir string) (*Scheduler, error) {
 	// Its own address, so that no connection from this machine can take its port while it is down.
-	l, err := net.Listen("tcp", fmt.Sprintf("127.2.0.%d:0", n+1))
+	l, err := net.Listen("tcp", between.Bound(n).String()+":0")
 	if err != nil {
 		return nil, fmt.Errorf("scheduler %d: %w", n+1, err)
 	}
 	defer l.Close()
-	return &Scheduler{n: n, plan: e, book: book, make: m, known: known, dir: dir, Listen: l.Addr().String()}, nil
+	name := fmt.Sprintf("n%d", n+1)
+	return &Scheduler{n: n, plan: e, book: book, make: m, known: known, dir: dir, Listen: l.Addr().String(), label: name, name: name}, nil
+}
+
+// Twin is a scheduler that takes no clients and writes nothing into the ledger, at an address of its own.
+func Twin(n int, name, label string, e *plan.Experiment, m Maker, known Known, dir string) (*Scheduler, error) {
+	quiet, err := ledger.Create("", time.Now())
+	if err != nil {
+		return nil, err
+	}
+	s, err := New(n, e, quiet, m, known, dir)
+	if err == nil {
+		s.name, s.label = name, label
+	}
+	return s, err
 }
 
+func (s *Scheduler) file(end string) string { return filepath.Join(s.dir, s.label+end) }
+
 const startTime = 15 * time.Second
 
 // Start starts it and waits until it answers health checks. A stale one is told the list of its first start.
@@ -103,19 +143,83 @@
 		known = s.first
 	}
 	s.starts++
-	sheet := filepath.Join(s.dir, fmt.Sprintf("n%d.json", s.n+1))
-	if err := s.write(sheet, known); err != nil {
-		s.mu.Unlock()
+	r, ended, err := s.launch(known)
+	s.mu.Unlock()
+	if err != nil {
 		return err
 	}
-	r, err := s.make(s.n, sheet, filepath.Join(s.dir, fmt.Sprintf("n%d.log", s.n+1)))
+	s.await(r, ended)
+	return s.ready(ended)
+}
+
+// launch starts a process by a new sheet, with the lock held.
+func (s *Scheduler) launch(known json.RawMessage) (Running, chan struct{}, error) {
+	if s.offers != "" {
+		l, err := net.Listen("tcp", strings.Split(s.Listen, ":")[0]+":0") // nobody else binds this address
+		if err != nil {
+			return nil, nil, err
+		}
+		s.console = l.Addr().String()
+		l.Close()
+		if err := os.WriteFile(s.file(".operator.toml"), []byte(s.offers), 0o644); err != nil {
+			return nil, nil, err
+		}
+	}
+	if err := s.write(s.file(".json"), known); err != nil {
+		return nil, nil, err
+	}
+	r, err := s.make(s.n, s.file(".json"), s.file(".log"))
 	if err != nil {
-		s.mu.Unlock()
-		return err
+		return nil, nil, err
 	}
 	ended := make(chan struct{})
 	s.running, s.ended = r, ended
+	return r, ended, nil
+}
+
+// Takeover has a second process take the place of the one that runs. In the ledger both are one: only an end that nobody asked for
+// is written down.
+func (s *Scheduler) Takeover(within time.Duration) error {
+	s.mu.Lock()
+	before, old := s.running, s.ended
+	if before == nil {
+		s.mu.Unlock()
+		return nil
+	}
+	s.starts++
+	r, ended, err := s.launch(s.known.Known())
+	console := s.console
 	s.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	s.await(r, ended)
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for limit := time.Now().Add(startTime); ; time.Sleep(5 * time.Millisecond) {
+		if resp, err := client.Get("http://" + console + "/api/ready"); err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				break
+			}
+		}
+		if time.Now().After(limit) {
+			return fmt.Errorf("scheduler %d: the process that takes over is not ready after %v", s.n+1, startTime)
+		}
+	}
+	if err := before.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	select {
+	case <-old:
+	case <-time.After(within):
+		before.Signal(syscall.SIGKILL)
+		<-old
+	}
+	return nil
+}
+
+// await notes the end of a process.
+func (s *Scheduler) await(r Running, ended chan struct{}) {
 	go func() {
 		err := r.Wait()
 		text := "exit status 0"
@@ -123,19 +227,23 @@
 			text = err.Error()
 		}
 		s.mu.Lock()
-		if s.running == r {
+		own := s.running == r
+		if own {
 			s.running, s.up = nil, false
 		}
-		s.book.Add(ledger.Event{Kind: ledger.Exited, Scheduler: s.n + 1, Text: text})
+		if own || err != nil { // one that was replaced, and ended as told, goes on in its heir
+			s.book.Add(ledger.Event{Kind: ledger.Exited, Scheduler: s.n + 1, Text: text})
+		}
 		close(ended)
 		s.mu.Unlock()
 	}()
-	return s.ready(ended)
 }
 
 // write replaces the sheet in one step: a scheduler may read it at any moment.
 func (s *Scheduler) write(path string, known json.RawMessage) error {
-	text, err := json.Marshal(SheetOf(s.plan, s.n, s.starts, s.Listen, s.known.Addr(), known))
+	sheet := SheetOf(s.plan, s.n, s.starts, s.Listen, s.known.Addr(), known)
+	sheet.Name, sheet.Console = s.name, s.console
+	text, err := json.Marshal(sheet)
 	if err != nil {
 		return err
 	}
@@ -150,7 +258,7 @@
 	for limit := time.Now().Add(startTime); time.Now().Before(limit); {
 		select {
 		case <-ended:
-			return fmt.Errorf("scheduler %d ended before it was ready; see %s", s.n+1, filepath.Join(s.dir, fmt.Sprintf("n%d.log", s.n+1)))
+			return fmt.Errorf("scheduler %d ended before it was ready; see %s", s.n+1, s.file(".log"))
 		case <-time.After(5 * time.Millisecond):
 		}
 		resp, err := client.Get("http://" + s.Listen + "/healthz")
@@ -169,6 +277,16 @@
 	return fmt.Errorf("scheduler %d is not ready after %v", s.n+1, startTime)
 }
 
+// PID is of its process, 0 where none runs.
+func (s *Scheduler) PID() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.running == nil {
+		return 0
+	}
+	return s.running.PID()
+}
+
 // Up tells whether it is known to serve.
 func (s *Scheduler) Up() bool {
 	s.mu.Lock()
@@ -187,7 +305,7 @@
 		return nil
 	}
 	if sig == syscall.SIGHUP { // it comes with a sheet that tells where discovery is now
-		if err := s.write(filepath.Join(s.dir, fmt.Sprintf("n%d.json", s.n+1)), s.known.Known()); err != nil {
+		if err := s.write(s.file(".json"), s.known.Known()); err != nil {
 			return err
 		}
 	}
--- a/internal/lab/schedulers/sheet.go
+++ b/internal/lab/schedulers/sheet.go
@@ -14,6 +14,7 @@
 type Sheet struct {
 	Name      string          `json:"name"`
 	Listen    string          `json:"listen"`
+	Console   string          `json:"console,omitempty"`
 	Discovery string          `json:"discovery"`
 	Seed      string          `json:"seed"`
 	Limits    limits          `json:"limits"`
--- a/internal/lab/script/script.go
+++ b/internal/lab/script/script.go
@@ -49,6 +49,9 @@
 	For     ledger.Time
 	Zone    string
 	Fault   int // which turns belong together
+	To      []int
+	Way     string
+	Refuses bool
 }
 
 // Worker is one worker as built.
@@ -313,17 +316,35 @@
 // add puts the turns of a fault into the script.
 func (s *Script) add(e *plan.Experiment, r *rand.Rand, f *plan.Fault, n int) {
 	t := Turn{At: plan.S(f.At), Kind: f.Kind, On: true, Targets: s.targets(e, r, f), Size: f.Size, For: plan.S(f.For),
-		Zone: f.Zone, Fault: n}
+		Zone: f.Zone, Fault: n, To: f.To, Way: f.Way, Refuses: f.Refuses}
 	switch f.Kind {
-	case "pauses": // stands still for size ms, every so often
+	case "mesh-flap":
+		every := max(f.EveryS, 0.05)
+		if f.EveryS == 0 {
+			every = 0.7
+		}
+		on := true
+		for at := f.At; at < f.At+f.For; at += every {
+			one := t
+			one.At, one.Kind, one.On = plan.S(at), "mesh-cut", on
+			s.Turns, on = append(s.Turns, one), !on
+		}
+		t.At, t.Kind, t.On = plan.S(f.At+f.For), "mesh-cut", false
+		s.Turns = append(s.Turns, t)
+		return
+	case "pauses", "scheduler-pauses": // stands still for size ms, every so often
+		kind := "hang"
+		if f.Kind == "scheduler-pauses" {
+			kind = "scheduler-stop"
+		}
 		every := f.EveryS
 		if every == 0 {
 			every = 1
 		}
 		for at := f.At; at < f.At+max(f.For, 0.001); at += every * (0.5 + r.Float64()) {
 			on, off := t, t
-			on.At, on.Kind = plan.S(at), "hang"
-			off.At, off.Kind, off.On = plan.S(at)+plan.MS(f.Size), "hang", false
+			on.At, on.Kind = plan.S(at), kind
+			off.At, off.Kind, off.On = plan.S(at)+plan.MS(f.Size), kind, false
 			s.Turns = append(s.Turns, on, off)
 		}
 		return
@@ -397,9 +418,12 @@
 	}
 	for _, t := range s.Turns {
 		put(int64(t.At), t.Kind, t.On, t.Size, int64(t.For), t.Zone, int64(t.Fault))
-		for _, i := range t.Targets {
+		for _, i := range append(slices.Clone(t.Targets), t.To...) {
 			put(int64(i))
 		}
+		if t.Way != "" && t.Way != "both" {
+			put(t.Way)
+		}
 	}
 	return fmt.Sprintf("%x", h.Sum(nil))
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -4,7 +4,6 @@
 	"context"
 	crand "crypto/rand"
 	"encoding/binary"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -131,9 +130,9 @@
 
 // Inherit goes on as the process before did, on its sockets: first that of datagrams, then that of streams.
 func Inherit(t *Table, who Name, host Host, log zerolog.Logger, text []byte, files []*os.File) (*Mesh, error) {
-	var l members.Legacy
-	if err := json.Unmarshal(text, &l); err != nil {
-		return nil, fmt.Errorf("members: %w", err)
+	l, err := decodeLegacy(text)
+	if err != nil {
+		return nil, err
 	}
 	if l.Me.Name != who.Name || len(files) != 2 {
 		return nil, errors.New("members: what was handed over is another's")
@@ -317,7 +316,7 @@
 		if !ok {
 			return
 		}
-		if text, err = json.Marshal(l); err == nil {
+		if text, err = encodeLegacy(l); err == nil {
 			m.silent.Store(true)
 		}
 	})
--- a/internal/mesh/wire.go
+++ b/internal/mesh/wire.go
@@ -131,6 +131,33 @@
 	return x, nil
 }
 
+// wireLegacy is what one process hands the next.
+type wireLegacy struct {
+	Me     wireClaim   `cbor:"1,keyasint"`
+	Seq    uint64      `cbor:"2,keyasint"`
+	Claims []wireClaim `cbor:"3,keyasint"`
+}
+
+func encodeLegacy(l members.Legacy) ([]byte, error) {
+	w := wireLegacy{Me: toWire(l.Me), Seq: l.Seq}
+	for _, c := range l.Claims {
+		w.Claims = append(w.Claims, toWire(c))
+	}
+	return cbor.Marshal(w)
+}
+
+func decodeLegacy(text []byte) (l members.Legacy, err error) {
+	var w wireLegacy
+	if err = strict.Unmarshal(text, &w); err != nil {
+		return l, fmt.Errorf("members: %w", err)
+	}
+	l = members.Legacy{Me: fromWire(w.Me), Seq: w.Seq}
+	for _, c := range w.Claims {
+		l.Claims = append(l.Claims, fromWire(c))
+	}
+	return l, nil
+}
+
 // writeFrame and readFrame are of streams.
 func writeFrame(w io.Writer, text []byte) error {
 	head := binary.BigEndian.AppendUint32(make([]byte, 0, 4+len(text)), uint32(len(text)))
