Members: tests of real processes, of every order of events of three, of the judge of views

The core: laws of the join, bad input, the bound, every 23rd of 46,656 orders of six events between three members (ORDERS=all: all).

--- /dev/null
+++ b/cmd/woaddyke/members_test.go
@@ -0,0 +1,194 @@
+package main
+
+import (
+	"bytes"
+	"net"
+	"net/netip"
+	"os"
+	"os/exec"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"woaddyke/internal/lab/between"
+	"woaddyke/internal/lab/several"
+)
+
+// thisProgram is the command itself, as a process of its own.
+func thisProgram(args ...string) *exec.Cmd {
+	cmd := exec.Command(os.Args[0], args...)
+	cmd.Env = append(os.Environ(), "WOADDYKE_TEST_SERVES=1")
+	return cmd
+}
+
+const noWorkers = `{"rev":1,"all":true,"targets":[]}`
+
+// quick are shorter spans than an operator would set, so that ends are found in a second.
+const quick = "probe = \"50ms\"\ndoubt = \"600ms\"\nlongest_doubt = \"1s\"\nseek = \"200ms\"\nexchange = \"1s\"\n"
+
+func cluster(t *testing.T, n int) *several.Cluster {
+	c := several.New(t, n, quick, noWorkers, thisProgram)
+	for _, p := range c.Places {
+		c.Start(p)
+	}
+	c.AwaitWhole(c.Places...)
+	return c
+}
+
+// A scheduler that died was nobody's business: now all others know, and know that the next process of its name is another one.
+func TestAKilledProcessIsGoneAndComesBackAsAnother(t *testing.T) {
+	t.Parallel()
+	c := cluster(t, 4)
+	p := c.Places[3]
+	p.Kill()
+	c.AwaitState("n4", "gone", c.Places[:3]...)
+	c.Start(p)
+	c.AwaitWhole(c.Places...)
+	if v := p.View(); v.Self.Incarnation != 2 {
+		t.Errorf("the next process has incarnation %d", v.Self.Incarnation)
+	}
+	p.Signal(syscall.SIGTERM)
+	c.AwaitState("n4", "left", c.Places[:3]...)
+}
+
+// A process that stood still for longer than a doubt lasts has been given up; awake again it accuses nobody and is back.
+func TestAStoppedProcessAccusesNobodyWhenItWakes(t *testing.T) {
+	t.Parallel()
+	c := cluster(t, 4)
+	p := c.Places[2]
+	p.Signal(syscall.SIGSTOP)
+	c.AwaitState("n3", "gone", c.Places...)
+	p.Signal(syscall.SIGCONT)
+	c.AwaitWhole(c.Places...)
+	for _, o := range c.Places {
+		if v := o.View(); o != p && v.Self.Turn != 0 {
+			t.Errorf("%s had to refute something: turn %d", o.Name, v.Self.Turn)
+		}
+	}
+	if v := p.View(); v.Self.Incarnation != 1 || v.Self.Turn == 0 || v.Self.Counts["late"] == 0 {
+		t.Errorf("the one that woke: %+v", v.Self)
+	}
+}
+
+// Two groups that can't talk go on apart, and are one again by themselves. A pair that is cut one way stays as it is.
+func TestPartedGroupsAreOneAgain(t *testing.T) {
+	t.Parallel()
+	c := cluster(t, 5)
+	part := func(how between.Cut) {
+		for i := range 2 {
+			for j := 2; j < 5; j++ {
+				c.Net.Cut(i, j, how)
+				c.Net.Cut(j, i, how)
+			}
+		}
+	}
+	part(between.Silent)
+	c.AwaitState("n5", "gone", c.Places[:2]...)
+	c.AwaitState("n1", "gone", c.Places[2:]...)
+	if s := c.Places[0].View().State("n2"); s != "here" {
+		t.Errorf("on its own side n2 is %s", s)
+	}
+	part(between.Open)
+	c.AwaitWhole(c.Places...)
+	c.Net.Cut(0, 1, between.Silent)
+	c.Await("one can't reach the other directly", func() bool {
+		for _, m := range c.Places[0].View().Members {
+			if m.Name == "n2" {
+				return m.State == "here" && !m.Reachable
+			}
+		}
+		return false
+	})
+}
+
+// A second process with the name of a stopped one: the first one wakes up, learns that it is superseded, and stands by.
+func TestASupersededProcessStandsBy(t *testing.T) {
+	t.Parallel()
+	c := several.New(t, 4, quick, noWorkers, thisProgram)
+	c.Places[3].Name = "n1" // the name is used twice
+	for _, p := range c.Places[:3] {
+		c.Start(p)
+	}
+	c.AwaitWhole(c.Places[:3]...)
+	c.Places[0].Signal(syscall.SIGSTOP)
+	c.Start(c.Places[3])
+	c.AwaitWhole(c.Places[1:]...)
+	c.Places[0].Signal(syscall.SIGCONT)
+	c.Await("the first one is superseded", func() bool { return c.Places[0].View().Self.State == "superseded" })
+	c.AwaitWhole(c.Places[1:]...)
+	c.Places[3].Signal(syscall.SIGTERM)
+	c.Await("its name is free again", func() bool { return c.Places[0].View().Self.State == "here" })
+	c.AwaitWhole(c.Places[:3]...)
+}
+
+// Another process takes the place of one: for the others nothing has changed.
+func TestATakeoverChangesNoView(t *testing.T) {
+	t.Parallel()
+	c := cluster(t, 3)
+	p := c.Places[1]
+	first, ended := p.Running()
+	free, err := net.Listen("tcp4", between.Bound(1).String()+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Console = free.Addr().String()
+	free.Close()
+	c.Start(p)
+	c.Await("the heir is ready", func() bool { return p.Get("/api/ready", nil) })
+	first.Process.Signal(syscall.SIGTERM)
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Errorf("the first one: %v", err)
+		}
+	case <-time.After(15 * time.Second):
+		t.Fatal("the first one does not end")
+	}
+	c.AwaitWhole(c.Places...)
+	for _, o := range []*several.Place{c.Places[0], c.Places[2]} {
+		for _, m := range o.View().Members {
+			if m.Name == "n2" && m.Incarnation != 1 {
+				t.Errorf("%s holds n2 with incarnation %d", o.Name, m.Incarnation)
+			}
+		}
+	}
+}
+
+// What strangers send is dropped and counted, and a member of another cluster is none of this one.
+func TestStrangersAreNoMembers(t *testing.T) {
+	t.Parallel()
+	c := cluster(t, 2)
+	other := several.New(t, 1, quick+"", noWorkers, func(args ...string) *exec.Cmd {
+		text, err := os.ReadFile(args[4])
+		if err != nil {
+			t.Fatal(err)
+		}
+		text = bytes.ReplaceAll(text, []byte(`cluster = "test"`), []byte(`cluster = "other"`))
+		text = append(text, []byte("\n")...)
+		text = bytes.Replace(text, []byte("seeds = ["), []byte("seeds = [\""+c.Net.Told(0)+"\", "), 1)
+		if err := os.WriteFile(args[4], text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return thisProgram(args...)
+	})
+	other.Places[0].Name = "stranger"
+	other.Start(other.Places[0])
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(between.Bound(1), 0)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	to := netip.MustParseAddrPort(c.Net.Told(0))
+	for _, text := range []string{"", "x", "wm\x02" + strings.Repeat("x", 50), "wm\x01" + strings.Repeat("x", 50), strings.Repeat("y", 2000)} {
+		conn.WriteToUDPAddrPort([]byte(text), to)
+	}
+	c.Await("all is counted", func() bool {
+		v := c.Places[0].View()
+		return v.Dropped["garbled"] >= 2 && v.Dropped["wrong version"] > 0 && v.Dropped["too long"] > 0 && v.Self.Counts["wrong cluster"] > 0
+	})
+	c.AwaitWhole(c.Places...)
+	if n := len(c.Places[0].View().Members); n != 1 {
+		t.Errorf("%d members beside it", n)
+	}
+}
--- a/internal/lab/page/page.go
+++ b/internal/lab/page/page.go
@@ -3,12 +3,14 @@
 
 import (
 	"bytes"
+	"cmp"
 	"embed"
 	"fmt"
 	"html/template"
 	"image/color"
 	"math"
 	"os"
+	"slices"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
@@ -50,7 +52,7 @@
 		return nil, err
 	}
 	var pictures []picture
-	for _, draw := range []func(*figures.Results) (*plot.Plot, error){latencies, answers, queues, memory, descriptors, cpu} {
+	for _, draw := range []func(*figures.Results) (*plot.Plot, error){latencies, answers, queues, memory, descriptors, cpu, members} {
 		p, err := draw(r)
 		if err != nil {
 			return nil, err
@@ -250,3 +252,47 @@
 		return (u.CPU - r.Uses[k].CPU) / seconds(u.At-r.Uses[k].At), true
 	})
 }
+
+// mostPairs bounds how many pairs of schedulers are drawn.
+const mostPairs = 150
+
+// members draws what each scheduler held of each other: a row a pair, thin where the other is held to be here.
+func members(r *figures.Results) (*plot.Plot, error) {
+	if len(r.Spans) == 0 {
+		return nil, nil
+	}
+	p := empty("What each member held of each other: a row a pair, by who holds it", "pair")
+	rows := map[[2]int]int{}
+	var pairs [][2]int
+	for _, s := range r.Spans {
+		if k := [2]int{s.By, s.Of}; rows[k] == 0 {
+			rows[k] = 1
+			pairs = append(pairs, k)
+		}
+	}
+	slices.SortFunc(pairs, func(a, b [2]int) int { return cmp.Or(cmp.Compare(a[0], b[0]), cmp.Compare(a[1], b[1])) })
+	for i, k := range pairs {
+		rows[k] = i + 1
+	}
+	colors := map[string]color.Color{"here": color.RGBA{160, 200, 160, 255}, "doubted": color.RGBA{240, 170, 0, 255},
+		"gone": color.RGBA{200, 0, 0, 255}, "left": color.RGBA{90, 90, 200, 255}}
+	named := map[string]bool{}
+	for _, s := range r.Spans {
+		row := float64(rows[[2]int{s.By, s.Of}])
+		if row > mostPairs {
+			continue
+		}
+		l, err := plotter.NewLine(plotter.XYs{{X: seconds(s.From), Y: row}, {X: max(seconds(s.Until), seconds(s.From)+0.02), Y: row}})
+		if err != nil {
+			return nil, err
+		}
+		if l.Color, l.Width = colors[s.State], vg.Points(1); s.State != "here" {
+			l.Width = vg.Points(2)
+		}
+		if p.Add(l); !named[s.State] {
+			named[s.State] = true
+			p.Legend.Add(s.State, l)
+		}
+	}
+	return p, nil
+}
--- a/internal/lab/play/mesh.go
+++ b/internal/lab/play/mesh.go
@@ -39,7 +39,7 @@
 		return nil
 	}
 	n := r.plan.Schedulers.Count
-	r.spare = n
+	r.spare, r.cuts = n, map[[2]int]map[int]between.Cut{}
 	for _, t := range r.script.Turns {
 		if extra(t) {
 			n += len(t.Targets)
@@ -104,18 +104,33 @@
 	}
 }
 
+// cut cuts a link for one trouble, or ends that: a link is open only when no trouble cuts it any more.
+func (r *run) cut(from, to int, t script.Turn) {
+	link := [2]int{from, to}
+	if r.cuts[link] == nil {
+		r.cuts[link] = map[int]between.Cut{}
+	}
+	switch {
+	case !t.On:
+		delete(r.cuts[link], t.Fault)
+	case t.Refuses:
+		r.cuts[link][t.Fault] = between.Refusing
+	default:
+		r.cuts[link][t.Fault] = between.Silent
+	}
+	how := between.Open
+	for _, c := range r.cuts[link] {
+		how = max(how, c)
+	}
+	r.mesh.Cut(from, to, how)
+}
+
 // meshTrouble is one on the links or of a member; false for one of another kind.
 func (r *run) meshTrouble(t script.Turn, n int) bool {
 	span := time.Duration(t.For) * ledger.Tenth
 	switch t.Kind {
 	case "mesh-cut":
-		how := between.Open
-		if t.On {
-			if how = between.Silent; t.Refuses {
-				how = between.Refusing
-			}
-		}
-		r.links(t, n, func(from, to int) { r.mesh.Cut(from, to, how) })
+		r.links(t, n, func(from, to int) { r.cut(from, to, t) })
 	case "mesh-loss", "mesh-delay":
 		m := &r.plan.Members
 		r.links(t, n, func(from, to int) {
--- a/internal/lab/play/play.go
+++ b/internal/lab/play/play.go
@@ -64,6 +64,7 @@
 	mesh       *between.Net // nil where schedulers are no members
 	spare      int          // the first place that is no scheduler's
 	placed     int
+	cuts       map[[2]int]map[int]between.Cut // from and to, by trouble; of the one goroutine that plays troubles
 	twins      []*schedulers.Scheduler
 }
 
--- /dev/null
+++ b/internal/lab/several/several.go
@@ -0,0 +1,265 @@
+// Package several starts a few real processes of the program for a test, each with an address, a folder and a link to every other of
+// its own, and ends them with it.
+package several
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"woaddyke/internal/lab/between"
+)
+
+// Cluster is some processes with links between them.
+type Cluster struct {
+	t         testing.TB
+	Net       *between.Net
+	make      func(args ...string) *exec.Cmd
+	operator  string
+	discovery string
+	Places    []*Place
+}
+
+// Place is where one process runs; another may take its place.
+type Place struct {
+	Name, Listen, Console string
+	at                    netip.AddrPort
+	dir                   string
+	seeds                 []string
+	told                  string
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
+	end chan error
+}
+
+// Row is one member as a process shows it.
+type Row struct {
+	Name, State, Address, By string
+	Incarnation, Turn        uint64
+	Reachable                bool
+}
+
+// View is what a process shows of its cluster.
+type View struct {
+	Self struct {
+		Name, State       string
+		Incarnation, Turn uint64
+		Counts            map[string]uint64
+	}
+	Digest  string
+	Dropped map[string]uint64
+	Members []Row
+}
+
+// State is what a view holds of a name, empty for nothing.
+func (v *View) State(name string) string {
+	for _, m := range v.Members {
+		if m.Name == name {
+			return m.State
+		}
+	}
+	return ""
+}
+
+// New makes places for so many processes, of which none runs. Further lines of the operator's table of members may be given. The
+// list of workers is given in discovery's form.
+func New(t testing.TB, n int, operator, workers string, program func(args ...string) *exec.Cmd) *Cluster {
+	t.Helper()
+	c := &Cluster{t: t, make: program, operator: operator}
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprintln(w, workers)
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}))
+	c.discovery = s.Listener.Addr().String()
+	var err error
+	if c.Net, err = between.New(n, 1, func(int, int, between.Cut) {}); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		for _, p := range c.Places {
+			p.kill()
+			if t.Failed() {
+				log, _ := os.ReadFile(filepath.Join(p.dir, "log"))
+				t.Logf("%s:\n%s", p.Name, log)
+			}
+		}
+		c.Net.Close()
+		s.CloseClientConnections()
+		s.Close()
+	})
+	for i := range n {
+		c.Place(i, fmt.Sprintf("n%d", i+1))
+	}
+	return c
+}
+
+// Place adds a place under a name, at the k-th address of the rig.
+func (c *Cluster) Place(k int, name string) *Place {
+	free := func(network string) string {
+		at := between.Bound(k).String() + ":0"
+		if network == "udp4" {
+			l, err := net.ListenPacket(network, at)
+			if err != nil {
+				c.t.Fatal(err)
+			}
+			defer l.Close()
+			return l.LocalAddr().String()
+		}
+		l, err := net.Listen(network, at)
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		defer l.Close()
+		return l.Addr().String()
+	}
+	p := &Place{Name: name, Listen: free("tcp4"), Console: free("tcp4"), at: netip.MustParseAddrPort(free("udp4")), dir: c.t.TempDir(),
+		told: c.Net.Told(k)}
+	c.Net.Listens(k, p.at)
+	c.Places = append(c.Places, p)
+	return p
+}
+
+// Start starts a process at a place, which may take the place of the one that runs there.
+func (c *Cluster) Start(p *Place) {
+	c.t.Helper()
+	sheet, offers := filepath.Join(p.dir, "sheet.json"), filepath.Join(p.dir, "operator.toml")
+	text := fmt.Sprintf(`{"name":%q,"listen":%q,"console":%q,"discovery":%q,"seed":"1","settings":{"discovery":"pushed",`+
+		`"bounds":{"maxPushes":3,"connectTimeoutNs":2e8},"categories":[{"name":"pay","effect":"fragile","ttlNs":5e9}]}}`, p.Name, p.Listen,
+		p.Console, c.discovery)
+	var seeds []string
+	for i := range min(2, len(c.Places)) {
+		seeds = append(seeds, fmt.Sprintf("%q", c.Places[i].told))
+	}
+	offer := fmt.Sprintf("[members]\ncluster = \"test\"\nlisten = %q\nadvertise = %q\nseeds = [%s]\n%s", p.at, p.told, strings.Join(seeds, ", "), c.operator)
+	for path, text := range map[string]string{sheet: text, offers: offer} {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			c.t.Fatal(err)
+		}
+	}
+	log, err := os.OpenFile(filepath.Join(p.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	defer log.Close()
+	cmd := c.make("serve", "--config", sheet, "--operator", offers)
+	cmd.Stdout, cmd.Stderr = log, log
+	cmd.Env = append(cmd.Environ(), "TMPDIR="+p.dir)
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		c.t.Fatal(err)
+	}
+	end := make(chan error, 1)
+	go func() { end <- cmd.Wait() }()
+	p.mu.Lock()
+	p.cmd, p.end = cmd, end
+	p.mu.Unlock()
+}
+
+// Signal sends the process at a place a signal.
+func (p *Place) Signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		p.cmd.Process.Signal(s)
+	}
+}
+
+// Running hands over the process that runs, so that another can be started in its place; the caller waits for its end.
+func (p *Place) Running() (*exec.Cmd, <-chan error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd, p.end
+}
+
+// Kill ends the process at a place at once and waits for its end.
+func (p *Place) Kill() { p.kill() }
+
+func (p *Place) kill() {
+	p.mu.Lock()
+	cmd, end := p.cmd, p.end
+	p.cmd = nil
+	p.mu.Unlock()
+	if cmd != nil {
+		cmd.Process.Signal(syscall.SIGKILL)
+		<-end
+	}
+}
+
+// Get reads a call of the second address; false where there is no answer.
+func (p *Place) Get(path string, into any) bool {
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Get("http://" + p.Console + path)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK && (into == nil || json.NewDecoder(resp.Body).Decode(into) == nil)
+}
+
+// View is what the process at a place shows, empty where it shows nothing.
+func (p *Place) View() *View {
+	v := &View{}
+	p.Get("/api/members", v)
+	return v
+}
+
+const longestWait = 20 * time.Second // ten times what anything waited for takes
+
+// Await waits until something holds, and fails the test where it never does.
+func (c *Cluster) Await(what string, holds func() bool) {
+	c.t.Helper()
+	for until := time.Now().Add(longestWait); !holds(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(until) {
+			c.t.Fatalf("it never came about that %s", what)
+		}
+	}
+}
+
+// AwaitState waits until some hold a name in a state.
+func (c *Cluster) AwaitState(name, state string, by ...*Place) {
+	c.t.Helper()
+	c.Await(fmt.Sprintf("%s is %s", name, state), func() bool {
+		for _, p := range by {
+			if p.Name != name && p.View().State(name) != state {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// AwaitWhole waits until all places hold all others here, with views that are the same.
+func (c *Cluster) AwaitWhole(all ...*Place) {
+	c.t.Helper()
+	c.Await("all are here in all views", func() bool {
+		digest := ""
+		for _, p := range all {
+			v := p.View()
+			if digest == "" {
+				digest = v.Digest
+			}
+			if v.Digest != digest || v.Self.State != "here" {
+				return false
+			}
+			for _, o := range all {
+				if o != p && v.State(o.Name) != "here" {
+					return false
+				}
+			}
+		}
+		return true
+	})
+}
--- /dev/null
+++ b/internal/members/members_test.go
@@ -0,0 +1,241 @@
+package members
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func drawClaim(t *rapid.T, label string) Claim {
+	return Claim{Name: "x", Addr: fmt.Sprint("a", rapid.IntRange(0, 1).Draw(t, label)), Life: Life{rapid.Uint64Range(1, 3).Draw(t, label),
+		rapid.Uint64Range(1, 2).Draw(t, label)}, Turn: rapid.Uint64Range(0, 2).Draw(t, label),
+		State: State(rapid.IntRange(int(Here), int(Left)).Draw(t, label)), By: fmt.Sprint("b", rapid.IntRange(0, 2).Draw(t, label)),
+		Age: rapid.Uint64Range(0, 3).Draw(t, label)}
+}
+
+// Views are one again after a cut only if the order in which claims come makes no difference.
+func TestJoinIsAJoin(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, c := drawClaim(t, "a"), drawClaim(t, "b"), drawClaim(t, "c")
+		if Join(a, b) != Join(b, a) {
+			t.Fatal("not commutative")
+		}
+		if Join(a, a) != a {
+			t.Fatal("not idempotent")
+		}
+		if Join(Join(a, b), c) != Join(a, Join(b, c)) {
+			t.Fatal("not associative")
+		}
+	})
+}
+
+func termsOf(name string) Terms {
+	t := Defaults()
+	t.Cluster, t.Name, t.Addr, t.Nonce, t.Chance = "c", name, "addr-"+name, 7, 1
+	return t
+}
+
+// member is one that has joined alone, and one other that it knows.
+func member(t *testing.T) (*Members, Claim) {
+	t.Helper()
+	m := New(termsOf("a"), 0)
+	m.Take(1, Tick{})
+	if m.phase != serving {
+		t.Fatal("it did not join")
+	}
+	other := Claim{Name: "b", Addr: "addr-b", Life: Life{1, 5}, State: Here, By: "b"}
+	m.Take(2, Heard{Message: Message{Kind: Gossip, Cluster: "c", From: other, Seq: 1}})
+	return m, other
+}
+
+func (m *Members) stateOf(name string) State {
+	if e := m.by[name]; e != nil {
+		return e.state
+	}
+	return Joining
+}
+
+// All that others may send: none of it makes a member, moves a view or ends the process, and each kind is counted.
+func TestBadInputIsDroppedAndCounted(t *testing.T) {
+	for what, x := range map[string]func(Claim) Message{
+		"wrong cluster": func(b Claim) Message {
+			b.State = Left
+			return Message{Kind: Gossip, Cluster: "other", From: b, Seq: 9}
+		},
+		"replayed": func(b Claim) Message {
+			return Message{Kind: Gossip, Cluster: "c", From: b, Seq: 1, Claims: []Claim{{Name: "z", Addr: "z", Life: Life{1, 1}, State: Here}}}
+		},
+		"superseded": func(b Claim) Message {
+			b.Life = Life{1, 4}
+			return Message{Kind: Gossip, Cluster: "c", From: b, Seq: 9, Claims: []Claim{{Name: "z", Addr: "z", Life: Life{1, 1}, State: Here}}}
+		},
+		"garbled": func(b Claim) Message {
+			return Message{Kind: Gossip, Cluster: "c", From: b, Seq: 9, Claims: []Claim{{Name: "z", Addr: "z", Life: Life{1, 1}, State: 99},
+				{Name: "", Addr: "z", Life: Life{1, 1}, State: Here}, {Name: "z", Addr: "z", State: Here}}}
+		},
+	} {
+		m, other := member(t)
+		m.Take(10, Heard{Message: x(other)})
+		if m.counts[what] == 0 || m.stateOf("b") != Here || len(m.by) != 1 {
+			t.Errorf("%s: counts %v, view %v", what, m.counts, m.View())
+		}
+	}
+}
+
+// A view that strangers' names could fill would take the memory of the process.
+func TestTheViewIsBounded(t *testing.T) {
+	m, other := member(t)
+	m.t.Most = 10
+	for i := range 50 {
+		m.Take(Time(10+i), Heard{Message: Message{Kind: Gossip, Cluster: "c", From: other, Seq: uint64(10 + i),
+			Claims: []Claim{{Name: fmt.Sprint("x", i), Addr: "x", Life: Life{1, 1}, State: Here}}}})
+	}
+	if len(m.by) != 9 || m.counts["no room in the view"] != 42 {
+		t.Errorf("%d names, %v", len(m.by), m.counts)
+	}
+}
+
+// The wall clock is no part of this; an input with an earlier time than the last must not turn anything back.
+func TestAClockThatIsSetBack(t *testing.T) {
+	m, _ := member(t)
+	m.Take(50_000, Tick{})
+	now, due := m.now, m.due
+	m.Take(10, Tick{})
+	if m.now != now || m.due < due-second {
+		t.Errorf("at %d, due %d after an earlier time; %d, %d before", m.now, m.due, now, due)
+	}
+}
+
+// The words of one that ended are void for its next process, and a number that comes again is no new message.
+func TestAWindowTellsWhatComesTwice(t *testing.T) {
+	var w window
+	for _, x := range []struct {
+		n    uint64
+		want bool
+	}{{5, true}, {5, false}, {4, true}, {300, true}, {4, false}, {299, true}, {44, false}, {45, true}, {1 << 40, true}, {300, false}} {
+		if got := w.fresh(x.n); got != x.want {
+			t.Errorf("%d: %v", x.n, got)
+		}
+	}
+}
+
+// An heir is the same member: what it says is taken for new, and the others' view of it does not change.
+func TestAnHeirIsTheSameMember(t *testing.T) {
+	m, other := member(t)
+	b := New(termsOf("b"), 0)
+	b.Take(1, Tick{})
+	b.Take(2, Heard{Message: Message{Kind: Gossip, Cluster: "c", From: m.me, Seq: m.seq}})
+	l, ok := m.Legacy()
+	if !ok || len(l.Claims) != 1 || l.Claims[0].Name != other.Name {
+		t.Fatalf("handed over: %+v", l)
+	}
+	heir := Inherit(termsOf("a"), l, 1000)
+	for _, e := range heir.Take(1001, Tick{}) {
+		if s, ok := e.(Send); ok && s.To == "addr-b" {
+			for _, e := range b.Take(1002, Heard{Message: s.Message}) {
+				if c, ok := e.(Changed); ok {
+					t.Errorf("the view of a changed: %+v", c)
+				}
+			}
+		}
+	}
+	if b.stateOf("a") != Here || b.counts["replayed"] > 0 || heir.me.Life != m.me.Life {
+		t.Errorf("held %v, %v, %v and %v", b.stateOf("a"), b.counts, heir.me.Life, m.me.Life)
+	}
+}
+
+// Three members, every order of a few events between them: whatever the interleaving, no state goes back within a turn, and after
+// a while of free talk all three hold the same.
+func TestEveryInterleavingOfThree(t *testing.T) {
+	const depth = 6
+	names := []string{"a", "b", "c"}
+	type mail struct {
+		to int
+		x  Heard
+	}
+	type world struct {
+		m       [3]*Members
+		boxes   []mail
+		streams [][2]int
+		now     Time
+	}
+	run := func(order []int) {
+		w := &world{}
+		carry := func(by int, effects []Effect) {
+			place := func(addr string) int { return slices.Index(names, addr[len("addr-"):]) }
+			for _, e := range effects {
+				switch e := e.(type) {
+				case Send:
+					w.boxes = append(w.boxes, mail{place(e.To), Heard{Message: e.Message}})
+				case Open:
+					w.streams = append(w.streams, [2]int{by, place(e.To)})
+					w.boxes = append(w.boxes, mail{place(e.To), Heard{e.Message, uint64(len(w.streams))}})
+				case Answer:
+					ends := w.streams[e.Stream-1]
+					w.boxes = append(w.boxes, mail{ends[0] + ends[1] - by, Heard{e.Message, e.Stream}})
+				}
+			}
+		}
+		hear := func(x mail) { carry(x.to, w.m[x.to].Take(w.now, x.x)) }
+		for i, n := range names {
+			terms := termsOf(n)
+			terms.Nonce, terms.Seeds = uint64(i+1), []string{"addr-a"}
+			w.m[i] = New(terms, 0)
+			carry(i, w.m[i].Take(1, Tick{}))
+		}
+		step := func(kind int) {
+			w.now += 30 * ms
+			switch {
+			case kind < 3: // one has its timers seen to
+				carry(kind, w.m[kind].Take(max(w.now, w.m[kind].due), Tick{}))
+			case len(w.boxes) == 0:
+			case kind == 3: // the oldest message arrives
+				x := w.boxes[0]
+				w.boxes = w.boxes[1:]
+				hear(x)
+			case kind == 4: // the newest does
+				x := w.boxes[len(w.boxes)-1]
+				w.boxes = w.boxes[:len(w.boxes)-1]
+				hear(x)
+			case kind == 5: // the oldest is lost
+				w.boxes = w.boxes[1:]
+			}
+		}
+		for _, k := range order {
+			step(k)
+		}
+		for round := range 200 { // free talk
+			for i := range 3 {
+				step(i)
+			}
+			for len(w.boxes) > 0 && round < 299 {
+				x := w.boxes[0]
+				w.boxes = w.boxes[1:]
+				hear(x)
+			}
+		}
+		for i, m := range w.m {
+			for j, n := range names {
+				if i != j && m.stateOf(n) != Here {
+					t.Fatalf("order %v: %s holds %s %v", order, names[i], n, m.stateOf(n))
+				}
+			}
+			if m.Digest() != w.m[0].Digest() {
+				t.Fatalf("order %v: the digests differ", order)
+			}
+		}
+	}
+	order, each := make([]int, depth), 23 // shares no factor with 6
+	if os.Getenv("ORDERS") == "all" {
+		each = 1
+	}
+	for n := 0; n < 46656; n += each { // 6 to the depth
+		for i, k := 0, n; i < depth; i, k = i+1, k/6 {
+			order[i] = k % 6
+		}
+		run(order)
+	}
+}
