--- /dev/null
+++ b/cmd/lab/campaign.go
@@ -0,0 +1,196 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"html/template"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"woaddyke/internal/lab/figures"
+	"woaddyke/internal/lab/page"
+	"woaddyke/internal/lab/plan"
+	"woaddyke/internal/lab/play"
+)
+
+// played is one seed's run.
+type played struct {
+	Seed    uint64
+	Seconds float64
+	Line    string
+	Faults  []string
+	Why     string // what broke, empty for nothing
+}
+
+var campaignPage = template.Must(template.New("campaign").Parse(`<!doctype html><meta charset="utf-8"><title>{{.Name}}</title>
+<style>body{font:14px sans-serif;margin:2em}td,th{padding:2px 8px;text-align:left;vertical-align:top;border-bottom:1px solid #ddd}.bad{color:#b00}</style>
+<h1>Campaign {{.Name}}</h1><p>{{len .Runs}} seeds played{{if .Broken}}, <b class="bad">stopped by seed {{.Broken}}</b>{{else}}, nothing broke{{end}}.</p>
+<table><tr><th>seed<th>s<th>troubles<th>result</tr>
+{{range .Runs}}<tr><td>{{.Seed}}<td>{{printf "%.0f" .Seconds}}<td>{{range .Faults}}{{.}}<br>{{end}}<td{{if .Why}} class="bad"{{end}}>{{.Line}}{{if .Why}}<br>{{.Why}}{{end}}</tr>
+{{end}}</table>
+`))
+
+// seedsOf reads A..B.
+func seedsOf(text string) (from, to uint64, err error) {
+	a, b, ok := strings.Cut(text, "..")
+	from, err = strconv.ParseUint(a, 10, 64)
+	if err == nil && ok {
+		to, err = strconv.ParseUint(b, 10, 64)
+	} else {
+		to = from
+	}
+	if err != nil || to < from {
+		return 0, 0, fmt.Errorf("--seeds: %q is no span such as 1..200", text)
+	}
+	return from, to, nil
+}
+
+// drawTroubles puts troubles of one seed on top of those that the file has: of processes and of the links between them, one after
+// another and on top of one another, each over before the last quarter of the run.
+func drawTroubles(e *plan.Experiment, seed uint64) {
+	r := rand.New(rand.NewPCG(seed, 0x63616d706169676e))
+	n := e.Schedulers.Count
+	busy := make([]float64, n)
+	for at := 1.5; at < 0.65*e.Seconds; at += 0.3 + 2*r.Float64() {
+		f := plan.Fault{At: at, For: 0.2 + (0.75*e.Seconds-at)*r.Float64()*r.Float64(), Way: "both"}
+		i := r.IntN(n)
+		f.Indices = []int{i}
+		kind := []string{"scheduler-kill", "scheduler-stop", "scheduler-term", "scheduler-starve", "scheduler-takeover", "mesh-cut", "mesh-cut",
+			"mesh-flap", "mesh-loss", "mesh-delay", "part"}[r.IntN(11)]
+		ofProcess := strings.HasPrefix(kind, "scheduler-")
+		if ofProcess && busy[i] > at {
+			continue
+		}
+		switch f.Kind = kind; kind {
+		case "scheduler-takeover":
+			f.For = 6
+		case "scheduler-term":
+			f.For += 3
+		case "scheduler-starve":
+			f.Size = 0.4 + 0.5*r.Float64()
+		case "mesh-cut", "mesh-flap":
+			f.Way, f.Refuses = []string{"both", "out", "in"}[r.IntN(3)], r.IntN(4) == 0
+			if f.EveryS = 0.7; r.IntN(2) == 0 {
+				f.To = []int{(i + 1 + r.IntN(n-1)) % n}
+			}
+		case "mesh-loss":
+			f.Size = 0.25 * r.Float64()
+		case "mesh-delay":
+			f.Size = 40 * r.Float64()
+		case "part":
+			f.Kind, f.Indices = "mesh-cut", nil
+			for k := range n {
+				if r.IntN(2) == 0 {
+					f.Indices = append(f.Indices, k)
+				}
+			}
+			if len(f.Indices) == 0 || len(f.Indices) == n {
+				continue
+			}
+		}
+		if ofProcess {
+			busy[i] = at + f.For + 2.5
+		}
+		e.Faults = append(e.Faults, f)
+	}
+}
+
+func campaignCommand() *cobra.Command {
+	var b build
+	var out, span string
+	var minutes float64
+	c := &cobra.Command{Use: "campaign FILE", Short: "Play an experiment with drawn troubles over many seeds, until one breaks a rule",
+		Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			from, to, err := seedsOf(span)
+			if err != nil {
+				return err
+			}
+			if err := os.MkdirAll(out, 0o755); err != nil {
+				return err
+			}
+			var runs []played
+			broken := uint64(0)
+			limit := time.Now().Add(time.Duration(minutes * float64(time.Minute)))
+			tell, end := teller(os.Stderr)
+			for seed := from; seed <= to && time.Now().Before(limit) && c.Context().Err() == nil && broken == 0; seed++ {
+				e, err := plan.Read(args[0])
+				if err != nil {
+					return err
+				}
+				e.Seed, e.Name = seed, fmt.Sprintf("%s, seed %d", e.Name, seed)
+				e.Faults = nil
+				drawTroubles(e, seed)
+				m, err := b.maker(e)
+				if err != nil {
+					return err
+				}
+				dir := filepath.Join(out, strconv.FormatUint(seed, 10))
+				began := time.Now()
+				r, err := play.Run(c.Context(), e, play.Stage{Out: dir, Make: m, Progress: tell})
+				p := played{Seed: seed, Seconds: time.Since(began).Seconds()}
+				for _, f := range e.Faults {
+					p.Faults = append(p.Faults, fmt.Sprintf("%.1f s: %s on %v for %.1f s", f.At, f.Kind, f.Indices, f.For))
+				}
+				if err != nil {
+					return fmt.Errorf("seed %d: %w", seed, err)
+				}
+				p.Line = r.Line()
+				if why := reason(r); why != "" {
+					p.Why, broken = why, seed
+					err = page.Write(filepath.Join(dir, "page.html"), r)
+				} else {
+					err = os.RemoveAll(dir) // what went well needs no room
+				}
+				if err != nil {
+					return err
+				}
+				runs = append(runs, p)
+				fmt.Fprintf(c.OutOrStdout(), "seed %d: %s%s\n", seed, p.Line, map[bool]string{true: "\n  " + p.Why}[p.Why != ""])
+				if err := writeCampaign(filepath.Join(out, "campaign.html"), filepath.Base(args[0]), runs, broken); err != nil {
+					return err
+				}
+			}
+			end()
+			if broken != 0 {
+				fmt.Fprintf(c.OutOrStdout(), "broken by seed %d: lab campaign %s --seeds %d repeats it; see %s\n", broken, args[0], broken,
+					filepath.Join(out, strconv.FormatUint(broken, 10)))
+				return errBroken
+			}
+			fmt.Fprintf(c.OutOrStdout(), "%d seeds, nothing broke\n", len(runs))
+			return nil
+		}}
+	b.flags(c)
+	c.Flags().StringVar(&span, "seeds", "1..20", "seeds that are played, first and last")
+	c.Flags().Float64Var(&minutes, "minutes", 60, "begin no further seed after so long")
+	c.Flags().StringVar(&out, "out", "campaign", "folder for the page, and for all that a breach left")
+	return c
+}
+
+// reason is why a run ends a campaign.
+func reason(r *figures.Results) string {
+	switch {
+	case r.Void != "":
+		return "" // it proves nothing, either way
+	case len(r.Audit.Breaches) > 0:
+		return fmt.Sprint(r.Audit.Breaches[0])
+	case len(r.Unmet) > 0:
+		return strings.Join(r.Unmet[:min(len(r.Unmet), 3)], "; ")
+	}
+	return ""
+}
+
+func writeCampaign(path, name string, runs []played, broken uint64) (err error) {
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, f.Close()) }()
+	return campaignPage.Execute(f, map[string]any{"Name": name, "Runs": runs, "Broken": broken})
+}
--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -38,6 +38,6 @@
 func command() *cobra.Command {
 	root := &cobra.Command{Use: "lab", Short: "Plays experiments with schedulers on an emulated fleet, and judges them",
 		SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(runCommand(), auditCommand(), checkCommand(), reportCommand(), compareCommand())
+	root.AddCommand(runCommand(), auditCommand(), checkCommand(), reportCommand(), compareCommand(), campaignCommand())
 	return root
 }
--- a/cmd/woaddyke/members_test.go
+++ b/cmd/woaddyke/members_test.go
@@ -128,7 +128,7 @@
 	c := cluster(t, 3)
 	p := c.Places[1]
 	first, ended := p.Running()
-	free, err := net.Listen("tcp4", between.Bound(1).String()+":0")
+	free, err := net.Listen("tcp4", c.Bound(1).String()+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -159,7 +159,7 @@
 func TestStrangersAreNoMembers(t *testing.T) {
 	t.Parallel()
 	c := cluster(t, 2)
-	other := several.New(t, 1, quick+"", noWorkers, func(args ...string) *exec.Cmd {
+	other := several.New(t, 1, quick, noWorkers, func(args ...string) *exec.Cmd {
 		text, err := os.ReadFile(args[4])
 		if err != nil {
 			t.Fatal(err)
@@ -174,7 +174,7 @@
 	})
 	other.Places[0].Name = "stranger"
 	other.Start(other.Places[0])
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(between.Bound(1), 0)))
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(c.Bound(1), 0)))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/lab/between/net.go
+++ b/internal/lab/between/net.go
@@ -41,6 +41,7 @@
 
 // Net is the links between so many schedulers.
 type Net struct {
+	base   int // the address of the first scheduler
 	mouths []*mouth
 	lanes  [][]*Lane          // from, to
 	skies  [][]*links.Weather // of streams, from, to
@@ -64,9 +65,15 @@
 
 // New opens the links; tell hears of each cut that begins or ends.
 func New(n int, seed uint64, tell func(from, to int, cut Cut)) (*Net, error) {
-	x := &Net{tell: tell, streams: make(chan struct{}, mostStreams), open: map[net.Conn][2]int{}, done: make(chan struct{})}
+	return At(0, n, seed, tell)
+}
+
+// At opens the links between schedulers whose first one binds the address of the given number: several nets at once must not share
+// addresses, where a port that one gives up for a moment is another's.
+func At(base, n int, seed uint64, tell func(from, to int, cut Cut)) (*Net, error) {
+	x := &Net{base: base, tell: tell, streams: make(chan struct{}, mostStreams), open: map[net.Conn][2]int{}, done: make(chan struct{})}
 	for i := range n {
-		m, err := newMouth(i)
+		m, err := newMouth(base + i)
 		if err != nil {
 			x.Close()
 			return nil, err
@@ -162,7 +169,7 @@
 		if err != nil {
 			return
 		}
-		by, at := senderOf(from.Addr()), m.bound.Load()
+		by, at := senderOf(from.Addr())-x.base, m.bound.Load()
 		if by < 0 || by >= len(x.mouths) || at == nil {
 			continue
 		}
@@ -195,7 +202,7 @@
 		}
 		from := -1
 		if a, ok := c.RemoteAddr().(*net.TCPAddr); ok {
-			from = senderOf(a.AddrPort().Addr())
+			from = senderOf(a.AddrPort().Addr()) - x.base
 		}
 		at := m.bound.Load()
 		if from < 0 || from >= len(x.mouths) || at == nil || x.lanes[from][to].isCut() == Refusing || x.lanes[to][from].isCut() == Refusing {
--- a/internal/lab/several/several.go
+++ b/internal/lab/several/several.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -25,6 +26,7 @@
 type Cluster struct {
 	t         testing.TB
 	Net       *between.Net
+	base      int // number of its first address
 	make      func(args ...string) *exec.Cmd
 	operator  string
 	discovery string
@@ -73,11 +75,22 @@
 	return ""
 }
 
+var blocks atomic.Int64
+
+// block is the number of the first of some addresses that no other cluster uses, in this process or in the tests beside it.
+func block() int {
+	const size, each, processes = 12, 120, 500
+	return 1000 + os.Getpid()%processes*each + int(blocks.Add(1)-1)*size%each
+}
+
+// Bound is the address at which the k-th place listens.
+func (c *Cluster) Bound(k int) netip.Addr { return between.Bound(c.base + k) }
+
 // New makes places for so many processes, of which none runs. Further lines of the operator's table of members may be given. The
 // list of workers is given in discovery's form.
 func New(t testing.TB, n int, operator, workers string, program func(args ...string) *exec.Cmd) *Cluster {
 	t.Helper()
-	c := &Cluster{t: t, make: program, operator: operator}
+	c := &Cluster{t: t, make: program, operator: operator, base: block()}
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		fmt.Fprintln(w, workers)
 		w.(http.Flusher).Flush()
@@ -85,7 +98,7 @@
 	}))
 	c.discovery = s.Listener.Addr().String()
 	var err error
-	if c.Net, err = between.New(n, 1, func(int, int, between.Cut) {}); err != nil {
+	if c.Net, err = between.At(c.base, n, 1, func(int, int, between.Cut) {}); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() {
@@ -95,6 +108,7 @@
 				log, _ := os.ReadFile(filepath.Join(p.dir, "log"))
 				t.Logf("%s:\n%s", p.Name, log)
 			}
+			os.RemoveAll(p.dir)
 		}
 		c.Net.Close()
 		s.CloseClientConnections()
@@ -109,7 +123,7 @@
 // Place adds a place under a name, at the k-th address of the rig.
 func (c *Cluster) Place(k int, name string) *Place {
 	free := func(network string) string {
-		at := between.Bound(k).String() + ":0"
+		at := c.Bound(k).String() + ":0"
 		if network == "udp4" {
 			l, err := net.ListenPacket(network, at)
 			if err != nil {
@@ -125,7 +139,11 @@
 		defer l.Close()
 		return l.Addr().String()
 	}
-	p := &Place{Name: name, Listen: free("tcp4"), Console: free("tcp4"), at: netip.MustParseAddrPort(free("udp4")), dir: c.t.TempDir(),
+	dir, err := os.MkdirTemp("", "several-") // not the test's own: that is gone before its logs are read
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	p := &Place{Name: name, Listen: free("tcp4"), Console: free("tcp4"), at: netip.MustParseAddrPort(free("udp4")), dir: dir,
 		told: c.Net.Told(k)}
 	c.Net.Listens(k, p.at)
 	c.Places = append(c.Places, p)
