Copies: a pure core by which no op is given to two schedulers, and a play that judges it

Need: what one scheduler knows of an op dies with it. internal/copies: a claim is granted by keepers that know no other claim which may still stand; a majority of grants is the right to push. A keeper without memory has no vote until it has caught up from so many others that no majority was without them, or until all it may have granted is over; grants name the processes that vote, so that an earlier life's vote never counts beside a later one's. Copies join claim by claim; who was away asks for what changed since a position. Found by the play, each mended from its cause: one other was taken for enough to catch up from, where two are needed of three (an id given twice after two keepers had forgotten); releases told to keepers that had refused filled records with noise until copies differed. Not on sockets yet.

--- /dev/null
+++ b/internal/copies/copies.go
@@ -0,0 +1,496 @@
+// Package copies keeps the fates of ops that must not run twice at a majority of a few keepers. It takes an input with its time and
+// returns messages and outcomes; it does no input or output, reads no clock, and draws from its seed alone. docs/copies.md says what it
+// promises, and under which trouble.
+package copies
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	ms     Time = 10
+	second Time = 1000 * ms
+)
+
+// Terms are what a scheduler is told at its start.
+type Terms struct {
+	Name     string
+	Keepers  []string
+	Chance   uint64
+	Nonce    uint64 // of this process alone
+	Wait     Time   // longest time for a majority
+	Again    Time   // between two tries at a keeper that has not answered
+	Pull     Time   // between two looks at another keeper's changes
+	Remember Time   // of a record after it was first heard of
+	HoldOff  Time   // a keeper without its memory, which can't catch up, has no vote for so long: what it granted is over by then
+	Most     int    // records
+	MostSize int    // bytes of records
+}
+
+// Defaults are stated here alone.
+func Defaults() Terms {
+	return Terms{Wait: 300 * ms, Again: 40 * ms, Pull: 500 * ms, Remember: 600 * second, HoldOff: 10 * second, Most: 100_000, MostSize: 64 << 20}
+}
+
+// Fixed bounds.
+const (
+	mostKeepers = 9
+	mostClaims  = 16   // of one op: beyond them it is refused; released ones that others knew come on top
+	mostWants   = 4096 // wants without an outcome, and ends that no majority knows yet, each
+	tellTimes   = 50   // an end is told so often before it is left to the keepers' own looks
+	pieceRoom   = 1200 // bytes of records in a piece, by estimate
+	longKey     = 512
+)
+
+// Check tells what is wrong with the terms.
+func (t *Terms) Check() error {
+	switch {
+	case len(t.Keepers) == 0 || len(t.Keepers) > mostKeepers || len(t.Keepers)%2 == 0:
+		return fmt.Errorf("keepers: %d; an odd number up to %d is wanted, such as 3 or 5", len(t.Keepers), mostKeepers)
+	case t.Wait < 5*ms || t.Wait > 60*second:
+		return errors.New("wait: from 5ms to 60s")
+	case t.Remember < second || t.Remember > 7*24*3600*second:
+		return errors.New("remember: from 1s to 168h")
+	case t.HoldOff < 0 || t.HoldOff > t.Remember:
+		return errors.New("hold-off: from 0 to remember")
+	case t.Most < 1 || t.Most > 10_000_000:
+		return errors.New("most: from 1 to 10,000,000")
+	case t.MostSize < 1<<16:
+		return errors.New("most-bytes: 65,536 at least")
+	}
+	seen := map[string]bool{}
+	for _, k := range t.Keepers {
+		if k == "" || seen[k] {
+			return fmt.Errorf("keepers: %q stands twice, or is empty", k)
+		}
+		seen[k] = true
+	}
+	return nil
+}
+
+// answer is what a keeper said to one want.
+type answer struct {
+	granted bool
+	life    Life
+	voters  []Voter
+	why     Why
+	record  Record
+}
+
+// want is an op that this scheduler asks for.
+type want struct {
+	Want
+	claim   Claim
+	until   Time
+	next    Time
+	answers map[string]answer
+}
+
+// told is a fate that is being told to the keepers.
+type told struct {
+	ticket uint64
+	record Record
+	known  map[string]bool
+	times  int
+	next   Time
+}
+
+// look is how far another keeper's changes are known here.
+type look struct {
+	of         Life
+	since      uint64
+	next       Time
+	out        bool
+	outAt      Time
+	more       bool
+	registered Life // as which this process is known there
+	voting     bool
+	through    bool // its changes up to the registration are known
+	mark       uint64
+}
+
+// Core is one process's part: it asks for ops, and it is a keeper if its name is one's.
+type Core struct {
+	t     Terms
+	rand  *rand.Rand
+	now   Time
+	out   []Effect
+	epoch uint64
+
+	keeper  bool
+	serving bool
+	life    Life
+	voting  bool
+	since   Time // as this life, registered with enough others; 0 before
+	voters  map[string]Life
+	looks   map[string]*look
+
+	records map[string]*Record
+	order   []*Record // by pos; nil where a record has moved on
+	first   uint64    // pos of the first of order
+	pos     uint64
+	size    int
+	ages    []*Record // in order of since
+
+	wants  map[uint64]*want
+	mine   map[uint64]*want // granted, and not ended
+	tells  map[uint64]*told
+	gone   map[string]bool
+	counts map[string]uint64
+}
+
+// New makes a scheduler without memory. The terms have been checked.
+func New(t Terms, now Time) *Core {
+	c := &Core{t: t, rand: rand.New(rand.NewPCG(t.Chance, t.Nonce^0x636f70696573)), now: now, epoch: epochOf(t.Keepers), voters: map[string]Life{},
+		looks: map[string]*look{}, records: map[string]*Record{}, wants: map[uint64]*want{}, mine: map[uint64]*want{}, tells: map[uint64]*told{},
+		gone: map[string]bool{}, counts: map[string]uint64{}, first: 1}
+	c.keeper = slices.Contains(t.Keepers, t.Name)
+	return c
+}
+
+// epochOf names a set of keepers: who has another set has no vote in it.
+func epochOf(keepers []string) uint64 {
+	sorted := slices.Sorted(slices.Values(keepers))
+	return xxhash.Sum64String(strings.Join(sorted, "\n"))
+}
+
+// majority is how many keepers decide.
+func (c *Core) majority() int { return len(c.t.Keepers)/2 + 1 }
+
+// enough is how many other keepers meet each majority that this one may have been part of: of the others, no so many are without one
+// of it.
+func (c *Core) enough() int { return min(len(c.t.Keepers)-c.majority()+1, len(c.t.Keepers)-1) }
+
+func (c *Core) do(e Effect) { c.out = append(c.out, e) }
+
+func (c *Core) count(what string) { c.counts[what]++ }
+
+// send sends a message; one to this process itself is heard at once.
+func (c *Core) send(to string, x Message) {
+	x.Epoch = c.epoch
+	if to == c.t.Name {
+		c.hear(Heard{to, x})
+		return
+	}
+	c.do(Send{to, x})
+}
+
+// Take takes an input and returns what to do. Times never go back.
+func (c *Core) Take(now Time, in Input) []Effect {
+	c.now, c.out = max(now, c.now), c.out[:0:0]
+	switch in := in.(type) {
+	case Heard:
+		if in.From != c.t.Name {
+			c.hear(in)
+		}
+	case Want:
+		c.want(in)
+	case End:
+		c.end(in)
+	case Serving:
+		c.serve(in)
+	case Lost:
+		if c.gone[in.Name] = in.Gone; !in.Gone {
+			delete(c.gone, in.Name)
+		}
+	}
+	c.timers()
+	return c.out
+}
+
+// serve begins or ends a time as a member. A process that is none has no vote; one that is back as the same life has kept its memory.
+func (c *Core) serve(in Serving) {
+	if !in.On {
+		c.serving = false
+		return
+	}
+	life := Life{in.Life, c.t.Nonce}
+	if c.serving = true; life == c.life {
+		return
+	}
+	c.life, c.voting, c.since = life, false, 0
+	for _, k := range c.t.Keepers {
+		if k != c.t.Name {
+			c.looks[k] = &look{next: c.now}
+		}
+	}
+	if c.keeper {
+		c.voters[c.t.Name] = life
+		c.do(Noted{"has no vote until it has caught up", ""})
+	}
+}
+
+// want begins to ask for an op.
+func (c *Core) want(in Want) {
+	w := &want{Want: in, claim: Claim{c.t.Name, c.rand.Uint64()}, until: c.now + min(in.Within, c.t.Wait), answers: map[string]answer{}}
+	switch {
+	case len(c.wants) >= mostWants || len(in.Key) > longKey || in.Key == "":
+		c.count("no room to ask")
+		c.do(Decided{Ticket: in.Ticket, Outcome: Unsure, Why: Full})
+		return
+	case !c.serving:
+		c.count("asked while no member")
+		c.do(Decided{Ticket: in.Ticket, Outcome: Unsure, Why: Learning})
+		return
+	}
+	c.wants[in.Ticket] = w
+	c.ask(w)
+}
+
+// ask asks all keepers that have not answered.
+func (c *Core) ask(w *want) {
+	w.next = c.now + c.t.Again
+	for _, k := range c.t.Keepers {
+		if a, ok := w.answers[k]; !ok || !a.granted && a.why != Taken {
+			c.send(k, Message{Kind: Grab, Ticket: w.Ticket, Record: Record{Key: w.Key, Print: w.Print, Fates: []Fate{{Claim: w.claim, Stage: Claimed}}}})
+		}
+		if c.wants[w.Ticket] != w {
+			return // decided by this process's own vote
+		}
+	}
+}
+
+// grants counts the votes that count. One of a process whose place another has taken, by the word of a keeper among them, does not.
+func (c *Core) grants(w *want) (n int) {
+	newest := map[string]Life{}
+	for _, a := range w.answers {
+		if a.granted {
+			for _, v := range a.voters {
+				if v.Life.compare(newest[v.Name]) > 0 {
+					newest[v.Name] = v.Life
+				}
+			}
+		}
+	}
+	for k, a := range w.answers {
+		if a.granted && a.life.compare(newest[k]) >= 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// judge decides a want as soon as the answers allow it.
+func (c *Core) judge(w *want, last bool) {
+	if c.grants(w) >= c.majority() && c.now < w.until {
+		delete(c.wants, w.Ticket)
+		c.mine[w.Ticket] = w
+		c.count("granted")
+		c.do(Decided{Ticket: w.Ticket, Outcome: Mine})
+		return
+	}
+	refused, why := 0, Why(0)
+	all := Record{Key: w.Key, Print: w.Print}
+	other := false
+	for _, k := range c.t.Keepers {
+		a, ok := w.answers[k]
+		if !ok || a.granted {
+			continue
+		}
+		if why = max(why, a.why); a.why == Taken {
+			refused++
+			other = other || a.record.Print != w.Print
+			all, _ = Join(all, a.record)
+		}
+	}
+	if !last && len(c.t.Keepers)-refused >= c.majority() && c.now < w.until {
+		if end, ok := all.ended(); !ok || !end.Held {
+			return // a majority may still be had
+		}
+	}
+	delete(c.wants, w.Ticket)
+	c.release(w)
+	d := Decided{Ticket: w.Ticket, Outcome: Unsure, Why: why}
+	if end, ok := all.ended(); other {
+		d.Outcome = Other
+	} else if ok {
+		if d.Outcome, d.Fate = Ran, end; end.Held {
+			d.Outcome = Again
+		}
+	} else if f, ok := all.stands(w.claim); ok {
+		if d.Outcome, d.Fate = Runs, f; c.gone[f.By] {
+			d.Outcome = Unknown
+		}
+	}
+	c.count(d.Outcome.String())
+	c.do(d)
+}
+
+// release has the keepers know that a claim is not used. One that has refused it has nothing to release.
+func (c *Core) release(w *want) {
+	refused := map[string]bool{}
+	for k, a := range w.answers {
+		if !a.granted {
+			refused[k] = true
+		}
+	}
+	c.tell(w.Ticket, Record{Key: w.Key, Print: w.Print, Fates: []Fate{{Claim: w.claim, Stage: Released}}}, refused)
+}
+
+// end has the keepers know what became of an op.
+func (c *Core) end(in End) {
+	w := c.mine[in.Ticket]
+	if w == nil {
+		return
+	}
+	delete(c.mine, in.Ticket)
+	if in.Unsent {
+		c.release(w)
+		return
+	}
+	c.tell(in.Ticket, Record{Key: w.Key, Print: w.Print, Fates: []Fate{{Claim: w.claim, Stage: Ended, Verdict: in.Verdict, Result: in.Result,
+		Held: in.Held}}}, map[string]bool{})
+}
+
+// tell has those keepers know of a fate that need to.
+func (c *Core) tell(ticket uint64, r Record, known map[string]bool) {
+	if len(known) == len(c.t.Keepers) {
+		return
+	}
+	if len(c.tells) >= mostWants {
+		c.count("no room to tell") // the claim goes on standing: nobody pushes what may have run
+		return
+	}
+	t := &told{ticket: ticket, record: r, known: known}
+	c.tells[ticket] = t
+	c.tellOn(t)
+}
+
+func (c *Core) tellOn(t *told) {
+	t.times++
+	t.next = c.now + c.t.Again*Time(min(t.times, 10))
+	for _, k := range c.t.Keepers {
+		if !t.known[k] {
+			c.send(k, Message{Kind: Tell, Ticket: t.ticket, Record: t.record})
+		}
+	}
+	if len(t.known) == len(c.t.Keepers) || t.times >= tellTimes && len(t.known) >= c.majority() || t.times >= 4*tellTimes {
+		delete(c.tells, t.ticket)
+	}
+}
+
+// Next is when a Tick is due.
+func (c *Core) Next() Time {
+	at := c.now + second
+	for _, w := range c.wants {
+		at = min(at, w.next, w.until)
+	}
+	for _, t := range c.tells {
+		at = min(at, t.next)
+	}
+	if c.keeper && c.serving {
+		for _, l := range c.looks {
+			at = min(at, l.next)
+		}
+	}
+	return max(at, c.now+1)
+}
+
+// timers does what is due.
+func (c *Core) timers() {
+	for _, ticket := range due(c.wants, func(w *want) bool { return c.now >= min(w.next, w.until) }) {
+		if w := c.wants[ticket]; c.now >= w.until {
+			c.judge(w, true)
+		} else {
+			c.ask(w)
+		}
+	}
+	for _, ticket := range due(c.tells, func(t *told) bool { return c.now >= t.next }) {
+		if t := c.tells[ticket]; t != nil {
+			c.tellOn(t)
+		}
+	}
+	c.keep()
+	c.forget()
+}
+
+// due are the tickets that are, in order.
+func due[T any](all map[uint64]T, is func(T) bool) (tickets []uint64) {
+	for ticket, x := range all {
+		if is(x) {
+			tickets = append(tickets, ticket)
+		}
+	}
+	slices.Sort(tickets)
+	return tickets
+}
+
+// Shown is what staff see.
+type Shown struct {
+	Epoch   string            `json:"epoch"`
+	Keepers []string          `json:"keepers"`
+	Keeper  bool              `json:"keeper"`
+	Voting  bool              `json:"voting"`
+	Records int               `json:"records"`
+	Bytes   int               `json:"bytes"`
+	Asking  int               `json:"asking"` // ops without an outcome yet
+	Mine    int               `json:"mine"`   // granted, and not ended
+	Telling int               `json:"telling"`
+	Looks   []Look            `json:"looks"`
+	Digest  string            `json:"digest"`
+	Counts  map[string]uint64 `json:"counts"`
+}
+
+// Look is how another keeper is known.
+type Look struct {
+	Keeper  string `json:"keeper"`
+	Since   uint64 `json:"since"` // position up to which its changes are known
+	Voting  bool   `json:"voting"`
+	CaughtU bool   `json:"caught_up"`
+}
+
+// Shown is the state as of now.
+func (c *Core) Shown() Shown {
+	s := Shown{Epoch: fmt.Sprintf("%016x", c.epoch), Keepers: c.t.Keepers, Keeper: c.keeper, Voting: c.voting && c.serving, Records: len(c.records),
+		Bytes: c.size, Asking: len(c.wants), Mine: len(c.mine), Telling: len(c.tells), Digest: fmt.Sprintf("%016x", c.Digest()),
+		Counts: map[string]uint64{}, Looks: []Look{}}
+	for _, k := range c.t.Keepers {
+		if l := c.looks[k]; l != nil {
+			s.Looks = append(s.Looks, Look{k, l.since, l.voting, !l.more})
+		}
+	}
+	for k, v := range c.counts {
+		s.Counts[k] = v
+	}
+	return s
+}
+
+// Digest is the same for two keepers that hold the same fates.
+func (c *Core) Digest() (sum uint64) {
+	for _, r := range c.records {
+		for _, f := range r.Fates {
+			sum ^= xxhash.Sum64String(fmt.Sprint(r.Key, r.Print, f.By, f.Nonce, f.Stage, f.Verdict, f.Held))
+		}
+	}
+	return sum
+}
+
+// Fate is a record as it stands here, for staff.
+func (c *Core) Fate(key string) (Record, bool) {
+	r, ok := c.records[key]
+	if !ok {
+		return Record{}, false
+	}
+	return *r, true
+}
+
+// Page is some of the records, in order of their keys after one.
+func (c *Core) Page(after string, most int) (page []Record) {
+	var keys []string
+	for k := range c.records {
+		if k > after {
+			keys = append(keys, k)
+		}
+	}
+	slices.Sort(keys)
+	for _, k := range keys[:min(len(keys), most)] {
+		page = append(page, *c.records[k])
+	}
+	return page
+}
--- /dev/null
+++ b/internal/copies/keeper.go
@@ -0,0 +1,355 @@
+package copies
+
+import "slices"
+
+// hear takes a message.
+func (c *Core) hear(in Heard) {
+	x := in.Message
+	if x.Epoch != c.epoch {
+		c.count("other keepers")
+		if x.Kind == Grab {
+			c.do(Send{in.From, Message{Kind: Refused, Epoch: x.Epoch, Ticket: x.Ticket, Why: Epoch}})
+		}
+		return
+	}
+	switch x.Kind {
+	case Grab, Tell, Register, Pull:
+		if !c.keeper || !c.serving {
+			c.count("asked as no keeper")
+			return
+		}
+	case Granted, Refused, Known, Registered, Piece:
+		if !slices.Contains(c.t.Keepers, in.From) {
+			c.count("word of no keeper")
+			return
+		}
+	}
+	switch x.Kind {
+	case Grab:
+		c.grab(in)
+	case Granted, Refused:
+		c.answered(in)
+	case Tell:
+		if c.valid(x.Record) {
+			c.learn(x.Record)
+			c.send(in.From, Message{Kind: Known, Ticket: x.Ticket, Life: c.life})
+		}
+	case Known:
+		if t := c.tells[x.Ticket]; t != nil {
+			if t.known[in.From] = true; len(t.known) == len(c.t.Keepers) {
+				delete(c.tells, x.Ticket)
+			}
+		}
+	case Register:
+		c.register(in)
+	case Registered:
+		c.registered(in)
+	case Pull:
+		c.pulled(in)
+	case Piece:
+		c.piece(in)
+	}
+}
+
+func (c *Core) valid(r Record) bool {
+	ok := r.Key != "" && len(r.Key) <= longKey && len(r.Fates) > 0 && len(r.Fates) <= 4*mostClaims
+	for _, f := range r.Fates {
+		ok = ok && f.Stage >= Claimed && f.Stage <= Ended && f.By != "" && len(f.By) <= longKey
+	}
+	if !ok {
+		c.count("garbled")
+	}
+	return ok
+}
+
+// grab grants a claim, or says why not.
+func (c *Core) grab(in Heard) {
+	x := in.Message
+	if !c.valid(x.Record) || len(x.Record.Fates) != 1 {
+		return
+	}
+	claim := x.Record.Fates[0].Claim
+	refuse := func(why Why, r *Record) {
+		c.count("refused: " + why.String())
+		answer := Message{Kind: Refused, Ticket: x.Ticket, Life: c.life, Why: why}
+		if r != nil {
+			answer.Record = c.aged(r)
+		}
+		c.send(in.From, answer)
+	}
+	r := c.records[x.Record.Key]
+	switch {
+	case !c.voting:
+		refuse(Learning, nil)
+		return
+	case r == nil && (len(c.records) >= c.t.Most || c.size+x.Record.size() > c.t.MostSize):
+		refuse(Full, nil)
+		return
+	case r != nil && r.Print != x.Record.Print && r.protects():
+		refuse(Taken, r)
+		return
+	}
+	if r != nil {
+		if _, ended := r.ended(); ended {
+			refuse(Taken, r)
+			return
+		}
+		if _, other := r.stands(claim); other {
+			refuse(Taken, r)
+			return
+		}
+		if i, ok := r.find(claim); ok && r.Fates[i].Stage != Claimed {
+			refuse(Stale, nil)
+			return
+		} else if !ok && len(r.Fates) >= mostClaims {
+			refuse(Full, nil)
+			return
+		}
+		if !r.protects() {
+			r.Print = x.Record.Print // nothing of what came before ran
+		}
+	}
+	x.Record.Fates = []Fate{{Claim: claim, Stage: Claimed, Voted: true}}
+	c.learn(x.Record)
+	c.send(in.From, Message{Kind: Granted, Ticket: x.Ticket, Life: c.life, Voters: c.votersNow()})
+}
+
+// votersNow are the processes that vote, as this keeper knows them.
+func (c *Core) votersNow() (all []Voter) {
+	for _, k := range c.t.Keepers {
+		if l, ok := c.voters[k]; ok {
+			all = append(all, Voter{k, l})
+		}
+	}
+	return all
+}
+
+// answered takes a keeper's answer to a want.
+func (c *Core) answered(in Heard) {
+	w := c.wants[in.Ticket]
+	if w == nil {
+		return
+	}
+	x := in.Message
+	w.answers[in.From] = answer{granted: x.Kind == Granted, life: x.Life, voters: x.Voters, why: x.Why, record: x.Record}
+	c.judge(w, false)
+}
+
+// learn joins a record into what is known here.
+func (c *Core) learn(x Record) {
+	r := c.records[x.Key]
+	if r == nil {
+		if len(c.records) >= c.t.Most || c.size+x.size() > c.t.MostSize {
+			c.count("no room for a record") // it stays where it is known; here nothing is granted that it would forbid
+			c.voting = false
+			for _, l := range c.looks { // what finds no room now is asked for again
+				l.since, l.through = 0, false
+			}
+			return
+		}
+		age := Time(min(x.Age, uint64(c.t.Remember/second))) * second
+		r = &Record{Key: x.Key, Print: x.Print, since: c.now - age}
+		c.records[x.Key] = r
+		i, _ := slices.BinarySearchFunc(c.ages, r.since, func(a *Record, t Time) int { return int(a.since - t) })
+		c.ages = slices.Insert(c.ages, i, r)
+	} else {
+		c.size -= r.size()
+		if x.Print != r.Print {
+			if r.protects() && (&x).protects() {
+				c.count("breach: two requests under one id")
+				c.do(Noted{"two requests under one id", x.Key})
+			}
+			r.Print = max(r.Print, x.Print)
+		}
+	}
+	changed := false
+	for _, f := range x.Fates {
+		if _, known := r.find(f.Claim); !known && len(r.Fates) >= 4*mostClaims {
+			c.count("too many claims")
+			continue
+		}
+		news, breach := r.join(f)
+		if changed = changed || news; breach {
+			c.count("breach: words that can't both be true")
+			c.do(Noted{"words that can't both be true", x.Key})
+		}
+	}
+	c.size += r.size()
+	if changed {
+		c.move(r)
+	}
+}
+
+// move puts a record at the end of the order of changes.
+func (c *Core) move(r *Record) {
+	if r.pos > 0 {
+		c.order[r.pos-c.first] = nil
+	}
+	c.pos++
+	r.pos = c.pos
+	c.order = append(c.order, r)
+	holes := 0
+	for holes < len(c.order) && c.order[holes] == nil {
+		holes++
+	}
+	c.order, c.first = c.order[holes:], c.first+uint64(holes)
+}
+
+// aged is a record as it is sent.
+func (c *Core) aged(r *Record) Record {
+	x := *r
+	x.Age = uint64(max(c.now-r.since, 0) / second)
+	x.Fates = slices.Clone(r.Fates)
+	return x
+}
+
+// forget drops records in the order in which they were first heard of, when their time is over.
+func (c *Core) forget() {
+	for len(c.ages) > 0 && c.now-c.ages[0].since >= c.t.Remember {
+		r := c.ages[0]
+		c.ages = c.ages[1:]
+		c.size -= r.size()
+		delete(c.records, r.Key)
+		c.order[r.pos-c.first] = nil
+	}
+}
+
+// keep registers with the other keepers, looks at their changes, and begins to vote when that is safe.
+func (c *Core) keep() {
+	if !c.keeper || !c.serving {
+		return
+	}
+	for _, k := range c.t.Keepers {
+		l := c.looks[k]
+		if l == nil || c.now < l.next {
+			continue
+		}
+		l.next = c.now + c.t.Pull/2 + Time(c.rand.Int64N(int64(c.t.Pull)))
+		if l.registered != c.life {
+			c.send(k, Message{Kind: Register, Life: c.life})
+			l.next = c.now + c.t.Again*2
+			continue
+		}
+		c.send(k, Message{Kind: Pull, Life: c.life, Of: l.of, Since: l.since})
+	}
+	c.begin()
+}
+
+// begin gives this keeper its vote. Whatever it may have granted in an earlier life stands at one of any `enough` others that vote, and
+// these know it as the present life since before it looked; so nothing that counts can be missed, and no earlier life's vote counts
+// beside this one's. Where too few others vote, it waits until all that may have been granted is over.
+func (c *Core) begin() {
+	if c.voting || c.now < 0 {
+		return
+	}
+	caught, known := 0, 0
+	for _, k := range c.t.Keepers {
+		l := c.looks[k]
+		if l == nil || l.registered != c.life {
+			continue
+		}
+		if known++; l.voting && l.through {
+			caught++
+		}
+	}
+	if known >= c.enough() && c.since == 0 {
+		c.since = max(c.now, 1)
+	}
+	full := len(c.records) >= c.t.Most || c.size >= c.t.MostSize
+	if full || caught < c.enough() && !(known >= c.enough() && c.now-c.since >= c.t.HoldOff) {
+		return
+	}
+	c.voting = true
+	c.do(Noted{"votes", ""})
+}
+
+// register takes note of the process that votes under a keeper's name.
+func (c *Core) register(in Heard) {
+	if !slices.Contains(c.t.Keepers, in.From) {
+		return
+	}
+	if in.Life.compare(c.voters[in.From]) < 0 {
+		c.count("registration of an earlier process")
+		return
+	}
+	c.voters[in.From] = in.Life
+	c.send(in.From, Message{Kind: Registered, Life: c.life, Of: in.Life, Voting: c.voting, Voters: c.votersNow(), Next: c.pos})
+}
+
+func (c *Core) registered(in Heard) {
+	l := c.looks[in.From]
+	if l == nil || in.Of != c.life {
+		return
+	}
+	for _, v := range in.Voters {
+		if v.Name != c.t.Name && v.Life.compare(c.voters[v.Name]) > 0 {
+			c.voters[v.Name] = v.Life
+		}
+	}
+	if l.registered != c.life {
+		l.registered, l.mark, l.through = c.life, in.Next, false
+		l.voting = in.Voting
+		if l.of != in.Life {
+			l.of, l.since = in.Life, 0
+		}
+	}
+	l.next = c.now
+}
+
+// pulled answers with what has changed since a position, some of it.
+func (c *Core) pulled(in Heard) {
+	x := Message{Kind: Piece, Life: c.life, Of: c.life, Since: in.Since, Voting: c.voting}
+	if in.Of != c.life {
+		in.Since = 0 // another process's order
+		x.Since = 0
+	}
+	room, at := pieceRoom, max(in.Since+1, c.first)
+	for ; at-c.first < uint64(len(c.order)) && room > 0; at++ {
+		r := c.order[at-c.first]
+		if r == nil {
+			continue
+		}
+		if room -= r.size(); room < 0 && len(x.Records) > 0 {
+			break
+		}
+		x.Records = append(x.Records, c.aged(r))
+	}
+	x.Next, x.More = at-1, at-c.first < uint64(len(c.order))
+	c.send(in.From, x)
+}
+
+// piece takes some of another keeper's changes, and asks for the next at once where there are more.
+func (c *Core) piece(in Heard) {
+	l := c.looks[in.From]
+	if l == nil || l.registered != c.life {
+		return
+	}
+	if l.of != in.Of {
+		l.of, l.since = in.Of, 0 // it is another process: what it may have lost is asked for again
+		l.registered = Life{}
+		l.next = c.now
+		return
+	}
+	if in.Since != l.since {
+		return // of an earlier look
+	}
+	for _, r := range in.Records {
+		if c.valid(r) {
+			for i := range r.Fates {
+				r.Fates[i].Voted = false
+			}
+			c.learn(r)
+		}
+	}
+	c.counts["pulled"] += uint64(len(in.Records))
+	l.since, l.more, l.voting = in.Next, in.More, in.Voting
+	if !in.More && in.Voting && l.since >= l.mark {
+		l.through = true // all that it knew while it had its vote
+	}
+	if in.More {
+		l.next = c.now
+		c.send(in.From, Message{Kind: Pull, Life: c.life, Of: l.of, Since: l.since})
+		l.next = c.now + c.t.Pull
+	}
+	c.begin()
+}
--- /dev/null
+++ b/internal/copies/messages.go
@@ -0,0 +1,158 @@
+package copies
+
+import "cmp"
+
+// Life is one process that votes under a keeper's name: a later one has a greater number.
+type Life struct {
+	N, Nonce uint64
+}
+
+func (a Life) compare(b Life) int {
+	return cmp.Or(cmp.Compare(a.N, b.N), cmp.Compare(a.Nonce, b.Nonce))
+}
+
+// Voter is which process votes under a keeper's name, as another keeper has it.
+type Voter struct {
+	Name string
+	Life Life
+}
+
+// Kind says what a message is for.
+type Kind uint8
+
+// The kinds.
+const (
+	Grab       Kind = iota + 1 // may this claim have the op?
+	Granted                    // it may, for this keeper
+	Refused                    // it may not: Why, and what is known
+	Tell                       // a claim has come further
+	Known                      // that is known now
+	Register                   // a process votes under a keeper's name from now on, once it has caught up
+	Registered                 // it is known as that one
+	Pull                       // what has changed since a position?
+	Piece                      // some of it
+)
+
+// Why is why a keeper does not grant.
+type Why uint8
+
+// The reasons.
+const (
+	Taken    Why = iota + 1 // another claim stands, or the op has ended
+	Learning                // it has no vote: it has not caught up
+	Epoch                   // it has other keepers in its file
+	Full                    // it has no room for a record more
+	Stale                   // this very claim was released
+)
+
+func (w Why) String() string {
+	return map[Why]string{Taken: "taken", Learning: "has no vote yet", Epoch: "other keepers", Full: "no room", Stale: "released"}[w]
+}
+
+// Message is what a scheduler and a keeper, or two keepers, tell each other.
+type Message struct {
+	Kind    Kind
+	Epoch   uint64
+	Ticket  uint64 // of a Grab or a Tell, for its answer
+	Life    Life   // of the keeper that sends it
+	Voters  []Voter
+	Record  Record // what it is about: of a Grab or Tell with one fate
+	Why     Why
+	Voting  bool
+	Of      Life // Pull and Piece: whose order of changes
+	Since   uint64
+	Next    uint64
+	More    bool
+	Records []Record
+}
+
+// Input is one of Heard, Tick, Want, End, Serving and Views.
+type Input interface{ input() }
+
+// Heard is a message of another member, or of this process itself.
+type Heard struct {
+	From string
+	Message
+}
+
+// Tick says that the moment of Next has come.
+type Tick struct{}
+
+// Want asks for an op: whether it may be pushed.
+type Want struct {
+	Ticket uint64 // the caller's own, never used twice
+	Key    string
+	Print  uint64
+	Within Time // to be decided
+}
+
+// End says how an op ended that was granted.
+type End struct {
+	Ticket  uint64
+	Unsent  bool // it is proved that nothing of it ran: its id may be claimed again
+	Verdict uint8
+	Result  []byte
+	Held    bool
+}
+
+// Serving says whether this process is a member now, and as which life.
+type Serving struct {
+	On   bool
+	Life uint64
+}
+
+// Lost says that a scheduler is gone, or is back; it changes what a client is told and nothing else.
+type Lost struct {
+	Name string
+	Gone bool
+}
+
+func (Heard) input()   {}
+func (Tick) input()    {}
+func (Want) input()    {}
+func (End) input()     {}
+func (Serving) input() {}
+func (Lost) input()    {}
+
+// Effect is one of Send, Decided and Noted.
+type Effect interface{ effect() }
+
+// Send has a message sent to a member.
+type Send struct {
+	To string
+	Message
+}
+
+// Outcome is what became of a Want.
+type Outcome uint8
+
+// The outcomes.
+const (
+	Mine    Outcome = iota + 1 // it may be pushed, by nobody else
+	Again                      // it has ended, and here is the answer
+	Ran                        // it has ended, and the answer was not held
+	Runs                       // another scheduler has it
+	Unknown                    // it may have run, and its scheduler is gone
+	Other                      // another request came under this id
+	Unsure                     // no majority has answered in time: nothing is claimed
+)
+
+func (o Outcome) String() string {
+	return map[Outcome]string{Mine: "mine", Again: "again", Ran: "ran", Runs: "runs", Unknown: "unknown", Other: "another request",
+		Unsure: "unsure"}[o]
+}
+
+// Decided is the outcome of a Want.
+type Decided struct {
+	Ticket  uint64
+	Outcome Outcome
+	Fate    Fate // Again, Ran, Runs and Unknown
+	Why     Why  // Unsure: what a keeper said
+}
+
+// Noted is something that staff want to know.
+type Noted struct{ What, Of string }
+
+func (Send) effect()    {}
+func (Decided) effect() {}
+func (Noted) effect()   {}
--- /dev/null
+++ b/internal/copies/play/play_test.go
@@ -0,0 +1,248 @@
+package play
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+
+	"woaddyke/internal/copies"
+)
+
+func cluster(n, keepers int, seed uint64) *Play {
+	p := New(n, keepers, seed)
+	for i := range n {
+		p.Start(i)
+	}
+	p.Run(6 * Second)
+	return p
+}
+
+// outcome has one scheduler ask and tells what it was told.
+func (p *Play) outcome(i int, key string) copies.Outcome {
+	k := len(p.History)
+	p.Want(i, key)
+	p.Run(p.now + Second)
+	for _, op := range p.History[k:] {
+		if op.Key == key && op.What == "asked" && op.By == p.places[i].name {
+			return op.Outcome
+		}
+	}
+	return 0
+}
+
+// Whatever fails, and whenever: no op is given to two schedulers. SEED repeats a seed that failed, PLAYS plays more.
+func TestDrawnTroubles(t *testing.T) {
+	first, last := uint64(1), uint64(300)
+	if v, err := strconv.ParseUint(os.Getenv("PLAYS"), 10, 64); err == nil {
+		last = v
+	}
+	if v, err := strconv.ParseUint(os.Getenv("SEED"), 10, 64); err == nil {
+		first, last = v, v
+	}
+	granted := 0
+	for seed := first; seed <= last; seed++ {
+		keepers := 3
+		if seed%3 == 0 {
+			keepers = 5
+		}
+		p := New(6, keepers, seed)
+		r := p.Rand
+		p.Loss, p.Dup, p.Delay = []float64{0, 0.05, 0.2}[r.IntN(3)], 0.05, Time(2+r.IntN(200))
+		for i := range 6 {
+			p.At(Time(r.IntN(5000)), func() { p.Start(i) })
+		}
+		end := 25 * Second
+		for at := 3500 * MS; at < end; at += Time(r.IntN(1500)) {
+			// An id comes again within two seconds, which is less than keepers without memory hold off.
+			i, key := r.IntN(6), fmt.Sprint("op", at/(2*Second), "-", r.IntN(3))
+			p.At(at, func() { p.Want(i, key) })
+			if r.IntN(2) == 0 { // the same id at another at the same moment, or nearly so
+				j := r.IntN(6)
+				p.At(at+Time(r.IntN(30)), func() { p.Want(j, key) })
+			}
+		}
+		busy := make([]Time, 6)
+		for at := 4 * Second; at < end; at += Time(r.IntN(20_000)) {
+			i, j, last := r.IntN(6), r.IntN(6), Time(r.IntN(40_000))
+			switch kind := r.IntN(5); {
+			case kind < 3 && busy[i] > at || i == j:
+			case kind == 0:
+				busy[i] = at + last + Second
+				p.At(at, func() { p.Kill(i) })
+				p.At(at+last, func() { p.Start(i) })
+			case kind == 1:
+				busy[i] = at + last + Second
+				p.At(at, func() { p.Pause(i) })
+				p.At(at+last, func() { p.Resume(i) })
+			case kind == 2:
+				busy[i] = at + 6*Second
+				p.At(at, func() { p.Pause(i); p.Depose(i, Time(r.IntN(30_000))) })
+			default:
+				p.At(at, func() { p.Cut(i, j, true) })
+				p.At(at+last, func() { p.Cut(i, j, false) })
+				if kind == 4 {
+					p.At(at, func() { p.Cut(j, i, true) })
+					p.At(at+last, func() { p.Cut(j, i, false) })
+				}
+			}
+		}
+		p.Run(end + 12*Second)
+		granted += p.Granted
+		for _, b := range p.Breaches {
+			t.Errorf("seed %d: %s (SEED=%d repeats it)", seed, b, seed)
+		}
+		p.Loss, p.Dup = 0, 0
+		p.Run(end + 50*Second) // by then the latest of all messages has come
+		digest := ""
+		for i := range keepers {
+			c := p.Core(i)
+			if c == nil {
+				continue
+			}
+			if s := c.Shown(); digest == "" {
+				digest = s.Digest
+			} else if s.Digest != digest {
+				t.Errorf("seed %d: at rest the copies of n%d differ", seed, i)
+			} else if !s.Voting {
+				t.Errorf("seed %d: at rest n%d has no vote", seed, i)
+			}
+		}
+		if t.Failed() {
+			return
+		}
+	}
+	if granted < 20*int(last-first+1) {
+		t.Errorf("only %d ops were granted: this proves little", granted)
+	}
+}
+
+func wants(t *testing.T, got, want copies.Outcome) {
+	t.Helper()
+	if got != want {
+		t.Errorf("%v, not %v", got, want)
+	}
+}
+
+// The same id at three schedulers at one moment: one has it at the most, and nobody twice.
+func TestTheSameIDAtOnce(t *testing.T) {
+	for seed := range uint64(200) {
+		p := cluster(6, 3, seed)
+		for i := range 3 {
+			p.Want(3+i, "x")
+		}
+		p.Run(p.now + 2*Second)
+		mine := 0
+		for _, op := range p.History {
+			if op.Outcome == copies.Mine {
+				mine++
+			}
+		}
+		if mine > 1 || len(p.Breaches) > 0 {
+			t.Fatalf("seed %d: %d have it, %v", seed, mine, p.Breaches)
+		}
+	}
+}
+
+// The claimer is killed: its claim stands, and whoever comes next is told that it may have run.
+func TestAClaimerThatIsKilled(t *testing.T) {
+	p := cluster(5, 3, 1)
+	p.Terms.Remember = 600 * Second
+	c := p.Core(4)
+	p.Want(4, "x")
+	p.Run(p.now + 20*MS)
+	if c.Shown().Mine != 1 {
+		t.Fatal("not granted")
+	}
+	p.Kill(4)
+	wants(t, p.outcome(3, "x"), copies.Runs)
+	for i := range 4 {
+		p.feed(p.places[i], p.places[i].core, copies.Lost{Name: "n4", Gone: true})
+	}
+	wants(t, p.outcome(3, "x"), copies.Unknown)
+}
+
+// Half the keepers gone: nothing is granted, and nothing is guessed.
+func TestAMajorityLostAndBack(t *testing.T) {
+	p := cluster(5, 3, 1)
+	p.Kill(0)
+	wants(t, p.outcome(4, "a"), copies.Mine)
+	p.Kill(1)
+	wants(t, p.outcome(4, "b"), copies.Unsure)
+	p.Start(0)
+	p.Start(1)
+	p.Run(p.now + 500*MS)
+	wants(t, p.outcome(4, "c"), copies.Unsure) // two keepers without their memory: one that has it is too few
+	p.Run(p.now + 5*Second)
+	wants(t, p.outcome(4, "c"), copies.Mine)
+	if got := p.outcome(3, "a"); got == copies.Mine {
+		t.Errorf("what was claimed before is given again")
+	}
+}
+
+// A keeper that comes back without its memory has no vote before it has caught up, and then knows what it knew.
+func TestAKeeperThatForgot(t *testing.T) {
+	p := cluster(5, 3, 1)
+	for k := range 40 {
+		p.Want(4, fmt.Sprint("x", k))
+	}
+	p.Run(p.now + 2*Second)
+	p.Kill(2)
+	p.Start(2)
+	if p.Core(2).Shown().Voting {
+		t.Error("it votes without its memory")
+	}
+	p.Run(p.now + 3*Second)
+	if s := p.Core(2).Shown(); !s.Voting || s.Records != 40 || s.Digest != p.Core(0).Shown().Digest {
+		t.Errorf("after 3 s: %+v", s)
+	}
+}
+
+// Catch-up costs by what was missed and not by what is kept.
+func TestCatchUpIsInProportion(t *testing.T) {
+	p := cluster(5, 3, 1)
+	for k := range 2000 {
+		p.At(p.now+Time(k*10), func() { p.Want(4, fmt.Sprint("x", k)) })
+	}
+	p.Run(p.now + 10*Second)
+	for i := range 5 {
+		p.Cut(i, 2, true)
+		p.Cut(2, i, true)
+	}
+	for k := range 50 {
+		p.Want(4, fmt.Sprint("y", k))
+	}
+	p.Run(p.now + 8*Second)
+	p.Records = 0
+	for i := range 5 {
+		p.Cut(i, 2, false)
+		p.Cut(2, i, false)
+	}
+	p.Run(p.now + 5*Second)
+	if p.Core(2).Shown().Digest != p.Core(0).Shown().Digest {
+		t.Error("the copies differ")
+	}
+	if p.Records > 4*50 { // from two others each, and each end is news too
+		t.Errorf("%d records were sent for 50 that were missed", p.Records)
+	}
+}
+
+// Full: what is new is refused, and nothing that protects an op is dropped.
+func TestFullKeepersRefuse(t *testing.T) {
+	p := New(4, 3, 1)
+	p.Terms.Most = 10
+	for i := range 4 {
+		p.Start(i)
+	}
+	p.Run(6 * Second)
+	for k := range 10 {
+		wants(t, p.outcome(3, fmt.Sprint("x", k)), copies.Mine)
+	}
+	wants(t, p.outcome(3, "one more"), copies.Unsure)
+	for k := range 10 {
+		p.outcome(3, fmt.Sprint("x", k))
+	}
+	if len(p.Breaches) > 0 {
+		t.Error(p.Breaches)
+	}
+}
--- /dev/null
+++ b/internal/copies/record.go
@@ -0,0 +1,139 @@
+package copies
+
+import (
+	"cmp"
+	"slices"
+
+	"woaddyke/internal/members"
+)
+
+// Time is a moment in tenths of a millisecond on a clock that only goes forward, as members take it.
+type Time = members.Time
+
+// Stage is how far a claim has come. A later one stands over an earlier one.
+type Stage uint8
+
+// The stages. A claim that stands may be used: nobody else takes it for unsent, however long its scheduler has been silent.
+const (
+	Claimed  Stage = iota + 1 // its scheduler may push, and may have pushed
+	Released                  // its scheduler has proved that nothing was pushed, or that what was did not run, and pushes no more
+	Ended                     // the op has its answer
+)
+
+func (s Stage) String() string {
+	return map[Stage]string{Claimed: "claimed", Released: "released", Ended: "ended"}[s]
+}
+
+// Claim is one scheduler's claim of one op.
+type Claim struct {
+	By    string // the scheduler
+	Nonce uint64 // of this claim alone
+}
+
+// Fate is what is known of one claim.
+type Fate struct {
+	Claim
+	Stage   Stage
+	Verdict uint8  // Ended: the status that its client was answered
+	Result  []byte // Ended: what its client was answered; nil where it was not held
+	Held    bool   // the result is all of the answer
+	Voted   bool   // here: this keeper has granted it
+}
+
+// joinFate is the rule for two words of one claim. Of two that can't both be true the one that sends nothing stands.
+func joinFate(a, b Fate) (c Fate, breach bool) {
+	breach = a.Stage != b.Stage && min(a.Stage, b.Stage) == Released || a.Stage == Ended && b.Stage == Ended && a.Verdict != b.Verdict
+	c = a
+	if cmp.Or(cmp.Compare(a.Stage, b.Stage), cmp.Compare(a.Verdict, b.Verdict), compareHeld(a, b)) < 0 {
+		c = b
+	}
+	c.Voted = a.Voted || b.Voted
+	return c, breach
+}
+
+func compareHeld(a, b Fate) int {
+	switch {
+	case a.Held == b.Held:
+		return slices.Compare(a.Result, b.Result)
+	case a.Held:
+		return 1
+	}
+	return -1
+}
+
+// Record is all that is known of one op: every claim of it that anybody has heard of. Two records join claim by claim.
+type Record struct {
+	Key   string
+	Print uint64 // of the request that came first under this id
+	Age   uint64 // seconds since it was first heard of, on the wire
+	Fates []Fate // in order of claims
+
+	since Time
+	pos   uint64 // in the order of changes here
+}
+
+func compareClaims(a, b Claim) int {
+	return cmp.Or(cmp.Compare(a.By, b.By), cmp.Compare(a.Nonce, b.Nonce))
+}
+
+// find is where a claim stands, or would.
+func (r *Record) find(c Claim) (int, bool) {
+	return slices.BinarySearchFunc(r.Fates, c, func(f Fate, c Claim) int { return compareClaims(f.Claim, c) })
+}
+
+// join takes in a fate; it tells whether that changed anything that others should hear.
+func (r *Record) join(f Fate) (changed, breach bool) {
+	i, ok := r.find(f.Claim)
+	if !ok {
+		r.Fates = slices.Insert(r.Fates, i, f)
+		return true, false
+	}
+	before := r.Fates[i]
+	r.Fates[i], breach = joinFate(before, f)
+	after := r.Fates[i]
+	return after.Stage != before.Stage || after.Held != before.Held || after.Verdict != before.Verdict, breach
+}
+
+// stands is the claim that may still be used, other than one; false where there is none.
+func (r *Record) stands(but Claim) (Fate, bool) {
+	for _, f := range r.Fates {
+		if f.Stage == Claimed && f.Claim != but {
+			return f, true
+		}
+	}
+	return Fate{}, false
+}
+
+// ended is the end of the op, of several the one with a result.
+func (r *Record) ended() (end Fate, ok bool) {
+	for _, f := range r.Fates {
+		if f.Stage == Ended && (!ok || f.Held && !end.Held) {
+			end, ok = f, true
+		}
+	}
+	return end, ok
+}
+
+// protects tells whether forgetting the record could have an op run twice.
+func (r *Record) protects() bool {
+	return slices.ContainsFunc(r.Fates, func(f Fate) bool { return f.Stage != Released })
+}
+
+func (r *Record) size() int {
+	n := len(r.Key) + 64
+	for _, f := range r.Fates {
+		n += len(f.By) + len(f.Result) + 48
+	}
+	return n
+}
+
+// Join is the rule for two copies of a record.
+func Join(a, b Record) (Record, bool) {
+	c := Record{Key: a.Key, Print: max(a.Print, b.Print), Age: max(a.Age, b.Age), Fates: slices.Clone(a.Fates)}
+	breach := a.Print != b.Print
+	for _, f := range b.Fates {
+		_, bad := c.join(f)
+		breach = breach || bad
+	}
+	return c, breach
+}
