--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -98,6 +98,42 @@
 	}
 }
 
+// A process that was away for longer than a doubt lasts says nothing as a member before it has asked: it may not be one any more.
+func TestWhoWasAwayAsksFirst(t *testing.T) {
+	m, _ := member(t)
+	asked := false
+	for _, e := range m.Take(m.due+5*second, Tick{}) {
+		switch e := e.(type) {
+		case Send:
+			if asked = true; e.Kind != Ask {
+				t.Errorf("it sends %+v", e.Message)
+			}
+		case Open:
+			t.Errorf("it opens a stream: %+v", e.Message)
+		}
+	}
+	if !asked {
+		t.Error("it does not ask")
+	}
+}
+
+// Where datagrams are lost and streams come through, a member is here.
+func TestAStreamAnswersForAMember(t *testing.T) {
+	m, other := member(t)
+	seq := uint64(100)
+	for m.now < 60*second {
+		for _, e := range m.Take(m.due, Tick{}) {
+			if o, ok := e.(Open); ok && o.Kind == Ping {
+				seq++
+				m.Take(m.now, Heard{Message{Kind: Ack, Cluster: "c", From: other, Seq: seq, Nonce: o.Nonce}, 7})
+			}
+		}
+		if got := m.stateOf("b"); got != Here {
+			t.Fatalf("at %d it is %v", m.now, got)
+		}
+	}
+}
+
 // The wall clock is no part of this; an input with an earlier time than the last must not turn anything back.
 func TestAClockThatIsSetBack(t *testing.T) {
 	m, _ := member(t)
