Copies on sockets: asked at the door, for staff, and over a takeover

Need: the core of copies has no sockets and nobody who asks it. internal/fates runs it; the mesh carries its messages from processes that are known as they are, and reads them; the front asks before an at-most-once op reaches the reducer, so the module sees nothing of it: a refusal is an answer at the door. The operator's table copies switches it on, over members. woaddyke copies, --id and verify show it.

--- /dev/null
+++ b/cmd/woaddyke/copies.go
@@ -0,0 +1,115 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"net/url"
+	"os"
+	"sort"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+
+	"woaddyke/internal/fates"
+)
+
+// errDiffer ends verify where copies are not the same.
+var errDiffer = errors.New("the copies differ")
+
+func showCopies() *cobra.Command {
+	var at, id, category string
+	c := &cobra.Command{Use: "copies", Short: "Show what one scheduler holds of the fates of ops, or an id's fate", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			out := c.OutOrStdout()
+			if id != "" {
+				var p page
+				q := url.Values{"id": {id}, "category": {category}}
+				if err := ask(at, "/api/copies/records?"+q.Encode(), &p); err != nil {
+					return err
+				}
+				if len(p.Rows) == 0 {
+					fmt.Fprintln(out, "nothing is known of it there")
+				}
+				w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+				fmt.Fprintln(w, "CLAIM OF\tSTAGE\tSTATUS\tANSWER HELD\tCLAIM")
+				for _, r := range p.Rows {
+					fmt.Fprintf(w, "%s\t%s\t%d\t%v\t%s\n", r.By, r.Stage, r.Status, r.Held, r.Claim)
+				}
+				return w.Flush()
+			}
+			var s fates.Shown
+			if err := ask(at, "/api/copies", &s); err != nil {
+				return err
+			}
+			fmt.Fprintf(out, "keepers %s, epoch %s\n", strings.Join(s.Keepers, ", "), s.Epoch)
+			fmt.Fprintf(out, "keeper here: %v, with a vote: %v; %d records, %d bytes, digest %s\n", s.Keeper, s.Voting, s.Records, s.Bytes, s.Digest)
+			fmt.Fprintf(out, "asking for %d ops, holding %d, telling of %d; %s\n", s.Asking, s.Mine, s.Telling, counts(s.Counts))
+			for _, l := range s.Looks {
+				fmt.Fprintf(out, "knows %s up to %d, with a vote: %v, caught up: %v\n", l.Keeper, l.Since, l.Voting, l.CaughtUp)
+			}
+			return nil
+		}}
+	c.PersistentFlags().StringVar(&at, "console", os.Getenv("RELAY_CONSOLE"), "the scheduler's second address; for verify those of all keepers, with commas")
+	c.Flags().StringVar(&id, "id", "", "show the fate of the op with this id")
+	c.Flags().StringVar(&category, "category", "", "of that op")
+	c.AddCommand(verify(&at))
+	return c
+}
+
+// verify compares all copies and names differences: a claim that may still be used, or an end, that one keeper does not have.
+func verify(at *string) *cobra.Command {
+	return &cobra.Command{Use: "verify", Short: "Compare the copies of several keepers, and name differences", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			addrs := strings.Split(*at, ",")
+			if len(addrs) < 2 {
+				return errors.New("--console: the second addresses of two keepers at least, with commas")
+			}
+			all := map[string]map[string]string{} // claim, address, stage
+			for _, addr := range addrs {
+				after := ""
+				for {
+					var p page
+					if err := ask(addr, "/api/copies/records?after="+url.QueryEscape(after), &p); err != nil {
+						return err
+					}
+					for _, r := range p.Rows {
+						k := fmt.Sprintf("%s %s of %s (%s)", r.Category, r.ID, r.By, r.Claim)
+						if all[k] == nil {
+							all[k] = map[string]string{}
+						}
+						all[k][addr] = fmt.Sprint(r.Stage, " ", r.Status)
+					}
+					if after = p.Next; after == "" {
+						break
+					}
+				}
+			}
+			keys := make([]string, 0, len(all))
+			for k := range all {
+				keys = append(keys, k)
+			}
+			sort.Strings(keys)
+			differ := 0
+			for _, k := range keys {
+				stages, row := map[string]bool{}, ""
+				for _, addr := range addrs {
+					stage := all[k][addr]
+					if stage == "" {
+						stage = "unknown"
+					}
+					stages[stage] = true
+					row += fmt.Sprintf("; %s: %s", addr, stage)
+				}
+				if len(stages) > 1 {
+					differ++
+					fmt.Fprintf(c.OutOrStdout(), "%s%s\n", k, row)
+				}
+			}
+			fmt.Fprintf(c.OutOrStdout(), "%d claims at %d keepers, %d differ\n", len(keys), len(addrs), differ)
+			if differ > 0 {
+				return errDiffer
+			}
+			return nil
+		}}
+}
--- a/cmd/woaddyke/main.go
+++ b/cmd/woaddyke/main.go
@@ -23,7 +23,7 @@
 func command() *cobra.Command {
 	root := &cobra.Command{Use: "woaddyke", Short: "Pushes ops to workers, beside each submitter",
 		SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(serve(), check(), showMembers(), version())
+	root.AddCommand(serve(), check(), showMembers(), showCopies(), version())
 	return root
 }
 
--- a/cmd/woaddyke/member.go
+++ b/cmd/woaddyke/member.go
@@ -1,10 +1,11 @@
 package main
 
 import (
+	"net/http"
 	"syscall"
-	"time"
 
 	"woaddyke/internal/console"
+	"woaddyke/internal/fates"
 	"woaddyke/internal/handover"
 	"woaddyke/internal/handover/pass"
 	"woaddyke/internal/members"
@@ -12,8 +13,6 @@
 	"woaddyke/internal/ops"
 )
 
-const leaveTime = 400 * time.Millisecond // for telling the others that this process ends
-
 // join makes this process a member, on the sockets of the one before where it gave some.
 func (p *process) join(legacy *pass.Legacy, state handover.State) (err error) {
 	t := p.offers.Members
@@ -31,6 +30,9 @@
 		host.Spoken = func(number int, text string) { p.front.Others(ops.Told{By: number, Text: text}) }
 		host.Changed = p.changed
 	}
+	if err := p.keep(state.Heirs, &host); err != nil {
+		return err
+	}
 	if legacy != nil && len(state.Members) > 0 && len(legacy.Files) > 2 {
 		files := legacy.Files[len(legacy.Files)-2:]
 		if p.mesh, err = mesh.Inherit(t, who, host, p.log, state.Members, files); err == nil {
@@ -49,6 +51,36 @@
 	if p.offers.Members.Words {
 		p.front.Speak(p.mesh.Say)
 	}
+	if p.fates != nil {
+		p.fates.Start(p.mesh)
+		p.front.Guard(p.fates, p.guards)
+	}
+}
+
+// keep has the fates of ops stand at keepers, where the operator's file says so.
+func (p *process) keep(heirs uint64, host *mesh.Host) (err error) {
+	t := p.offers.Copies
+	if t == nil {
+		return nil
+	}
+	if p.fates, err = fates.New(t, p.sheet.Name, p.sheet.Chance, heirs, p.log); err != nil {
+		return err
+	}
+	host.Copied, host.Serving = p.fates.Heard, p.fates.Serving
+	changed := host.Changed
+	host.Changed = func(c members.Changed) {
+		p.fates.Gone(c.Name, c.State.Ended())
+		if changed != nil {
+			changed(c)
+		}
+	}
+	return nil
+}
+
+// guards tells whether ops of a category are asked for at the keepers.
+func (p *process) guards(category string) bool {
+	effect := p.front.Effect(category)
+	return effect == "at-most-once" || effect == "deduplicated" && p.offers.Copies.Deduplicated
 }
 
 // changed has the front take notice of who came and who is gone.
@@ -77,7 +109,9 @@
 		p.log.Warn().Err(err).Msg("membership is not handed over")
 		return nil
 	}
-	state.Members = text
+	if state.Members = text; p.fates != nil {
+		state.Heirs = p.fates.Heirs()
+	}
 	return sockets
 }
 
@@ -88,10 +122,31 @@
 	}
 }
 
+// page is some of the records of copies.
+type page struct {
+	Rows []fates.Row `json:"rows"`
+	Next string      `json:"next"` // the key to go on after; empty where there are no more
+}
+
+// records answers with one id's records, or with some of all.
+func (p *process) records(r *http.Request) any {
+	q := r.URL.Query()
+	if id := q.Get("id"); id != "" {
+		return page{Rows: p.fates.Of(q.Get("category"), id)}
+	}
+	var x page
+	x.Rows, x.Next = p.fates.Page(q.Get("after"))
+	return x
+}
+
 // calls are the console's for what is switched on.
 func (p *process) calls() (calls []console.Call) {
 	if p.mesh != nil {
-		calls = append(calls, console.Call{Path: "/api/members", Answer: func() any { return p.mesh.Shown() }})
+		calls = append(calls, console.Call{Path: "/api/members", Answer: func(*http.Request) any { return p.mesh.Shown() }})
+	}
+	if p.fates != nil {
+		calls = append(calls, console.Call{Path: "/api/copies", Answer: func(*http.Request) any { return p.fates.Shown() }},
+			console.Call{Path: "/api/copies/records", Answer: p.records})
 	}
 	return calls
 }
--- a/cmd/woaddyke/operator.go
+++ b/cmd/woaddyke/operator.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 
+	"woaddyke/internal/fates"
 	"woaddyke/internal/mesh"
 	"woaddyke/internal/operator"
 	"woaddyke/internal/terms"
@@ -11,7 +12,8 @@
 
 // offers are the tables of the operator's file. What is nil is off: no socket, no goroutine and no timer.
 type offers struct {
-	Members *mesh.Table `toml:"members"`
+	Members *mesh.Table  `toml:"members"`
+	Copies  *fates.Table `toml:"copies"`
 }
 
 // readOffers reads the operator's file; without one nothing is offered.
@@ -21,6 +23,7 @@
 	}
 	var named struct { // which tables are there: the others keep no defaults
 		Members *map[string]any `toml:"members"`
+		Copies  *map[string]any `toml:"copies"`
 	}
 	all := func() error { return nil }
 	if err := operator.Read(path, &named, all); err != nil {
@@ -30,12 +33,18 @@
 	if named.Members != nil {
 		o.Members = mesh.Defaults()
 	}
+	if named.Copies != nil {
+		o.Copies = fates.Defaults()
+	}
 	return o, operator.Read(path, o, func() error { return o.check(sheet) })
 }
 
 func (o *offers) check(sheet *terms.Sheet) error {
 	t := o.Members
 	if t == nil {
+		if o.Copies != nil {
+			return &operator.Fault{Table: "copies", Key: "keepers", Err: errors.New("copies need a table members")}
+		}
 		return nil
 	}
 	if err := t.Check(); err != nil {
@@ -49,5 +58,8 @@
 			return &operator.Fault{Table: "members", Key: "words", Err: fmt.Errorf("words: %w", err)}
 		}
 	}
+	if o.Copies != nil {
+		return o.Copies.Check(sheet.LongestTTL())
+	}
 	return nil
 }
--- a/cmd/woaddyke/process.go
+++ b/cmd/woaddyke/process.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sys/unix"
 
+	"woaddyke/internal/fates"
 	"woaddyke/internal/front"
 	"woaddyke/internal/handover"
 	"woaddyke/internal/handover/pass"
@@ -28,8 +29,9 @@
 	log   zerolog.Logger
 
 	offers offers
-	mesh   *mesh.Mesh // nil where the operator's file has no members
-	stop   func()     // ends this process as SIGTERM does
+	mesh   *mesh.Mesh   // nil where the operator's file has no members
+	fates  *fates.Fates // nil where it has no copies
+	stop   func()       // ends this process as SIGTERM does
 
 	mu      sync.Mutex
 	offered io.Closer // ends the offer that is on
@@ -153,5 +155,8 @@
 	if p.mesh != nil {
 		p.mesh.Resume()
 	}
+	if p.fates != nil {
+		p.fates.Resumed()
+	}
 	p.offer()
 }
--- a/cmd/woaddyke/serve.go
+++ b/cmd/woaddyke/serve.go
@@ -54,6 +54,9 @@
 			if p.mesh != nil {
 				defer p.mesh.Close()
 				defer context.AfterFunc(ctx, p.leave)()
+				if p.fates != nil {
+					defer p.fates.Close()
+				}
 			}
 			go func() {
 				for range reread {
--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -439,10 +439,10 @@
 
 // Look is how another keeper is known.
 type Look struct {
-	Keeper  string `json:"keeper"`
-	Since   uint64 `json:"since"` // position up to which its changes are known
-	Voting  bool   `json:"voting"`
-	CaughtU bool   `json:"caught_up"`
+	Keeper   string `json:"keeper"`
+	Since    uint64 `json:"since"` // position up to which its changes are known
+	Voting   bool   `json:"voting"`
+	CaughtUp bool   `json:"caught_up"`
 }
 
 // Shown is the state as of now.
--- a/internal/copies/messages.go
+++ b/internal/copies/messages.go
@@ -90,7 +90,7 @@
 type End struct {
 	Ticket  uint64
 	Unsent  bool // it is proved that nothing of it ran: its id may be claimed again
-	Verdict uint8
+	Verdict uint16
 	Result  []byte
 	Held    bool
 }
--- a/internal/copies/record.go
+++ b/internal/copies/record.go
@@ -34,7 +34,7 @@
 type Fate struct {
 	Claim
 	Stage   Stage
-	Verdict uint8  // Ended: the status that its client was answered
+	Verdict uint16 // Ended: the status that its client was answered
 	Result  []byte // Ended: what its client was answered; nil where it was not held
 	Held    bool   // the result is all of the answer
 	Voted   bool   // here: this keeper has granted it
--- /dev/null
+++ b/internal/fates/fates.go
@@ -0,0 +1,283 @@
+package fates
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
+
+	"woaddyke/internal/copies"
+	"woaddyke/internal/members"
+)
+
+const (
+	mostWaiting = 4096 // inputs that wait for the loop; messages beyond them are lost, as datagrams are
+	pageSize    = 500  // records that staff read at once
+	lateTime    = time.Second
+)
+
+// Way sends a message to a member.
+type Way interface {
+	Copy(to string, x copies.Message)
+	Now() members.Time
+}
+
+// Fates is one process's part.
+type Fates struct {
+	table   *Table
+	log     zerolog.Logger
+	core    *copies.Core
+	way     Way
+	in      chan copies.Input
+	calls   chan func()
+	quit    chan struct{}
+	ended   chan struct{}
+	once    sync.Once
+	tickets atomic.Uint64
+	lost    atomic.Uint64
+
+	mu      sync.Mutex
+	waiting map[uint64]chan copies.Decided
+	heirs   uint64
+	life    uint64
+	serving bool
+}
+
+// New makes a process's part; it does nothing before Start. A process that took over says how many did before it.
+func New(t *Table, name string, chance, heirs uint64, log zerolog.Logger) (*Fates, error) {
+	var room [8]byte
+	if _, err := crand.Read(room[:]); err != nil {
+		return nil, fmt.Errorf("copies: %w", err)
+	}
+	f := &Fates{table: t, log: log, in: make(chan copies.Input, mostWaiting), calls: make(chan func()), quit: make(chan struct{}),
+		ended: make(chan struct{}), waiting: map[uint64]chan copies.Decided{}, heirs: heirs}
+	f.core = copies.New(t.terms(name, chance, binary.BigEndian.Uint64(room[:])|1), 0)
+	return f, nil
+}
+
+// Start runs it over the mesh.
+func (f *Fates) Start(way Way) {
+	f.way = way
+	go f.loop()
+}
+
+// Close ends it.
+func (f *Fates) Close() {
+	f.once.Do(func() { close(f.quit) })
+	<-f.ended
+}
+
+func (f *Fates) loop() {
+	defer close(f.ended)
+	tick := time.NewTimer(0)
+	defer tick.Stop()
+	for {
+		select {
+		case <-f.quit:
+			return
+		case call := <-f.calls:
+			call()
+			continue
+		case in := <-f.in:
+			f.step(in)
+		case <-tick.C:
+			f.step(copies.Tick{})
+		}
+		tick.Reset(max(time.Duration(f.core.Next()-f.way.Now())*members.Tenth, 0))
+	}
+}
+
+func (f *Fates) step(in copies.Input) {
+	for _, e := range f.core.Take(f.way.Now(), in) {
+		switch e := e.(type) {
+		case copies.Send:
+			f.way.Copy(e.To, e.Message)
+		case copies.Decided:
+			f.mu.Lock()
+			c := f.waiting[e.Ticket]
+			delete(f.waiting, e.Ticket)
+			f.mu.Unlock()
+			if c != nil {
+				c <- e
+			} else if e.Outcome == copies.Mine { // nobody waits for it any more, and nothing was pushed
+				f.tell(copies.End{Ticket: e.Ticket, Unsent: true})
+			}
+		case copies.Noted:
+			f.log.Info().Str("what", e.What).Str("of", e.Of).Msg("copies")
+		}
+	}
+}
+
+func (f *Fates) tell(in copies.Input) bool {
+	select {
+	case f.in <- in:
+		return true
+	default:
+		f.lost.Add(1)
+		return false
+	}
+}
+
+// Heard takes a message of another member. It waits for nothing.
+func (f *Fates) Heard(from string, x copies.Message) { f.tell(copies.Heard{From: from, Message: x}) }
+
+// Serving says whether this process is a member, and in which incarnation. An heir, and a process whose heir has ended, is another
+// voter than the one before: what that one granted meanwhile it does not know.
+func (f *Fates) Serving(on bool, incarnation uint64) {
+	f.mu.Lock()
+	f.serving = on
+	if on {
+		f.life = incarnation
+	}
+	life := f.life<<16 + f.heirs
+	f.mu.Unlock()
+	go f.must(copies.Serving{On: on, Life: life})
+}
+
+// Resumed says that the process that was to take over has ended.
+func (f *Fates) Resumed() {
+	f.mu.Lock()
+	f.heirs += 2
+	on, life := f.serving, f.life
+	f.mu.Unlock()
+	f.Serving(on, life)
+}
+
+// Heirs is how many processes were heirs before the next one.
+func (f *Fates) Heirs() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.heirs + 1
+}
+
+// Gone says that a member is no more, or is back.
+func (f *Fates) Gone(name string, gone bool) { go f.must(copies.Lost{Name: name, Gone: gone}) }
+
+// must hands on what may not be lost.
+func (f *Fates) must(in copies.Input) {
+	select {
+	case f.in <- in:
+	case <-f.ended:
+	}
+}
+
+// Ask asks whether an op may be pushed, and waits for the outcome: at most as long as the table says.
+func (f *Fates) Ask(ctx context.Context, category, id string, request []byte, within time.Duration) copies.Decided {
+	ticket := f.tickets.Add(1)
+	c := make(chan copies.Decided, 1)
+	f.mu.Lock()
+	f.waiting[ticket] = c
+	f.mu.Unlock()
+	unsure := copies.Decided{Ticket: ticket, Outcome: copies.Unsure}
+	if !f.tell(copies.Want{Ticket: ticket, Key: category + "\x00" + id, Print: xxhash.Sum64(request), Within: members.Span(within)}) {
+		f.mu.Lock()
+		delete(f.waiting, ticket)
+		f.mu.Unlock()
+		return unsure
+	}
+	late := time.NewTimer(time.Duration(f.table.Wait) + lateTime)
+	defer late.Stop()
+	select {
+	case d := <-c:
+		return d
+	case <-ctx.Done():
+	case <-late.C: // the loop stood still
+	case <-f.ended:
+	}
+	f.mu.Lock()
+	delete(f.waiting, ticket) // a grant that comes yet is given back
+	f.mu.Unlock()
+	select {
+	case d := <-c:
+		if d.Outcome == copies.Mine {
+			f.End(ticket, true, 0, nil)
+		}
+	default:
+	}
+	return unsure
+}
+
+// End says what became of an op that was granted. A longer answer than the table says is not held.
+func (f *Fates) End(ticket uint64, unsent bool, status int, answer []byte) {
+	e := copies.End{Ticket: ticket, Unsent: unsent, Verdict: uint16(status)}
+	if !unsent && status != 0 && len(answer) <= f.table.ResultBytes {
+		e.Result, e.Held = append([]byte{}, answer...), true
+	}
+	f.must(e)
+}
+
+// Shown is what staff see.
+type Shown struct {
+	copies.Shown
+	Lost uint64 `json:"inputs_lost"` // for want of room
+}
+
+func (f *Fates) call(do func()) {
+	done := make(chan struct{})
+	select {
+	case f.calls <- func() { do(); close(done) }:
+		<-done
+	case <-f.ended:
+	}
+}
+
+// Shown is the state as of now.
+func (f *Fates) Shown() (s Shown) {
+	f.call(func() { s = Shown{f.core.Shown(), f.lost.Load()} })
+	return s
+}
+
+// Row is one claim of an op, for staff.
+type Row struct {
+	Category string `json:"category"`
+	ID       string `json:"id"`
+	By       string `json:"by"`
+	Claim    string `json:"claim"`
+	Stage    string `json:"stage"`
+	Status   int    `json:"status,omitempty"`
+	Held     bool   `json:"held,omitempty"`
+}
+
+// Page is some of the records in order, from after a key on, and the key to go on after; empty where there are no more.
+func (f *Fates) Page(after string) (rows []Row, next string) {
+	f.call(func() {
+		page := f.core.Page(after, pageSize)
+		for _, r := range page {
+			rows = append(rows, rowsOf(r)...)
+		}
+		if len(page) == pageSize {
+			next = page[len(page)-1].Key
+		}
+	})
+	return rows, next
+}
+
+// Of are the rows of one id.
+func (f *Fates) Of(category, id string) (rows []Row) {
+	f.call(func() {
+		if r, ok := f.core.Fate(category + "\x00" + id); ok {
+			rows = rowsOf(r)
+		}
+	})
+	return rows
+}
+
+func rowsOf(r copies.Record) (rows []Row) {
+	category, id := r.Key, ""
+	for i := range r.Key {
+		if r.Key[i] == 0 {
+			category, id = r.Key[:i], r.Key[i+1:]
+			break
+		}
+	}
+	for _, x := range r.Fates {
+		rows = append(rows, Row{category, id, x.By, fmt.Sprintf("%016x", x.Nonce), x.Stage.String(), int(x.Verdict), x.Held})
+	}
+	return rows
+}
--- /dev/null
+++ b/internal/fates/table.go
@@ -0,0 +1,66 @@
+// Package fates keeps the fates of ops on real time: it runs the core of copies, sends what that asks for over the mesh, and answers the
+// front's door. internal/copies decides.
+package fates
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"woaddyke/internal/copies"
+	"woaddyke/internal/members"
+	"woaddyke/internal/operator"
+)
+
+// Table is the part of the operator's file that is called copies.
+type Table struct {
+	Keepers      []string      `toml:"keepers"`      // names of members that hold copies: 3 or 5, the same for all
+	Deduplicated bool          `toml:"deduplicated"` // ops of deduplicated categories are guarded too
+	Wait         operator.Span `toml:"wait"`         // longest time for a majority, before an op is nacked
+	Again        operator.Span `toml:"again"`        // between two tries at a keeper that does not answer
+	Pull         operator.Span `toml:"pull"`         // between two looks at another keeper's changes
+	Remember     operator.Span `toml:"remember"`     // of an id, from when it first came
+	HoldOff      operator.Span `toml:"hold_off"`     // keepers that lost their memory together have no vote for so long
+	Most         int           `toml:"most"`         // ids
+	MostBytes    int           `toml:"most_bytes"`
+	ResultBytes  int           `toml:"result_bytes"` // longer answers are not held
+}
+
+const longestResult = 2 << 10 // so that a message with one fits a datagram of the mesh
+
+// Defaults is a table as it is where the file leaves keys out.
+func Defaults() *Table {
+	d := copies.Defaults()
+	span := func(t copies.Time) operator.Span { return operator.Span(time.Duration(t) * members.Tenth) }
+	return &Table{Wait: span(d.Wait), Again: span(d.Again), Pull: span(d.Pull), Remember: span(d.Remember), HoldOff: span(d.HoldOff),
+		Most: d.Most, MostBytes: d.MostSize, ResultBytes: 1 << 10}
+}
+
+// Check tells what is wrong. An id must not come again after keepers without memory vote again while its first op may still be out.
+func (t *Table) Check(longest time.Duration) error {
+	fault := func(key string, err error) error { return &operator.Fault{Table: "copies", Key: key, Err: err} }
+	terms := t.terms("n", 1, 1)
+	if err := terms.Check(); err != nil {
+		key, text, _ := strings.Cut(err.Error(), ": ")
+		return fault(map[string]string{"most-bytes": "most_bytes", "hold-off": "hold_off"}[key]+map[bool]string{true: key}[!strings.Contains(key, "-")],
+			errors.New(text))
+	}
+	switch {
+	case t.Again <= 0 || t.Again > t.Wait:
+		return fault("again", errors.New("from above 0 to wait"))
+	case time.Duration(t.Pull) < 10*time.Millisecond:
+		return fault("pull", errors.New("10ms at least"))
+	case time.Duration(t.HoldOff) < longest:
+		return fault("hold_off", fmt.Errorf("shorter than the longest time to live, %v", longest))
+	case t.ResultBytes < 0 || t.ResultBytes > longestResult:
+		return fault("result_bytes", fmt.Errorf("from 0 to %d", longestResult))
+	}
+	return nil
+}
+
+func (t *Table) terms(name string, chance, nonce uint64) copies.Terms {
+	span := func(s operator.Span) copies.Time { return members.Span(time.Duration(s)) }
+	return copies.Terms{Name: name, Keepers: t.Keepers, Chance: chance, Nonce: nonce, Wait: span(t.Wait), Again: span(t.Again),
+		Pull: span(t.Pull), Remember: span(t.Remember), HoldOff: span(t.HoldOff), Most: t.Most, MostSize: t.MostBytes}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -62,6 +62,8 @@
 	places  int                         // categories that were taken up since the start
 	drain   *drainer
 	peersAt *net.UDPConn // that of the process before, nil without one
+	fates   Fates        // nil: this scheduler alone knows its ops
+	guarded func(category string) bool
 }
 
 type heldKey struct{}
@@ -176,6 +178,9 @@
 // Figures are what staff read. They wait for nothing.
 func (f *Front) Figures() tally.Figures { return f.tally.Figures() }
 
+// Effect is how often an op of a category may run, by the settings in force.
+func (f *Front) Effect(category string) string { return f.inForce.Load().Effect(category) }
+
 // Ready is closed when this process can serve: it takes clients, and discovery has told it of the workers. One whose
 // discovery says nothing serves by the list that it remembers.
 func (f *Front) Ready() <-chan struct{} { return f.ready }
@@ -207,7 +212,7 @@
 		f.places += len(sheet.Categories())
 		f.tally.Serves(sheet.Categories())
 		// What comes for a category that is served no more was sent before its client knew, or is its next try.
-		until := time.Now().Add(longestOf(before))
+		until := time.Now().Add(before.LongestTTL())
 		f.loop.tell(ops.Retuned{Site: sheet.Site, Until: terms.Down(f.loop.clock.nanos(until))})
 	}
 	f.inForce.Store(sheet)
@@ -219,7 +224,7 @@
 // one that the machine had accepted counts as taken, and the scheduler that it would turn to may be down still. With an
 // heir, that one accepts from the same socket, so this process does no more, and no client need be sent away.
 func (f *Front) stop(s *http.Server, within time.Duration) {
-	within = min(within, longestOf(f.inForce.Load())) + stopSlack/3
+	within = min(within, f.inForce.Load().LongestTTL()) + stopSlack/3
 	by := time.Now().Add(within)
 	heir := f.heir.Load()
 	f.stopping.Store(!heir)
@@ -251,14 +256,6 @@
 	f.log.Info().Int("open", open).Int("dialed", dialed).Msg("stopped")
 }
 
-// longestOf is the longest TTL of a site's categories: no op taken under them is out for longer.
-func longestOf(s *terms.Sheet) (longest time.Duration) {
-	for i := 0; s.Site[terms.Item("categories", i, "ttl")] != nil; i++ {
-		longest = max(longest, s.Span(terms.Item("categories", i, "ttl"), 0))
-	}
-	return longest
-}
-
 // ServeHTTP answers health checks, takes ops and turns away what is none.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	came := time.Now()
@@ -357,6 +354,13 @@
 	if !ok {
 		return nil, errors.New("a request that holds no op")
 	}
+	ticket := uint64(0)
+	if f.fates != nil && f.guarded(h.Category) {
+		var no *http.Response
+		if ticket, no = f.guard(r, h); no != nil {
+			return no, nil
+		}
+	}
 	h.Op, h.request.Head = f.numbers.Add(1), requestHead(r, h)
 	f.loop.in <- message{in: h.Arrived, held: h}
 	select {
@@ -364,9 +368,15 @@
 		if a.Verdict == ops.Acked {
 			f.clients.Served(r.Context())
 		}
+		if ticket != 0 {
+			f.settle(ticket, a)
+		}
 		return response(r, a), nil
 	case <-r.Context().Done():
 		f.loop.tell(ops.Left{Op: h.Op})
+		if ticket != 0 {
+			f.fates.End(ticket, false, 0, nil) // it may have run; nobody knows
+		}
 		return nil, r.Context().Err()
 	}
 }
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -17,6 +17,7 @@
 	Known   json.RawMessage `json:"known"`   // the workers as of now, in discovery's form
 	Learned json.RawMessage `json:"learned"` // what ops.Learned says, empty where nothing could be asked
 	Drained bool            `json:"drained"` // its staff have sent its clients away
+	Heirs   uint64          `json:"heirs"`   // processes that were heirs before this one, of copies
 	Members []byte          `json:"members"` // what it is to other schedulers; its two sockets come last. Empty: nothing
 }
 
--- a/internal/lab/between/net.go
+++ b/internal/lab/between/net.go
@@ -14,7 +14,7 @@
 
 // Bounds of the rig's own memory and descriptors.
 const (
-	longestDatagram = 2048
+	longestDatagram = 16 << 10
 	mostFlying      = 50_000 // datagrams on their way, over all links
 	mostStreams     = 2048
 	dialTime        = 2 * time.Second
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -520,6 +520,12 @@
 	Counts map[string]uint64 `json:"counts"`
 }
 
+// Me is what this process says of itself.
+func (m *Members) Me() Claim { return m.me }
+
+// Asks tells whether it was away and does not know yet what it missed.
+func (m *Members) Asks() bool { return m.phase == asking }
+
 // Own is how this process itself is.
 func (m *Members) Own() Own {
 	o := Own{Name: m.me.Name, Addr: m.me.Addr, State: m.me.State, Life: m.me.Life, Turn: m.me.Turn, Live: len(m.live), Deaf: m.deaf,
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sys/unix"
 
+	"woaddyke/internal/copies"
 	"woaddyke/internal/members"
 )
 
@@ -37,7 +38,9 @@
 type Host struct {
 	Changed func(members.Changed)
 	Spoken  func(number int, text string)
-	Ended   func(superseded bool) // this process is a member no more; once for each time
+	Ended   func(superseded bool)               // this process is a member no more; once for each time
+	Serving func(on bool, incarnation uint64)   // it is a member as of now, or is not
+	Copied  func(from string, x copies.Message) // from a member as it is known here; called from the reader of datagrams
 }
 
 // Mesh is one process's part in a cluster.
@@ -58,6 +61,7 @@
 	answered chan struct{}
 	opened   chan struct{}
 	silent   atomic.Bool // its heir speaks
+	asks     bool        // it was away, and does not know yet what it missed
 
 	mu      sync.Mutex
 	streams map[uint64]*stream
@@ -65,9 +69,16 @@
 	dropped map[string]uint64
 	toldAt  time.Time
 	show    atomic.Pointer[Shown]
+	book    atomic.Pointer[book]
 	readers sync.WaitGroup
 }
 
+// book is who is known, for those who don't wait for the loop.
+type book struct {
+	me members.Claim
+	by map[string]members.Seen
+}
+
 // clock is the machine's time since its start: it goes on while a process stands still, and while the machine sleeps, and nobody
 // can set it back.
 type clock struct{}
@@ -182,6 +193,9 @@
 	m.log.Info().Str("member", terms.Name).Str("listen", udp.LocalAddr().String()).Str("address", addr).Msg("joining")
 	m.snapshot()
 	m.listen()
+	if l != nil && host.Serving != nil {
+		host.Serving(true, l.Me.Incarnation)
+	}
 	go m.loop()
 	return m, nil
 }
@@ -226,7 +240,7 @@
 	if m.silent.Load() {
 		return
 	}
-	changed := false
+	changed, serving := false, false
 	for _, e := range m.core.Take(m.clock.now(), in) {
 		switch e := e.(type) {
 		case members.Send:
@@ -251,17 +265,25 @@
 		case members.Settled:
 			own := m.core.Own()
 			m.log.Info().Uint64("incarnation", own.Incarnation).Int("live", own.Live).Msg("is a member")
+			changed, serving = true, true
 		case members.Ended:
 			changed = true
+			if m.host.Serving != nil {
+				m.host.Serving(false, 0)
+			}
 			m.log.Info().Bool("superseded", e.Superseded).Msg("is a member no more")
 			if m.host.Ended != nil {
 				m.host.Ended(e.Superseded)
 			}
 		}
 	}
-	if changed {
+	if me := m.core.Me(); changed || me != m.book.Load().me {
 		m.snapshot()
 	}
+	if asks := m.core.Asks(); m.host.Serving != nil && (serving || asks != m.asks) {
+		m.asks = asks
+		m.host.Serving(!asks, m.core.Me().Incarnation)
+	}
 }
 
 // snapshot keeps what staff see.
@@ -279,6 +301,11 @@
 	}
 	m.mu.Unlock()
 	m.show.Store(s)
+	b := &book{me: m.core.Me(), by: make(map[string]members.Seen, len(s.Members))}
+	for _, x := range s.Members {
+		b.by[x.Name] = x.Seen
+	}
+	m.book.Store(b)
 }
 
 // Shown is the view as it was a moment ago. It waits for nothing.
@@ -367,7 +394,7 @@
 }
 
 func (m *Mesh) datagrams() {
-	room := make([]byte, longestDatagram+1)
+	room := make([]byte, longestCopies+1)
 	for {
 		n, from, err := m.udp.ReadFromUDPAddrPort(room)
 		if err != nil {
@@ -376,6 +403,10 @@
 			}
 			continue // one datagram's trouble, such as a port that refused
 		}
+		if n > 1 && room[1] == copiesMark {
+			m.copied(room[:n], n > longestCopies, from.Addr())
+			continue
+		}
 		x, err := m.read(room[:n], n > longestDatagram, from.Addr())
 		if err != nil {
 			m.drop(err)
@@ -385,6 +416,55 @@
 	}
 }
 
+// copied hands on a message of copies, if it comes from the process that is known under its sender's name.
+func (m *Mesh) copied(text []byte, long bool, from netip.Addr) {
+	err := errTooLong
+	var w wireCopies
+	if !m.table.inside(from) {
+		err = errOutside
+	} else if !long {
+		w, err = decodeCopies(text)
+	}
+	b := m.book.Load()
+	switch seen, known := b.by[w.From.Name]; {
+	case err != nil:
+		m.drop(err)
+	case w.Cluster != m.table.Cluster:
+		m.drop(errors.New("wrong cluster"))
+	case m.host.Copied == nil:
+		m.drop(errors.New("copies are off here"))
+	case !known || seen.Life != (members.Life{Incarnation: w.From.Incarnation, Nonce: w.From.Nonce}):
+		m.drop(errors.New("not the process that is known"))
+	case b.me.State == members.Here:
+		m.host.Copied(w.From.Name, w.Message)
+	}
+}
+
+// Copy sends a message of copies to a member; it is lost where that one is not known. After Give only what became of ops is sent: the
+// heir votes.
+func (m *Mesh) Copy(to string, x copies.Message) {
+	b := m.book.Load()
+	seen, known := b.by[to]
+	if !known || b.me.State != members.Here || m.silent.Load() && x.Kind != copies.Tell {
+		return
+	}
+	addr, err := netip.ParseAddrPort(seen.Addr)
+	if err != nil || !m.table.inside(addr.Addr()) {
+		return
+	}
+	text, err := encodeCopies(m.table.Cluster, b.me, x)
+	if err == nil && len(text) > longestCopies {
+		err = errTooLong
+		m.drop(err)
+	}
+	if err == nil {
+		_, err = m.udp.WriteToUDPAddrPort(text, addr)
+	}
+	if err != nil {
+		m.log.Debug().Err(err).Str("to", to).Msg("message lost")
+	}
+}
+
 func (m *Mesh) read(text []byte, long bool, from netip.Addr) (members.Message, error) {
 	if !m.table.inside(from) {
 		return members.Message{}, errOutside
@@ -545,3 +625,6 @@
 	default:
 	}
 }
+
+// Now is the mesh's own clock.
+func (m *Mesh) Now() members.Time { return m.clock.now() }
--- a/internal/mesh/wire.go
+++ b/internal/mesh/wire.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
+	"woaddyke/internal/copies"
 	"woaddyke/internal/members"
 )
 
@@ -17,7 +18,8 @@
 const (
 	version         = 1
 	headSize        = 2 + 1 + 8
-	longestDatagram = 1900
+	longestDatagram = 1900 // of members; one of copies may hold an answer, and is parted by the network where it is longer
+	longestCopies   = 8 << 10
 	claimSize       = 640 // of a claim at its longest, in a message on a stream
 	streamBase      = 64 << 10
 	mostClaims      = 1 << 16
@@ -59,8 +61,8 @@
 }
 
 var strict = func() cbor.DecMode {
-	mode, err := cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF, MaxNestedLevels: 6, MaxArrayElements: mostClaims,
-		MaxMapPairs: 16, IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden,
+	mode, err := cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF, MaxNestedLevels: 10, MaxArrayElements: mostClaims,
+		MaxMapPairs: 20, IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden,
 		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField}.DecMode()
 	if err != nil {
 		panic(err) // the options are constants
@@ -89,25 +91,16 @@
 	if err != nil {
 		return nil, fmt.Errorf("mesh: %w", err)
 	}
-	text := make([]byte, headSize, headSize+len(body))
-	text[0], text[1], text[2] = 'w', 'm', version
-	binary.BigEndian.PutUint64(text[3:], xxhash.Sum64(body))
-	return append(text, body...), nil
+	return headed('m', body), nil
 }
 
 // decode reads a message. Addresses in it that nobody may be told anything at make it unfit as a whole: a member led to one would
 // send there.
 func decode(text []byte, inside func(netip.Addr) bool) (members.Message, error) {
 	var x members.Message
-	if len(text) < headSize || text[0] != 'w' || text[1] != 'm' {
-		return x, errGarbled
-	}
-	if text[2] != version {
-		return x, errVersion
-	}
-	body := text[headSize:]
-	if xxhash.Sum64(body) != binary.BigEndian.Uint64(text[3:]) {
-		return x, errGarbled
+	body, err := bodyOf('m', text)
+	if err != nil {
+		return x, err
 	}
 	var w wireMessage
 	if err := strict.Unmarshal(body, &w); err != nil {
@@ -158,6 +151,52 @@
 	return l, nil
 }
 
+// wireCopies is a message of copies, with who sends it. The pure types stand in it as they are: their names are the keys.
+type wireCopies struct {
+	Cluster string         `cbor:"1,keyasint"`
+	From    wireClaim      `cbor:"2,keyasint"`
+	Message copies.Message `cbor:"3,keyasint"`
+}
+
+const copiesMark = 'c' // in place of the second letter
+
+func encodeCopies(cluster string, from members.Claim, x copies.Message) ([]byte, error) {
+	body, err := cbor.Marshal(wireCopies{Cluster: cluster, From: toWire(from), Message: x})
+	if err != nil {
+		return nil, fmt.Errorf("mesh: %w", err)
+	}
+	return headed(copiesMark, body), nil
+}
+
+func decodeCopies(text []byte) (w wireCopies, err error) {
+	body, err := bodyOf(copiesMark, text)
+	if err == nil && strict.Unmarshal(body, &w) != nil {
+		err = errGarbled
+	}
+	return w, err
+}
+
+// headed puts the head before a body.
+func headed(mark byte, body []byte) []byte {
+	text := make([]byte, headSize, headSize+len(body))
+	text[0], text[1], text[2] = 'w', mark, version
+	binary.BigEndian.PutUint64(text[3:], xxhash.Sum64(body))
+	return append(text, body...)
+}
+
+// bodyOf checks the head and takes it off.
+func bodyOf(mark byte, text []byte) ([]byte, error) {
+	switch {
+	case len(text) < headSize || text[0] != 'w' || text[1] != mark:
+		return nil, errGarbled
+	case text[2] != version:
+		return nil, errVersion
+	case xxhash.Sum64(text[headSize:]) != binary.BigEndian.Uint64(text[3:]):
+		return nil, errGarbled
+	}
+	return text[headSize:], nil
+}
+
 // writeFrame and readFrame are of streams.
 func writeFrame(w io.Writer, text []byte) error {
 	head := binary.BigEndian.AppendUint32(make([]byte, 0, 4+len(text)), uint32(len(text)))
--- a/internal/terms/sheet.go
+++ b/internal/terms/sheet.go
@@ -232,6 +232,25 @@
 	}
 }
 
+// Effect is how often an op of a category may run, in the platform's word; empty for a category that is not served.
+func (s *Sheet) Effect(category string) string {
+	for i, name := range s.Categories() {
+		if name == category {
+			effect, _ := s.Site[Item("categories", i, "effect")].(string)
+			return effect
+		}
+	}
+	return ""
+}
+
+// LongestTTL is that of all categories: no op is out for longer.
+func (s *Sheet) LongestTTL() (longest time.Duration) {
+	for i := 0; s.Site[Item("categories", i, "ttl")] != nil; i++ {
+		longest = max(longest, s.Span(Item("categories", i, "ttl"), 0))
+	}
+	return longest
+}
+
 // Schedulers is how many there are, 1 where the settings do not tell.
 func (s *Sheet) Schedulers() int {
 	n, _ := s.Site["instances"].(float64)
