Copies: tests of real processes with keepers killed, stopped and cut off, and a run without copies beside

Need: replication has to be proven by tests that start several processes and break things between them. cmd/woaddyke, one worker that counts runs: a scheduler killed in the push (once with copies, twice without: the need is seen), the same id at once at three, another request under an id, a majority lost and back, a keeper without memory that decides alone with one other, a claimer cut off, a takeover.

--- /dev/null
+++ b/cmd/woaddyke/copies_test.go
@@ -0,0 +1,281 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"woaddyke/internal/lab/between"
+	"woaddyke/internal/lab/several"
+)
+
+// bench is a worker that counts how often each op began, and holds those whose id begins with "hold" until it is told.
+type bench struct {
+	mu    sync.Mutex
+	runs  map[string]int
+	go_   chan struct{}
+	began chan string
+}
+
+func (b *bench) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodGet {
+		fmt.Fprintln(w, `{"waiting":0,"running":0}`)
+		return
+	}
+	io.Copy(io.Discard, r.Body)
+	id := r.Header.Get("X-Correlation-Id")
+	b.mu.Lock()
+	b.runs[id]++
+	b.mu.Unlock()
+	if strings.HasPrefix(id, "hold") {
+		b.began <- id
+		select {
+		case <-b.go_:
+		case <-r.Context().Done():
+			return
+		}
+	}
+	fmt.Fprintf(w, `{"id":%q,"state":"done","result":%q}`+"\n", id, "result of "+id)
+}
+
+func (b *bench) ran(id string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.runs[id]
+}
+
+// guarded starts schedulers beside one worker; the first three are keepers unless copies are off.
+func guarded(t *testing.T, n int, on bool) (*several.Cluster, *bench) {
+	t.Helper()
+	b := &bench{runs: map[string]int{}, go_: make(chan struct{}), began: make(chan string, 99)}
+	worker := httptest.NewServer(b)
+	t.Cleanup(worker.Close)
+	t.Cleanup(worker.CloseClientConnections)
+	offer := quick
+	if on {
+		offer += "[copies]\nkeepers = [\"n1\", \"n2\", \"n3\"]\npull = \"50ms\"\nhold_off = \"5s\"\nwait = \"500ms\"\n"
+	}
+	c := several.New(t, n, offer, fmt.Sprintf(`{"rev":1,"all":true,"targets":[{"uid":"w","endpoint":%q,"state":"SERVING"}]}`,
+		worker.Listener.Addr()), thisProgram)
+	for _, p := range c.Places {
+		c.Start(p)
+	}
+	c.AwaitWhole(c.Places...)
+	for _, p := range c.Places {
+		c.Await("all are ready, and keepers have their votes", func() bool {
+			var s struct{ Keeper, Voting bool }
+			return p.Get("/api/ready", nil) && (!on || p.Get("/api/copies", &s) && s.Keeper == s.Voting)
+		})
+	}
+	return c, b
+}
+
+// post sends an op and returns its answer; status 0 for a connection that broke.
+func post(p *several.Place, category, id, body string) (int, string) {
+	r, _ := http.NewRequest(http.MethodPost, "http://"+p.Listen+"/", strings.NewReader(body))
+	r.Header = http.Header{"X-Correlation-Id": {id}, "X-Service-Class": {category}, "X-Time-Left-Ms": {"4500"}}
+	client := http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(r)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(text)
+}
+
+// The need: a scheduler is killed in the push, and its client asks another one with the same id. Without copies it runs twice.
+func TestAnOpWhoseSchedulerIsKilledRunsOnce(t *testing.T) {
+	t.Parallel()
+	for _, on := range []bool{true, false} {
+		t.Run(fmt.Sprint("copies ", on), func(t *testing.T) {
+			t.Parallel()
+			c, b := guarded(t, 4, on)
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				post(c.Places[3], "pay", "hold-1", "x")
+			}()
+			<-b.began
+			c.Places[3].Kill()
+			<-done
+			if !on {
+				close(b.go_) // the second run ends
+				if status, text := post(c.Places[0], "pay", "hold-1", "x"); status != http.StatusOK || b.ran("hold-1") != 2 {
+					t.Errorf("without copies: %d %q, %d runs: this test proves nothing", status, text, b.ran("hold-1"))
+				}
+				return
+			}
+			if status, text := post(c.Places[0], "pay", "hold-1", "x"); status != http.StatusServiceUnavailable && status != http.StatusBadGateway {
+				t.Errorf("while its scheduler may live: %d %q", status, text)
+			}
+			c.AwaitState("n4", "gone", c.Places[:3]...)
+			if status, text := post(c.Places[1], "pay", "hold-1", "x"); status != http.StatusBadGateway {
+				t.Errorf("after its scheduler is gone: %d %q", status, text)
+			}
+			if n := b.ran("hold-1"); n != 1 {
+				t.Errorf("it ran %d times", n)
+			}
+		})
+	}
+}
+
+// An id that comes again elsewhere gets the first answer; another request under it is refused; at once at two, it runs once.
+func TestAnIDThatComesAgain(t *testing.T) {
+	t.Parallel()
+	c, b := guarded(t, 4, true)
+	status, first := post(c.Places[0], "pay", "a", "x")
+	for _, p := range c.Places {
+		if got, text := post(p, "pay", "a", "x"); got != status || status != http.StatusOK || text != first {
+			t.Errorf("at %s: %d %q, first %d %q", p.Name, got, text, status, first)
+		}
+	}
+	if got, text := post(c.Places[2], "pay", "a", "y"); got != http.StatusUnprocessableEntity {
+		t.Errorf("another request under the same id: %d %q", got, text)
+	}
+	var all sync.WaitGroup
+	for k := range 30 {
+		for i := range 3 {
+			all.Go(func() { post(c.Places[(k+i)%4], "pay", fmt.Sprint("b", k), "x") })
+		}
+	}
+	all.Wait()
+	ran := 0
+	for k := range 30 {
+		n := b.ran(fmt.Sprint("b", k))
+		if n > 1 {
+			t.Errorf("b%d ran %d times", k, n)
+		}
+		ran += n
+	}
+	if b.ran("a") != 1 || ran < 10 {
+		t.Errorf("a ran %d times, of 30 asked for three times at once %d ran", b.ran("a"), ran)
+	}
+	c.Await("copies are the same", func() bool {
+		var out bytes.Buffer
+		cmd := command()
+		cmd.SetOut(&out)
+		cmd.SetArgs([]string{"copies", "verify", "--console", c.Places[0].Console + "," + c.Places[1].Console + "," + c.Places[2].Console})
+		return cmd.Execute() == nil && strings.Contains(out.String(), " 0 differ")
+	})
+}
+
+// Without a majority nothing that must not run twice is pushed; what may goes on. A keeper that comes back catches up and votes.
+func TestAMajorityOfKeepersLostAndBack(t *testing.T) {
+	t.Parallel()
+	c, b := guarded(t, 4, true)
+	if status, _ := post(c.Places[3], "pay", "a", "x"); status != http.StatusOK {
+		t.Fatalf("%d", status)
+	}
+	c.Places[0].Kill()
+	if status, text := post(c.Places[3], "pay", "b", "x"); status != http.StatusOK {
+		t.Errorf("with two of three keepers: %d %q", status, text)
+	}
+	c.Places[1].Signal(syscall.SIGSTOP)
+	if status, text := post(c.Places[3], "pay", "c", "x"); status != http.StatusServiceUnavailable || b.ran("c") != 0 {
+		t.Errorf("with one of three keepers: %d %q, ran %d times", status, text, b.ran("c"))
+	}
+	if status, text := post(c.Places[3], "look", "d", "x"); status != http.StatusOK {
+		t.Errorf("a redeliverable op meanwhile: %d %q", status, text)
+	}
+	c.Places[1].Signal(syscall.SIGCONT)
+	c.Await("ops are taken again", func() bool {
+		status, _ := post(c.Places[3], "pay", "c", "x")
+		return status == http.StatusOK
+	})
+	c.Start(c.Places[0])
+	c.Await("the keeper that forgot has its vote", func() bool {
+		var s struct{ Voting bool }
+		return c.Places[0].Get("/api/copies", &s) && s.Voting
+	})
+	c.Places[2].Kill() // now the one that forgot decides
+	if status, text := post(c.Places[3], "pay", "a", "x"); status != http.StatusOK || text != "result of a" {
+		t.Errorf("an id of before: %d %q", status, text)
+	}
+	for _, id := range []string{"a", "b", "c"} {
+		if n := b.ran(id); n != 1 {
+			t.Errorf("%s ran %d times", id, n)
+		}
+	}
+}
+
+// A claimer that is cut off from all but its client and the worker has its op; nobody else gets that one while it lasts, nor after.
+func TestAClaimerThatIsCutOff(t *testing.T) {
+	t.Parallel()
+	c, b := guarded(t, 4, true)
+	done := make(chan int)
+	go func() {
+		status, _ := post(c.Places[3], "pay", "hold-1", "x")
+		done <- status
+	}()
+	<-b.began
+	for i := range 3 {
+		c.Net.Cut(3, i, between.Silent)
+		c.Net.Cut(i, 3, between.Silent)
+	}
+	c.AwaitState("n4", "gone", c.Places[:3]...)
+	if status, text := post(c.Places[0], "pay", "hold-1", "x"); status != http.StatusBadGateway {
+		t.Errorf("at another: %d %q", status, text)
+	}
+	if status, _ := post(c.Places[3], "pay", "new", "x"); status != http.StatusServiceUnavailable || b.ran("new") > 0 {
+		t.Errorf("a new op at the one that is cut off: %d, ran %d times", status, b.ran("new"))
+	}
+	close(b.go_)
+	if status := <-done; status != http.StatusOK {
+		t.Errorf("the first client: %d", status)
+	}
+	for i := range 3 {
+		c.Net.Cut(3, i, between.Open)
+		c.Net.Cut(i, 3, between.Open)
+	}
+	c.Await("its end is known", func() bool {
+		status, text := post(c.Places[1], "pay", "hold-1", "x")
+		return status == http.StatusOK && text == "result of hold-1"
+	})
+	if n := b.ran("hold-1"); n != 1 {
+		t.Errorf("it ran %d times", n)
+	}
+}
+
+// What was claimed before a takeover is known after it, by the process that took over too.
+func TestATakeoverKeepsClaims(t *testing.T) {
+	t.Parallel()
+	c, b := guarded(t, 3, true)
+	p := c.Places[0]
+	if status, _ := post(p, "pay", "a", "x"); status != http.StatusOK {
+		t.Fatal(status)
+	}
+	first, ended := p.Running()
+	free, err := net.Listen("tcp4", c.Bound(0).String()+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Console = free.Addr().String()
+	free.Close()
+	c.Start(p)
+	c.Await("the heir is ready", func() bool { return p.Get("/api/ready", nil) })
+	first.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-ended:
+	case <-time.After(15 * time.Second):
+		t.Fatal("the first one does not end")
+	}
+	c.Await("the heir has its vote", func() bool {
+		var s struct{ Voting bool }
+		return p.Get("/api/copies", &s) && s.Voting
+	})
+	if status, text := post(p, "pay", "a", "x"); status != http.StatusOK || text != "result of a" || b.ran("a") != 1 {
+		t.Errorf("%d %q, ran %d times", status, text, b.ran("a"))
+	}
+	if status, text := post(p, "pay", "b", "x"); status != http.StatusOK {
+		t.Errorf("a new op: %d %q", status, text)
+	}
+}
--- a/internal/lab/several/several.go
+++ b/internal/lab/several/several.go
@@ -155,7 +155,8 @@
 	c.t.Helper()
 	sheet, offers := filepath.Join(p.dir, "sheet.json"), filepath.Join(p.dir, "operator.toml")
 	text := fmt.Sprintf(`{"name":%q,"listen":%q,"console":%q,"discovery":%q,"seed":"1","settings":{"discovery":"pushed",`+
-		`"bounds":{"maxPushes":3,"connectTimeoutNs":2e8},"categories":[{"name":"pay","effect":"fragile","ttlNs":5e9}]}}`, p.Name, p.Listen,
+		`"bounds":{"maxPushes":3,"probes":true,"cancel":true,"connectTimeoutNs":2e8},"report":{"fields":["waiting","running"],"how":"on_probe"},"categories":[{"name":"pay","effect":"fragile","ttlNs":5e9,"targetLatencyNs":5e9},`+
+		`{"name":"look","effect":"retryable","ttlNs":5e9,"targetLatencyNs":5e9}]}}`, p.Name, p.Listen,
 		p.Console, c.discovery)
 	var seeds []string
 	for i := range min(2, len(c.Places)) {
