Lab: ids that come again at other schedulers, over members with copies; the deaf accuse nobody

Need: clients repeat under the same id elsewhere, and the lab could not. Clients with same_id ask for at-most-once ops under one id, some at two schedulers at once; the audit judges such an id over all schedulers together, internal/lab/doubles counts what ran twice by the workers' own books. Cause found by breaking guards: a process that hears nobody accused all others aloud for its first second, as it took itself for deaf only after that; a probe now counts only if somebody was heard since it was sent (the guard broken: TestMuteAndDeaf fails; four other guards re-broken, each fails its test).

--- a/internal/lab/ledger/ledger.go
+++ b/internal/lab/ledger/ledger.go
@@ -58,6 +58,8 @@
 	Exited   Kind = "exited"   // schedulers: the process has ended; Text says how
 	Way      Kind = "way"      // links between schedulers: that from Scheduler to To is open or cut; State
 	Held     Kind = "held"     // a scheduler's own log: it holds the one with Name in State, at From
+	Repeat   Kind = "repeat"   // client: it asks again under the same id, at Scheduler; Try
+	Echo     Kind = "echo"     // client: the end of that; Verdict and Text, or Cut, Refused or Left in State
 	Fault    Kind = "fault"    // a fault begins or ends; Text
 	Finished Kind = "finished" // last line: the experiment is over
 )
--- a/internal/lab/play/play.go
+++ b/internal/lab/play/play.go
@@ -17,6 +17,7 @@
 	"woaddyke/internal/lab/between"
 	"woaddyke/internal/lab/box"
 	"woaddyke/internal/lab/clients"
+	"woaddyke/internal/lab/doubles"
 	"woaddyke/internal/lab/figures"
 	"woaddyke/internal/lab/fleet"
 	"woaddyke/internal/lab/herald"
@@ -64,6 +65,9 @@
 	mesh       *between.Net // nil where schedulers are no members
 	spare      int          // the first place that is no scheduler's
 	placed     int
+	digests    []string // of the keepers' copies, at rest
+	unsure     int      // ops that no majority was had for
+	votes      []doubles.Vote
 	cuts       map[[2]int]map[int]between.Cut // from and to, by trouble; of the one goroutine that plays troubles
 	twins      []*schedulers.Scheduler
 }
@@ -115,6 +119,9 @@
 	}
 	if r.mesh != nil {
 		result.Views(views.Judge(events, viewTerms(e)))
+		if e.Copies.On || e.Clients.SameID {
+			result.Doubles(doubles.Judge(events, r.digests, r.unsure, r.votes))
+		}
 		if n := r.mesh.Crowded(); n > 0 {
 			result.Void = fmt.Sprintf("the links between schedulers lost %d datagrams for want of room", n)
 		}
@@ -227,6 +234,9 @@
 	if err := r.setUp(st); err != nil {
 		return err
 	}
+	if err := r.waitForVotes(); err != nil {
+		return err
+	}
 	start := time.Now().Add(lead)
 	playing, stop := context.WithCancel(ctx)
 	var side sync.WaitGroup
@@ -266,7 +276,7 @@
 	for slot := range r.script.Workers {
 		r.fleet.Cut(slot, false)
 	}
-	return nil
+	return r.atRest()
 }
 
 // watchItself finds out by how much the lab is late: what it writes down later than it was counts against others.
--- a/internal/lab/schedulers/schedulers.go
+++ b/internal/lab/schedulers/schedulers.go
@@ -277,6 +277,23 @@
 	return fmt.Errorf("scheduler %d is not ready after %v", s.n+1, startTime)
 }
 
+// Ask reads a call of its second address.
+func (s *Scheduler) Ask(path string, into any) error {
+	s.mu.Lock()
+	console := s.console
+	s.mu.Unlock()
+	client := http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Get("http://" + console + path)
+	if err != nil {
+		return fmt.Errorf("scheduler %d: %w", s.n+1, err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("scheduler %d: %s: %s", s.n+1, path, resp.Status)
+	}
+	return json.NewDecoder(resp.Body).Decode(into)
+}
+
 // PID is of its process, 0 where none runs.
 func (s *Scheduler) PID() int {
 	s.mu.Lock()
--- a/internal/members/swarm/swarm_test.go
+++ b/internal/members/swarm/swarm_test.go
@@ -241,6 +241,13 @@
 					}
 				}
 				s.Run(s.Now() + 20*Second)
+				for i := range 4 {
+					for j := range 4 {
+						if k := said[fmt.Sprint(name(i), name(j), members.Doubted)]; k > 0 {
+							t.Errorf("place %d doubted %d %d times, which has no part in this", i, j, k)
+						}
+					}
+				}
 				clear(said) // by then it has found out that it hears nobody
 				s.Run(s.Now() + 40*Second)
 				for i := range 4 {
--- a/internal/members/terms.go
+++ b/internal/members/terms.go
@@ -55,7 +55,6 @@
 	openEvery   = second / 2  // full exchanges with those that are new or back, at the most
 	lastWord    = 250 * ms    // before its end a doubter asks once more, directly and through others
 	fallback    = 500 * ms    // those who only heard of a doubt wait so much longer than those who found it
-	deafAfter   = second      // one that has heard nobody for so long accuses nobody aloud
 	askEvery    = 100 * ms    // one that joins or was away asks again
 	askSpan     = second      // it goes on alone where nobody that is sure has answered
 	asked       = 5           // members that are asked at once
--- a/internal/members/timers.go
+++ b/internal/members/timers.go
@@ -17,10 +17,6 @@
 		m.leaveOn()
 		return
 	}
-	if !m.deaf && len(m.live) > 0 && m.now-m.heard > deafAfter {
-		m.deaf = true
-		m.do(Noted{"hears nobody", ""})
-	}
 	m.overdue()
 	m.doubtful()
 	if m.now >= m.nextProbe {
@@ -75,7 +71,10 @@
 	for _, p := range m.probes {
 		switch {
 		case m.now >= p.at+m.window():
-			failed = append(failed, p.of)
+			if failed = append(failed, p.of); !m.deaf && m.heard <= p.at {
+				m.deaf = true // nobody at all was heard since: that is this process's own trouble
+				m.do(Noted{"hears nobody", ""})
+			}
 			continue
 		case !p.through && m.now >= p.at+m.patience(p.of):
 			p.through = true
