Copies: histories judged by porcupine, the laws of the join, votes that do not count; mesh messages by property

Need: a judge that knows orders, beside the one that counts grants. porcupine holds 40 drawn histories a run against one scheduler's; a test shows that it sees an op given twice. The join of records: commutative, associative, idempotent by property; an earlier process's vote does not count beside a keeper that knows the later one; keepers of another set do not count. The mesh: messages come as they were sent or not at all (halves, flipped bytes, noise), addresses outside the networks are refused, nothing is left running.

--- /dev/null
+++ b/internal/copies/play/history_test.go
@@ -0,0 +1,107 @@
+package play
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/anishathalye/porcupine"
+
+	"woaddyke/internal/copies"
+)
+
+// fate is an op as if there were one scheduler: who has it, and whether it has ended.
+type fate struct {
+	holder int // 0: nobody
+	ended  bool
+}
+
+// oneScheduler is what the history of an op must look like, whatever order the schedulers were asked in.
+var oneScheduler = porcupine.Model{
+	Init: func() any { return fate{} },
+	Step: func(state, input, output any) (bool, any) {
+		s, op := state.(fate), input.(Op)
+		switch op.What {
+		case "released":
+			if s.holder == op.Claim && !s.ended {
+				return true, fate{}
+			}
+			return false, s
+		case "ended":
+			if s.holder == op.Claim && !s.ended {
+				return true, fate{op.Claim, true}
+			}
+			return false, s
+		}
+		switch output.(copies.Outcome) {
+		case copies.Mine:
+			return s.holder == 0, fate{holder: op.Claim}
+		case copies.Again, copies.Ran:
+			return s.ended, s
+		}
+		return true, s // it was not given, whoever has it
+	},
+	Equal: func(a, b any) bool { return a == b },
+}
+
+// The histories of drawn plays are as if there were one scheduler. The judge in the play counts grants; this one knows orders.
+func TestHistoriesAreAsOfOneScheduler(t *testing.T) {
+	for seed := uint64(1); seed <= 40; seed++ {
+		p := New(5, 3, seed)
+		r := p.Rand
+		p.Loss, p.Dup, p.Delay = 0.1, 0.05, Time(2+r.IntN(300))
+		for i := range 5 {
+			p.Start(i)
+		}
+		p.Run(6 * Second)
+		begin := p.now
+		for k := range 250 {
+			i, key := r.IntN(5), fmt.Sprint("op", k/25, "-", r.IntN(3))
+			p.At(begin+Time(k*500+r.IntN(500)), func() { p.Want(i, key) })
+		}
+		for k := range 8 {
+			i, at := r.IntN(5), begin+Time(k*15_000+r.IntN(15_000))
+			p.At(at, func() { p.Pause(i) })
+			p.At(at+Time(r.IntN(12_000)), func() { p.Resume(i) })
+			j := r.IntN(5)
+			p.At(at, func() { p.Cut(i, j, true) })
+			p.At(at+Time(r.IntN(12_000)), func() { p.Cut(i, j, false) })
+		}
+		p.Run(begin + 30*Second)
+		byKey := map[string][]porcupine.Operation{}
+		for n, op := range p.History {
+			x := porcupine.Operation{ClientId: n, Input: op, Output: op.Outcome, Call: int64(op.Asked), Return: int64(op.At)}
+			if op.What != "asked" {
+				x.Call = x.Return
+			}
+			byKey[op.Key] = append(byKey[op.Key], x)
+		}
+		given := 0
+		for key, ops := range byKey {
+			if !porcupine.CheckOperations(oneScheduler, ops) {
+				t.Fatalf("seed %d: the history of %s is not that of one scheduler", seed, key)
+			}
+			for _, op := range ops {
+				if op.Output == copies.Mine {
+					given++
+				}
+			}
+		}
+		if given < 20 {
+			t.Errorf("seed %d: only %d ops were given", seed, given)
+		}
+	}
+}
+
+// A judge that takes every history proves nothing.
+func TestTheJudgeOfHistoriesSeesADouble(t *testing.T) {
+	mine := func(claim int, call, end int64) porcupine.Operation {
+		return porcupine.Operation{ClientId: claim, Input: Op{What: "asked", Claim: claim}, Output: copies.Mine, Call: call, Return: end}
+	}
+	if porcupine.CheckOperations(oneScheduler, []porcupine.Operation{mine(1, 0, 10), mine(2, 5, 20)}) {
+		t.Error("an op that was given twice")
+	}
+	released := porcupine.Operation{ClientId: 3, Input: Op{What: "released", Claim: 1}, Output: copies.Outcome(0), Call: 12, Return: 12}
+	if !porcupine.CheckOperations(oneScheduler, []porcupine.Operation{mine(1, 0, 10), released, mine(2, 13, 20)}) {
+		t.Error("an op that was given back")
+	}
+}
--- /dev/null
+++ b/internal/copies/record_test.go
@@ -0,0 +1,120 @@
+package copies
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func drawRecord(t *rapid.T, label string) Record {
+	r := Record{Key: "k", Print: 1, Age: rapid.Uint64Range(0, 3).Draw(t, label)}
+	for range rapid.IntRange(0, 4).Draw(t, label) {
+		f := Fate{Claim: Claim{fmt.Sprint("n", rapid.IntRange(0, 2).Draw(t, label)), rapid.Uint64Range(1, 2).Draw(t, label)},
+			Stage: Stage(rapid.IntRange(int(Claimed), int(Ended)).Draw(t, label)), Voted: rapid.Bool().Draw(t, label)}
+		if f.Stage == Ended {
+			f.Verdict = []uint16{200, 502}[rapid.IntRange(0, 1).Draw(t, label)]
+			if f.Held = rapid.Bool().Draw(t, label); f.Held {
+				f.Result = []byte(fmt.Sprint(rapid.IntRange(0, 1).Draw(t, label)))
+			}
+		}
+		r.join(f)
+	}
+	return r
+}
+
+func joined(a, b Record) Record {
+	c, _ := Join(a, b)
+	if len(c.Fates) == 0 {
+		c.Fates = nil
+	}
+	return c
+}
+
+// Copies that have heard the same must be the same, in whatever order they heard it.
+func TestJoinIsAJoin(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, c := drawRecord(t, "a"), drawRecord(t, "b"), drawRecord(t, "c")
+		if !reflect.DeepEqual(joined(a, b), joined(b, a)) {
+			t.Fatalf("not commutative: %+v, %+v", joined(a, b), joined(b, a))
+		}
+		if !reflect.DeepEqual(joined(a, joined(a, a)), joined(a, a)) {
+			t.Fatal("not idempotent")
+		}
+		if !reflect.DeepEqual(joined(joined(a, b), c), joined(a, joined(b, c))) {
+			t.Fatal("not associative")
+		}
+	})
+}
+
+// May have run stands over nothing, an end over both, a result over none; what can't both be true is counted.
+func TestWhatStandsOverWhat(t *testing.T) {
+	x := Claim{"n1", 1}
+	for _, c := range []struct {
+		a, b, want Fate
+		breach     bool
+	}{
+		{Fate{Claim: x, Stage: Claimed}, Fate{Claim: x, Stage: Ended, Verdict: 200}, Fate{Claim: x, Stage: Ended, Verdict: 200}, false},
+		{Fate{Claim: x, Stage: Claimed}, Fate{Claim: x, Stage: Released}, Fate{Claim: x, Stage: Released}, false},
+		{Fate{Claim: x, Stage: Ended, Verdict: 200}, Fate{Claim: x, Stage: Ended, Verdict: 200, Held: true, Result: []byte("r")},
+			Fate{Claim: x, Stage: Ended, Verdict: 200, Held: true, Result: []byte("r")}, false},
+		{Fate{Claim: x, Stage: Released}, Fate{Claim: x, Stage: Ended, Verdict: 200}, Fate{Claim: x, Stage: Ended, Verdict: 200}, true},
+		{Fate{Claim: x, Stage: Ended, Verdict: 502}, Fate{Claim: x, Stage: Ended, Verdict: 200}, Fate{Claim: x, Stage: Ended, Verdict: 502}, true},
+	} {
+		got, breach := joinFate(c.a, c.b)
+		if !reflect.DeepEqual(got, c.want) || breach != c.breach {
+			t.Errorf("%+v and %+v: %+v, breach %v", c.a, c.b, got, breach)
+		}
+	}
+}
+
+// A keeper of another set of keepers has no vote in this one, and a set may not stand twice.
+func TestKeepersOfAnotherSetDoNotCount(t *testing.T) {
+	if epochOf([]string{"a", "b", "c"}) != epochOf([]string{"c", "a", "b"}) || epochOf([]string{"a", "b", "c"}) == epochOf([]string{"a", "b", "d"}) {
+		t.Error("a set's name must be of its members, in any order")
+	}
+	terms := Defaults()
+	terms.Name, terms.Keepers = "x", []string{"a", "b", "c"}
+	c := New(terms, 0)
+	c.Take(1, Serving{On: true, Life: 1})
+	c.Take(2, Want{Ticket: 1, Key: "k", Within: second})
+	w := c.wants[1]
+	for _, k := range []string{"a", "b", "c", "stranger"} {
+		c.Take(3, Heard{k, Message{Kind: Granted, Epoch: c.epoch + 1, Ticket: 1}})
+	}
+	if c.Take(3, Heard{"stranger", Message{Kind: Granted, Epoch: c.epoch, Ticket: 1}}); len(w.answers) > 0 {
+		t.Errorf("counted %v", w.answers)
+	}
+	for _, bad := range [][]string{nil, {"a", "b"}, {"a", "a", "b"}, {"a", "", "b"}} {
+		terms.Keepers = bad
+		if terms.Check() == nil {
+			t.Errorf("%q is taken for keepers", bad)
+		}
+	}
+}
+
+// The vote of a process whose place another has taken must not count beside that of a keeper that knows it.
+func TestAnEarlierProcessesVoteDoesNotCount(t *testing.T) {
+	terms := Defaults()
+	terms.Name, terms.Keepers = "x", []string{"a", "b", "c"}
+	for _, later := range []bool{true, false} {
+		c := New(terms, 0)
+		c.Take(1, Serving{On: true, Life: 1})
+		c.Take(2, Want{Ticket: 1, Key: "k", Within: second})
+		c.Take(3, Heard{"a", Message{Kind: Granted, Epoch: c.epoch, Ticket: 1, Life: Life{1, 1}}})
+		known := Life{1, 1}
+		if later {
+			known = Life{2, 7}
+		}
+		got := Outcome(0)
+		for _, e := range c.Take(4, Heard{"b", Message{Kind: Granted, Epoch: c.epoch, Ticket: 1, Life: Life{1, 2}, Voters: []Voter{{"a", known}}}}) {
+			if d, ok := e.(Decided); ok {
+				got = d.Outcome
+			}
+		}
+		if (got == Mine) == later {
+			t.Errorf("later %v: %v", later, got)
+		}
+	}
+}
--- /dev/null
+++ b/internal/mesh/mesh_test.go
@@ -0,0 +1,130 @@
+package mesh
+
+import (
+	"net/netip"
+	"os"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"woaddyke/internal/copies"
+	"woaddyke/internal/members"
+)
+
+func table(t *testing.T) *Table {
+	t.Helper()
+	x := Defaults()
+	x.Cluster, x.Listen = "c", "127.0.0.1:0"
+	if err := x.Check(); err != nil {
+		t.Fatal(err)
+	}
+	return x
+}
+
+// What another build or a bad cable sends must never be read as something else, nor end the process.
+func TestMessagesComeAsTheyWereSent(t *testing.T) {
+	inside := table(t).inside
+	rapid.Check(t, func(t *rapid.T) {
+		claim := members.Claim{Name: rapid.String().Draw(t, "name"), Addr: "127.0.0.1:7", Number: rapid.IntRange(-1, 9).Draw(t, "n"),
+			Life: members.Life{Incarnation: rapid.Uint64().Draw(t, "i"), Nonce: rapid.Uint64().Draw(t, "x")}, State: members.Here, By: "b"}
+		x := members.Message{Kind: members.Ping, Cluster: "c", From: claim, Seq: rapid.Uint64().Draw(t, "seq"), Claims: []members.Claim{claim, claim},
+			Digests: rapid.SliceOfN(rapid.Uint64(), 1, 5).Draw(t, "d"), Buckets: []int{1}, Text: "t", Unsure: true}
+		text, err := encode(x)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := decode(text, inside); err != nil || !reflect.DeepEqual(got, x) {
+			t.Fatalf("%+v, %v", got, err)
+		}
+		k := rapid.IntRange(0, len(text)-1).Draw(t, "at")
+		if _, err := decode(text[:k], inside); err == nil {
+			t.Fatal("half a message was read")
+		}
+		text[k] ^= byte(rapid.IntRange(1, 255).Draw(t, "flip"))
+		if _, err := decode(text, inside); err == nil {
+			t.Fatal("a garbled message was read")
+		}
+		decode(rapid.SliceOf(rapid.Byte()).Draw(t, "noise"), inside)
+		y := copies.Message{Kind: copies.Piece, Epoch: 7, Records: []copies.Record{{Key: "k\x00i", Print: 3, Fates: []copies.Fate{
+			{Claim: copies.Claim{By: "n", Nonce: 9}, Stage: copies.Ended, Verdict: 502, Result: []byte("r"), Held: true}}}}, Voters: []copies.Voter{{Name: "n"}}}
+		if text, err = encodeCopies("c", claim, y); err != nil {
+			t.Fatal(err)
+		}
+		if w, err := decodeCopies(text); err != nil || !reflect.DeepEqual(w.Message, y) {
+			t.Fatalf("%+v, %v", w.Message, err)
+		}
+	})
+}
+
+// An address that a message tells may be anybody's: one outside the networks must not be taken up.
+func TestAddressesOutsideAreRefused(t *testing.T) {
+	x := members.Message{Kind: members.Ping, Cluster: "c", From: members.Claim{Name: "a", Addr: "127.0.0.1:7"},
+		Claims: []members.Claim{{Name: "b", Addr: "10.1.2.3:7"}}}
+	text, err := encode(x)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := decode(text, table(t).inside); err != errOutside {
+		t.Errorf("%v", err)
+	}
+	if table(t).inside(netip.MustParseAddr("10.1.2.3")) {
+		t.Error("10.1.2.3 lies inside 127.0.0.0/8")
+	}
+}
+
+// The clock counts while the process stands still and can't be set back; a process that has ended leaves nothing running.
+func TestAMeshBeginsAndEnds(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	before := clock{}.now()
+	a, err := Start(table(t), Name{"a", 0, 1}, Host{}, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	other := table(t)
+	other.Seeds = []string{a.udp.LocalAddr().String()}
+	b, err := Start(other, Name{"b", 1, 1}, Host{}, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for until := time.Now().Add(20 * time.Second); len(a.Shown().Members) == 0 || a.Shown().Members[0].State != members.Here; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatal("they never met")
+		}
+	}
+	text, sockets, err := b.Give()
+	if err != nil || len(sockets) != 2 {
+		t.Fatalf("%d sockets, %v", len(sockets), err)
+	}
+	var files []*os.File
+	for _, s := range sockets {
+		f, err := s.(interface{ File() (*os.File, error) }).File()
+		if err != nil {
+			t.Fatal(err)
+		}
+		files = append(files, f)
+	}
+	heir, err := Inherit(other, Name{"b", 1, 1}, Host{}, zerolog.Nop(), text, files)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range files {
+		f.Close()
+	}
+	if got := heir.Shown().Self; got.Life != b.Shown().Self.Life {
+		t.Errorf("the heir is %+v, the first one %+v", got.Life, b.Shown().Self.Life)
+	}
+	if _, err := Inherit(other, Name{"z", 1, 1}, Host{}, zerolog.Nop(), text, files); err == nil {
+		t.Error("another's place was taken")
+	}
+	heir.Close()
+	b.Resume()
+	b.Close()
+	a.Close()
+	if after := (clock{}).now(); after <= before {
+		t.Errorf("the clock went from %d to %d", before, after)
+	}
+}
