--- a/cmd/woaddyke/operator_test.go
+++ b/cmd/woaddyke/operator_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"reflect"
 	"runtime"
 	"strings"
 	"testing"
@@ -26,7 +27,7 @@
 	var bare []string // the same file with only what has no default
 	for _, row := range strings.Split(string(text), "\n") {
 		key, _, _ := strings.Cut(row, " = ")
-		if strings.HasPrefix(row, "[") || key == "cluster" || key == "listen" || key == "seeds" {
+		if strings.HasPrefix(row, "[") || key == "cluster" || key == "listen" || key == "seeds" || key == "keepers" {
 			bare = append(bare, row)
 		}
 	}
@@ -41,7 +42,14 @@
 		x.Seek != y.Seek || x.Memory != y.Memory || x.Most != y.Most || x.Superseded != y.Superseded || x.Words != y.Words {
 		t.Errorf("the example states %+v, the defaults are %+v", x, y)
 	}
-	for _, bad := range []string{"[members]\ncluster=\"a\"\n", "[members]\ncluster=\"a\"\nlisten=\"10.0.0.1:1\"\n",
+	k, l := *o.Copies, *b.Copies
+	k.Keepers, l.Keepers = nil, nil
+	if !reflect.DeepEqual(k, l) {
+		t.Errorf("the example states %+v, the defaults are %+v", k, l)
+	}
+	for _, bad := range []string{"[copies]\nkeepers=[\"a\"]\n", "[members]\ncluster=\"a\"\nlisten=\"127.0.0.1:1\"\n[copies]\nkeepers=[\"a\",\"b\"]\n",
+		"[members]\ncluster=\"a\"\nlisten=\"127.0.0.1:1\"\n[copies]\nkeepers=[\"a\"]\nresult_bytes=99999\n",
+		"[members]\ncluster=\"a\"\n", "[members]\ncluster=\"a\"\nlisten=\"10.0.0.1:1\"\n",
 		"[members]\ncluster=\"a\"\nlisten=\"127.0.0.1:1\"\nsuperseded=\"fight\"\n", "[members]\ncluster=\"a\"\nlisten=\"127.0.0.1:1\"\nwords=true\n",
 		"[members]\ncluster=\"a\"\nlisten=\"127.0.0.1:1\"\nmost=1\n", "[members]\ncluster=\"a\"\nlisten=\"127.0.0.1:1\"\nseeds=[\"x\"]\n"} {
 		os.WriteFile(path, []byte(bad), 0o600)
