Lists: a worker's drain binds whoever hears of it from a neighbour, until its own discovery has come as far

Need: a scheduler that is cut off from discovery pushes by an old list, though its neighbours have been told of the drain. internal/lists is pure: words of workers that take nothing new join by start, revision and kind; they bind until the own revision is as high, or for 60 s. The mesh carries them, the front holds the own list against them; off unless members.workers is true. Measured: real processes, one with a discovery that fell silent: it stops pushing to the drained worker; without the switch it goes on, as it did.

--- a/cmd/woaddyke/member.go
+++ b/cmd/woaddyke/member.go
@@ -8,6 +8,7 @@
 	"woaddyke/internal/fates"
 	"woaddyke/internal/handover"
 	"woaddyke/internal/handover/pass"
+	"woaddyke/internal/lists"
 	"woaddyke/internal/members"
 	"woaddyke/internal/mesh"
 	"woaddyke/internal/ops"
@@ -30,6 +31,9 @@
 		host.Spoken = func(number int, text string) { p.front.Others(ops.Told{By: number, Text: text}) }
 		host.Changed = p.changed
 	}
+	if t.Workers {
+		host.Workers = func(_ string, words []lists.Word) { p.front.Shared(words) }
+	}
 	if err := p.keep(state.Heirs, &host); err != nil {
 		return err
 	}
@@ -51,6 +55,9 @@
 	if p.offers.Members.Words {
 		p.front.Speak(p.mesh.Say)
 	}
+	if p.offers.Members.Workers {
+		p.front.Share(p.mesh, p.sheet.Chance)
+	}
 	if p.fates != nil {
 		p.fates.Start(p.mesh)
 		p.front.Guard(p.fates, p.guards)
--- a/cmd/woaddyke/operator_test.go
+++ b/cmd/woaddyke/operator_test.go
@@ -39,7 +39,7 @@
 	}
 	x, y := *o.Members, *b.Members
 	if x.Probe != y.Probe || x.Window != y.Window || x.Doubt != y.Doubt || x.Longest != y.Longest || x.Exchange != y.Exchange ||
-		x.Seek != y.Seek || x.Memory != y.Memory || x.Most != y.Most || x.Superseded != y.Superseded || x.Words != y.Words {
+		x.Seek != y.Seek || x.Memory != y.Memory || x.Most != y.Most || x.Superseded != y.Superseded || x.Words != y.Words || x.Workers != y.Workers {
 		t.Errorf("the example states %+v, the defaults are %+v", x, y)
 	}
 	k, l := *o.Copies, *b.Copies
--- /dev/null
+++ b/cmd/woaddyke/workers_test.go
@@ -0,0 +1,93 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"woaddyke/internal/lab/several"
+)
+
+// A scheduler whose discovery has fallen silent pushed to a worker for as long as it lived, though its neighbour had been told that it
+// drains. What a neighbour was told binds now, until the own discovery has come as far.
+func TestADrainThatANeighbourWasToldOf(t *testing.T) {
+	t.Parallel()
+	for _, on := range []bool{true, false} {
+		t.Run(fmt.Sprint("workers ", on), func(t *testing.T) {
+			t.Parallel()
+			var pushes [2]atomic.Int64
+			var addrs []string
+			for i := range 2 {
+				w := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					if r.Method == http.MethodGet {
+						fmt.Fprintln(w, `{"waiting":0,"running":0}`)
+						return
+					}
+					io.Copy(io.Discard, r.Body)
+					pushes[i].Add(1)
+					id := r.Header.Get("X-Correlation-Id")
+					fmt.Fprintf(w, `{"id":%q,"state":"done","result":"ok"}`+"\n", id)
+				}))
+				t.Cleanup(w.Close)
+				addrs = append(addrs, w.Listener.Addr().String())
+			}
+			row := `{"uid":"w%d","endpoint":%q,"state":%q,"boot_ms":1000}`
+			whole := fmt.Sprintf(`{"rev":1,"all":true,"targets":[`+row+","+row+`]}`, 0, addrs[0], "SERVING", 1, addrs[1], "SERVING")
+			drain := make(chan struct{})
+			told := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				fmt.Fprintln(w, whole)
+				w.(http.Flusher).Flush()
+				select {
+				case <-drain:
+					fmt.Fprintf(w, `{"rev":2,"all":false,"targets":[`+row+"]}\n", 0, addrs[0], "DRAINING")
+					w.(http.Flusher).Flush()
+				case <-r.Context().Done():
+				}
+				<-r.Context().Done()
+			}))
+			t.Cleanup(told.Close)
+			t.Cleanup(told.CloseClientConnections)
+			c := several.New(t, 2, fmt.Sprintf("%sworkers = %v\n", quick, on), whole, thisProgram) // its discovery tells no more
+			c.Places[0].Discovery = told.Listener.Addr().String()
+			for _, p := range c.Places {
+				c.Start(p)
+			}
+			c.AwaitWhole(c.Places...)
+			ops := 0
+			send := func(p *several.Place, n int) {
+				for range n {
+					ops++
+					if status, text := post(p, "look", fmt.Sprint("x", ops), ""); status != http.StatusOK {
+						t.Fatalf("%d %q", status, text)
+					}
+				}
+			}
+			c.Await("all workers are in use", func() bool {
+				send(c.Places[1], 5)
+				return pushes[0].Load() > 0 && pushes[1].Load() > 0
+			})
+			close(drain)
+			quiet := func(p *several.Place) bool {
+				before := pushes[0].Load()
+				send(p, 30)
+				return pushes[0].Load() == before
+			}
+			c.Await("the one that is told pushes there no more", func() bool { return quiet(c.Places[0]) })
+			if !on {
+				if quiet(c.Places[1]) && quiet(c.Places[1]) {
+					t.Error("without a word of its neighbour it stopped too: this test proves nothing")
+				}
+				return
+			}
+			c.Await("its neighbour pushes there no more", func() bool { return quiet(c.Places[1]) })
+			for range 3 {
+				if !quiet(c.Places[1]) {
+					t.Error("and then it pushed there again")
+				}
+			}
+		})
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -62,6 +62,8 @@
 	places  int                         // categories that were taken up since the start
 	drain   *drainer
 	peersAt *net.UDPConn // that of the process before, nil without one
+	shared  *sharing     // nil: only the own discovery counts
+	known   ops.Listed   // as remembered at the start
 	fates   Fates        // nil: this scheduler alone knows its ops
 	guarded func(category string) bool
 }
@@ -106,8 +108,9 @@
 	list := known.Listed()
 	list.Whole, list.Remembered = true, true
 	f.loop.tell(list)
+	f.known = list
 	spread := roster.Spread(sheet.Schedulers(), sheet.Span("safety.drainGrace", time.Second))
-	f.roster = roster.New(sheet.Discovery, known, spread, sheet.Chance, f.loop.tell, log)
+	f.roster = roster.New(sheet.Discovery, known, spread, sheet.Chance, f.listed, log)
 	f.proxy = &httputil.ReverseProxy{
 		Transport:  f,
 		Rewrite:    func(r *httputil.ProxyRequest) { r.Out.URL.RawQuery = r.In.URL.RawQuery },
@@ -151,6 +154,9 @@
 		defer close(ended)
 		f.loop.run(quit)
 	}()
+	if f.shared != nil {
+		go f.shared.run(quit)
+	}
 	s := &http.Server{Handler: f, ConnState: f.clients.Track, ConnContext: guests.With, ReadHeaderTimeout: headTime,
 		IdleTimeout: 5 * time.Minute, MaxHeaderBytes: 16 << 10,
 		ErrorLog: stdlog.New(f.log.With().Str("level", "warn").Logger(), "", 0)}
--- /dev/null
+++ b/internal/front/shared.go
@@ -0,0 +1,124 @@
+package front
+
+import (
+	"sync"
+	"time"
+
+	"woaddyke/internal/lists"
+	"woaddyke/internal/members"
+	"woaddyke/internal/ops"
+)
+
+// Neighbours are the other schedulers, as far as lists of workers are shared with them.
+type Neighbours interface {
+	Names() []string
+	Tell(to string, words []lists.Word)
+	Now() members.Time
+}
+
+const shareEvery = 100 * time.Millisecond // news go round, and those that have come are told all
+
+// sharing holds the own discovery's list against what neighbours were told.
+type sharing struct {
+	mu     sync.Mutex
+	core   *lists.Core
+	of     Neighbours
+	tell   func(ops.Input)
+	listed map[string]ops.Entry
+	bound  map[string]bool // that serve by the own list, and take nothing new
+}
+
+// Share has a worker that drains by what a neighbour was told take nothing new from here. It is called before Serve.
+func (f *Front) Share(of Neighbours, chance uint64) {
+	s := &sharing{core: lists.New(chance), of: of, tell: f.loop.tell, listed: map[string]ops.Entry{}, bound: map[string]bool{}}
+	s.take(f.known)
+	f.shared = s
+}
+
+// Shared takes what a neighbour was told.
+func (f *Front) Shared(words []lists.Word) {
+	if s := f.shared; s != nil {
+		s.mu.Lock()
+		s.step(lists.Heard{Words: words})
+		s.mu.Unlock()
+	}
+}
+
+// listed takes what the own discovery tells.
+func (f *Front) listed(in ops.Input) {
+	l, ok := in.(ops.Listed)
+	if s := f.shared; ok && s != nil {
+		f.loop.tell(s.take(l))
+		return
+	}
+	f.loop.tell(in)
+}
+
+// take notes a list and returns it as it binds here.
+func (s *sharing) take(l ops.Listed) ops.Listed {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	in := lists.Told{Rev: l.Rev, Whole: l.Whole}
+	if l.Whole {
+		s.listed = map[string]ops.Entry{}
+	}
+	for _, e := range l.Entries {
+		in.Entries = append(in.Entries, lists.Entry{Worker: e.Worker, Boot: int64(e.Since), Serves: e.Ready, Gone: e.Gone})
+		if s.listed[e.Worker] = e; e.Gone {
+			delete(s.listed, e.Worker)
+		}
+	}
+	s.step(in)
+	out := l
+	out.Entries = append([]ops.Entry(nil), l.Entries...)
+	for i := range out.Entries {
+		if e := &out.Entries[i]; s.core.Withheld(e.Worker) {
+			e.Ready = false
+			s.bound[e.Worker] = true
+		}
+	}
+	return out
+}
+
+// step feeds the core, with the lock held.
+func (s *sharing) step(in lists.Input) {
+	for _, e := range s.core.Take(s.of.Now(), in) {
+		switch e := e.(type) {
+		case lists.Tell:
+			s.of.Tell(e.To, e.Words)
+		case lists.Bound:
+			s.bound[e.Worker] = true
+			entry := s.listed[e.Worker]
+			entry.Ready = false
+			go s.tell(ops.Listed{Entries: []ops.Entry{entry}})
+		}
+	}
+}
+
+// run works until quit is closed: it lets go of workers whose words are over.
+func (s *sharing) run(quit <-chan struct{}) {
+	tick := time.NewTicker(shareEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-quit:
+			return
+		case <-tick.C:
+		}
+		s.mu.Lock()
+		s.step(lists.Others{Names: s.of.Names()})
+		var free []ops.Entry
+		for name := range s.bound {
+			if !s.core.Withheld(name) {
+				delete(s.bound, name)
+				if e, ok := s.listed[name]; ok {
+					free = append(free, e)
+				}
+			}
+		}
+		s.mu.Unlock()
+		if len(free) > 0 {
+			s.tell(ops.Listed{Entries: free})
+		}
+	}
+}
--- a/internal/lab/several/several.go
+++ b/internal/lab/several/several.go
@@ -36,6 +36,7 @@
 // Place is where one process runs; another may take its place.
 type Place struct {
 	Name, Listen, Console string
+	Discovery             string // where its own is; empty: the cluster's
 	at                    netip.AddrPort
 	dir                   string
 	seeds                 []string
@@ -154,10 +155,14 @@
 func (c *Cluster) Start(p *Place) {
 	c.t.Helper()
 	sheet, offers := filepath.Join(p.dir, "sheet.json"), filepath.Join(p.dir, "operator.toml")
+	discovery := p.Discovery
+	if discovery == "" {
+		discovery = c.discovery
+	}
 	text := fmt.Sprintf(`{"name":%q,"listen":%q,"console":%q,"discovery":%q,"seed":"1","settings":{"discovery":"pushed",`+
 		`"bounds":{"maxPushes":3,"probes":true,"cancel":true,"connectTimeoutNs":2e8},"report":{"fields":["waiting","running"],"how":"on_probe"},"categories":[{"name":"pay","effect":"fragile","ttlNs":5e9,"targetLatencyNs":5e9},`+
 		`{"name":"look","effect":"retryable","ttlNs":5e9,"targetLatencyNs":5e9}]}}`, p.Name, p.Listen,
-		p.Console, c.discovery)
+		p.Console, discovery)
 	var seeds []string
 	for i := range min(2, len(c.Places)) {
 		seeds = append(seeds, fmt.Sprintf("%q", c.Places[i].told))
--- /dev/null
+++ b/internal/lists/lists.go
@@ -0,0 +1,257 @@
+// Package lists keeps a scheduler from going back behind what its neighbours were told of workers: that one drains or has left the list
+// binds whoever hears of it, until its own discovery has come as far. It takes an input with its time and returns what to tell; it does
+// no input or output and reads no clock.
+package lists
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+
+	"woaddyke/internal/members"
+)
+
+// Time is a moment as members take it.
+type Time = members.Time
+
+// Word says that a worker takes nothing new, as discovery told somebody. A worker that starts again has another boot and is another
+// one. Revisions are discovery's own.
+type Word struct {
+	Worker string
+	Boot   int64 // ms, as discovery tells it
+	Gone   bool  // it has left the list; otherwise it drains
+	Rev    int64
+}
+
+// Join is the rule for two words of one worker: of a later start, else of a later revision, else the worse one. It is commutative,
+// associative and idempotent.
+func Join(a, b Word) Word {
+	if compare(a, b) < 0 {
+		return b
+	}
+	return a
+}
+
+func compare(a, b Word) int {
+	gone := func(w Word) int {
+		if w.Gone {
+			return 1
+		}
+		return 0
+	}
+	return cmp.Or(cmp.Compare(a.Boot, b.Boot), cmp.Compare(a.Rev, b.Rev), cmp.Compare(gone(a), gone(b)))
+}
+
+// Bounds.
+const (
+	mostWords = 4096
+	fan       = 3            // members that news is told to at a time
+	times     = 4            // so often
+	every     = Time(1000)   // 100 ms
+	mostTold  = 30           // words to one member at a time
+	longName  = 255          //
+	remember  = Time(600000) // 60 s: by then discovery has told everybody, or nobody
+)
+
+// Entry is a worker as the own discovery tells it.
+type Entry struct {
+	Worker string
+	Boot   int64
+	Serves bool
+	Gone   bool
+}
+
+// Told is a list of the own discovery, whole or of changes.
+type Told struct {
+	Rev     int64
+	Whole   bool
+	Entries []Entry
+}
+
+// Heard are words of another member.
+type Heard struct{ Words []Word }
+
+// Others are the members that are here now; a new one among them is told all.
+type Others struct{ Names []string }
+
+// Tick says that the moment of Next has come.
+type Tick struct{}
+
+// Input is one of Told, Heard, Others and Tick.
+type Input interface{ input() }
+
+func (Told) input()   {}
+func (Heard) input()  {}
+func (Others) input() {}
+func (Tick) input()   {}
+
+// Tell has words told to a member.
+type Tell struct {
+	To    string
+	Words []Word
+}
+
+// Bound says that a worker takes nothing new from this scheduler, though its own discovery still lists it.
+type Bound struct{ Worker string }
+
+// Effect is one of Tell and Bound.
+type Effect interface{ effect() }
+
+func (Tell) effect()  {}
+func (Bound) effect() {}
+
+type held struct {
+	Word
+	at    Time
+	times int
+}
+
+// Core is one scheduler's part.
+type Core struct {
+	rand   *rand.Rand
+	rev    int64
+	listed map[string]Entry
+	words  map[string]*held
+	others []string
+	next   Time
+	now    Time
+	out    []Effect
+}
+
+// New starts with nothing.
+func New(chance uint64) *Core {
+	return &Core{rand: rand.New(rand.NewPCG(chance, 0x6c69737473)), listed: map[string]Entry{}, words: map[string]*held{}}
+}
+
+// Take takes an input and returns what to do.
+func (c *Core) Take(now Time, in Input) []Effect {
+	c.now, c.out = max(now, c.now), nil
+	switch in := in.(type) {
+	case Told:
+		c.told(in)
+	case Heard:
+		for _, w := range in.Words {
+			if w.Worker != "" && len(w.Worker) <= longName {
+				c.learn(w)
+			}
+		}
+	case Others:
+		c.members(in.Names)
+	}
+	if c.now >= c.next {
+		c.next = c.now + every
+		c.spread()
+	}
+	return c.out
+}
+
+// Next is when a Tick is due.
+func (c *Core) Next() Time { return c.next }
+
+func (c *Core) told(in Told) {
+	c.rev = in.Rev
+	before := c.listed
+	if in.Whole {
+		c.listed = map[string]Entry{}
+	}
+	for _, e := range in.Entries {
+		if e.Gone {
+			delete(c.listed, e.Worker)
+		} else {
+			c.listed[e.Worker] = e
+		}
+		if was, known := before[e.Worker]; e.Gone || !e.Serves {
+			if e.Boot == 0 && known {
+				e.Boot = was.Boot
+			}
+			c.learn(Word{Worker: e.Worker, Boot: e.Boot, Gone: e.Gone, Rev: in.Rev})
+		}
+	}
+	if in.Whole {
+		for _, name := range sorted(before) {
+			if _, still := c.listed[name]; !still {
+				c.learn(Word{Worker: name, Boot: before[name].Boot, Gone: true, Rev: in.Rev})
+			}
+		}
+	}
+}
+
+func sorted[T any](m map[string]T) []string {
+	names := make([]string, 0, len(m))
+	for n := range m {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// learn takes a word, and passes on what is news.
+func (c *Core) learn(w Word) {
+	h := c.words[w.Worker]
+	if h == nil {
+		if len(c.words) >= mostWords {
+			return // its own discovery will tell
+		}
+		h = &held{}
+		c.words[w.Worker] = h
+	} else if compare(w, h.Word) <= 0 {
+		return
+	}
+	*h = held{Word: w, at: c.now}
+	if c.Withheld(w.Worker) {
+		c.out = append(c.out, Bound{w.Worker})
+	}
+}
+
+// Withheld tells whether a worker takes nothing new though the own discovery lists it as one that serves: a neighbour was told
+// otherwise of this very start of it, at a revision that has not come here.
+func (c *Core) Withheld(worker string) bool {
+	e, listed := c.listed[worker]
+	h := c.words[worker]
+	return listed && e.Serves && h != nil && h.Boot >= e.Boot && h.Rev > c.rev && c.now-h.at < remember
+}
+
+// members takes the others that are here; those that are new are told all.
+func (c *Core) members(names []string) {
+	for _, n := range names {
+		if !slices.Contains(c.others, n) {
+			c.tell(n, func(*held) bool { return true })
+		}
+	}
+	c.others = names
+}
+
+func (c *Core) tell(to string, which func(*held) bool) {
+	var words []Word
+	for _, name := range sorted(c.words) {
+		if h := c.words[name]; which(h) {
+			words = append(words, h.Word)
+		}
+	}
+	for len(words) > 0 {
+		n := min(len(words), mostTold)
+		c.out = append(c.out, Tell{to, words[:n:n]})
+		words = words[n:]
+	}
+}
+
+// spread tells some members what is news, a few times: each passes it on.
+func (c *Core) spread() {
+	news := false
+	for name, h := range c.words {
+		if c.now-h.at >= remember {
+			delete(c.words, name)
+		} else if h.times < times {
+			news = true
+		}
+	}
+	if !news || len(c.others) == 0 {
+		return
+	}
+	for _, i := range c.rand.Perm(len(c.others))[:min(fan, len(c.others))] {
+		c.tell(c.others[i], func(h *held) bool { return h.times < times })
+	}
+	for _, h := range c.words {
+		h.times++
+	}
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -18,6 +19,7 @@
 	"golang.org/x/sys/unix"
 
 	"woaddyke/internal/copies"
+	"woaddyke/internal/lists"
 	"woaddyke/internal/members"
 )
 
@@ -38,9 +40,10 @@
 type Host struct {
 	Changed func(members.Changed)
 	Spoken  func(number int, text string)
-	Ended   func(superseded bool)               // this process is a member no more; once for each time
-	Serving func(on bool, incarnation uint64)   // it is a member as of now, or is not
-	Copied  func(from string, x copies.Message) // from a member as it is known here; called from the reader of datagrams
+	Ended   func(superseded bool)                 // this process is a member no more; once for each time
+	Serving func(on bool, incarnation uint64)     // it is a member as of now, or is not
+	Workers func(from string, words []lists.Word) // what another was told of workers; called as Copied is
+	Copied  func(from string, x copies.Message)   // from a member as it is known here; called from the reader of datagrams
 }
 
 // Mesh is one process's part in a cluster.
@@ -394,7 +397,7 @@
 }
 
 func (m *Mesh) datagrams() {
-	room := make([]byte, longestCopies+1)
+	room := make([]byte, longestOther+1)
 	for {
 		n, from, err := m.udp.ReadFromUDPAddrPort(room)
 		if err != nil {
@@ -403,8 +406,8 @@
 			}
 			continue // one datagram's trouble, such as a port that refused
 		}
-		if n > 1 && room[1] == copiesMark {
-			m.copied(room[:n], n > longestCopies, from.Addr())
+		if n > 1 && room[1] == otherMark {
+			m.other(room[:n], n > longestOther, from.Addr())
 			continue
 		}
 		x, err := m.read(room[:n], n > longestDatagram, from.Addr())
@@ -416,14 +419,14 @@
 	}
 }
 
-// copied hands on a message of copies, if it comes from the process that is known under its sender's name.
-func (m *Mesh) copied(text []byte, long bool, from netip.Addr) {
+// other hands on a message that is not of membership, if it comes from the process that is known under its sender's name.
+func (m *Mesh) other(text []byte, long bool, from netip.Addr) {
 	err := errTooLong
-	var w wireCopies
+	var w wireOther
 	if !m.table.inside(from) {
 		err = errOutside
 	} else if !long {
-		w, err = decodeCopies(text)
+		w, err = decodeOther(text)
 	}
 	b := m.book.Load()
 	switch seen, known := b.by[w.From.Name]; {
@@ -431,29 +434,45 @@
 		m.drop(err)
 	case w.Cluster != m.table.Cluster:
 		m.drop(errors.New("wrong cluster"))
-	case m.host.Copied == nil:
-		m.drop(errors.New("copies are off here"))
+	case w.Copies != nil && m.host.Copied == nil || w.Workers != nil && m.host.Workers == nil:
+		m.drop(errors.New("switched off here"))
 	case !known || seen.Life != (members.Life{Incarnation: w.From.Incarnation, Nonce: w.From.Nonce}):
 		m.drop(errors.New("not the process that is known"))
-	case b.me.State == members.Here:
-		m.host.Copied(w.From.Name, w.Message)
+	case b.me.State == members.Here && w.Copies != nil:
+		m.host.Copied(w.From.Name, *w.Copies)
+	case b.me.State == members.Here && w.Workers != nil:
+		m.host.Workers(w.From.Name, w.Workers)
 	}
 }
 
 // Copy sends a message of copies to a member; it is lost where that one is not known. After Give only what became of ops is sent: the
 // heir votes.
 func (m *Mesh) Copy(to string, x copies.Message) {
+	if !m.silent.Load() || x.Kind == copies.Tell {
+		m.sendOther(to, wireOther{Copies: &x})
+	}
+}
+
+// Tell sends words of workers to a member.
+func (m *Mesh) Tell(to string, words []lists.Word) {
+	if !m.silent.Load() {
+		m.sendOther(to, wireOther{Workers: words})
+	}
+}
+
+func (m *Mesh) sendOther(to string, w wireOther) {
 	b := m.book.Load()
 	seen, known := b.by[to]
-	if !known || b.me.State != members.Here || m.silent.Load() && x.Kind != copies.Tell {
+	if !known || b.me.State != members.Here {
 		return
 	}
 	addr, err := netip.ParseAddrPort(seen.Addr)
 	if err != nil || !m.table.inside(addr.Addr()) {
 		return
 	}
-	text, err := encodeCopies(m.table.Cluster, b.me, x)
-	if err == nil && len(text) > longestCopies {
+	w.Cluster, w.From = m.table.Cluster, toWire(b.me)
+	text, err := encodeOther(w)
+	if err == nil && len(text) > longestOther {
 		err = errTooLong
 		m.drop(err)
 	}
@@ -465,6 +484,17 @@
 	}
 }
 
+// Names are the other members that are here or doubted.
+func (m *Mesh) Names() (names []string) {
+	for name, x := range m.book.Load().by {
+		if !x.State.Ended() {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 func (m *Mesh) read(text []byte, long bool, from netip.Addr) (members.Message, error) {
 	if !m.table.inside(from) {
 		return members.Message{}, errOutside
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -51,11 +51,11 @@
 		decode(rapid.SliceOf(rapid.Byte()).Draw(t, "noise"), inside)
 		y := copies.Message{Kind: copies.Piece, Epoch: 7, Records: []copies.Record{{Key: "k\x00i", Print: 3, Fates: []copies.Fate{
 			{Claim: copies.Claim{By: "n", Nonce: 9}, Stage: copies.Ended, Verdict: 502, Result: []byte("r"), Held: true}}}}, Voters: []copies.Voter{{Name: "n"}}}
-		if text, err = encodeCopies("c", claim, y); err != nil {
+		if text, err = encodeOther(wireOther{Cluster: "c", From: toWire(claim), Copies: &y}); err != nil {
 			t.Fatal(err)
 		}
-		if w, err := decodeCopies(text); err != nil || !reflect.DeepEqual(w.Message, y) {
-			t.Fatalf("%+v, %v", w.Message, err)
+		if w, err := decodeOther(text); err != nil || !reflect.DeepEqual(*w.Copies, y) {
+			t.Fatalf("%+v, %v", w.Copies, err)
 		}
 	})
 }
--- a/internal/mesh/table.go
+++ b/internal/mesh/table.go
@@ -29,6 +29,7 @@
 	Memory     operator.Span `toml:"memory"`        // of those that are gone or have left
 	Most       int           `toml:"most"`          // names in the view
 	Superseded string        `toml:"superseded"`    // what a process does whose name another has: "stand-by" or "end"
+	Workers    bool          `toml:"workers"`       // a worker that drains by what another was told takes nothing new from here
 	Words      bool          `toml:"words"`         // peers are reached by the view and not by the configuration
 
 	networks []netip.Prefix
--- a/internal/mesh/wire.go
+++ b/internal/mesh/wire.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"woaddyke/internal/copies"
+	"woaddyke/internal/lists"
 	"woaddyke/internal/members"
 )
 
@@ -18,8 +19,8 @@
 const (
 	version         = 1
 	headSize        = 2 + 1 + 8
-	longestDatagram = 1900 // of members; one of copies may hold an answer, and is parted by the network where it is longer
-	longestCopies   = 8 << 10
+	longestDatagram = 1900 // of members; another may hold an answer, and is parted by the network where it is longer
+	longestOther    = 8 << 10
 	claimSize       = 640 // of a claim at its longest, in a message on a stream
 	streamBase      = 64 << 10
 	mostClaims      = 1 << 16
@@ -151,25 +152,27 @@
 	return l, nil
 }
 
-// wireCopies is a message of copies, with who sends it. The pure types stand in it as they are: their names are the keys.
-type wireCopies struct {
-	Cluster string         `cbor:"1,keyasint"`
-	From    wireClaim      `cbor:"2,keyasint"`
-	Message copies.Message `cbor:"3,keyasint"`
+// wireOther is a message that is not of membership, with who sends it: of copies, or words of workers. The pure types stand in it as
+// they are: their names are the keys.
+type wireOther struct {
+	Cluster string          `cbor:"1,keyasint"`
+	From    wireClaim       `cbor:"2,keyasint"`
+	Copies  *copies.Message `cbor:"3,keyasint,omitempty"`
+	Workers []lists.Word    `cbor:"4,keyasint,omitempty"`
 }
 
-const copiesMark = 'c' // in place of the second letter
+const otherMark = 'o' // in place of the second letter
 
-func encodeCopies(cluster string, from members.Claim, x copies.Message) ([]byte, error) {
-	body, err := cbor.Marshal(wireCopies{Cluster: cluster, From: toWire(from), Message: x})
+func encodeOther(w wireOther) ([]byte, error) {
+	body, err := cbor.Marshal(w)
 	if err != nil {
 		return nil, fmt.Errorf("mesh: %w", err)
 	}
-	return headed(copiesMark, body), nil
+	return headed(otherMark, body), nil
 }
 
-func decodeCopies(text []byte) (w wireCopies, err error) {
-	body, err := bodyOf(copiesMark, text)
+func decodeOther(text []byte) (w wireOther, err error) {
+	body, err := bodyOf(otherMark, text)
 	if err == nil && strict.Unmarshal(body, &w) != nil {
 		err = errGarbled
 	}
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -32,6 +32,7 @@
 // Listed is a list of workers, whole or of changes. A remembered one is from before the start.
 type Listed struct {
 	Whole, Remembered bool
+	Rev               int64 // discovery's own; nothing is decided by it here
 	Entries           []Entry
 }
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -69,7 +69,7 @@
 
 // Listed is the message as the reducer takes it.
 func (m *Message) Listed() ops.Listed {
-	in := ops.Listed{Whole: m.All}
+	in := ops.Listed{Whole: m.All, Rev: m.Rev}
 	for _, t := range m.Targets {
 		if t.UID == "" {
 			continue // nobody could ever be told that it has gone
