--- a/internal/copies/play/play_test.go
+++ b/internal/copies/play/play_test.go
@@ -246,3 +246,43 @@
 		t.Error(p.Breaches)
 	}
 }
+
+// One keeper of three in trouble, whichever and however: not one op is refused for it.
+func TestOneKeeperInTroubleRefusesNothing(t *testing.T) {
+	for what, trouble := range map[string]func(p *Play, k int){
+		"dead":          func(p *Play, k int) { p.Kill(k) },
+		"stopped":       func(p *Play, k int) { p.Pause(k) },
+		"heard by none": func(p *Play, k int) { cutAll(p, k, true, false) },
+		"hears none":    func(p *Play, k int) { cutAll(p, k, false, true) },
+	} {
+		for k := range 3 {
+			p := cluster(6, 3, uint64(k+1))
+			trouble(p, k)
+			before := len(p.History)
+			for n := range 200 {
+				p.At(p.now+Time(n*50), func() { p.Want(3+n%3, fmt.Sprint("x", n)) })
+			}
+			p.Run(p.now + 3*Second)
+			unsure, mine := 0, 0
+			for _, op := range p.History[before:] {
+				if op.What == "asked" && op.Outcome == copies.Unsure {
+					unsure++
+				} else if op.Outcome == copies.Mine {
+					mine++
+				}
+			}
+			if unsure > 0 || mine != 200 {
+				t.Errorf("keeper %d %s: %d of 200 given, %d refused", k, what, mine, unsure)
+			}
+		}
+	}
+}
+
+func cutAll(p *Play, k int, out, in bool) {
+	for i := range 6 {
+		if i != k {
+			p.Cut(k, i, out)
+			p.Cut(i, k, in)
+		}
+	}
+}
