Copies: keepers with a disk that lasts come back with their votes; a later incarnation is told

Need: a cluster whose keepers fail together forgets what it granted and holds off for seconds. internal/shelf keeps records in bbolt, one file held by one process, fsync by setting; nothing is granted before it lasts, a round of inputs shares one wait. A file that is whole gives the vote at once; one that is torn ends the start; one older than a neighbour knows is caught up like none.

--- a/cmd/woaddyke/copies_test.go
+++ b/cmd/woaddyke/copies_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
 	"syscall"
@@ -53,7 +54,7 @@
 }
 
 // guarded starts schedulers beside one worker; the first three are keepers unless copies are off.
-func guarded(t *testing.T, n int, on bool) (*several.Cluster, *bench) {
+func guarded(t *testing.T, n int, on bool, more ...string) (*several.Cluster, *bench) {
 	t.Helper()
 	b := &bench{runs: map[string]int{}, go_: make(chan struct{}), began: make(chan string, 99)}
 	worker := httptest.NewServer(b)
@@ -61,7 +62,7 @@
 	t.Cleanup(worker.CloseClientConnections)
 	offer := quick
 	if on {
-		offer += "[copies]\nkeepers = [\"n1\", \"n2\", \"n3\"]\npull = \"50ms\"\nhold_off = \"5s\"\nwait = \"500ms\"\n"
+		offer += "[copies]\nkeepers = [\"n1\", \"n2\", \"n3\"]\npull = \"50ms\"\nhold_off = \"5s\"\nwait = \"500ms\"\n" + strings.Join(more, "\n")
 	}
 	c := several.New(t, n, offer, fmt.Sprintf(`{"rev":1,"all":true,"targets":[{"uid":"w","endpoint":%q,"state":"SERVING"}]}`,
 		worker.Listener.Addr()), thisProgram)
@@ -70,14 +71,17 @@
 	}
 	c.AwaitWhole(c.Places...)
 	for _, p := range c.Places {
-		c.Await("all are ready, and keepers have their votes", func() bool {
-			var s struct{ Keeper, Voting bool }
-			return p.Get("/api/ready", nil) && (!on || p.Get("/api/copies", &s) && s.Keeper == s.Voting)
-		})
+		c.Await("all are ready, and keepers have their votes", func() bool { return p.Get("/api/ready", nil) && (!on || votes(p)) })
 	}
 	return c, b
 }
 
+// votes tells whether a process has its vote, if it is a keeper.
+func votes(p *several.Place) bool {
+	var s struct{ Keeper, Voting bool }
+	return p.Get("/api/copies", &s) && s.Keeper == s.Voting
+}
+
 // post sends an op and returns its answer; status 0 for a connection that broke.
 func post(p *several.Place, category, id, body string) (int, string) {
 	r, _ := http.NewRequest(http.MethodPost, "http://"+p.Listen+"/", strings.NewReader(body))
@@ -279,3 +283,68 @@
 		t.Errorf("a new op: %d %q", status, text)
 	}
 }
+
+// All keepers are killed at one moment. With a disk that lasts they come back with their votes and know what they granted, at once; one
+// whose file was torn says so and does not start; one whose file is older than it says catches up.
+func TestKeepersWithADisk(t *testing.T) {
+	t.Parallel()
+	c, b := guarded(t, 4, true, "path = \"{dir}/copies.db\"\n")
+	if status, _ := post(c.Places[3], "pay", "a", "x"); status != http.StatusOK {
+		t.Fatal(status)
+	}
+	file := c.Places[2].Dir() + "/copies.db"
+	old, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, p := range c.Places[:3] {
+		p.Kill()
+	}
+	began := time.Now()
+	for _, p := range c.Places[:3] {
+		c.Start(p)
+	}
+	for _, p := range c.Places[:3] {
+		c.Await("keepers have their votes", func() bool { return votes(p) })
+	}
+	t.Logf("votes back after %v", time.Since(began))
+	if status, text := post(c.Places[3], "pay", "a", "x"); status != http.StatusOK || text != "result of a" {
+		t.Errorf("an id of before: %d %q", status, text)
+	}
+	for k := range 20 {
+		if status, text := post(c.Places[3], "pay", fmt.Sprint("b", k), "x"); status != http.StatusOK {
+			t.Errorf("%d %q", status, text)
+		}
+	}
+	c.Places[2].Kill()
+	if err := os.WriteFile(file, old, 0o600); err != nil { // as from a copy made before
+		t.Fatal(err)
+	}
+	c.Start(c.Places[2])
+	c.Await("the one with an old file has caught up", func() bool {
+		var s, first struct {
+			Voting bool
+			Digest string
+		}
+		return c.Places[2].Get("/api/copies", &s) && c.Places[0].Get("/api/copies", &first) && s.Voting && s.Digest == first.Digest
+	})
+	c.Places[1].Kill()
+	if err := os.WriteFile(c.Places[1].Dir()+"/copies.db", []byte("torn"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c.Start(c.Places[1])
+	_, ended := c.Places[1].Running()
+	select {
+	case err := <-ended:
+		if err == nil {
+			t.Error("a torn file ends the start with no error")
+		}
+	case <-time.After(15 * time.Second):
+		t.Error("it starts with a torn file")
+	}
+	for _, id := range []string{"a", "b0", "b19"} {
+		if n := b.ran(id); n != 1 {
+			t.Errorf("%s ran %d times", id, n)
+		}
+	}
+}
--- a/cmd/woaddyke/member.go
+++ b/cmd/woaddyke/member.go
@@ -118,6 +118,7 @@
 	}
 	if state.Members = text; p.fates != nil {
 		state.Heirs = p.fates.Heirs()
+		p.fates.Give()
 	}
 	return sockets
 }
--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -129,6 +129,10 @@
 	voting  bool
 	since   Time // as this life, registered with enough others; 0 before
 	voters  map[string]Life
+	former  map[string]Life // who voted before each of them
+	lasting bool            // records last: Keep and Drop are asked for
+	kept    Life            // as which life those were kept that came from there; none for a new place, or one that can't be believed
+	unkept  bool
 	looks   map[string]*look
 
 	records map[string]*Record
@@ -147,19 +151,34 @@
 
 // New makes a scheduler without memory. The terms have been checked.
 func New(t Terms, now Time) *Core {
-	c := &Core{t: t, rand: rand.New(rand.NewPCG(t.Chance, t.Nonce^0x636f70696573)), now: now, epoch: epochOf(t.Keepers), voters: map[string]Life{},
+	c := &Core{t: t, rand: rand.New(rand.NewPCG(t.Chance, t.Nonce^0x636f70696573)), now: now, epoch: epochOf(t.Keepers), voters: map[string]Life{}, former: map[string]Life{},
 		looks: map[string]*look{}, records: map[string]*Record{}, wants: map[uint64]*want{}, mine: map[uint64]*want{}, tells: map[uint64]*told{},
 		gone: map[string]bool{}, counts: map[string]uint64{}, first: 1}
 	c.keeper = slices.Contains(t.Keepers, t.Name)
 	return c
 }
 
+// Restore says that records last from now on, and brings those that were kept as a life of this keeper; a zero one for a place that is
+// new. It is called before the first input.
+func (c *Core) Restore(records []Record, kept Life) {
+	c.kept = kept
+	for _, r := range records {
+		if c.valid(r) && Time(r.Age) < c.t.Remember/second {
+			c.learn(r)
+		}
+	}
+	c.lasting = true
+}
+
 // epochOf names a set of keepers: who has another set has no vote in it.
 func epochOf(keepers []string) uint64 {
 	sorted := slices.Sorted(slices.Values(keepers))
 	return xxhash.Sum64String(strings.Join(sorted, "\n"))
 }
 
+// Epoch names the set of keepers.
+func (c *Core) Epoch() uint64 { return c.epoch }
+
 // majority is how many keepers decide.
 func (c *Core) majority() int { return len(c.t.Keepers)/2 + 1 }
 
@@ -195,6 +214,9 @@
 		c.end(in)
 	case Serving:
 		c.serve(in)
+	case Unkept:
+		c.voting, c.unkept = false, true
+		c.do(Noted{"has no vote: its records do not last", ""})
 	case Lost:
 		if c.gone[in.Name] = in.Gone; !in.Gone {
 			delete(c.gone, in.Name)
--- a/internal/copies/keeper.go
+++ b/internal/copies/keeper.go
@@ -142,6 +142,7 @@
 		if len(c.records) >= c.t.Most || c.size+x.size() > c.t.MostSize {
 			c.count("no room for a record") // it stays where it is known; here nothing is granted that it would forbid
 			c.voting = false
+			c.lives(Life{})
 			for _, l := range c.looks { // what finds no room now is asked for again
 				l.since, l.through = 0, false
 			}
@@ -176,7 +177,9 @@
 	}
 	c.size += r.size()
 	if changed {
-		c.move(r)
+		if c.move(r); c.lasting {
+			c.do(Keep{c.aged(r)})
+		}
 	}
 }
 
@@ -210,6 +213,9 @@
 		c.ages = c.ages[1:]
 		c.size -= r.size()
 		delete(c.records, r.Key)
+		if c.lasting {
+			c.do(Drop{r.Key})
+		}
 		c.order[r.pos-c.first] = nil
 	}
 }
@@ -239,7 +245,7 @@
 // these know it as the present life since before it looked; so nothing that counts can be missed, and no earlier life's vote counts
 // beside this one's. Where too few others vote, it waits until all that may have been granted is over.
 func (c *Core) begin() {
-	if c.voting || c.now < 0 {
+	if c.voting || c.unkept {
 		return
 	}
 	caught, known := 0, 0
@@ -255,14 +261,29 @@
 	if known >= c.enough() && c.since == 0 {
 		c.since = max(c.now, 1)
 	}
+	if c.kept != (Life{}) && known >= min(1, len(c.t.Keepers)-1) {
+		// It knows all that it ever granted: no earlier process can be left, since one alone holds the place where records last.
+		c.voting, c.kept = true, Life{}
+		c.lives(c.life)
+		c.do(Noted{"votes", "its own records"})
+		return
+	}
 	full := len(c.records) >= c.t.Most || c.size >= c.t.MostSize
 	if full || caught < c.enough() && !(known >= c.enough() && c.now-c.since >= c.t.HoldOff) {
 		return
 	}
 	c.voting = true
+	c.lives(c.life)
 	c.do(Noted{"votes", ""})
 }
 
+// lives notes where records last as which life they are whole; as none while they are not.
+func (c *Core) lives(as Life) {
+	if c.lasting {
+		c.do(Lives{as})
+	}
+}
+
 // register takes note of the process that votes under a keeper's name.
 func (c *Core) register(in Heard) {
 	if !slices.Contains(c.t.Keepers, in.From) {
@@ -272,8 +293,12 @@
 		c.count("registration of an earlier process")
 		return
 	}
+	if was, ok := c.voters[in.From]; ok && was != in.Life {
+		c.former[in.From] = was
+	}
 	c.voters[in.From] = in.Life
-	c.send(in.From, Message{Kind: Registered, Life: c.life, Of: in.Life, Voting: c.voting, Voters: c.votersNow(), Next: c.pos})
+	c.send(in.From, Message{Kind: Registered, Life: c.life, Of: in.Life, Voting: c.voting, Former: c.former[in.From], Voters: c.votersNow(),
+		Next: c.pos})
 }
 
 func (c *Core) registered(in Heard) {
@@ -286,6 +311,12 @@
 			c.voters[v.Name] = v.Life
 		}
 	}
+	if in.Former.compare(c.kept) > 0 && c.kept != (Life{}) {
+		// A process of this keeper voted after these records were kept: they are older than they say.
+		c.kept = Life{}
+		c.do(Noted{"its records are older than they say: it catches up as one without memory", ""})
+		c.lives(Life{})
+	}
 	if l.registered != c.life {
 		l.registered, l.mark, l.through = c.life, in.Next, false
 		l.voting = in.Voting
--- a/internal/copies/messages.go
+++ b/internal/copies/messages.go
@@ -59,6 +59,7 @@
 	Record  Record // what it is about: of a Grab or Tell with one fate
 	Why     Why
 	Voting  bool
+	Former  Life // Registered: which process voted under that name before, as this keeper knows it
 	Of      Life // Pull and Piece: whose order of changes
 	Since   uint64
 	Next    uint64
@@ -107,6 +108,10 @@
 	Gone bool
 }
 
+// Unkept says that records could not be put where they last: this keeper has no vote any more.
+type Unkept struct{}
+
+func (Unkept) input()  {}
 func (Heard) input()   {}
 func (Tick) input()    {}
 func (Want) input()    {}
@@ -114,7 +119,7 @@
 func (Serving) input() {}
 func (Lost) input()    {}
 
-// Effect is one of Send, Decided and Noted.
+// Effect is one of Send, Decided, Noted, Keep, Drop and Lives.
 type Effect interface{ effect() }
 
 // Send has a message sent to a member.
@@ -153,6 +158,18 @@
 // Noted is something that staff want to know.
 type Noted struct{ What, Of string }
 
+// Keep has a record put where it lasts, before anything that follows it is sent.
+type Keep struct{ Record }
+
+// Drop has a record forgotten there.
+type Drop struct{ Key string }
+
+// Lives says as which life this keeper keeps its records from now on.
+type Lives struct{ Life }
+
+func (Keep) effect()    {}
+func (Drop) effect()    {}
+func (Lives) effect()   {}
 func (Send) effect()    {}
 func (Decided) effect() {}
 func (Noted) effect()   {}
--- a/internal/fates/fates.go
+++ b/internal/fates/fates.go
@@ -5,6 +5,8 @@
 	crand "crypto/rand"
 	"encoding/binary"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,12 +16,14 @@
 
 	"woaddyke/internal/copies"
 	"woaddyke/internal/members"
+	"woaddyke/internal/shelf"
 )
 
 const (
 	mostWaiting = 4096 // inputs that wait for the loop; messages beyond them are lost, as datagrams are
 	pageSize    = 500  // records that staff read at once
 	lateTime    = time.Second
+	mostRound   = 64 // further inputs that share a wait for the disk
 )
 
 // Way sends a message to a member.
@@ -47,6 +51,8 @@
 	heirs   uint64
 	life    uint64
 	serving bool
+
+	shelf *shelf.Shelf // nil: memory alone; of the loop once it runs
 }
 
 // New makes a process's part; it does nothing before Start. A process that took over says how many did before it.
@@ -58,9 +64,42 @@
 	f := &Fates{table: t, log: log, in: make(chan copies.Input, mostWaiting), calls: make(chan func()), quit: make(chan struct{}),
 		ended: make(chan struct{}), waiting: map[uint64]chan copies.Decided{}, heirs: heirs}
 	f.core = copies.New(t.terms(name, chance, binary.BigEndian.Uint64(room[:])|1), 0)
+	if t.Path != "" && slices.Contains(t.Keepers, name) {
+		return f, f.open()
+	}
 	return f, nil
 }
 
+// open opens the place where records last. A file that can't be read ends the start: a keeper that goes on without what it granted must
+// be one that has been told to, by taking the file away.
+func (f *Fates) open() (err error) {
+	if f.shelf, err = shelf.Open(f.table.Path, f.table.Sync); err != nil {
+		return err
+	}
+	records, life, epoch, ok, err := f.shelf.Load(time.Now())
+	if err != nil {
+		f.shelf.Close()
+		return err
+	}
+	if !ok || epoch != f.core.Epoch() {
+		life = copies.Life{} // new, not whole, or of another set of keepers
+	}
+	f.core.Restore(records, life)
+	f.log.Info().Int("records", len(records)).Bool("whole", life != copies.Life{}).Str("path", f.table.Path).Msg("copies kept on a disk")
+	return nil
+}
+
+// Give lets go of the place where records last, for the process that takes over.
+func (f *Fates) Give() {
+	f.call(func() {
+		if f.shelf != nil {
+			f.shelf.Close()
+			f.shelf = nil
+			f.core.Take(f.way.Now(), copies.Unkept{})
+		}
+	})
+}
+
 // Start runs it over the mesh.
 func (f *Fates) Start(way Way) {
 	f.way = way
@@ -75,9 +114,15 @@
 
 func (f *Fates) loop() {
 	defer close(f.ended)
+	defer func() {
+		if f.shelf != nil {
+			f.shelf.Close()
+		}
+	}()
 	tick := time.NewTimer(0)
 	defer tick.Stop()
 	for {
+		var effects []copies.Effect
 		select {
 		case <-f.quit:
 			return
@@ -85,25 +130,44 @@
 			call()
 			continue
 		case in := <-f.in:
-			f.step(in)
+			effects = f.core.Take(f.way.Now(), in)
+			// What waits already goes into the same round: many records, one wait for the disk.
+			for range mostRound {
+				select {
+				case in = <-f.in:
+					effects = append(effects, f.core.Take(f.way.Now(), in)...)
+					continue
+				default:
+				}
+				break
+			}
 		case <-tick.C:
-			f.step(copies.Tick{})
+			effects = f.core.Take(f.way.Now(), copies.Tick{})
 		}
+		f.carry(effects)
 		tick.Reset(max(time.Duration(f.core.Next()-f.way.Now())*members.Tenth, 0))
 	}
 }
 
-func (f *Fates) step(in copies.Input) {
-	for _, e := range f.core.Take(f.way.Now(), in) {
+// carry does what the core asks for: first of all what has to last.
+func (f *Fates) carry(effects []copies.Effect) {
+	kept := f.keep(effects)
+	for _, e := range effects {
 		switch e := e.(type) {
 		case copies.Send:
+			if !kept && (e.Kind == copies.Granted || e.Kind == copies.Known) {
+				continue // it is not true of a keeper that would forget it
+			}
 			f.way.Copy(e.To, e.Message)
 		case copies.Decided:
 			f.mu.Lock()
 			c := f.waiting[e.Ticket]
 			delete(f.waiting, e.Ticket)
 			f.mu.Unlock()
-			if c != nil {
+			if c != nil && !kept && e.Outcome == copies.Mine { // its own vote may be among those that granted it
+				c <- copies.Decided{Ticket: e.Ticket, Outcome: copies.Unsure}
+				f.tell(copies.End{Ticket: e.Ticket, Unsent: true})
+			} else if c != nil {
 				c <- e
 			} else if e.Outcome == copies.Mine { // nobody waits for it any more, and nothing was pushed
 				f.tell(copies.End{Ticket: e.Ticket, Unsent: true})
@@ -112,6 +176,39 @@
 			f.log.Info().Str("what", e.What).Str("of", e.Of).Msg("copies")
 		}
 	}
+	if !kept {
+		f.tell(copies.Unkept{})
+	}
+}
+
+// keep puts on the disk what a round of effects asks for; false where that failed.
+func (f *Fates) keep(effects []copies.Effect) bool {
+	if f.shelf == nil {
+		return true
+	}
+	put, drop := map[string]copies.Record{}, []string{}
+	var err error
+	for _, e := range effects {
+		switch e := e.(type) {
+		case copies.Keep:
+			put[e.Key] = e.Record
+		case copies.Drop:
+			delete(put, e.Key)
+			drop = append(drop, e.Key)
+		}
+	}
+	if len(put)+len(drop) > 0 {
+		err = f.shelf.Keep(time.Now(), slices.Collect(maps.Values(put)), drop)
+	}
+	for _, e := range effects { // a life is noted after the records that make it whole
+		if l, ok := e.(copies.Lives); ok && err == nil {
+			err = f.shelf.Live(l.Life, f.core.Epoch())
+		}
+	}
+	if err != nil {
+		f.log.Error().Err(err).Msg("copies could not be kept on the disk")
+	}
+	return err == nil
 }
 
 func (f *Fates) tell(in copies.Input) bool {
--- a/internal/fates/table.go
+++ b/internal/fates/table.go
@@ -25,6 +25,8 @@
 	Most         int           `toml:"most"`         // ids
 	MostBytes    int           `toml:"most_bytes"`
 	ResultBytes  int           `toml:"result_bytes"` // longer answers are not held
+	Path         string        `toml:"path"`         // a file on a disk that lasts, for a keeper's records; empty: memory alone
+	Sync         bool          `toml:"sync"`         // a grant waits until the disk has it
 }
 
 const longestResult = 2 << 10 // so that a message with one fits a datagram of the mesh
@@ -34,7 +36,7 @@
 	d := copies.Defaults()
 	span := func(t copies.Time) operator.Span { return operator.Span(time.Duration(t) * members.Tenth) }
 	return &Table{Wait: span(d.Wait), Again: span(d.Again), Pull: span(d.Pull), Remember: span(d.Remember), HoldOff: span(d.HoldOff),
-		Most: d.Most, MostBytes: d.MostSize, ResultBytes: 1 << 10}
+		Most: d.Most, MostBytes: d.MostSize, ResultBytes: 1 << 10, Sync: true}
 }
 
 // Check tells what is wrong. An id must not come again after keepers without memory vote again while its first op may still be out.
--- a/internal/lab/several/several.go
+++ b/internal/lab/several/several.go
@@ -87,7 +87,8 @@
 // Bound is the address at which the k-th place listens.
 func (c *Cluster) Bound(k int) netip.Addr { return between.Bound(c.base + k) }
 
-// New makes places for so many processes, of which none runs. Further lines of the operator's table of members may be given. The
+// New makes places for so many processes, of which none runs. Further lines of the operator's table of members may be given, in which
+// {dir} is the place's own folder. The
 // list of workers is given in discovery's form.
 func New(t testing.TB, n int, operator, workers string, program func(args ...string) *exec.Cmd) *Cluster {
 	t.Helper()
@@ -167,7 +168,8 @@
 	for i := range min(2, len(c.Places)) {
 		seeds = append(seeds, fmt.Sprintf("%q", c.Places[i].told))
 	}
-	offer := fmt.Sprintf("[members]\ncluster = \"test\"\nlisten = %q\nadvertise = %q\nseeds = [%s]\n%s", p.at, p.told, strings.Join(seeds, ", "), c.operator)
+	offer := fmt.Sprintf("[members]\ncluster = \"test\"\nlisten = %q\nadvertise = %q\nseeds = [%s]\n%s", p.at, p.told, strings.Join(seeds, ", "),
+		strings.ReplaceAll(c.operator, "{dir}", p.dir))
 	for path, text := range map[string]string{sheet: text, offers: offer} {
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			c.t.Fatal(err)
@@ -186,12 +188,18 @@
 		c.t.Fatal(err)
 	}
 	end := make(chan error, 1)
-	go func() { end <- cmd.Wait() }()
+	go func() {
+		end <- cmd.Wait()
+		close(end) // whoever asks later need not wait
+	}()
 	p.mu.Lock()
 	p.cmd, p.end = cmd, end
 	p.mu.Unlock()
 }
 
+// Dir is the place's own folder.
+func (p *Place) Dir() string { return p.dir }
+
 // Signal sends the process at a place a signal.
 func (p *Place) Signal(s syscall.Signal) {
 	p.mu.Lock()
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -64,6 +64,7 @@
 	answered chan struct{}
 	opened   chan struct{}
 	silent   atomic.Bool // its heir speaks
+	life     uint64      // as which the host was told that it serves
 	asks     bool        // it was away, and does not know yet what it missed
 
 	mu      sync.Mutex
@@ -283,9 +284,11 @@
 	if me := m.core.Me(); changed || me != m.book.Load().me {
 		m.snapshot()
 	}
-	if asks := m.core.Asks(); m.host.Serving != nil && (serving || asks != m.asks) {
-		m.asks = asks
-		m.host.Serving(!asks, m.core.Me().Incarnation)
+	// Its incarnation may grow while it is a member: it was taken without knowing of another process of this name.
+	asks, life := m.core.Asks(), m.core.Me().Incarnation
+	if m.host.Serving != nil && (serving || asks != m.asks || life != m.life && m.core.Me().State == members.Here) {
+		m.asks, m.life = asks, life
+		m.host.Serving(!asks, life)
 	}
 }
 
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"net"
 	"net/netip"
 	"os"
 	"reflect"
@@ -128,3 +129,42 @@
 		t.Errorf("the clock went from %d to %d", before, after)
 	}
 }
+
+// A process that took its incarnation without knowing of an earlier one goes beyond it later. Its host must be told: as a keeper it
+// registered under the lower one for good, and nobody took that.
+func TestAHostIsToldOfALaterIncarnation(t *testing.T) {
+	lives := make(chan uint64, 9)
+	a, err := Start(table(t), Name{"a", 0, 1}, Host{Serving: func(on bool, life uint64) { lives <- life }}, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer a.Close()
+	await := func(want uint64) {
+		t.Helper()
+		for late := time.After(20 * time.Second); ; {
+			select {
+			case got := <-lives:
+				if got == want {
+					return
+				}
+			case <-late:
+				t.Fatalf("never told that it is life %d", want)
+			}
+		}
+	}
+	await(1)
+	b, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer b.Close()
+	at := b.LocalAddr().String()
+	text, err := encode(members.Message{Kind: members.Gossip, Cluster: "c", Seq: 1, From: members.Claim{Name: "b", Addr: at,
+		Life: members.Life{Incarnation: 1, Nonce: 1}, State: members.Here, By: "b"}, Claims: []members.Claim{{Name: "a", Addr: at,
+		Life: members.Life{Incarnation: 5, Nonce: 1}, State: members.Gone, By: "b"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.WriteToUDP(text, a.udp.LocalAddr().(*net.UDPAddr))
+	await(6)
+}
--- /dev/null
+++ b/internal/shelf/shelf.go
@@ -0,0 +1,128 @@
+// Package shelf keeps a keeper's records on a disk that lasts: one file, held by one process at a time, in an embedded store whose
+// transactions are whole or not there. It decides nothing.
+package shelf
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.etcd.io/bbolt"
+
+	"woaddyke/internal/copies"
+)
+
+const (
+	lockTime = 2 * time.Second // for the process before to let go of the file
+	version  = 1
+)
+
+var (
+	recordsName = []byte("records")
+	metaName    = []byte("meta")
+	lifeKey     = []byte("life")
+	epochKey    = []byte("epoch")
+	versionKey  = []byte("version")
+)
+
+// row is a record as it stands on the disk. Ages are by the wall clock, since no other lasts: one that is set back has ids remembered for
+// longer, and never shorter than by as much as it is set forward.
+type row struct {
+	Record copies.Record `cbor:"1,keyasint"`
+	First  int64         `cbor:"2,keyasint"` // Unix seconds at which it was first heard of
+}
+
+// Shelf is one file.
+type Shelf struct {
+	db *bbolt.DB
+}
+
+// Open opens or makes the file. With sync off a crash of the machine, not of the process, may lose the last records: a keeper that comes
+// back from one must not be believed.
+func Open(path string, sync bool) (*Shelf, error) {
+	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: lockTime, NoSync: !sync, NoFreelistSync: true, FreelistType: bbolt.FreelistMapType})
+	if err != nil {
+		return nil, fmt.Errorf("copies: %s: %w", path, err)
+	}
+	err = db.Update(func(tx *bbolt.Tx) error {
+		meta, err := tx.CreateBucketIfNotExists(metaName)
+		if err != nil {
+			return err
+		}
+		if v := meta.Get(versionKey); v != nil && v[0] != version {
+			return fmt.Errorf("its form is %d, this build reads %d", v[0], version)
+		}
+		_, err = tx.CreateBucketIfNotExists(recordsName)
+		return errors.Join(err, meta.Put(versionKey, []byte{version}))
+	})
+	if err != nil {
+		return nil, fmt.Errorf("copies: %s: %w", path, errors.Join(err, db.Close()))
+	}
+	return &Shelf{db}, nil
+}
+
+// Load reads all records, and as which life, of which set of keepers, they were kept; false for a file that is new, or whose keeper had
+// not caught up.
+func (s *Shelf) Load(now time.Time) (records []copies.Record, life copies.Life, epoch uint64, ok bool, err error) {
+	err = s.db.View(func(tx *bbolt.Tx) error {
+		meta := tx.Bucket(metaName)
+		l := meta.Get(lifeKey)
+		if len(l) != 16 {
+			return nil
+		}
+		life = copies.Life{N: binary.BigEndian.Uint64(l), Nonce: binary.BigEndian.Uint64(l[8:])}
+		ok = life != copies.Life{}
+		if e := meta.Get(epochKey); len(e) == 8 {
+			epoch = binary.BigEndian.Uint64(e)
+		}
+		return tx.Bucket(recordsName).ForEach(func(_, v []byte) error {
+			var x row
+			if err := cbor.Unmarshal(v, &x); err != nil {
+				return err
+			}
+			x.Record.Age = uint64(max(now.Unix()-x.First, 0))
+			records = append(records, x.Record)
+			return nil
+		})
+	})
+	if err != nil {
+		err = fmt.Errorf("copies: %w", err)
+	}
+	return records, life, epoch, ok, err
+}
+
+// Live notes as which life the file is whole from now on; a zero one: it is not.
+func (s *Shelf) Live(life copies.Life, epoch uint64) error {
+	return s.db.Update(func(tx *bbolt.Tx) error {
+		meta := tx.Bucket(metaName)
+		l := binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, life.N), life.Nonce)
+		return errors.Join(meta.Put(lifeKey, l), meta.Put(epochKey, binary.BigEndian.AppendUint64(nil, epoch)))
+	})
+}
+
+// Keep puts records in and takes others out, all in one step; when it returns without an error they last.
+func (s *Shelf) Keep(now time.Time, put []copies.Record, drop []string) error {
+	return s.db.Update(func(tx *bbolt.Tx) error {
+		b := tx.Bucket(recordsName)
+		for _, r := range put {
+			v, err := cbor.Marshal(row{r, now.Unix() - int64(r.Age)})
+			if err != nil {
+				return err
+			}
+			if err := b.Put([]byte(r.Key), v); err != nil {
+				return err
+			}
+		}
+		for _, key := range drop {
+			if err := b.Delete([]byte(key)); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+// Close lets go of the file.
+func (s *Shelf) Close() error { return s.db.Close() }
