--- /dev/null
+++ b/cmd/woaddyke/bench_test.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"woaddyke/internal/lab/several"
+)
+
+// BenchmarkGuardedOp is what an at-most-once op costs from its client's side, with copies at three keepers and without.
+func BenchmarkGuardedOp(b *testing.B) {
+	for _, on := range []bool{false, true} {
+		b.Run(fmt.Sprint("copies=", on), func(b *testing.B) {
+			worker := httptest.NewServer(&bench{runs: map[string]int{}})
+			defer worker.Close()
+			offer := quick
+			if on {
+				offer += "[copies]\nkeepers = [\"n1\", \"n2\", \"n3\"]\nhold_off = \"5s\"\n"
+			}
+			c := several.New(b, 4, offer, fmt.Sprintf(`{"rev":1,"all":true,"targets":[{"uid":"w","endpoint":%q,"state":"SERVING"}]}`,
+				worker.Listener.Addr()), thisProgram)
+			for _, p := range c.Places {
+				c.Start(p)
+			}
+			c.AwaitWhole(c.Places...)
+			for _, p := range c.Places {
+				c.Await("keepers have their votes", func() bool { return p.Get("/api/ready", nil) && (!on || votes(p)) })
+			}
+			client := http.Client{Timeout: 10 * time.Second}
+			var took []time.Duration
+			b.ResetTimer()
+			for n := range b.N {
+				r, _ := http.NewRequest(http.MethodPost, "http://"+c.Places[3].Listen+"/", strings.NewReader("x"))
+				r.Header = http.Header{"X-Correlation-Id": {fmt.Sprint("op", n)}, "X-Service-Class": {"pay"}, "X-Time-Left-Ms": {"4500"}}
+				from := time.Now()
+				resp, err := client.Do(r)
+				if err != nil {
+					b.Fatal(err)
+				}
+				io.Copy(io.Discard, resp.Body)
+				resp.Body.Close()
+				if took = append(took, time.Since(from)); resp.StatusCode != http.StatusOK {
+					b.Fatal(resp.Status)
+				}
+			}
+			b.StopTimer()
+			slices.Sort(took)
+			for name, q := range map[string]float64{"p50-us": 0.5, "p99-us": 0.99, "p99.9-us": 0.999} {
+				b.ReportMetric(float64(took[int(q*float64(len(took)-1))].Microseconds()), name)
+			}
+		})
+	}
+}
