Figures tell of the other schedulers; the swarm finds places by index

Need: the issue wants membership's figures beside the others; a swarm of thousands spent its time looking names up. /api/telemetry counts the others by state where this one is a member (the platform's figures stay as they are).

--- a/cmd/woaddyke/member.go
+++ b/cmd/woaddyke/member.go
@@ -12,6 +12,7 @@
 	"woaddyke/internal/members"
 	"woaddyke/internal/mesh"
 	"woaddyke/internal/ops"
+	"woaddyke/internal/tally"
 )
 
 // join makes this process a member, on the sockets of the one before where it gave some.
@@ -52,6 +53,7 @@
 }
 
 func (p *process) speak() {
+	p.front.Count(p.others)
 	if p.offers.Members.Words {
 		p.front.Speak(p.mesh.Say)
 	}
@@ -64,6 +66,27 @@
 	}
 }
 
+// others counts the other schedulers for the figures.
+func (p *process) others() *tally.Members {
+	x := &tally.Members{}
+	for _, m := range p.mesh.Shown().Members {
+		switch m.State {
+		case members.Here:
+			x.Here++
+		case members.Doubted:
+			x.Doubted++
+		case members.Gone:
+			x.Gone++
+		case members.Left:
+			x.Left++
+		}
+		if m.Reachable {
+			x.Reachable++
+		}
+	}
+	return x
+}
+
 // keep has the fates of ops stand at keepers, where the operator's file says so.
 func (p *process) keep(heirs uint64, host *mesh.Host) (err error) {
 	t := p.offers.Copies
--- a/cmd/woaddyke/members_test.go
+++ b/cmd/woaddyke/members_test.go
@@ -43,6 +43,12 @@
 	p := c.Places[3]
 	p.Kill()
 	c.AwaitState("n4", "gone", c.Places[:3]...)
+	c.Await("the figures tell", func() bool {
+		var f struct {
+			Members struct{ Here, Gone, Reachable int }
+		}
+		return c.Places[0].Get("/api/telemetry", &f) && f.Members.Here == 2 && f.Members.Gone == 1 && f.Members.Reachable == 2
+	})
 	c.Start(p)
 	c.AwaitWhole(c.Places...)
 	if v := p.View(); v.Self.Incarnation != 2 {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -61,10 +61,11 @@
 	inForce atomic.Pointer[terms.Sheet] // that was read last
 	places  int                         // categories that were taken up since the start
 	drain   *drainer
-	peersAt *net.UDPConn // that of the process before, nil without one
-	shared  *sharing     // nil: only the own discovery counts
-	known   ops.Listed   // as remembered at the start
-	fates   Fates        // nil: this scheduler alone knows its ops
+	peersAt *net.UDPConn          // that of the process before, nil without one
+	others  func() *tally.Members // nil where this is no member
+	shared  *sharing              // nil: only the own discovery counts
+	known   ops.Listed            // as remembered at the start
+	fates   Fates                 // nil: this scheduler alone knows its ops
 	guarded func(category string) bool
 }
 
@@ -182,7 +183,16 @@
 }
 
 // Figures are what staff read. They wait for nothing.
-func (f *Front) Figures() tally.Figures { return f.tally.Figures() }
+func (f *Front) Figures() tally.Figures {
+	x := f.tally.Figures()
+	if f.others != nil {
+		x.Members = f.others()
+	}
+	return x
+}
+
+// Count has the figures tell of the other schedulers. It is called before Serve.
+func (f *Front) Count(others func() *tally.Members) { f.others = others }
 
 // Effect is how often an op of a category may run, by the settings in force.
 func (f *Front) Effect(category string) string { return f.inForce.Load().Effect(category) }
--- a/internal/members/swarm/swarm.go
+++ b/internal/members/swarm/swarm.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"slices"
 
 	"woaddyke/internal/members"
 )
@@ -31,6 +30,7 @@
 // node is one name's place: at most one process speaks for it, and others of that name may stand still or live elsewhere.
 type node struct {
 	name, addr string
+	index      int
 	m          *members.Members
 	up         bool
 	started    Time
@@ -64,6 +64,7 @@
 	Terms  members.Terms
 	nodes  []*node
 	byAddr map[string]*node
+	byName map[string][]*node
 	cut    map[[2]int]bool // from, to
 	bad    [][]Time        // when two could last not reach each other both ways, directly or through one other
 	gone   map[string]bool // names that left or were superseded for good
@@ -82,7 +83,7 @@
 
 // New makes a cluster of so many names, none of which runs.
 func New(n int, seed uint64) *Swarm {
-	s := &Swarm{rand: rand.New(rand.NewPCG(seed, 0x737761726d)), byAddr: map[string]*node{}, cut: map[[2]int]bool{},
+	s := &Swarm{rand: rand.New(rand.NewPCG(seed, 0x737761726d)), byAddr: map[string]*node{}, byName: map[string][]*node{}, cut: map[[2]int]bool{},
 		streams: map[uint64][2]*node{}, Kinds: map[members.Kind]int64{}, Terms: members.Defaults(), Links: Links{Delay: 2 * 1, Jitter: 3}, Bound: 2 * Second, gone: map[string]bool{}}
 	for i := range n {
 		s.Place(fmt.Sprintf("n%03d", i))
@@ -94,8 +95,9 @@
 // Place adds a place where a process of that name can run.
 func (s *Swarm) Place(name string) int {
 	i := len(s.nodes)
-	n := &node{name: name, addr: fmt.Sprintf("a%d", i), held: map[string]holding{}}
+	n := &node{name: name, index: i, addr: fmt.Sprintf("a%d", i), held: map[string]holding{}}
 	s.nodes, s.byAddr[n.addr] = append(s.nodes, n), n
+	s.byName[name] = append(s.byName[name], n)
 	for k := range s.bad {
 		s.bad[k] = append(s.bad[k], math.MinInt32)
 	}
@@ -345,8 +347,6 @@
 	}
 }
 
-func (s *Swarm) index(n *node) int { return slices.Index(s.nodes, n) }
-
 func (s *Swarm) datagram(n *node, addr string, x members.Message) {
 	s.Sent++
 	s.Bytes += size(x)
@@ -354,11 +354,11 @@
 	to := s.byAddr[addr]
 	lost, twice := s.rand.Float64() < s.Links.Loss, s.rand.Float64() < s.Links.Dup
 	wait := s.Links.Delay + Time(float64(s.Links.Jitter)*s.rand.Float64())
-	if to == nil || lost || s.cut[[2]int{s.index(n), s.index(to)}] {
+	if to == nil || lost || s.cut[[2]int{n.index, to.index}] {
 		return
 	}
 	deliver := func() {
-		if !s.cut[[2]int{s.index(n), s.index(to)}] {
+		if !s.cut[[2]int{n.index, to.index}] {
 			s.feed(to, members.Heard{Message: x})
 		}
 	}
@@ -378,11 +378,11 @@
 			return
 		}
 	}
-	if !s.both(s.index(n), s.index(to)) {
+	if !s.both(n.index, to.index) {
 		return
 	}
 	s.At(s.now+wait, func() {
-		if s.both(s.index(n), s.index(to)) {
+		if s.both(n.index, to.index) {
 			s.feed(to, members.Heard{Message: x, Stream: id})
 		}
 	})
@@ -409,11 +409,12 @@
 	if known && !h.private && h.life == now.life && h.turn == now.turn && h.state > now.state {
 		s.breach("%s holds %s %v after %v in the same turn", n.name, e.Name, now.state, h.state)
 	}
-	i := s.index(n)
-	for j, of := range s.nodes {
-		if of.name != e.Name || of.nonce != e.Nonce {
+	i := n.index
+	for _, of := range s.byName[e.Name] {
+		if of.nonce != e.Nonce {
 			continue
 		}
+		j := of.index
 		s.world()
 		if e.State == members.Gone && len(s.nodes) <= 64 && s.answers(j) && s.now-max(s.bad[i][j], of.started, n.started) > Grace {
 			s.breach("%s calls %s gone, by %s, and could reach it since %.3f s", n.name, e.Name, e.By, float64(s.bad[i][j])/float64(Second))
--- a/internal/tally/tally.go
+++ b/internal/tally/tally.go
@@ -29,6 +29,16 @@
 	WorkersExcluded int            `json:"workers_excluded"`
 	ReloadsOK       int            `json:"reloads_ok"`
 	ReloadsFailed   int            `json:"reloads_failed"`
+	Members         *Members       `json:"members,omitempty"` // the other schedulers, where this one is a member
+}
+
+// Members counts the other schedulers by how they are held here.
+type Members struct {
+	Here      int `json:"here"`
+	Doubted   int `json:"doubted"`
+	Gone      int `json:"gone"`
+	Left      int `json:"left"`
+	Reachable int `json:"reachable"` // from here, directly
 }
 
 // End is how an op ended for its client.
