Copies: a guard that others make good is gone; another request under an id has a test

Need: guards were broken by hand. Breaking the check of a request's print at the keeper changed nothing: a record that protects has a claim that stands or an end, and both refuse with the record, from which the claimer finds that it is another request. The check is gone, a test holds what it was for.

--- a/internal/copies/keeper.go
+++ b/internal/copies/keeper.go
@@ -85,9 +85,6 @@
 	case r == nil && (len(c.records) >= c.t.Most || c.size+x.Record.size() > c.t.MostSize):
 		refuse(Full, nil)
 		return
-	case r != nil && r.Print != x.Record.Print && r.protects():
-		refuse(Taken, r)
-		return
 	}
 	if r != nil {
 		if _, ended := r.ended(); ended {
--- a/internal/copies/record_test.go
+++ b/internal/copies/record_test.go
@@ -118,3 +118,32 @@
 		}
 	}
 }
+
+// Another request under an id that may have run must not be taken for its repeat, and gets neither its answer nor its place.
+func TestAnotherRequestUnderAnID(t *testing.T) {
+	terms := Defaults()
+	terms.Name, terms.Keepers, terms.HoldOff = "a", []string{"a"}, 0
+	c := New(terms, 0)
+	c.Take(1, Serving{On: true, Life: 1})
+	ask := func(ticket, print uint64) (got Outcome) {
+		for _, e := range c.Take(Time(10+ticket), Want{Ticket: ticket, Key: "k", Print: print, Within: second}) {
+			if d, ok := e.(Decided); ok {
+				got = d.Outcome
+			}
+		}
+		return got
+	}
+	if got := ask(1, 7); got != Mine {
+		t.Fatalf("%v", got)
+	}
+	if got := ask(2, 8); got != Other {
+		t.Errorf("while the first one runs: %v", got)
+	}
+	c.Take(20, End{Ticket: 1, Verdict: 200, Result: []byte("r"), Held: true})
+	if got := ask(3, 8); got != Other {
+		t.Errorf("after its end: %v", got)
+	}
+	if got := ask(4, 7); got != Again {
+		t.Errorf("its repeat: %v", got)
+	}
+}
