--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -117,7 +117,7 @@
 	health               doubt.Test[Time]  // what outcomes say of it
 	out                  []*op             // this scheduler's pushes that are out there
 	words                words.Words[Time] // of other schedulers: how many pushes they have out there
-	audience             []int             // schedulers whose regular it is, by number: told what is pushed to it
+	audience             []int             // schedulers whose regular it is: told what is pushed to it
 	heard                Time              // when it last said anything of a push
 }
 
@@ -1142,8 +1142,8 @@
 		r.load.Waiting < 0.5
 }
 
-// found tells whether an op has found a place. Of those that are given all looks only narrow ones say something
-// of the fleet: wide ops lack room on quiet days too.
+// found tells whether an op has found a place. Of those that are given all looks only narrow ones say
+// something of the fleet: wide ops lack room on quiet days too.
 func (d *Dispatcher) found(o *op, ok bool) {
 	if o.legs == 0 && o.slots < 1.5 && d.looks(o) == maxLooks {
 		d.room.Add(d.now, ok)
@@ -1151,9 +1151,10 @@
 	}
 }
 
-// looks is how many pairs are probed for an op before it is given up. Where even the dearest find no place, cheap
-// ones probe less, and some not at all: with a quarter of the fleet left all ops and their clients' repeats asked
-// for every free slot, workers spent a tenth of their time on probes, and a slot went to whoever came first.
+// looks is how many pairs are probed for an op before it is given up. Where even the dearest find no place,
+// cheap ones probe less, and some not at all: with a quarter of the fleet left all ops and their clients'
+// repeats asked for every free slot, workers spent a tenth of their time on probes, and a slot went to whoever
+// came first.
 func (d *Dispatcher) looks(o *op) int {
 	if !d.figures().scarce {
 		return maxLooks
