--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -1153,8 +1153,8 @@
 
 // looks is how many pairs are probed for an op before it is given up. Where even the dearest find no place,
 // cheap ones probe less, and some not at all: with a quarter of the fleet left all ops and their clients'
-// repeats asked for every free slot, workers spent a tenth of their time on probes, and a slot went to whoever
-// came first.
+// repeats asked for every free slot, workers spent a tenth of their time on probes, and a slot went to
+// whoever came first.
 func (d *Dispatcher) looks(o *op) int {
 	if !d.figures().scarce {
 		return maxLooks
