--- a/internal/copies/play/play.go
+++ b/internal/copies/play/play.go
@@ -32,14 +32,12 @@
 
 // Place is where processes of one name run: two at once where a second one is started while the first stands still.
 type place struct {
-	name    string
-	core    *copies.Core
-	up      bool
-	paused  bool
-	waits   []func()
-	life    uint64
-	granted map[uint64]string // tickets that are its own
-	cut     bool              // deposed: another process has its name
+	name   string
+	core   *copies.Core
+	up     bool
+	paused bool
+	waits  []func()
+	life   uint64
 }
 
 // Play is one cluster.
@@ -93,7 +91,7 @@
 	t := p.Terms
 	t.Name, t.Chance, t.Nonce = pl.name, p.Rand.Uint64(), p.Rand.Uint64()
 	pl.life++
-	pl.core, pl.up, pl.paused, pl.waits, pl.cut = copies.New(t, p.Now()), true, false, nil, false
+	pl.core, pl.up, pl.paused, pl.waits = copies.New(t, p.Now()), true, false, nil
 	p.feed(pl, pl.core, copies.Serving{On: true, Life: pl.life})
 	p.tick(pl, pl.core)
 }
@@ -128,7 +126,7 @@
 // to say before it learns of it.
 func (p *Play) Depose(i int, after Time) {
 	pl := p.places[i]
-	old := &place{name: pl.name, core: pl.core, up: pl.up, paused: true, life: pl.life, cut: true}
+	old := &place{name: pl.name, core: pl.core, up: pl.up, paused: true, life: pl.life}
 	p.places = append(p.places, old)
 	k := len(p.places) - 1
 	p.Start(i)
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -95,7 +95,6 @@
 	relays map[uint64]relay
 	duel   *duel
 	known  Claim // what was told of this name
-	told   bool  // by somebody unsure, while this one asks
 	nonce  uint64
 	seed   int // that was tried last
 
@@ -237,7 +236,7 @@
 
 // ask begins to ask what is known of this name.
 func (m *Members) ask(p phase) {
-	m.phase, m.nonce, m.known, m.told = p, m.rand.Uint64(), Claim{}, false
+	m.phase, m.nonce, m.known = p, m.rand.Uint64(), Claim{}
 	m.askNext, m.askUntil = m.now, m.now+askSpan
 }
 
--- a/internal/members/talk.go
+++ b/internal/members/talk.go
@@ -156,8 +156,7 @@
 	case m.phase == asking && held:
 		// Whoever was away gives way to whoever is here, whichever came first: the others have gone on without it.
 		m.superseded(k)
-	case !sure:
-		m.told = true
+	case !sure: // it knows no more than this one
 	case m.phase == joining:
 		m.settle()
 	case m.phase == asking && k.Life.compare(m.me.Life) > 0:
