One maker of answers, of faults and of worst spans; fields that nobody reads are gone

The door's answers were put together beside those of the loop, line by line the same: response calls plain now. Two tables cut the key out of a check's error, one by a map of words: operator.Named. The lab worked out the longest span twice, and polled a second address beside the call that does.

--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -106,8 +106,6 @@
 	of         Life
 	since      uint64
 	next       Time
-	out        bool
-	outAt      Time
 	more       bool
 	registered Life // as which this process is known there
 	voting     bool
--- a/internal/fates/table.go
+++ b/internal/fates/table.go
@@ -5,7 +5,6 @@
 import (
 	"errors"
 	"fmt"
-	"strings"
 	"time"
 
 	"woaddyke/internal/copies"
@@ -44,9 +43,7 @@
 	fault := func(key string, err error) error { return &operator.Fault{Table: "copies", Key: key, Err: err} }
 	terms := t.terms("n", 1, 1)
 	if err := terms.Check(); err != nil {
-		key, text, _ := strings.Cut(err.Error(), ": ")
-		return fault(map[string]string{"most-bytes": "most_bytes", "hold-off": "hold_off"}[key]+map[bool]string{true: key}[!strings.Contains(key, "-")],
-			errors.New(text))
+		return operator.Named("copies", err)
 	}
 	switch {
 	case t.Again <= 0 || t.Again > t.Wait:
--- a/internal/front/fates.go
+++ b/internal/front/fates.go
@@ -1,11 +1,8 @@
 package front
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"woaddyke/internal/copies"
@@ -62,14 +59,3 @@
 		f.fates.End(ticket, false, http.StatusBadGateway, []byte("dead-lettered\n"))
 	}
 }
-
-// plain is an answer that the loop has no part in.
-func plain(r *http.Request, status int, text []byte, pause time.Duration) *http.Response {
-	resp := &http.Response{StatusCode: status, ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{}, Request: r,
-		ContentLength: int64(len(text)), Body: io.NopCloser(bytes.NewReader(text))}
-	resp.Header.Set("Content-Length", strconv.Itoa(len(text)))
-	if pause > 0 {
-		resp.Header.Set("Retry-After", strconv.FormatFloat(pause.Seconds(), 'f', 4, 64))
-	}
-	return resp
-}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -398,26 +398,27 @@
 }
 
 func response(r *http.Request, a ops.Answer) *http.Response {
-	resp := &http.Response{ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{}, Request: r}
-	text := a.Result
 	switch a.Verdict {
 	case ops.Acked:
-		resp.StatusCode = http.StatusOK
+		return plain(r, http.StatusOK, a.Result, 0)
 	case ops.Nacked:
-		resp.StatusCode, text = http.StatusServiceUnavailable, []byte("nacked: trying again is harmless\n")
-		if a.Pause > 0 {
-			resp.Header.Set("Retry-After", strconv.FormatFloat(span(a.Pause).Seconds(), 'f', 4, 64))
-		}
+		return plain(r, http.StatusServiceUnavailable, []byte("nacked: trying again is harmless\n"), span(a.Pause))
 	case ops.UnknownCategory:
-		resp.StatusCode, text = http.StatusBadRequest, []byte("unknown category\n")
+		return plain(r, http.StatusBadRequest, []byte("unknown category\n"), 0)
 	case ops.TakenID:
-		resp.StatusCode, text = http.StatusConflict, []byte("an op with this id is held already\n")
-	default:
-		resp.StatusCode, text = http.StatusBadGateway, []byte("dead-lettered\n")
+		return plain(r, http.StatusConflict, []byte("an op with this id is held already\n"), 0)
 	}
-	resp.ContentLength = int64(len(text))
+	return plain(r, http.StatusBadGateway, []byte("dead-lettered\n"), 0)
+}
+
+// plain is an answer with a text, and with when to come back where there is a pause.
+func plain(r *http.Request, status int, text []byte, pause time.Duration) *http.Response {
+	resp := &http.Response{StatusCode: status, ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{}, Request: r,
+		ContentLength: int64(len(text)), Body: io.NopCloser(bytes.NewReader(text))}
 	resp.Header.Set("Content-Length", strconv.Itoa(len(text)))
-	resp.Body = io.NopCloser(bytes.NewReader(text))
+	if pause > 0 {
+		resp.Header.Set("Retry-After", strconv.FormatFloat(pause.Seconds(), 'f', 4, 64))
+	}
 	return resp
 }
 
--- a/internal/lab/figures/figures.go
+++ b/internal/lab/figures/figures.go
@@ -347,16 +347,18 @@
 	}
 }
 
+// worst is the longest of some spans, in ms.
+func worst(all []ledger.Time) (ms float64) {
+	for _, t := range all {
+		ms = max(ms, float64(t)/10)
+	}
+	return ms
+}
+
 // Views takes what schedulers held of one another.
 func (r *Results) Views(j *views.Judgement) {
 	f := r.Figures
 	f["false_gone"], f["missed_gone"], f["views_apart"] = float64(j.FalseGone), float64(j.MissedGone), float64(j.Apart)
-	worst := func(all []ledger.Time) (ms float64) {
-		for _, t := range all {
-			ms = max(ms, float64(t)/10)
-		}
-		return ms
-	}
 	f["detect_worst_ms"], f["converge_worst_ms"], f["detected"] = worst(j.Detect), worst(j.Converge), float64(len(j.Detect))
 	if len(j.Detect) > 0 {
 		h := histogram()
@@ -375,11 +377,7 @@
 	f["doubled"], f["wrong_answer"], f["differ"] = float64(j.Doubled), float64(j.WrongAnswer), float64(j.Differ)
 	f["stale_drain"] = float64(j.Stale)
 	f["refused_unsure"], f["repeats"] = float64(j.Unsure), float64(j.Repeats)
-	worst := ledger.Time(0)
-	for _, t := range j.CaughtUp {
-		worst = max(worst, t)
-	}
-	f["caught_up_worst_ms"], f["caught_up"] = float64(worst)/10, float64(len(j.CaughtUp))
+	f["caught_up_worst_ms"], f["caught_up"] = worst(j.CaughtUp), float64(len(j.CaughtUp))
 	r.Unmet = append(r.Unmet, j.Breaches...)
 }
 
--- a/internal/lab/schedulers/schedulers.go
+++ b/internal/lab/schedulers/schedulers.go
@@ -188,20 +188,12 @@
 	}
 	s.starts++
 	r, ended, err := s.launch(s.known.Known())
-	console := s.console
 	s.mu.Unlock()
 	if err != nil {
 		return err
 	}
 	s.await(r, ended)
-	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	for limit := time.Now().Add(startTime); ; time.Sleep(5 * time.Millisecond) {
-		if resp, err := client.Get("http://" + console + "/api/ready"); err == nil {
-			resp.Body.Close()
-			if resp.StatusCode == http.StatusOK {
-				break
-			}
-		}
+	for limit := time.Now().Add(startTime); s.Ask("/api/ready", nil) != nil; time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(limit) {
 			return fmt.Errorf("scheduler %d: the process that takes over is not ready after %v", s.n+1, startTime)
 		}
@@ -277,7 +269,7 @@
 	return fmt.Errorf("scheduler %d is not ready after %v", s.n+1, startTime)
 }
 
-// Ask reads a call of its second address.
+// Ask reads a call of its second address; into may be nil for one that only says yes or no.
 func (s *Scheduler) Ask(path string, into any) error {
 	s.mu.Lock()
 	console := s.console
@@ -291,6 +283,9 @@
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("scheduler %d: %s: %s", s.n+1, path, resp.Status)
 	}
+	if into == nil {
+		return nil
+	}
 	return json.NewDecoder(resp.Body).Decode(into)
 }
 
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -4,7 +4,6 @@
 package members
 
 import (
-	"cmp"
 	"math"
 	"math/bits"
 	"math/rand/v2"
@@ -39,7 +38,6 @@
 
 	rtt, vary Time
 	far       int // direct pings in a row without an answer
-	heard     Time
 	nudged    Time
 	window    window
 }
@@ -85,7 +83,6 @@
 	by      map[string]*entry
 	live    []*entry // here or doubted
 	lost    []*entry // gone, not left
-	ended   int      // entries of those that are gone or left
 	doubts  []*entry
 	round   []*entry // whom to ping next, from its end
 	digests [buckets]uint64
@@ -544,4 +541,4 @@
 }
 
 // span is a duration as text.
-func span(t Time) string { return cmp.Or(durationOf(t).String(), "0s") }
+func span(t Time) string { return durationOf(t).String() }
--- a/internal/members/talk.go
+++ b/internal/members/talk.go
@@ -58,7 +58,6 @@
 	if other {
 		e.window.fresh(x.Seq)
 	}
-	e.heard = m.now
 	for _, c := range x.Claims {
 		m.merge(c)
 	}
--- a/internal/members/view.go
+++ b/internal/members/view.go
@@ -150,9 +150,6 @@
 		e.place = len(m.lost)
 		m.lost = append(m.lost, e)
 	}
-	if e.state.Ended() {
-		m.ended++
-	}
 }
 
 func (m *Members) unlist(e *entry) {
@@ -177,9 +174,6 @@
 	case e.state == Gone:
 		m.lost = out(m.lost)
 	}
-	if e.state.Ended() {
-		m.ended--
-	}
 }
 
 // valid tells whether a claim can be one.
@@ -220,7 +214,7 @@
 		m.do(Noted{"no room in the view", c.Name})
 		return
 	}
-	e := &entry{claim: c, place: -1, heard: m.now}
+	e := &entry{claim: c, place: -1}
 	m.by[c.Name] = e
 	m.mark(c)
 	m.enqueue(c)
--- a/internal/mesh/table.go
+++ b/internal/mesh/table.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"net/netip"
-	"strings"
 	"time"
 
 	"woaddyke/internal/members"
@@ -88,8 +87,7 @@
 	}
 	terms := t.terms("a name", "an address", -1)
 	if err := terms.Check(); err != nil {
-		key, text, _ := strings.Cut(err.Error(), ": ")
-		return fault(strings.ReplaceAll(key, "-", "_"), errors.New(text))
+		return operator.Named("members", err)
 	}
 	return nil
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -41,6 +41,12 @@
 // Unwrap is for errors.Is.
 func (f *Fault) Unwrap() error { return f.Err }
 
+// Named makes a fault of a check's error, which begins with the key's name, its words parted by dashes.
+func Named(table string, err error) *Fault {
+	key, text, _ := strings.Cut(err.Error(), ": ")
+	return &Fault{Table: table, Key: strings.ReplaceAll(key, "-", "_"), Err: errors.New(text)}
+}
+
 // Read reads the file over the tables, whose defaults stand in them already, and has them checked. What is wrong is one line with
 // its place: a key that nobody knows is an error, as it is a slip of the pen.
 func Read(path string, tables any, check func() error) error {
