Copies: the digest of all records is kept as they change

Each look of staff, and each wait for a vote, hashed all records in the loop that grants ops: work in the wrong place. A record's part is taken out and put in where it changes, as membership's digests are.

--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -138,6 +138,7 @@
 	first   uint64    // pos of the first of order
 	pos     uint64
 	size    int
+	digest  uint64    // of all records, kept as they change: staff who look must not hold up the ops
 	ages    []*Record // in order of since
 
 	wants  map[uint64]*want
@@ -482,14 +483,7 @@
 }
 
 // Digest is the same for two keepers that hold the same fates.
-func (c *Core) Digest() (sum uint64) {
-	for _, r := range c.records {
-		for _, f := range r.Fates {
-			sum ^= xxhash.Sum64String(fmt.Sprint(r.Key, r.Print, f.By, f.Nonce, f.Stage, f.Verdict, f.Held))
-		}
-	}
-	return sum
-}
+func (c *Core) Digest() uint64 { return c.digest }
 
 // Fate is a record as it stands here, for staff.
 func (c *Core) Fate(key string) (Record, bool) {
--- a/internal/copies/keeper.go
+++ b/internal/copies/keeper.go
@@ -103,7 +103,9 @@
 			return
 		}
 		if !r.protects() {
+			c.digest ^= r.digest()
 			r.Print = x.Record.Print // nothing of what came before ran
+			c.digest ^= r.digest()
 		}
 	}
 	x.Record.Fates = []Fate{{Claim: claim, Stage: Claimed, Voted: true}}
@@ -152,6 +154,7 @@
 		c.ages = slices.Insert(c.ages, i, r)
 	} else {
 		c.size -= r.size()
+		c.digest ^= r.digest()
 		if x.Print != r.Print {
 			if r.protects() && (&x).protects() {
 				c.count("breach: two requests under one id")
@@ -173,6 +176,7 @@
 		}
 	}
 	c.size += r.size()
+	c.digest ^= r.digest()
 	if changed {
 		if c.move(r); c.lasting {
 			c.do(Keep{c.aged(r)})
@@ -209,6 +213,7 @@
 		r := c.ages[0]
 		c.ages = c.ages[1:]
 		c.size -= r.size()
+		c.digest ^= r.digest()
 		delete(c.records, r.Key)
 		if c.lasting {
 			c.do(Drop{r.Key})
--- a/internal/copies/record.go
+++ b/internal/copies/record.go
@@ -2,8 +2,11 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"woaddyke/internal/members"
 )
 
@@ -127,6 +130,22 @@
 	return n
 }
 
+// digest is the record's part in the digest of all: what is put in twice is taken out.
+func (r *Record) digest() (sum uint64) {
+	room := make([]byte, 0, 128)
+	for _, f := range r.Fates {
+		room = append(append(append(append(room[:0], r.Key...), 0), f.By...), 0)
+		for _, n := range []uint64{r.Print, f.Nonce, uint64(f.Stage), uint64(f.Verdict)} {
+			room = binary.LittleEndian.AppendUint64(room, n)
+		}
+		if f.Held {
+			room = append(room, 1)
+		}
+		sum ^= xxhash.Sum64(room)
+	}
+	return sum
+}
+
 // Join is the rule for two copies of a record.
 func Join(a, b Record) (Record, bool) {
 	c := Record{Key: a.Key, Print: max(a.Print, b.Print), Age: max(a.Age, b.Age), Fates: slices.Clone(a.Fates)}
