--- a/cmd/woaddyke/copies.go
+++ b/cmd/woaddyke/copies.go
@@ -3,11 +3,13 @@
 import (
 	"errors"
 	"fmt"
+	"net/http"
 	"net/url"
 	"os"
 	"sort"
 	"strings"
 	"text/tabwriter"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -42,7 +44,14 @@
 			if err := ask(at, "/api/copies", &s); err != nil {
 				return err
 			}
-			fmt.Fprintf(out, "keepers %s, epoch %s\n", strings.Join(s.Keepers, ", "), s.Epoch)
+			fmt.Fprintf(out, "keepers %s, turn %d, epoch %s\n", strings.Join(s.Keepers, ", "), s.Turn, s.Epoch)
+			if len(s.Before) > 0 {
+				fmt.Fprintf(out, "changing: %s count as well, until the new ones know what they know (this one does: %v)\n",
+					strings.Join(s.Before, ", "), s.Ready)
+			}
+			if s.Agreement != "" {
+				fmt.Fprintf(out, "part in changes of keepers: %s\n", s.Agreement)
+			}
 			fmt.Fprintf(out, "keeper here: %v, with a vote: %v; %d records, %d bytes, digest %s\n", s.Keeper, s.Voting, s.Records, s.Bytes, s.Digest)
 			fmt.Fprintf(out, "asking for %d ops, holding %d, telling of %d; %s\n", s.Asking, s.Mine, s.Telling, counts(s.Counts))
 			for _, l := range s.Looks {
@@ -53,10 +62,69 @@
 	c.PersistentFlags().StringVar(&at, "console", os.Getenv("RELAY_CONSOLE"), "the scheduler's second address; for verify those of all keepers, with commas")
 	c.Flags().StringVar(&id, "id", "", "show the fate of the op with this id")
 	c.Flags().StringVar(&category, "category", "", "of that op")
-	c.AddCommand(verify(&at))
+	c.AddCommand(verify(&at), change(&at))
+	return c
+}
+
+// errNotChanged ends a change of keepers that did not come about.
+var errNotChanged = errors.New("the keepers are not changed")
+
+const changeEvery = 200 * time.Millisecond // between two looks at a change
+
+// change has other keepers agreed, and waits until the old ones may go.
+func change(at *string) *cobra.Command {
+	var within time.Duration
+	c := &cobra.Command{Use: "keepers NAME...", Short: "Have these members keep copies from now on, by agreement of a majority of the old and the new",
+		Args: cobra.MinimumNArgs(1), RunE: func(c *cobra.Command, names []string) error {
+			out := c.OutOrStdout()
+			until := time.Now().Add(within)
+			for said := ""; ; time.Sleep(changeEvery) {
+				o, err := askKeepers(*at, names)
+				if err != nil {
+					return err
+				}
+				if o.Text != said {
+					fmt.Fprintln(out, o.Text)
+					said = o.Text
+				}
+				if o.Done {
+					break
+				}
+				if !o.Again || time.Now().After(until) {
+					return errNotChanged
+				}
+			}
+			for ; ; time.Sleep(changeEvery) {
+				var s fates.Shown // a fresh one: what is left out of an answer would stay as it was
+				if err := ask(*at, "/api/copies", &s); err != nil {
+					return err
+				}
+				if len(s.Before) == 0 {
+					fmt.Fprintf(out, "done: keepers %s, turn %d; put these into the files\n", strings.Join(s.Keepers, ", "), s.Turn)
+					return nil
+				}
+				if time.Now().After(until) {
+					return fmt.Errorf("still changing after %v: %s count as well; see `copies` at each new keeper", within, strings.Join(s.Before, ", "))
+				}
+			}
+		}}
+	c.Flags().DurationVar(&within, "wait", time.Minute, "for the new keepers to take over")
 	return c
 }
 
+// askKeepers asks once for a change from the keepers that there are.
+func askKeepers(at string, names []string) (o outcome, err error) {
+	var s fates.Shown
+	if err := ask(at, "/api/copies", &s); err != nil {
+		return o, err
+	}
+	if s.Turn == 0 {
+		return o, errors.New("changes of keepers are not founded: all keepers of the file must have been up at once, with agreed = true")
+	}
+	q := url.Values{"turn": {fmt.Sprint(s.Turn)}, "keepers": {strings.Join(names, ",")}}
+	return o, call(http.MethodPost, at, "/api/copies/keepers?"+q.Encode(), &o)
+}
+
 // verify compares all copies and names differences: a claim that may still be used, or an end, that one keeper does not have.
 func verify(at *string) *cobra.Command {
 	return &cobra.Command{Use: "verify", Short: "Compare the copies of several keepers, and name differences", Args: cobra.NoArgs,
--- a/cmd/woaddyke/copies_test.go
+++ b/cmd/woaddyke/copies_test.go
@@ -171,6 +171,91 @@
 	})
 }
 
+// A keeper dies and staff put another in its place while ops go on; then the other two of the first three go as well. Ids of before the
+// changes get their first answers, and none runs twice. A scheduler that slept through all of it learns who keeps now.
+func TestKeepersAreReplaced(t *testing.T) {
+	t.Parallel()
+	c, b := guarded(t, 6, true, "agreed = true\npath = \"{dir}/copies.db\"\n")
+	type shown struct {
+		Turn    uint64
+		Keepers []string
+		Before  []string
+		Voting  bool
+	}
+	c.Await("changes are founded, and all know", func() bool {
+		for _, p := range c.Places {
+			var s shown
+			if !p.Get("/api/copies", &s) || s.Turn == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	staff := func(p *several.Place, names ...string) string {
+		var out bytes.Buffer
+		cmd := command()
+		cmd.SetOut(&out)
+		cmd.SetArgs(append([]string{"copies", "keepers", "--console", p.Console}, names...))
+		if err := cmd.Execute(); err != nil {
+			out.WriteString(err.Error())
+		}
+		return out.String()
+	}
+	if status, _ := post(c.Places[5], "pay", "first", "x"); status != http.StatusOK {
+		t.Fatal(status)
+	}
+	if text := staff(c.Places[5], "n1", "n2"); !strings.Contains(text, "odd number") {
+		t.Errorf("two keepers: %q", text)
+	}
+	c.Places[2].Kill()
+	c.Places[4].Signal(syscall.SIGSTOP)
+	if text := staff(c.Places[5], "n1", "n2", "n5"); !strings.Contains(text, "nothing is heard of n5") {
+		t.Errorf("one that stands still: %q", text)
+	}
+	stop, all := make(chan struct{}), sync.WaitGroup{}
+	all.Go(func() { // ops go on
+		for k := 0; ; k++ {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			if status, text := post(c.Places[5], "pay", fmt.Sprint("op", k), "x"); status != http.StatusOK {
+				t.Errorf("during the change: %d %q", status, text)
+			}
+		}
+	})
+	if text := staff(c.Places[5], "n1", "n2", "n4"); !strings.Contains(text, "done: keepers n1, n2, n4") {
+		t.Errorf("the dead one is not replaced: %q", text)
+	}
+	close(stop)
+	all.Wait()
+	c.Start(c.Places[2]) // it comes back as one that keeps nothing
+	c.Await("the first one that was replaced knows", func() bool {
+		var s shown
+		return c.Places[2].Get("/api/copies", &s) && s.Turn > 1 && !s.Voting
+	})
+	c.Await("the rest are replaced", func() bool {
+		return strings.Contains(staff(c.Places[5], "n3", "n4", "n6"), "done: keepers n3, n4, n6")
+	})
+	c.Places[0].Kill()
+	c.Places[1].Kill()
+	c.Places[4].Signal(syscall.SIGCONT) // it slept through both changes
+	c.Await("it learns who keeps", func() bool {
+		status, text := post(c.Places[4], "pay", "first", "x")
+		return status == http.StatusOK && text == "result of first"
+	})
+	for k := range 5 {
+		id := fmt.Sprint("op", k)
+		if _, text := post(c.Places[3], "pay", id, "x"); b.ran(id) > 1 || b.ran(id) == 1 && text != "result of "+id {
+			t.Errorf("%s: ran %d times, then %q", id, b.ran(id), text)
+		}
+	}
+	if n := b.ran("first"); n != 1 {
+		t.Errorf("first ran %d times", n)
+	}
+}
+
 // Without a majority nothing that must not run twice is pushed; what may goes on. A keeper that comes back catches up and votes.
 func TestAMajorityOfKeepersLostAndBack(t *testing.T) {
 	t.Parallel()
--- a/cmd/woaddyke/member.go
+++ b/cmd/woaddyke/member.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"strconv"
+	"strings"
 	"syscall"
 
 	"woaddyke/internal/console"
@@ -96,7 +98,9 @@
 	if p.fates, err = fates.New(t, p.sheet.Name, p.sheet.Chance, heirs, mesh.Now(), p.log); err != nil {
 		return err
 	}
-	host.Copied, host.Serving = p.fates.Heard, p.fates.Serving
+	if host.Copied, host.Serving = p.fates.Heard, p.fates.Serving; t.Agreed {
+		host.Agreed = p.fates.Agreed
+	}
 	changed := host.Changed
 	host.Changed = func(c members.Changed) {
 		p.fates.Gone(c.Name, c.State.Ended())
@@ -170,6 +174,24 @@
 	return x
 }
 
+// outcome is what became of what staff asked for.
+type outcome struct {
+	Done  bool   `json:"done"`
+	Again bool   `json:"again"` // it may come about if it is asked for again
+	Text  string `json:"text"`
+}
+
+// changeKeepers has other keepers agreed: those named, from the set that the caller saw on.
+func (p *process) changeKeepers(r *http.Request) any {
+	q := r.URL.Query()
+	turn, err := strconv.ParseUint(q.Get("turn"), 10, 64)
+	if err != nil {
+		return outcome{Text: "turn: the number that /api/copies shows is wanted"}
+	}
+	t := p.fates.Change(turn, strings.Split(q.Get("keepers"), ","))
+	return outcome{t.Done, t.Again, t.Text}
+}
+
 // calls are the console's for what is switched on.
 func (p *process) calls() (calls []console.Call) {
 	if p.mesh != nil {
@@ -177,7 +199,8 @@
 	}
 	if p.fates != nil {
 		calls = append(calls, console.Call{Path: "/api/copies", Answer: func(*http.Request) any { return p.fates.Shown() }},
-			console.Call{Path: "/api/copies/records", Answer: p.records})
+			console.Call{Path: "/api/copies/records", Answer: p.records},
+			console.Call{Path: "/api/copies/keepers", Answer: p.changeKeepers, Changes: true})
 	}
 	return calls
 }
--- a/cmd/woaddyke/members.go
+++ b/cmd/woaddyke/members.go
@@ -17,9 +17,16 @@
 const staffTime = 3 * time.Second // for a scheduler to answer its staff
 
 // ask reads a call of a scheduler's second address.
-func ask(addr, path string, into any) error {
+func ask(addr, path string, into any) error { return call(http.MethodGet, addr, path, into) }
+
+// call makes a call on a second address.
+func call(method, addr, path string, into any) error {
 	client := http.Client{Timeout: staffTime}
-	resp, err := client.Get("http://" + addr + path)
+	r, err := http.NewRequest(method, "http://"+addr+path, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := client.Do(r)
 	if err != nil {
 		return err
 	}
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -30,8 +30,9 @@
 
 // Call is one that only some installations have.
 type Call struct {
-	Path   string
-	Answer func(*http.Request) any // what is shown, as JSON; it waits for nothing
+	Path    string
+	Answer  func(*http.Request) any // what is shown, as JSON; it waits for nothing, or for less than callTime where it changes something
+	Changes bool                    // it is a POST
 }
 
 // Serve answers calls until the listener is closed. It returns at once.
@@ -48,7 +49,11 @@
 		show(w, of.Figures(), log)
 	})
 	for _, c := range more {
-		mux.HandleFunc("GET "+c.Path, func(w http.ResponseWriter, r *http.Request) { show(w, c.Answer(r), log) })
+		method := http.MethodGet
+		if c.Changes {
+			method = http.MethodPost
+		}
+		mux.HandleFunc(method+" "+c.Path, func(w http.ResponseWriter, r *http.Request) { show(w, c.Answer(r), log) })
 	}
 	mux.HandleFunc("POST /api/evacuate", func(http.ResponseWriter, *http.Request) { of.Evacuate() })
 	mux.HandleFunc("POST /api/rejoin", func(http.ResponseWriter, *http.Request) { of.Rejoin() })
--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -8,9 +8,8 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"strings"
 
-	"github.com/cespare/xxhash/v2"
+	"woaddyke/internal/keepers"
 )
 
 const (
@@ -21,7 +20,8 @@
 // Terms are what a scheduler is told at its start.
 type Terms struct {
 	Name     string
-	Keepers  []string
+	Keepers  []string // by the file
+	Agreed   bool     // they change by agreement: what others tell of that is taken
 	Chance   uint64
 	Nonce    uint64 // of this process alone
 	Wait     Time   // longest time for a majority
@@ -40,19 +40,17 @@
 
 // Fixed bounds.
 const (
-	mostKeepers = 9
-	mostClaims  = 16   // of one op: beyond them it is refused; released ones that others knew come on top
-	mostWants   = 4096 // wants without an outcome, and ends that no majority knows yet, each
-	tellTimes   = 50   // an end is told so often before it is left to the keepers' own looks
-	pieceRoom   = 1200 // bytes of records in a piece, by estimate
-	longKey     = 512
+	mostClaims = 16   // of one op: beyond them it is refused; released ones that others knew come on top
+	mostWants  = 4096 // wants without an outcome, and ends that no majority knows yet, each
+	mostHere   = 4096
+	tellTimes  = 50   // an end is told so often before it is left to the keepers' own looks
+	pieceRoom  = 1200 // bytes of records in a piece, by estimate
+	longKey    = 512
 )
 
 // Check tells what is wrong with the terms.
 func (t *Terms) Check() error {
 	switch {
-	case len(t.Keepers) == 0 || len(t.Keepers) > mostKeepers || len(t.Keepers)%2 == 0:
-		return fmt.Errorf("keepers: %d; an odd number up to %d is wanted, such as 3 or 5", len(t.Keepers), mostKeepers)
 	case t.Wait < 5*ms || t.Wait > 60*second:
 		return errors.New("wait: from 5ms to 60s")
 	case t.Remember < second || t.Remember > 7*24*3600*second:
@@ -64,14 +62,7 @@
 	case t.MostSize < 1<<16:
 		return errors.New("most-bytes: 65,536 at least")
 	}
-	seen := map[string]bool{}
-	for _, k := range t.Keepers {
-		if k == "" || seen[k] {
-			return fmt.Errorf("keepers: %q stands twice, or is empty", k)
-		}
-		seen[k] = true
-	}
-	return nil
+	return keepers.Fit(t.Keepers)
 }
 
 // answer is what a keeper said to one want.
@@ -109,6 +100,7 @@
 	more       bool
 	registered Life // as which this process is known there
 	voting     bool
+	ready      bool // by its own word
 	through    bool // its changes up to the registration are known
 	mark       uint64
 }
@@ -119,7 +111,11 @@
 	rand  *rand.Rand
 	now   Time
 	out   []Effect
+	set   keepers.Set
+	all   []string // of the set, once each
 	epoch uint64
+	own   bool // it had its vote when the set came into force, and has had it since
+	ready bool // of a new set, while the old one counts as well: this keeper knows what those knew
 
 	keeper  bool
 	serving bool
@@ -141,22 +137,37 @@
 	digest  uint64    // of all records, kept as they change: staff who look must not hold up the ops
 	ages    []*Record // in order of since
 
-	wants  map[uint64]*want
-	mine   map[uint64]*want // granted, and not ended
-	tells  map[uint64]*told
-	gone   map[string]bool
-	counts map[string]uint64
+	wants   map[uint64]*want
+	mine    map[uint64]*want // granted, and not ended
+	tells   map[uint64]*told
+	gone    map[string]bool
+	here    []string // other members, in order
+	spreads Time
+	counts  map[string]uint64
 }
 
 // New makes a scheduler without memory. The terms have been checked.
 func New(t Terms, now Time) *Core {
-	c := &Core{t: t, rand: rand.New(rand.NewPCG(t.Chance, t.Nonce^0x636f70696573)), now: now, epoch: epochOf(t.Keepers), voters: map[string]Life{}, former: map[string]Life{},
-		looks: map[string]*look{}, records: map[string]*Record{}, wants: map[uint64]*want{}, mine: map[uint64]*want{}, tells: map[uint64]*told{},
+	c := &Core{t: t, rand: rand.New(rand.NewPCG(t.Chance, t.Nonce^0x636f70696573)), now: now,
+		voters: map[string]Life{}, former: map[string]Life{}, looks: map[string]*look{}, records: map[string]*Record{}, wants: map[uint64]*want{}, mine: map[uint64]*want{}, tells: map[uint64]*told{},
 		gone: map[string]bool{}, counts: map[string]uint64{}, first: 1}
-	c.keeper = slices.Contains(t.Keepers, t.Name)
+	c.goBy(keepers.ByFile(t.Keepers))
 	return c
 }
 
+// goBy goes by a set.
+func (c *Core) goBy(s keepers.Set) {
+	c.set, c.all, c.epoch = s, s.All(), s.Epoch()
+	c.keeper = slices.Contains(c.all, c.t.Name)
+}
+
+// Go goes by a set that lasted. It is called before Restore and the first input.
+func (c *Core) Go(s keepers.Set) {
+	if s.After(c.set) {
+		c.goBy(s)
+	}
+}
+
 // Restore says that records last from now on, and brings those that were kept as a life of this keeper; a zero one for a place that is
 // new. It is called before the first input.
 func (c *Core) Restore(records []Record, kept Life) {
@@ -169,21 +180,11 @@
 	c.lasting = true
 }
 
-// epochOf names a set of keepers: who has another set has no vote in it.
-func epochOf(keepers []string) uint64 {
-	sorted := slices.Sorted(slices.Values(keepers))
-	return xxhash.Sum64String(strings.Join(sorted, "\n"))
-}
-
 // Epoch names the set of keepers.
 func (c *Core) Epoch() uint64 { return c.epoch }
 
-// majority is how many keepers decide.
-func (c *Core) majority() int { return len(c.t.Keepers)/2 + 1 }
-
-// enough is how many other keepers meet each majority that this one may have been part of: of the others, no so many are without one
-// of it.
-func (c *Core) enough() int { return min(len(c.t.Keepers)-c.majority()+1, len(c.t.Keepers)-1) }
+// Set is the set that is gone by.
+func (c *Core) Set() keepers.Set { return c.set }
 
 func (c *Core) do(e Effect) { c.out = append(c.out, e) }
 
@@ -213,18 +214,43 @@
 		c.end(in)
 	case Serving:
 		c.serve(in)
+	case Adopt:
+		c.adopt(in.Set)
 	case Unkept:
-		c.voting, c.unkept = false, true
+		c.voting, c.own, c.unkept = false, false, true
 		c.do(Noted{"has no vote: its records do not last", ""})
 	case Lost:
-		if c.gone[in.Name] = in.Gone; !in.Gone {
-			delete(c.gone, in.Name)
-		}
+		c.lost(in)
 	}
 	c.timers()
 	return c.out
 }
 
+// lost notes who is gone and who is here.
+func (c *Core) lost(in Lost) {
+	at, known := slices.BinarySearch(c.here, in.Name)
+	switch {
+	case in.Gone:
+		if c.gone[in.Name] = true; known {
+			c.here = slices.Delete(c.here, at, at+1)
+		}
+		return
+	case !known && len(c.here) < mostHere:
+		c.here = slices.Insert(c.here, at, in.Name)
+	}
+	if delete(c.gone, in.Name); c.set.Founding != 0 {
+		c.inForce(in.Name) // it may go by its file
+	}
+}
+
+// spread tells somebody by chance which set is in force, every now and then: one that was told nothing may go by its file for good.
+func (c *Core) spread() {
+	if c.set.Founding != 0 && c.keeper && c.now >= c.spreads && len(c.here) > 0 {
+		c.spreads = c.now + second
+		c.inForce(c.here[c.rand.IntN(len(c.here))])
+	}
+}
+
 // serve begins or ends a time as a member. A process that is none has no vote; one that is back as the same life has kept its memory.
 func (c *Core) serve(in Serving) {
 	if !in.On {
@@ -236,7 +262,8 @@
 		return
 	}
 	c.life, c.voting, c.since = life, false, 0
-	for _, k := range c.t.Keepers {
+	c.ready, c.own = false, false
+	for _, k := range c.all {
 		if k != c.t.Name {
 			c.looks[k] = &look{next: c.now}
 		}
@@ -267,7 +294,7 @@
 // ask asks all keepers that have not answered.
 func (c *Core) ask(w *want) {
 	w.next = c.now + c.t.Again
-	for _, k := range c.t.Keepers {
+	for _, k := range c.all {
 		if a, ok := w.answers[k]; !ok || !a.granted && a.why != Taken {
 			c.send(k, Message{Kind: Grab, Ticket: w.Ticket, Record: Record{Key: w.Key, Print: w.Print, Fates: []Fate{{Claim: w.claim, Stage: Claimed}}}})
 		}
@@ -277,8 +304,9 @@
 	}
 }
 
-// grants counts the votes that count. One of a process whose place another has taken, by the word of a keeper among them, does not.
-func (c *Core) grants(w *want) (n int) {
+// granted tells whether a majority has granted it: one of each part, while keepers change. The vote of a process whose place another has
+// taken, by the word of a keeper among those that granted, does not count.
+func (c *Core) granted(w *want) bool {
 	newest := map[string]Life{}
 	for _, a := range w.answers {
 		if a.granted {
@@ -289,38 +317,39 @@
 			}
 		}
 	}
-	for k, a := range w.answers {
-		if a.granted && a.life.compare(newest[k]) >= 0 {
-			n++
-		}
-	}
-	return n
+	return c.set.Holds(func(k string) bool {
+		a := w.answers[k]
+		return a.granted && a.life.compare(newest[k]) >= 0
+	})
 }
 
 // judge decides a want as soon as the answers allow it.
 func (c *Core) judge(w *want, last bool) {
-	if c.grants(w) >= c.majority() && c.now < w.until {
+	if c.granted(w) && c.now < w.until {
 		delete(c.wants, w.Ticket)
 		c.mine[w.Ticket] = w
 		c.count("granted")
 		c.do(Decided{Ticket: w.Ticket, Outcome: Mine})
 		return
 	}
-	refused, why := 0, Why(0)
+	why := Why(0)
 	all := Record{Key: w.Key, Print: w.Print}
 	other := false
-	for _, k := range c.t.Keepers {
+	for _, k := range c.all {
 		a, ok := w.answers[k]
 		if !ok || a.granted {
 			continue
 		}
 		if why = max(why, a.why); a.why == Taken {
-			refused++
 			other = other || a.record.Print != w.Print
 			all, _ = Join(all, a.record)
 		}
 	}
-	if !last && len(c.t.Keepers)-refused >= c.majority() && c.now < w.until {
+	mayYet := c.set.Holds(func(k string) bool {
+		a, ok := w.answers[k]
+		return !ok || a.granted || a.why != Taken
+	})
+	if !last && mayYet && c.now < w.until {
 		if end, ok := all.ended(); !ok || !end.Held {
 			return // a majority may still be had
 		}
@@ -371,7 +400,7 @@
 
 // tell has those keepers know of a fate that need to.
 func (c *Core) tell(ticket uint64, r Record, known map[string]bool) {
-	if len(known) == len(c.t.Keepers) {
+	if c.toldAll(known) {
 		return
 	}
 	if len(c.tells) >= mostWants {
@@ -386,16 +415,21 @@
 func (c *Core) tellOn(t *told) {
 	t.times++
 	t.next = c.now + c.t.Again*Time(min(t.times, 10))
-	for _, k := range c.t.Keepers {
+	for _, k := range c.all {
 		if !t.known[k] {
 			c.send(k, Message{Kind: Tell, Ticket: t.ticket, Record: t.record})
 		}
 	}
-	if len(t.known) == len(c.t.Keepers) || t.times >= tellTimes && len(t.known) >= c.majority() || t.times >= 4*tellTimes {
+	if c.toldAll(t.known) || t.times >= tellTimes && c.set.Holds(func(k string) bool { return t.known[k] }) || t.times >= 4*tellTimes {
 		delete(c.tells, t.ticket)
 	}
 }
 
+// toldAll tells whether all keepers that are in force know.
+func (c *Core) toldAll(known map[string]bool) bool {
+	return keepers.Count(c.all, func(k string) bool { return known[k] }) == len(c.all)
+}
+
 // Next is when a Tick is due.
 func (c *Core) Next() Time {
 	at := c.now + second
@@ -428,6 +462,7 @@
 		}
 	}
 	c.keep()
+	c.spread()
 	c.forget()
 }
 
@@ -445,7 +480,10 @@
 // Shown is what staff see.
 type Shown struct {
 	Epoch   string            `json:"epoch"`
+	Turn    uint64            `json:"turn"` // of the agreement; 0: by the file
 	Keepers []string          `json:"keepers"`
+	Before  []string          `json:"before,omitempty"` // keepers that count as well, until the new ones know what they know
+	Ready   bool              `json:"ready,omitempty"`  // meanwhile: this keeper does
 	Keeper  bool              `json:"keeper"`
 	Voting  bool              `json:"voting"`
 	Records int               `json:"records"`
@@ -468,10 +506,10 @@
 
 // Shown is the state as of now.
 func (c *Core) Shown() Shown {
-	s := Shown{Epoch: fmt.Sprintf("%016x", c.epoch), Keepers: c.t.Keepers, Keeper: c.keeper, Voting: c.voting && c.serving, Records: len(c.records),
+	s := Shown{Epoch: fmt.Sprintf("%016x", c.epoch), Turn: c.set.Turn, Keepers: c.set.New, Before: c.set.Old, Ready: c.ready, Keeper: c.keeper, Voting: c.voting && c.serving, Records: len(c.records),
 		Bytes: c.size, Asking: len(c.wants), Mine: len(c.mine), Telling: len(c.tells), Digest: fmt.Sprintf("%016x", c.Digest()),
 		Counts: map[string]uint64{}, Looks: []Look{}}
-	for _, k := range c.t.Keepers {
+	for _, k := range c.all {
 		if l := c.looks[k]; l != nil {
 			s.Looks = append(s.Looks, Look{k, l.since, l.voting, !l.more})
 		}
--- a/internal/copies/keeper.go
+++ b/internal/copies/keeper.go
@@ -1,15 +1,22 @@
 package copies
 
-import "slices"
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"woaddyke/internal/keepers"
+)
 
 // hear takes a message.
 func (c *Core) hear(in Heard) {
 	x := in.Message
+	if x.Kind == InForce {
+		c.told(in)
+		return
+	}
 	if x.Epoch != c.epoch {
-		c.count("other keepers")
-		if x.Kind == Grab {
-			c.do(Send{in.From, Message{Kind: Refused, Epoch: x.Epoch, Ticket: x.Ticket, Why: Epoch}})
-		}
+		c.otherSet(in)
 		return
 	}
 	switch x.Kind {
@@ -19,7 +26,7 @@
 			return
 		}
 	case Granted, Refused, Known, Registered, Piece:
-		if !slices.Contains(c.t.Keepers, in.From) {
+		if !slices.Contains(c.all, in.From) {
 			c.count("word of no keeper")
 			return
 		}
@@ -36,7 +43,7 @@
 		}
 	case Known:
 		if t := c.tells[x.Ticket]; t != nil {
-			if t.known[in.From] = true; len(t.known) == len(c.t.Keepers) {
+			if t.known[in.From] = true; c.toldAll(t.known) {
 				delete(c.tells, x.Ticket)
 			}
 		}
@@ -115,7 +122,7 @@
 
 // votersNow are the processes that vote, as this keeper knows them.
 func (c *Core) votersNow() (all []Voter) {
-	for _, k := range c.t.Keepers {
+	for _, k := range c.all {
 		if l, ok := c.voters[k]; ok {
 			all = append(all, Voter{k, l})
 		}
@@ -140,7 +147,7 @@
 	if r == nil {
 		if len(c.records) >= c.t.Most || c.size+x.size() > c.t.MostSize {
 			c.count("no room for a record") // it stays where it is known; here nothing is granted that it would forbid
-			c.voting = false
+			c.voting, c.own, c.ready = false, false, false
 			c.lives(Life{})
 			for _, l := range c.looks { // what finds no room now is asked for again
 				l.since, l.through = 0, false
@@ -227,7 +234,7 @@
 	if !c.keeper || !c.serving {
 		return
 	}
-	for _, k := range c.t.Keepers {
+	for _, k := range c.all {
 		l := c.looks[k]
 		if l == nil || c.now < l.next {
 			continue
@@ -243,40 +250,149 @@
 	c.begin()
 }
 
-// begin gives this keeper its vote. Whatever it may have granted in an earlier life stands at one of any `enough` others that vote, and
-// these know it as the present life since before it looked; so nothing that counts can be missed, and no earlier life's vote counts
-// beside this one's. Where too few others vote, it waits until all that may have been granted is over.
+// begin gives this keeper its vote. Whatever it may have granted in an earlier life stands at one of any so many others that vote as meet
+// each majority, and these know it as the present life since before it looked; so nothing that counts can be missed, and no earlier life's
+// vote counts beside this one's. Where too few others vote, it waits until all that may have been granted is over. While keepers change
+// these others are of the old part, without whose majority nothing is granted.
 func (c *Core) begin() {
-	if c.voting || c.unkept {
+	if !c.keeper {
 		return
 	}
-	caught, known := 0, 0
-	for _, k := range c.t.Keepers {
-		l := c.looks[k]
-		if l == nil || l.registered != c.life {
-			continue
-		}
-		if known++; l.voting && l.through {
-			caught++
-		}
+	part := c.set.Parts()[0]
+	others := keepers.Count(part, func(k string) bool { return k != c.t.Name })
+	enough := min(keepers.Meets(len(part)), others)
+	registered := func(k string) bool { l := c.looks[k]; return l != nil && l.registered == c.life }
+	caught := keepers.Count(part, func(k string) bool { return registered(k) && c.looks[k].voting && c.looks[k].through })
+	known := keepers.Count(part, registered)
+	if c.voting || c.unkept {
+		c.becomeReady(part, caught)
+		return
 	}
-	if known >= c.enough() && c.since == 0 {
+	if known >= enough && c.since == 0 {
 		c.since = max(c.now, 1)
 	}
-	if c.kept != (Life{}) && known >= min(1, len(c.t.Keepers)-1) {
+	if c.kept != (Life{}) && known >= min(1, others) {
 		// It knows all that it ever granted: no earlier process can be left, since one alone holds the place where records last.
-		c.voting, c.kept = true, Life{}
+		c.voting, c.own, c.kept = true, true, Life{}
 		c.lives(c.life)
 		c.do(Noted{"votes", "its own records"})
 		return
 	}
 	full := len(c.records) >= c.t.Most || c.size >= c.t.MostSize
-	if full || caught < c.enough() && !(known >= c.enough() && c.now-c.since >= c.t.HoldOff) {
+	if full || caught < enough && !(known >= enough && c.now-c.since >= c.t.HoldOff) {
 		return
 	}
 	c.voting = true
 	c.lives(c.life)
 	c.do(Noted{"votes", ""})
+	c.becomeReady(part, caught)
+}
+
+// becomeReady notes that this keeper knows, of a majority of the old part or more, what these knew after they had begun to refuse the old
+// part alone. It counts itself where it was one of them and kept its vote.
+func (c *Core) becomeReady(old []string, caught int) {
+	if !c.set.Joint() || !c.voting {
+		return
+	}
+	if c.own && slices.Contains(old, c.t.Name) {
+		caught++
+	}
+	if !c.ready && caught >= keepers.Meets(len(old)) {
+		c.ready = true
+		c.do(Noted{"knows what the keepers before knew", ""})
+	}
+	ready := func(k string) bool {
+		l := c.looks[k]
+		return k == c.t.Name && c.ready || l != nil && l.registered == c.life && l.ready
+	}
+	if keepers.Count(c.set.New, ready) >= keepers.Majority(len(c.set.New)) {
+		c.do(Readied{c.set.Turn})
+	}
+}
+
+// otherSet has the one that goes by another set learn which is in force, from whichever of the two knows.
+func (c *Core) otherSet(in Heard) {
+	c.count("other keepers")
+	switch in.Kind {
+	case Grab:
+		c.do(Send{in.From, Message{Kind: Refused, Epoch: in.Epoch, Ticket: in.Ticket, Why: Epoch}})
+		c.inForce(in.From)
+	case Tell, Register, Pull:
+		c.inForce(in.From)
+	}
+}
+
+func (c *Core) inForce(to string) {
+	if c.t.Agreed && c.serving && to != c.t.Name {
+		c.send(to, Message{Kind: InForce, Set: c.set})
+	}
+}
+
+// told takes a set that another goes by, or tells it of a later one.
+func (c *Core) told(in Heard) {
+	switch {
+	case !c.t.Agreed:
+		c.count("keepers do not change here")
+	case in.Set.After(c.set) && in.Set.Fits():
+		c.adopt(in.Set)
+	case c.set.After(in.Set):
+		c.inForce(in.From)
+	case in.Set.Founding != 0 && c.set.Founding != 0 && in.Set.Founding != c.set.Founding:
+		c.count("another founding")
+	}
+}
+
+// adopt goes by another set from now on. A keeper that stays one keeps its vote: what it granted, it knows. Claims that are being asked
+// for begin anew: what was granted under another set does not count.
+func (c *Core) adopt(s keepers.Set) {
+	if !s.After(c.set) {
+		return
+	}
+	was := c.keeper
+	c.goBy(s)
+	c.ready, c.own = false, was && c.voting
+	if !c.keeper {
+		c.voting, c.own, c.kept = false, false, Life{}
+		c.lives(Life{})
+	} else if !was {
+		c.since, c.kept = 0, Life{}
+	} else if c.voting {
+		c.lives(c.life) // of this set
+	}
+	for _, k := range slices.Sorted(maps.Keys(c.looks)) {
+		if !slices.Contains(c.all, k) {
+			delete(c.looks, k)
+		}
+	}
+	if c.keeper && c.serving {
+		c.voters[c.t.Name] = c.life
+		for _, k := range c.all {
+			if k == c.t.Name {
+				continue
+			}
+			if c.looks[k] == nil {
+				c.looks[k] = &look{}
+			}
+			l := c.looks[k]
+			l.registered, l.through, l.voting, l.ready, l.next = Life{}, false, false, false, c.now
+		}
+	}
+	c.do(Adopted{s})
+	c.do(Noted{"keepers: " + strings.Join(s.New, ", "), strings.Join(s.Old, ", ")})
+	for _, ticket := range due(c.wants, func(*want) bool { return true }) {
+		if w := c.wants[ticket]; w != nil {
+			clear(w.answers)
+			c.ask(w)
+		}
+	}
+	if c.serving {
+		c.begin()
+	}
+	if c.keeper {
+		for _, name := range c.here {
+			c.inForce(name)
+		}
+	}
 }
 
 // lives notes where records last as which life they are whole; as none while they are not.
@@ -288,7 +404,7 @@
 
 // register takes note of the process that votes under a keeper's name.
 func (c *Core) register(in Heard) {
-	if !slices.Contains(c.t.Keepers, in.From) {
+	if !slices.Contains(c.all, in.From) {
 		return
 	}
 	if in.Life.compare(c.voters[in.From]) < 0 {
@@ -299,7 +415,7 @@
 		c.former[in.From] = was
 	}
 	c.voters[in.From] = in.Life
-	c.send(in.From, Message{Kind: Registered, Life: c.life, Of: in.Life, Voting: c.voting, Former: c.former[in.From], Voters: c.votersNow(),
+	c.send(in.From, Message{Kind: Registered, Life: c.life, Of: in.Life, Voting: c.voting, Ready: c.ready, Former: c.former[in.From], Voters: c.votersNow(),
 		Next: c.pos})
 }
 
@@ -321,7 +437,7 @@
 	}
 	if l.registered != c.life {
 		l.registered, l.mark, l.through = c.life, in.Next, false
-		l.voting = in.Voting
+		l.voting, l.ready = in.Voting, in.Ready
 		if l.of != in.Life {
 			l.of, l.since = in.Life, 0
 		}
@@ -331,7 +447,7 @@
 
 // pulled answers with what has changed since a position, some of it.
 func (c *Core) pulled(in Heard) {
-	x := Message{Kind: Piece, Life: c.life, Of: c.life, Since: in.Since, Voting: c.voting}
+	x := Message{Kind: Piece, Life: c.life, Of: c.life, Since: in.Since, Voting: c.voting, Ready: c.ready}
 	if in.Of != c.life {
 		in.Since = 0 // another process's order
 		x.Since = 0
@@ -375,7 +491,7 @@
 		}
 	}
 	c.counts["pulled"] += uint64(len(in.Records))
-	l.since, l.more, l.voting = in.Next, in.More, in.Voting
+	l.since, l.more, l.voting, l.ready = in.Next, in.More, in.Voting, in.Ready
 	if !in.More && in.Voting && l.since >= l.mark {
 		l.through = true // all that it knew while it had its vote
 	}
--- a/internal/copies/messages.go
+++ b/internal/copies/messages.go
@@ -1,6 +1,10 @@
 package copies
 
-import "cmp"
+import (
+	"cmp"
+
+	"woaddyke/internal/keepers"
+)
 
 // Life is one process that votes under a keeper's name: a later one has a greater number.
 type Life struct {
@@ -31,6 +35,7 @@
 	Registered                 // it is known as that one
 	Pull                       // what has changed since a position?
 	Piece                      // some of it
+	InForce                    // this set is in force
 )
 
 // Why is why a keeper does not grant.
@@ -59,15 +64,17 @@
 	Record  Record // what it is about: of a Grab or Tell with one fate
 	Why     Why
 	Voting  bool
-	Former  Life // Registered: which process voted under that name before, as this keeper knows it
-	Of      Life // Pull and Piece: whose order of changes
+	Ready   bool        // beside Voting
+	Set     keepers.Set // InForce
+	Former  Life        // Registered: which process voted under that name before, as this keeper knows it
+	Of      Life        // Pull and Piece: whose order of changes
 	Since   uint64
 	Next    uint64
 	More    bool
 	Records []Record
 }
 
-// Input is one of Heard, Tick, Want, End, Serving and Views.
+// Input is one of Heard, Tick, Want, End, Serving, Lost, Adopt and Unkept.
 type Input interface{ input() }
 
 // Heard is a message of another member, or of this process itself.
@@ -108,9 +115,13 @@
 	Gone bool
 }
 
+// Adopt is a set that has been agreed.
+type Adopt struct{ keepers.Set }
+
 // Unkept says that records could not be put where they last: this keeper has no vote any more.
 type Unkept struct{}
 
+func (Adopt) input()   {}
 func (Unkept) input()  {}
 func (Heard) input()   {}
 func (Tick) input()    {}
@@ -119,7 +130,7 @@
 func (Serving) input() {}
 func (Lost) input()    {}
 
-// Effect is one of Send, Decided, Noted, Keep, Drop and Lives.
+// Effect is one of Send, Decided, Noted, Keep, Drop, Lives, Adopted and Readied.
 type Effect interface{ effect() }
 
 // Send has a message sent to a member.
@@ -167,6 +178,14 @@
 // Lives says as which life this keeper keeps its records from now on.
 type Lives struct{ Life }
 
+// Adopted is a set that this process goes by from now on.
+type Adopted struct{ keepers.Set }
+
+// Readied says that a majority of the new keepers of a turn know what the old ones knew.
+type Readied struct{ Turn uint64 }
+
+func (Adopted) effect() {}
+func (Readied) effect() {}
 func (Keep) effect()    {}
 func (Drop) effect()    {}
 func (Lives) effect()   {}
--- a/internal/copies/play/play.go
+++ b/internal/copies/play/play.go
@@ -4,9 +4,12 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 
 	"woaddyke/internal/copies"
+	"woaddyke/internal/keepers"
 	"woaddyke/internal/virtual"
 )
 
@@ -38,6 +41,23 @@
 	paused bool
 	waits  []func()
 	life   uint64
+	agree  *keepers.Core // nil where keepers do not change
+	disk   *disk
+}
+
+// disk is what lasts of a place.
+type disk struct {
+	state   keepers.State
+	records map[string]copies.Record
+	first   map[string]Time // when each was first heard of
+	life    copies.Life
+	epoch   uint64
+}
+
+// Answer is what staff were told.
+type Answer struct {
+	Done bool
+	Text string
 }
 
 // Play is one cluster.
@@ -60,6 +80,12 @@
 	Granted  int
 	Bytes    int
 	Records  int // records that were sent in pieces
+	Answers  map[uint64]Answer
+	Agreed   bool                                   // keepers have disks, and change by agreement
+	Rule     keepers.Terms                          // of the agreement
+	Lose     func(to string, x copies.Message) bool // which messages are lost besides; nil for none
+	Crash    float64                                // chance to end after each round of what a process does, anywhere among its messages
+	Turns    map[uint64]int                         // turns that came into force, and at how many processes
 }
 
 type want struct {
@@ -70,11 +96,11 @@
 }
 
 // New makes a cluster of so many schedulers, the first of which are keepers.
-func New(n, keepers int, seed uint64) *Play {
+func New(n, count int, seed uint64) *Play {
 	p := &Play{Rand: rand.New(rand.NewPCG(seed, 0x706c6179)), Terms: copies.Defaults(), Delay: 5, byName: map[string]*place{},
-		cuts: map[[2]string]bool{}, wants: map[uint64]want{}, holder: map[string]string{}}
+		cuts: map[[2]string]bool{}, wants: map[uint64]want{}, holder: map[string]string{}, Answers: map[uint64]Answer{}, Turns: map[uint64]int{}, Rule: keepers.Defaults()}
 	p.Terms.HoldOff, p.Terms.Remember = 5*Second, 600*Second
-	for i := range keepers {
+	for i := range count {
 		p.Terms.Keepers = append(p.Terms.Keepers, fmt.Sprint("n", i))
 	}
 	for i := range n {
@@ -85,21 +111,78 @@
 	return p
 }
 
-// Start starts a process without memory at a place.
+// Start starts a process at a place, with what lasts there and nothing else.
 func (p *Play) Start(i int) {
 	pl := p.places[i]
 	t := p.Terms
-	t.Name, t.Chance, t.Nonce = pl.name, p.Rand.Uint64(), p.Rand.Uint64()
+	t.Name, t.Chance, t.Nonce, t.Agreed = pl.name, p.Rand.Uint64(), p.Rand.Uint64(), p.Agreed
 	pl.life++
 	pl.core, pl.up, pl.paused, pl.waits = copies.New(t, p.Now()), true, false, nil
+	if p.Agreed {
+		if pl.disk == nil {
+			pl.disk = &disk{state: keepers.State{Seat: p.Rand.Uint64()>>1 | 1}, records: map[string]copies.Record{}, first: map[string]Time{}}
+		}
+		a := p.Rule
+		a.Name, a.Keepers, a.Chance = pl.name, t.Keepers, p.Rand.Uint64()
+		pl.agree = keepers.New(a, pl.disk.state, p.Now())
+		pl.core.Go(pl.agree.Set())
+		life := pl.disk.life
+		if pl.disk.epoch != pl.core.Epoch() {
+			life = copies.Life{}
+		}
+		var records []copies.Record
+		for _, k := range slices.Sorted(maps.Keys(pl.disk.records)) {
+			r := pl.disk.records[k]
+			r.Age = uint64((p.Now() - pl.disk.first[k]) / Second)
+			records = append(records, r)
+		}
+		pl.core.Restore(records, life)
+		p.agree(pl, pl.core, keepers.Serving{On: true})
+	}
 	p.feed(pl, pl.core, copies.Serving{On: true, Life: pl.life})
+	for _, other := range p.places {
+		if other != pl && other.up && p.Agreed {
+			p.feed(other, other.core, copies.Lost{Name: pl.name})
+			p.feed(pl, pl.core, copies.Lost{Name: other.name})
+		}
+	}
 	p.tick(pl, pl.core)
 }
 
+// Forget has nothing last of a place whose process has ended.
+func (p *Play) Forget(i int) { p.places[i].disk = nil }
+
+// See has everybody hold a member for here, or for gone.
+func (p *Play) See(i int, here bool) {
+	for _, pl := range p.places {
+		if pl.up && pl.agree != nil && pl != p.places[i] {
+			p.agree(pl, pl.core, keepers.Present{Name: p.places[i].name, Here: here})
+		}
+	}
+}
+
+// Change has staff ask a scheduler for other keepers; it returns the ticket under which Answers has the answer.
+func (p *Play) Change(i int, want ...int) uint64 {
+	pl := p.places[i]
+	p.tickets++
+	if !pl.up || pl.agree == nil {
+		return p.tickets
+	}
+	var names []string
+	for _, k := range want {
+		names = append(names, p.places[k].name)
+	}
+	p.agree(pl, pl.core, keepers.Change{Ticket: p.tickets, Turn: pl.agree.Set().Turn, Keepers: names})
+	return p.tickets
+}
+
 func (p *Play) tick(pl *place, core *copies.Core) {
 	p.At(p.Now()+MS*5, func() {
 		if pl.core == core && pl.up {
 			p.feed(pl, core, copies.Tick{})
+			if pl.agree != nil && pl.agree.Next() <= p.Now() {
+				p.agree(pl, core, keepers.Tick{})
+			}
 			p.tick(pl, core)
 		}
 	})
@@ -126,7 +209,8 @@
 // to say before it learns of it.
 func (p *Play) Depose(i int, after Time) {
 	pl := p.places[i]
-	old := &place{name: pl.name, core: pl.core, up: pl.up, paused: true, life: pl.life}
+	old := &place{name: pl.name, core: pl.core, up: pl.up, paused: true, life: pl.life, agree: pl.agree, disk: pl.disk}
+	pl.disk = nil // the other one runs elsewhere
 	p.places = append(p.places, old)
 	k := len(p.places) - 1
 	p.Start(i)
@@ -197,44 +281,127 @@
 	}
 }
 
-func (p *Play) feed(pl *place, core *copies.Core, in copies.Input) {
+// awake tells whether a process takes an input now; one that stands still takes it when it goes on.
+func (p *Play) awake(pl *place, core *copies.Core, later func()) bool {
 	if !pl.up || pl.core != core {
+		return false
+	}
+	if pl.paused && len(pl.waits) < 500 {
+		pl.waits = append(pl.waits, later)
+	}
+	return !pl.paused
+}
+
+func (p *Play) feed(pl *place, core *copies.Core, in copies.Input) {
+	if !p.awake(pl, core, func() { p.feed(pl, core, in) }) {
 		return
 	}
-	if pl.paused {
-		if len(pl.waits) < 500 {
-			pl.waits = append(pl.waits, func() { p.feed(pl, core, in) })
+	effects := core.Take(p.Now(), in)
+	for _, e := range effects { // what must last does before anything is sent
+		switch e := e.(type) {
+		case copies.Keep:
+			pl.disk.records[e.Key], pl.disk.first[e.Key] = e.Record, p.Now()-Time(e.Age)*Second
+		case copies.Drop:
+			delete(pl.disk.records, e.Key)
+		case copies.Lives:
+			if pl.disk != nil {
+				pl.disk.life, pl.disk.epoch = e.Life, core.Epoch()
+			}
+		case copies.Adopted:
+			p.Turns[e.Turn]++
+			p.agree(pl, core, keepers.Learned{Set: e.Set})
 		}
-		return
 	}
-	for _, e := range core.Take(p.Now(), in) {
+	for _, e := range effects {
+		if p.crashes(pl, core) {
+			return
+		}
 		switch e := e.(type) {
 		case copies.Decided:
 			p.decided(e)
+		case copies.Readied:
+			p.agree(pl, core, keepers.Ready{Turn: e.Turn})
 		case copies.Send:
-			p.send(pl, e)
+			records := 0
+			for _, r := range e.Records {
+				records++
+				p.Bytes += len(r.Key) + 80
+			}
+			p.Records += records
+			if p.Lose != nil && p.Lose(e.To, e.Message) {
+				continue
+			}
+			p.send(pl, e.To, func(to *place) { p.feed(to, to.core, copies.Heard{From: pl.name, Message: e.Message}) })
+		}
+	}
+}
+
+// agree feeds the agreement.
+func (p *Play) agree(pl *place, core *copies.Core, in keepers.Input) {
+	if !p.awake(pl, core, func() { p.agree(pl, core, in) }) {
+		return
+	}
+	effects := pl.agree.Take(p.Now(), in)
+	for _, e := range effects {
+		if e, ok := e.(keepers.Keep); ok {
+			pl.disk.state = e.State
+		}
+	}
+	for _, e := range effects {
+		if p.crashes(pl, core) {
+			return
+		}
+		switch e := e.(type) {
+		case keepers.Send:
+			p.send(pl, e.To, func(to *place) {
+				if to.agree != nil {
+					p.agree(to, to.core, keepers.Heard{From: pl.name, Message: e.Message})
+				}
+			})
+		case keepers.Agreed:
+			p.feed(pl, core, copies.Adopt{Set: e.Set})
+		case keepers.Told:
+			p.Answers[e.Ticket] = Answer{e.Done, e.Text}
+		case keepers.Noted:
+			if e.What == "takes no part in changes of keepers any more" {
+				p.breach("%s: %s", pl.name, e.Of)
+			}
 		}
 	}
 }
 
-func (p *Play) send(from *place, e copies.Send) {
-	to := p.byName[e.To]
+// crashes has a process end among what it does, by chance, and come back.
+func (p *Play) crashes(pl *place, core *copies.Core) bool {
+	if pl.core != core || !pl.up {
+		return true
+	}
+	i := slices.Index(p.places, pl)
+	if p.Crash == 0 || i >= len(p.byName) || p.Rand.Float64() >= p.Crash {
+		return false
+	}
+	p.Kill(i)
+	p.At(p.Now()+Time(p.Rand.IntN(20_000)), func() {
+		if !pl.up {
+			p.Start(i)
+		}
+	})
+	return true
+}
+
+func (p *Play) send(from *place, name string, hear func(to *place)) {
+	to := p.byName[name]
 	lost, twice := p.Rand.Float64() < p.Loss, p.Rand.Float64() < p.Dup
 	wait := p.Delay/2 + Time(p.Rand.Int64N(int64(p.Delay)+1))
 	if p.Rand.Float64() < p.Dup/4 {
 		wait += Time(p.Rand.Int64N(int64(30 * Second))) // and some come much later
 	}
-	for _, r := range e.Records {
-		p.Records++
-		p.Bytes += len(r.Key) + 80
-	}
 	if to == nil || lost {
 		return
 	}
-	way := [2]string{from.name, e.To}
+	way := [2]string{from.name, name}
 	deliver := func() {
 		if !p.cuts[way] && to.core != nil {
-			p.feed(to, to.core, copies.Heard{From: from.name, Message: e.Message})
+			hear(to)
 		}
 	}
 	if p.At(p.Now()+wait, deliver); twice {
--- a/internal/copies/record_test.go
+++ b/internal/copies/record_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"woaddyke/internal/keepers"
 )
 
 func drawRecord(t *rapid.T, label string) Record {
@@ -71,7 +73,8 @@
 
 // A keeper of another set of keepers has no vote in this one, and a set may not stand twice.
 func TestKeepersOfAnotherSetDoNotCount(t *testing.T) {
-	if epochOf([]string{"a", "b", "c"}) != epochOf([]string{"c", "a", "b"}) || epochOf([]string{"a", "b", "c"}) == epochOf([]string{"a", "b", "d"}) {
+	epoch := func(names ...string) uint64 { return keepers.ByFile(names).Epoch() }
+	if epoch("a", "b", "c") != epoch("c", "a", "b") || epoch("a", "b", "c") == epoch("a", "b", "d") {
 		t.Error("a set's name must be of its members, in any order")
 	}
 	terms := Defaults()
--- a/internal/fates/fates.go
+++ b/internal/fates/fates.go
@@ -4,6 +4,7 @@
 	"context"
 	crand "crypto/rand"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -15,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"woaddyke/internal/copies"
+	"woaddyke/internal/keepers"
 	"woaddyke/internal/members"
 	"woaddyke/internal/shelf"
 )
@@ -23,12 +25,21 @@
 	mostWaiting = 4096 // inputs that wait for the loop; messages beyond them are lost, as datagrams are
 	pageSize    = 500  // records that staff read at once
 	lateTime    = time.Second
-	mostRound   = 64 // further inputs that share a wait for the disk
+	mostStaff   = 8
+	staffTime   = 1800 * time.Millisecond // a call of staff has 2 s
+	mostRound   = 64                      // further inputs that share a wait for the disk
 )
 
+// input is one for either of the two cores.
+type input struct {
+	copies copies.Input
+	agreed keepers.Input
+}
+
 // Way sends a message to a member.
 type Way interface {
 	Copy(to string, x copies.Message)
+	Agree(to string, x keepers.Message)
 	Now() members.Time
 }
 
@@ -37,8 +48,9 @@
 	table   *Table
 	log     zerolog.Logger
 	core    *copies.Core
+	agreed  *keepers.Core // who keeps copies; nil where that does not change
 	way     Way
-	in      chan copies.Input
+	in      chan input
 	calls   chan func()
 	quit    chan struct{}
 	ended   chan struct{}
@@ -48,6 +60,7 @@
 
 	mu      sync.Mutex
 	waiting map[uint64]chan copies.Decided
+	staff   map[uint64]chan keepers.Told
 	heirs   uint64
 	life    uint64
 	serving bool
@@ -62,21 +75,34 @@
 	if _, err := crand.Read(room[:]); err != nil {
 		return nil, fmt.Errorf("copies: %w", err)
 	}
-	f := &Fates{table: t, log: log, in: make(chan copies.Input, mostWaiting), calls: make(chan func()), quit: make(chan struct{}),
-		ended: make(chan struct{}), waiting: map[uint64]chan copies.Decided{}, heirs: heirs}
+	f := &Fates{table: t, log: log, in: make(chan input, mostWaiting), calls: make(chan func()), quit: make(chan struct{}),
+		ended: make(chan struct{}), waiting: map[uint64]chan copies.Decided{}, staff: map[uint64]chan keepers.Told{}, heirs: heirs}
 	f.core = copies.New(t.terms(name, chance, binary.BigEndian.Uint64(room[:])|1), now)
-	if t.Path != "" && slices.Contains(t.Keepers, name) {
-		return f, f.open()
+	keeper := slices.Contains(t.Keepers, name)
+	if t.Agreed && keeper && t.Path == "" {
+		return nil, errors.New("copies: agreed: a keeper has to have a path for what must last")
+	}
+	if t.Path != "" && (keeper || t.Agreed) {
+		return f, f.open(name, chance, now)
+	}
+	if t.Agreed {
+		f.agreed = keepers.New(t.rule(name, chance), keepers.State{}, now)
 	}
 	return f, nil
 }
 
 // open opens the place where records last. A file that can't be read ends the start: a keeper that goes on without what it granted must
 // be one that has been told to, by taking the file away.
-func (f *Fates) open() (err error) {
+func (f *Fates) open(name string, chance uint64, now members.Time) (err error) {
 	if f.shelf, err = shelf.Open(f.table.Path, f.table.Sync); err != nil {
 		return err
 	}
+	if f.table.Agreed {
+		if err := f.openAgreement(name, chance, now); err != nil {
+			f.shelf.Close()
+			return err
+		}
+	}
 	records, life, epoch, ok, err := f.shelf.Load(time.Now())
 	if err != nil {
 		f.shelf.Close()
@@ -90,6 +116,25 @@
 	return nil
 }
 
+// openAgreement goes on with what lasts of the agreement, or draws a seat in it.
+func (f *Fates) openAgreement(name string, chance uint64, now members.Time) error {
+	state, ok, err := f.shelf.Agreement()
+	if err == nil && !ok {
+		var room [8]byte
+		if _, err := crand.Read(room[:]); err != nil {
+			return fmt.Errorf("copies: %w", err)
+		}
+		state = keepers.State{Seat: binary.BigEndian.Uint64(room[:])>>1 | 1}
+		err = f.shelf.Agree(state)
+	}
+	if err != nil {
+		return err
+	}
+	f.agreed = keepers.New(f.table.rule(name, chance), state, now)
+	f.core.Go(f.agreed.Set())
+	return nil
+}
+
 // Give lets go of the place where records last, for the process that takes over.
 func (f *Fates) Give() {
 	f.call(func() {
@@ -97,6 +142,9 @@
 			f.shelf.Close()
 			f.shelf = nil
 			f.core.Take(f.way.Now(), copies.Unkept{})
+			if f.agreed != nil {
+				f.agreed.Take(f.way.Now(), keepers.Unkept{})
+			}
 		}
 	})
 }
@@ -123,7 +171,6 @@
 	tick := time.NewTimer(0)
 	defer tick.Stop()
 	for {
-		var effects []copies.Effect
 		select {
 		case <-f.quit:
 			return
@@ -131,35 +178,103 @@
 			call()
 			continue
 		case in := <-f.in:
-			effects = f.core.Take(f.way.Now(), in)
-			// What waits already goes into the same round: many records, one wait for the disk.
-			for range mostRound {
-				select {
-				case in = <-f.in:
-					effects = append(effects, f.core.Take(f.way.Now(), in)...)
-					continue
-				default:
-				}
-				break
-			}
+			f.take(in)
 		case <-tick.C:
-			effects = f.core.Take(f.way.Now(), copies.Tick{})
+			f.carry(f.core.Take(f.way.Now(), copies.Tick{}))
+			if f.agreed != nil && f.agreed.Next() <= f.way.Now() {
+				f.agree(keepers.Tick{})
+			}
+		}
+		next := f.core.Next()
+		if f.agreed != nil {
+			next = min(next, f.agreed.Next())
+		}
+		tick.Reset(max(time.Duration(next-f.way.Now())*members.Tenth, 0))
+	}
+}
+
+// take takes an input, and what waits already beside it into the same round: many records, one wait for the disk.
+func (f *Fates) take(in input) {
+	var effects []copies.Effect
+	for range mostRound {
+		if in.agreed != nil {
+			f.carry(effects)
+			effects = nil
+			f.agree(in.agreed)
+		} else {
+			effects = append(effects, f.core.Take(f.way.Now(), in.copies)...)
+		}
+		select {
+		case in = <-f.in:
+			continue
+		default:
 		}
 		f.carry(effects)
-		tick.Reset(max(time.Duration(f.core.Next()-f.way.Now())*members.Tenth, 0))
+		return
 	}
+	f.carry(effects)
 }
 
-// carry does what the core asks for: first of all what has to last.
+// agree feeds the agreement and does what it asks for: first of all what has to last. False where that failed.
+func (f *Fates) agree(in keepers.Input) bool {
+	if f.agreed == nil {
+		return true
+	}
+	effects := f.agreed.Take(f.way.Now(), in)
+	for i := len(effects) - 1; i >= 0; i-- { // the last state has all of those before
+		k, ok := effects[i].(keepers.Keep)
+		if !ok {
+			continue
+		}
+		if f.shelf == nil {
+			break
+		}
+		if err := f.shelf.Agree(k.State); err != nil {
+			f.log.Error().Err(err).Msg("the agreement could not be kept on the disk")
+			f.agreed.Take(f.way.Now(), keepers.Unkept{})
+			f.core.Take(f.way.Now(), copies.Unkept{})
+			return false
+		}
+		break
+	}
+	for _, e := range effects {
+		switch e := e.(type) {
+		case keepers.Send:
+			f.way.Agree(e.To, e.Message)
+		case keepers.Agreed:
+			f.carry(f.core.Take(f.way.Now(), copies.Adopt{Set: e.Set}))
+		case keepers.Told:
+			f.mu.Lock()
+			if c := f.staff[e.Ticket]; c != nil {
+				c <- e
+				delete(f.staff, e.Ticket)
+			}
+			f.mu.Unlock()
+		case keepers.Noted:
+			f.log.Info().Str("what", e.What).Str("of", e.Of).Msg("keepers")
+		}
+	}
+	return true
+}
+
+// carry does what the core asks for: first of all what has to last. A set is in force here only once it does: who is told so goes by it
+// that this keeper refuses what came under the one before.
 func (f *Fates) carry(effects []copies.Effect) {
 	kept := f.keep(effects)
+	for _, e := range effects {
+		if a, ok := e.(copies.Adopted); ok {
+			kept = f.agree(keepers.Learned{Set: a.Set}) && kept
+		}
+	}
 	for _, e := range effects {
 		switch e := e.(type) {
 		case copies.Send:
-			if !kept && (e.Kind == copies.Granted || e.Kind == copies.Known) {
+			if !kept && (e.Kind == copies.Granted || e.Kind == copies.Known || e.Kind == copies.Registered || e.Kind == copies.Piece) {
 				continue // it is not true of a keeper that would forget it
 			}
 			f.way.Copy(e.To, e.Message)
+		case copies.Readied:
+			f.agree(keepers.Ready{Turn: e.Turn})
 		case copies.Decided:
 			f.mu.Lock()
 			c := f.waiting[e.Ticket]
@@ -212,7 +327,9 @@
 	return err == nil
 }
 
-func (f *Fates) tell(in copies.Input) bool {
+func (f *Fates) tell(in copies.Input) bool { return f.hand(input{copies: in}) }
+
+func (f *Fates) hand(in input) bool {
 	select {
 	case f.in <- in:
 		return true
@@ -225,6 +342,11 @@
 // Heard takes a message of another member. It waits for nothing.
 func (f *Fates) Heard(from string, x copies.Message) { f.tell(copies.Heard{From: from, Message: x}) }
 
+// Agreed takes a message of another member on who keeps copies. It waits for nothing.
+func (f *Fates) Agreed(from string, x keepers.Message) {
+	f.hand(input{agreed: keepers.Heard{From: from, Message: x}})
+}
+
 // Serving says whether this process is a member, and in which incarnation. An heir, and a process whose heir has ended, is another
 // voter than the one before: what that one granted meanwhile it does not know.
 func (f *Fates) Serving(on bool, incarnation uint64) {
@@ -235,7 +357,8 @@
 	}
 	life := f.life<<16 + f.heirs
 	f.mu.Unlock()
-	f.soon(copies.Serving{On: on, Life: life})
+	f.soon(input{copies: copies.Serving{On: on, Life: life}})
+	f.soon(input{agreed: keepers.Serving{On: on}})
 }
 
 // Resumed says that the process that was to take over has ended.
@@ -255,10 +378,51 @@
 }
 
 // Gone says that a member is no more, or is back.
-func (f *Fates) Gone(name string, gone bool) { f.soon(copies.Lost{Name: name, Gone: gone}) }
+func (f *Fates) Gone(name string, gone bool) {
+	f.soon(input{copies: copies.Lost{Name: name, Gone: gone}})
+	f.soon(input{agreed: keepers.Present{Name: name, Here: !gone}})
+}
+
+// Change has staff's change of keepers agreed, from the set of a turn on; it tells whether it is.
+func (f *Fates) Change(turn uint64, names []string) keepers.Told {
+	no := func(text string, again bool) keepers.Told { return keepers.Told{Text: text, Again: again} }
+	if !f.table.Agreed {
+		return no("keepers do not change by agreement here: copies.agreed is not set", false)
+	}
+	var room [8]byte
+	if _, err := crand.Read(room[:]); err != nil {
+		return no(err.Error(), false)
+	}
+	ticket, c := binary.BigEndian.Uint64(room[:])|1, make(chan keepers.Told, 1)
+	f.mu.Lock()
+	full := len(f.staff) >= mostStaff
+	if !full {
+		f.staff[ticket] = c
+	}
+	f.mu.Unlock()
+	if full {
+		return no("too many ask at once", true)
+	}
+	defer func() {
+		f.mu.Lock()
+		delete(f.staff, ticket)
+		f.mu.Unlock()
+	}()
+	f.must(input{agreed: keepers.Change{Ticket: ticket, Turn: turn, Keepers: names}})
+	late := time.NewTimer(staffTime)
+	defer late.Stop()
+	select {
+	case t := <-c:
+		return t
+	case <-f.ended:
+		return no("it ends", false)
+	case <-late.C:
+		return no("no answer in time", true)
+	}
+}
 
 // soon hands on what may not be lost, in order as long as there is room, and without waiting.
-func (f *Fates) soon(in copies.Input) {
+func (f *Fates) soon(in input) {
 	select {
 	case f.in <- in:
 	default:
@@ -267,7 +431,7 @@
 }
 
 // must hands on what may not be lost.
-func (f *Fates) must(in copies.Input) {
+func (f *Fates) must(in input) {
 	select {
 	case f.in <- in:
 	case <-f.ended:
@@ -316,13 +480,14 @@
 	if !unsent && status != 0 && len(answer) <= f.table.ResultBytes {
 		e.Result, e.Held = append([]byte{}, answer...), true
 	}
-	f.must(e)
+	f.must(input{copies: e})
 }
 
 // Shown is what staff see.
 type Shown struct {
 	copies.Shown
-	Lost uint64 `json:"inputs_lost"` // for want of room
+	Agreement string `json:"agreement"`   // what part this process takes in changes of keepers; empty where they do not change
+	Lost      uint64 `json:"inputs_lost"` // for want of room
 }
 
 func (f *Fates) call(do func()) {
@@ -336,7 +501,12 @@
 
 // Shown is the state as of now.
 func (f *Fates) Shown() (s Shown) {
-	f.call(func() { s = Shown{f.core.Shown(), f.lost.Load()} })
+	f.call(func() {
+		s = Shown{Shown: f.core.Shown(), Lost: f.lost.Load()}
+		if f.agreed != nil {
+			s.Agreement = f.agreed.Part()
+		}
+	})
 	return s
 }
 
--- a/internal/fates/fates_test.go
+++ b/internal/fates/fates_test.go
@@ -10,14 +10,16 @@
 	"go.uber.org/goleak"
 
 	"woaddyke/internal/copies"
+	"woaddyke/internal/keepers"
 	"woaddyke/internal/members"
 )
 
 // alone is a way to nobody, whose clock began long ago.
 type alone struct{ start time.Time }
 
-func (alone) Copy(string, copies.Message) {}
-func (a alone) Now() members.Time         { return longAgo + members.Span(time.Since(a.start)) }
+func (alone) Copy(string, copies.Message)   {}
+func (alone) Agree(string, keepers.Message) {}
+func (a alone) Now() members.Time           { return longAgo + members.Span(time.Since(a.start)) }
 
 const longAgo members.Time = 40 * 24 * 3600 * 10_000 // more than any id is remembered
 
--- a/internal/fates/table.go
+++ b/internal/fates/table.go
@@ -8,20 +8,24 @@
 	"time"
 
 	"woaddyke/internal/copies"
+	"woaddyke/internal/keepers"
 	"woaddyke/internal/members"
 	"woaddyke/internal/operator"
 )
 
 // Table is the part of the operator's file that is called copies.
 type Table struct {
-	Keepers      []string      `toml:"keepers"`      // names of members that hold copies: 3 or 5, the same for all
-	Deduplicated bool          `toml:"deduplicated"` // ops of deduplicated categories are guarded too
-	Wait         operator.Span `toml:"wait"`         // longest time for a majority, before an op is nacked
-	Again        operator.Span `toml:"again"`        // between two tries at a keeper that does not answer
-	Pull         operator.Span `toml:"pull"`         // between two looks at another keeper's changes
-	Remember     operator.Span `toml:"remember"`     // of an id, from when it first came
-	HoldOff      operator.Span `toml:"hold_off"`     // keepers that lost their memory together have no vote for so long
-	Most         int           `toml:"most"`         // ids
+	Keepers      []string      `toml:"keepers"`       // names of members that hold copies: 3 or 5, the same for all; the first ones, if agreed
+	Agreed       bool          `toml:"agreed"`        // keepers change by agreement, asked for by staff or by the rule
+	ReplaceAfter operator.Span `toml:"replace_after"` // the rule: a keeper that is gone for so long is replaced by a spare; 0: never
+	Spares       []string      `toml:"spares"`        // in order
+	Deduplicated bool          `toml:"deduplicated"`  // ops of deduplicated categories are guarded too
+	Wait         operator.Span `toml:"wait"`          // longest time for a majority, before an op is nacked
+	Again        operator.Span `toml:"again"`         // between two tries at a keeper that does not answer
+	Pull         operator.Span `toml:"pull"`          // between two looks at another keeper's changes
+	Remember     operator.Span `toml:"remember"`      // of an id, from when it first came
+	HoldOff      operator.Span `toml:"hold_off"`      // keepers that lost their memory together have no vote for so long
+	Most         int           `toml:"most"`          // ids
 	MostBytes    int           `toml:"most_bytes"`
 	ResultBytes  int           `toml:"result_bytes"` // longer answers are not held
 	Path         string        `toml:"path"`         // a file on a disk that lasts, for a keeper's records; empty: memory alone
@@ -45,7 +49,13 @@
 	if err := terms.Check(); err != nil {
 		return operator.Named("copies", err)
 	}
+	rule := t.rule("n", 1)
+	if err := rule.Check(); err != nil {
+		return operator.Named("copies", err)
+	}
 	switch {
+	case !t.Agreed && (t.ReplaceAfter != 0 || len(t.Spares) > 0):
+		return fault("agreed", errors.New("it is needed for replace_after and spares"))
 	case t.Again <= 0 || t.Again > t.Wait:
 		return fault("again", errors.New("from above 0 to wait"))
 	case time.Duration(t.Pull) < 10*time.Millisecond:
@@ -60,6 +70,13 @@
 
 func (t *Table) terms(name string, chance, nonce uint64) copies.Terms {
 	span := func(s operator.Span) copies.Time { return members.Span(time.Duration(s)) }
-	return copies.Terms{Name: name, Keepers: t.Keepers, Chance: chance, Nonce: nonce, Wait: span(t.Wait), Again: span(t.Again),
+	return copies.Terms{Name: name, Keepers: t.Keepers, Agreed: t.Agreed, Chance: chance, Nonce: nonce, Wait: span(t.Wait), Again: span(t.Again),
 		Pull: span(t.Pull), Remember: span(t.Remember), HoldOff: span(t.HoldOff), Most: t.Most, MostSize: t.MostBytes}
 }
+
+// rule are the agreement's terms.
+func (t *Table) rule(name string, chance uint64) keepers.Terms {
+	r := keepers.Defaults()
+	r.Name, r.Keepers, r.Chance, r.ReplaceAfter, r.Spares = name, t.Keepers, chance, members.Span(time.Duration(t.ReplaceAfter)), t.Spares
+	return r
+}
--- /dev/null
+++ b/internal/keepers/messages.go
@@ -0,0 +1,125 @@
+package keepers
+
+// Seat is one voter of the agreement: a number that was drawn when its file was made, under the name of its member.
+type Seat struct {
+	ID   uint64
+	Name string
+}
+
+// Kind says what a message is for.
+type Kind uint8
+
+// The kinds.
+const (
+	SeatAsked Kind = iota + 1 // which seat have you?
+	SeatSaid                  // this one, of that founding; none without a file
+	Founded                   // the agreement is founded with these seats
+	Joined                    // it is taken as that
+	Round                     // a message of the agreement itself
+	Reseat                    // this keeper has another seat than the set says
+	Asked                     // staff ask for these keepers
+	Answered                  // what became of that
+)
+
+// Message is what members tell one another of who keeps copies.
+type Message struct {
+	Kind     Kind
+	Founding uint64
+	Seat     uint64 // of who sends it
+	Seats    []Seat // Founded
+	Round    []byte // a raftpb.Message
+	Ticket   uint64 // Asked and Answered
+	Turn     uint64 // Asked: of the set that staff saw
+	Keepers  []string
+	Done     bool   // Answered
+	Again    bool   // Answered: it may come about if it is asked for again
+	Text     string // Answered
+}
+
+// State is what has to last, as it is written.
+type State struct {
+	Seat     uint64
+	Founding uint64
+	Set      Set    // the latest that is known
+	Hard     []byte // raftpb.HardState
+	Snapshot []byte // raftpb.Snapshot
+	Entries  [][]byte
+}
+
+// Input is one of Heard, Tick, Serving, Present, Change, Learned, Ready and Unkept.
+type Input interface{ input() }
+
+// Heard is a message of another member.
+type Heard struct {
+	From string
+	Message
+}
+
+// Tick says that the moment of Next has come.
+type Tick struct{}
+
+// Serving says whether this process is a member now.
+type Serving struct{ On bool }
+
+// Present says whether another member is here, as this process sees it.
+type Present struct {
+	Name string
+	Here bool
+}
+
+// Change is what staff ask for, at any scheduler.
+type Change struct {
+	Ticket  uint64 // the caller's own, never used twice
+	Turn    uint64 // of the set that they saw
+	Keepers []string
+}
+
+// Learned is a set that others told of.
+type Learned struct{ Set }
+
+// Ready says that a majority of the new keepers of a turn know what the old ones knew.
+type Ready struct{ Turn uint64 }
+
+// Unkept says that a state could not be put where it lasts.
+type Unkept struct{}
+
+func (Heard) input()   {}
+func (Tick) input()    {}
+func (Serving) input() {}
+func (Present) input() {}
+func (Change) input()  {}
+func (Learned) input() {}
+func (Ready) input()   {}
+func (Unkept) input()  {}
+
+// Effect is one of Keep, Send, Agreed, Told and Noted.
+type Effect interface{ effect() }
+
+// Keep has a state put where it lasts, before anything that follows it is sent.
+type Keep struct{ State }
+
+// Send has a message sent to a member.
+type Send struct {
+	To string
+	Message
+}
+
+// Agreed is a set that is in force from now on.
+type Agreed struct{ Set }
+
+// Told is the answer to a Change.
+type Told struct {
+	Ticket uint64
+	Done   bool
+	Again  bool // it may come about if it is asked for again
+	Text   string
+}
+
+// Noted is something that staff want to know.
+type Noted struct{ What, Of string }
+
+func (Keep) effect()   {}
+func (Send) effect()   {}
+func (Agreed) effect() {}
+func (Told) effect()   {}
+func (Noted) effect()  {}
--- /dev/null
+++ b/internal/keepers/set.go
@@ -0,0 +1,93 @@
+package keepers
+
+import (
+	"encoding/binary"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Set is which members keep copies. While a change is under way there is an old part beside the new one, and whatever needs a majority
+// needs one of each.
+type Set struct {
+	Founding uint64   // of the agreement that it comes from; 0: it is what the file says
+	Turn     uint64   // grows with each change
+	Old      []string // empty where no change is under way
+	New      []string
+}
+
+// ByFile is the set that a file names.
+func ByFile(names []string) Set { return Set{New: names} }
+
+// Joint tells whether a change is under way.
+func (s Set) Joint() bool { return len(s.Old) > 0 }
+
+// Parts are the groups that each have a majority of their own.
+func (s Set) Parts() [][]string {
+	if s.Joint() {
+		return [][]string{s.Old, s.New}
+	}
+	return [][]string{s.New}
+}
+
+// All is everybody in it, once.
+func (s Set) All() []string {
+	all := slices.Clone(s.New)
+	for _, k := range s.Old {
+		if !slices.Contains(all, k) {
+			all = append(all, k)
+		}
+	}
+	return all
+}
+
+// Holds tells whether something is so for a majority of each part.
+func (s Set) Holds(is func(name string) bool) bool {
+	for _, part := range s.Parts() {
+		if Count(part, is) < Majority(len(part)) {
+			return false
+		}
+	}
+	return true
+}
+
+// Epoch names the set: who goes by another has no vote in it.
+func (s Set) Epoch() uint64 {
+	text := strings.Join(slices.Sorted(slices.Values(s.New)), "\n")
+	if s.Founding == 0 {
+		return xxhash.Sum64String(text)
+	}
+	room := binary.LittleEndian.AppendUint64(binary.LittleEndian.AppendUint64(nil, s.Founding), s.Turn)
+	return xxhash.Sum64(append(room, text...))
+}
+
+// After tells whether this set stands in place of another: an agreed one does in place of a file's, a later one of an earlier one of the
+// same agreement. Of two foundings neither does.
+func (s Set) After(o Set) bool {
+	return s.Founding != 0 && (o.Founding == 0 || s.Founding == o.Founding && s.Turn > o.Turn)
+}
+
+// Fits tells whether a set that came from elsewhere can be one.
+func (s Set) Fits() bool {
+	return s.Founding != 0 && len(s.New) > 0 && len(s.New) <= Most && len(s.Old) <= Most
+}
+
+// Most is the most keepers that a set may have.
+const Most = 9
+
+// Majority is how many of so many decide.
+func Majority(n int) int { return n/2 + 1 }
+
+// Meets is how many of so many have one in common with each majority of them.
+func Meets(n int) int { return n - Majority(n) + 1 }
+
+// Count counts for how many names something is so.
+func Count(names []string, is func(string) bool) (n int) {
+	for _, k := range names {
+		if is(k) {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sys/unix"
 
 	"woaddyke/internal/copies"
+	"woaddyke/internal/keepers"
 	"woaddyke/internal/lists"
 	"woaddyke/internal/members"
 )
@@ -44,6 +45,7 @@
 	Serving func(on bool, incarnation uint64)     // it is a member as of now, or is not
 	Workers func(from string, words []lists.Word) // what another was told of workers; called as Copied is
 	Copied  func(from string, x copies.Message)   // from a member as it is known here; called from the reader of datagrams
+	Agreed  func(from string, x keepers.Message)  // likewise
 }
 
 // Mesh is one process's part in a cluster.
@@ -437,12 +439,14 @@
 		m.drop(err)
 	case w.Cluster != m.table.Cluster:
 		m.drop(errors.New("wrong cluster"))
-	case w.Copies != nil && m.host.Copied == nil || w.Workers != nil && m.host.Workers == nil:
+	case w.Copies != nil && m.host.Copied == nil || w.Keepers != nil && m.host.Agreed == nil || w.Workers != nil && m.host.Workers == nil:
 		m.drop(errors.New("switched off here"))
 	case !known || seen.Life != (members.Life{Incarnation: w.From.Incarnation, Nonce: w.From.Nonce}):
 		m.drop(errors.New("not the process that is known"))
 	case b.me.State == members.Here && w.Copies != nil:
 		m.host.Copied(w.From.Name, *w.Copies)
+	case b.me.State == members.Here && w.Keepers != nil:
+		m.host.Agreed(w.From.Name, *w.Keepers)
 	case b.me.State == members.Here && w.Workers != nil:
 		m.host.Workers(w.From.Name, w.Workers)
 	}
@@ -456,6 +460,13 @@
 	}
 }
 
+// Agree sends a message of who keeps copies to a member.
+func (m *Mesh) Agree(to string, x keepers.Message) {
+	if !m.silent.Load() {
+		m.sendOther(to, wireOther{Keepers: &x})
+	}
+}
+
 // Tell sends words of workers to a member.
 func (m *Mesh) Tell(to string, words []lists.Word) {
 	if !m.silent.Load() {
--- a/internal/mesh/wire.go
+++ b/internal/mesh/wire.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"woaddyke/internal/copies"
+	"woaddyke/internal/keepers"
 	"woaddyke/internal/lists"
 	"woaddyke/internal/members"
 )
@@ -152,13 +153,15 @@
 	return l, nil
 }
 
-// wireOther is a message that is not of membership, with who sends it: of copies, or words of workers. The pure types stand in it as
+// wireOther is a message that is not of membership, with who sends it: of copies or their keepers, or words of workers. The pure types stand in it as
 // they are: their names are the keys.
 type wireOther struct {
 	Cluster string          `cbor:"1,keyasint"`
 	From    wireClaim       `cbor:"2,keyasint"`
 	Copies  *copies.Message `cbor:"3,keyasint,omitempty"`
 	Workers []lists.Word    `cbor:"4,keyasint,omitempty"`
+
+	Keepers *keepers.Message `cbor:"5,keyasint,omitempty"`
 }
 
 const otherMark = 'o' // in place of the second letter
--- a/internal/shelf/shelf.go
+++ b/internal/shelf/shelf.go
@@ -12,6 +12,7 @@
 	"go.etcd.io/bbolt"
 
 	"woaddyke/internal/copies"
+	"woaddyke/internal/keepers"
 )
 
 const (
@@ -25,6 +26,7 @@
 	lifeKey     = []byte("life")
 	epochKey    = []byte("epoch")
 	versionKey  = []byte("version")
+	agreedKey   = []byte("agreed")
 )
 
 // row is a record as it stands on the disk. Ages are by the wall clock, since no other lasts: one that is set back has ids remembered for
@@ -102,6 +104,31 @@
 	})
 }
 
+// Agreement reads what lasts of the agreement on who keeps copies; false for a file that has none.
+func (s *Shelf) Agreement() (state keepers.State, ok bool, err error) {
+	err = s.db.View(func(tx *bbolt.Tx) error {
+		text := tx.Bucket(metaName).Get(agreedKey)
+		if ok = text != nil; !ok {
+			return nil
+		}
+		return cbor.Unmarshal(text, &state)
+	})
+	if err != nil {
+		err = fmt.Errorf("copies: the agreement: %w", err)
+	}
+	return state, ok, err
+}
+
+// Agree puts the agreement's state down. It is on the disk when this returns without an error, with sync off as well: a vote that is
+// forgotten may be given twice.
+func (s *Shelf) Agree(state keepers.State) error {
+	text, err := cbor.Marshal(state)
+	if err == nil {
+		err = s.db.Update(func(tx *bbolt.Tx) error { return tx.Bucket(metaName).Put(agreedKey, text) })
+	}
+	return errors.Join(err, s.db.Sync())
+}
+
 // Keep puts records in and takes others out, all in one step; when it returns without an error they last.
 func (s *Shelf) Keep(now time.Time, put []copies.Record, drop []string) error {
 	return s.db.Update(func(tx *bbolt.Tx) error {
