--- a/internal/lab/figures/figures.go
+++ b/internal/lab/figures/figures.go
@@ -8,6 +8,7 @@
 	"math"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
@@ -381,6 +382,19 @@
 	r.Unmet = append(r.Unmet, j.Breaches...)
 }
 
+// Changes takes what changes of keepers took, and by how many sets of them the schedulers went at rest.
+func (r *Results) Changes(took []time.Duration, sets int) {
+	longest := time.Duration(0)
+	for _, t := range took {
+		longest = max(longest, t)
+	}
+	r.Figures["keepers_changed"], r.Figures["keepers_worst_ms"] = float64(len(took)), float64(longest.Milliseconds())
+	r.Figures["keeper_sets"] = float64(sets)
+	if sets > 1 {
+		r.Unmet = append(r.Unmet, fmt.Sprintf("at rest the schedulers go by %d sets of keepers", sets))
+	}
+}
+
 // Expect holds the figures against the file's own promises, once all of them are there.
 func (r *Results) Expect(e *plan.Experiment) {
 	for _, x := range e.Expect {
@@ -400,7 +414,7 @@
 var told = []string{"service", "acked", "nacked", "dead-lettered", "excused", "unread", "p50_ms", "p99_ms", "p99.9_ms", "waste",
 	"pushes_per_op", "probes_per_op", "dials_per_op", "sent_late", "lab_lag_ms", "cpu_us_per_op", "memory_mb", "files",
 	"false_gone", "missed_gone", "views_apart", "detect_worst_ms", "converge_worst_ms",
-	"doubled", "wrong_answer", "stale_drain", "differ", "repeats", "refused_unsure", "caught_up_worst_ms"}
+	"doubled", "wrong_answer", "stale_drain", "differ", "repeats", "refused_unsure", "caught_up_worst_ms", "keepers_changed", "keepers_worst_ms"}
 
 // Line is the last line that a run prints.
 func (r *Results) Line() string {
--- a/internal/lab/plan/plan.go
+++ b/internal/lab/plan/plan.go
@@ -191,6 +191,7 @@
 	On       bool   `toml:"on"`
 	Keepers  int    `toml:"keepers"`
 	Operator string `toml:"operator"` // further lines of the operator's table
+	Agreed   bool   `toml:"agreed"`   // keepers change by agreement, and their records last
 }
 
 // Fault is one trouble.
@@ -256,6 +257,8 @@
 	"scheduler-twin":     {schedulers: true},                                     // it is stopped, and a second process has its name elsewhere; after for_s it wakes up
 	"scheduler-stranger": {schedulers: true},                                     // a member of another cluster knocks at it
 
+	"keepers-change": {schedulers: true}, // staff ask for those hit as keepers, at those of `to` or at any, until they stand or for_s is over
+
 	"burst": {size: true, least: 0, most: 1000},
 }
 
@@ -617,6 +620,9 @@
 		if !e.Members.On && (strings.HasPrefix(f.Kind, "mesh-") || f.Kind == "scheduler-takeover" || f.Kind == "scheduler-twin" || f.Kind == "scheduler-stranger") {
 			return fmt.Errorf("%skind = %q: members.on is not set", at, f.Kind)
 		}
+		if f.Kind == "keepers-change" && (!e.Copies.Agreed || len(f.Indices)%2 == 0) {
+			return fmt.Errorf("%skind = %q: an odd number of indices is wanted, and copies.agreed", at, f.Kind)
+		}
 		if f.Kind == "cut" && f.Zone == "" {
 			return fmt.Errorf("%szone is wanted", at)
 		}
--- a/internal/lab/play/play.go
+++ b/internal/lab/play/play.go
@@ -65,8 +65,10 @@
 	mesh       *between.Net // nil where schedulers are no members
 	spare      int          // the first place that is no scheduler's
 	placed     int
-	digests    []string // of the keepers' copies, at rest
-	unsure     int      // ops that no majority was had for
+	changed    []time.Duration // what each change of keepers took
+	sets       int             // of keepers that were in use, at rest
+	digests    []string        // of the keepers' copies, at rest
+	unsure     int             // ops that no majority was had for
 	votes      []doubles.Vote
 	cuts       map[[2]int]map[int]between.Cut // from and to, by trouble; of the one goroutine that plays troubles
 	twins      []*schedulers.Scheduler
@@ -120,6 +122,7 @@
 	if r.mesh != nil {
 		result.Views(views.Judge(events, viewTerms(e)))
 		result.Doubles(doubles.Judge(events, r.digests, r.unsure, r.votes, e.Members.Workers))
+		result.Changes(r.changed, r.sets)
 		if n := r.mesh.Crowded(); n > 0 {
 			result.Void = fmt.Sprintf("the links between schedulers lost %d datagrams for want of room", n)
 		}
@@ -183,8 +186,13 @@
 	}
 	on = true
 	failed := make(chan error, len(r.schedulers))
+	room := make(chan struct{}, startsAtOnce)
 	for _, s := range r.schedulers {
-		go func() { failed <- s.Start(false) }()
+		go func() {
+			room <- struct{}{}
+			failed <- s.Start(false)
+			<-room
+		}()
 	}
 	for range r.schedulers {
 		err = errors.Join(err, <-failed)
@@ -196,6 +204,9 @@
 	return nil
 }
 
+// startsAtOnce bounds how many processes start at a time: hundreds at once keep one another from being ready.
+const startsAtOnce = 32
+
 // tearDown ends all that was started.
 func (r *run) tearDown() {
 	r.endMesh()
@@ -332,6 +343,12 @@
 		r.mu.Lock()
 		r.last = text
 		r.mu.Unlock()
+		if t.Kind == "keepers-change" {
+			if t.On {
+				r.beside(func() error { return r.changeKeepers(t, time.Duration(t.For)*ledger.Tenth) })
+			}
+			continue
+		}
 		for _, n := range t.Targets {
 			r.turn(t, n)
 		}
