A deduplicated op whose scheduler died goes on elsewhere, in its group and window

Need: with copies on, such an op was a dead letter wherever it was asked for again.

Now a keeper's own clock comes back to it, and all else is unknown. An age of a record from a disk is unknown too, since only the wall clock spans a restart.

--- a/cmd/woaddyke/copies.go
+++ b/cmd/woaddyke/copies.go
@@ -34,9 +34,9 @@
 					fmt.Fprintln(out, "nothing is known of it there")
 				}
 				w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
-				fmt.Fprintln(w, "CLAIM OF\tSTAGE\tSTATUS\tANSWER HELD\tCLAIM")
+				fmt.Fprintln(w, "CLAIM OF\tSTAGE\tSTATUS\tANSWER HELD\tWHERE\tCLAIM")
 				for _, r := range p.Rows {
-					fmt.Fprintf(w, "%s\t%s\t%d\t%v\t%s\n", r.By, r.Stage, r.Status, r.Held, r.Claim)
+					fmt.Fprintf(w, "%s\t%s\t%d\t%v\t%s\t%s\n", r.By, r.Stage, r.Status, r.Held, r.Where, r.Claim)
 				}
 				return w.Flush()
 			}
--- a/cmd/woaddyke/copies_test.go
+++ b/cmd/woaddyke/copies_test.go
@@ -131,6 +131,95 @@
 	}
 }
 
+// A deduplicated op whose scheduler is killed after its worker began goes on at another one, in the zone where it ran and nowhere else;
+// after the window, and where nobody knows that it began, it is a dead letter.
+func TestADeduplicatedOpGoesOnInItsZone(t *testing.T) {
+	t.Parallel()
+	var mu sync.Mutex
+	runs := map[string][]string{} // by id: zones
+	began := make(chan string, 9)
+	worker := func(zone string) *httptest.Server {
+		w := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodGet {
+				fmt.Fprintln(w, `{"waiting":0,"running":0}`)
+				return
+			}
+			io.Copy(io.Discard, r.Body)
+			id := r.Header.Get("X-Correlation-Id")
+			mu.Lock()
+			runs[id] = append(runs[id], zone)
+			first := len(runs[id]) == 1
+			mu.Unlock()
+			if !strings.HasPrefix(id, "mute") {
+				fmt.Fprintf(w, `{"id":%q,"state":"started"}`+"\n", id)
+				w.(http.Flusher).Flush()
+			}
+			if began <- id; first {
+				<-r.Context().Done()
+				return
+			}
+			fmt.Fprintf(w, `{"id":%q,"state":"done","result":"done in %s"}`+"\n", id, zone)
+		}))
+		t.Cleanup(w.Close)
+		t.Cleanup(w.CloseClientConnections)
+		return w
+	}
+	east, west := worker("east"), worker("west")
+	c := several.New(t, 4, quick+"[copies]\nkeepers = [\"n1\", \"n2\", \"n3\"]\npull = \"50ms\"\nhold_off = \"5s\"\nwait = \"500ms\"\ndeduplicated = true\n",
+		fmt.Sprintf(`{"rev":1,"all":true,"targets":[{"uid":"e","endpoint":%q,"az":"east","pod_group":1,"state":"SERVING"},`+
+			`{"uid":"w","endpoint":%q,"az":"west","pod_group":2,"state":"SERVING"}]}`, east.Listener.Addr(), west.Listener.Addr()), thisProgram)
+	for _, p := range c.Places {
+		c.Start(p)
+	}
+	c.AwaitWhole(c.Places...)
+	for _, p := range c.Places {
+		c.Await("all are ready, and keepers have their votes", func() bool { return p.Get("/api/ready", nil) && votes(p) })
+	}
+	done := sync.WaitGroup{}
+	for _, id := range []string{"seen", "mute", "late"} {
+		done.Go(func() { post(c.Places[3], "note", id, "x") })
+		<-began
+	}
+	ran := time.Now()
+	c.Await("the keepers know where they ran", func() bool {
+		known := 0
+		for _, p := range c.Places[:3] {
+			for _, id := range []string{"seen", "late"} {
+				var x page
+				if p.Get("/api/copies/records?category=note&id="+id, &x) && len(x.Rows) == 1 && x.Rows[0].Where != "" {
+					known++
+				}
+			}
+		}
+		return known == 6
+	})
+	c.Places[3].Kill()
+	done.Wait()
+	c.AwaitState("n4", "gone", c.Places[:3]...)
+	if status, text := post(c.Places[0], "note", "seen", "x"); status != http.StatusOK || !strings.HasPrefix(text, "done in ") {
+		t.Errorf("where it is known that it ran: %d %q", status, text)
+	}
+	if status, text := post(c.Places[1], "note", "mute", "x"); status != http.StatusBadGateway {
+		t.Errorf("where nobody knows that it ran: %d %q", status, text)
+	}
+	c.Await("the window is over", func() bool { return time.Since(ran) > 8*time.Second })
+	if status, text := post(c.Places[2], "note", "late", "x"); status != http.StatusBadGateway || !strings.Contains(text, "may have run") {
+		t.Errorf("after the window: %d %q", status, text)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	for id, zones := range runs {
+		for _, z := range zones {
+			if z != zones[0] {
+				t.Errorf("%s ran in %v", id, zones)
+			}
+		}
+	}
+	if len(runs["seen"]) != 2 || len(runs["mute"]) != 1 || len(runs["late"]) != 1 {
+		t.Errorf("runs: %v", runs)
+	}
+}
+
 // An id that comes again elsewhere gets the first answer; another request under it is refused; at once at two, it runs once.
 func TestAnIDThatComesAgain(t *testing.T) {
 	t.Parallel()
--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -44,8 +44,10 @@
 	mostClaims   = 16   // of one op: beyond them it is refused; released ones that others knew come on top
 	mostWants    = 4096 // wants without an outcome, and ends that no majority knows yet, each
 	mostHere     = 4096
-	tellTimes    = 50   // an end is told so often before it is left to the keepers' own looks
-	pieceRoom    = 1200 // bytes of records in a message, by estimate
+	ranTicket    = 1 << 63 // tells of where apart from tells of an end
+	boundTicket  = 1 << 62 // the ticket of a want, once it is bound
+	tellTimes    = 50      // an end is told so often before it is left to the keepers' own looks
+	pieceRoom    = 1200    // bytes of records in a message, by estimate
 	pieceDigests = 128
 	burst        = 5 * ms // by so much what is asked for may run ahead of its rate
 	fetchDigests = 24     // as many as may fit an answer: the rest may be had from another keeper meanwhile
@@ -79,12 +81,16 @@
 	voters  []Voter
 	why     Why
 	record  Record
+	at      uint64 // by its own clock
 }
 
 // want is an op that this scheduler asks for.
 type want struct {
 	Want
 	claim   Claim
+	bound   string // the group that it is bound to, where it ran for another scheduler
+	first   Time   // beside it: it did not run before
+	asked   Time
 	until   Time
 	next    Time
 	answers map[string]answer
@@ -92,11 +98,12 @@
 
 // told is a fate that is being told to the keepers.
 type told struct {
-	ticket uint64
-	record Record
-	known  map[string]bool
-	times  int
-	next   Time
+	ticket  uint64
+	record  Record
+	known   map[string]bool
+	granted map[string]answer // of a word that it may have run: what was granted before that
+	times   int
+	next    Time
 }
 
 // look is how far another keeper's changes are known here.
@@ -192,7 +199,7 @@
 	}
 	for _, r := range records {
 		if c.valid(r) && Time(r.Age) < c.t.Remember/second {
-			c.learn(r)
+			c.learn(r, max(c.now, 1))
 		}
 	}
 	c.lasting = true
@@ -230,6 +237,8 @@
 		c.want(in)
 	case End:
 		c.end(in)
+	case MayHaveRun:
+		c.ran(in)
 	case Serving:
 		c.serve(in)
 	case Adopt:
@@ -300,7 +309,7 @@
 
 // want begins to ask for an op.
 func (c *Core) want(in Want) {
-	w := &want{Want: in, claim: Claim{c.t.Name, c.rand.Uint64()}, until: c.now + min(in.Within, c.t.Wait), answers: map[string]answer{}}
+	w := &want{Want: in, claim: Claim{c.t.Name, c.rand.Uint64()}, until: c.now + min(in.Within, c.t.Wait), asked: c.now, answers: map[string]answer{}}
 	switch {
 	case len(c.wants) >= mostWants || len(in.Key) > longKey || in.Key == "":
 		c.count("no room to ask")
@@ -320,7 +329,7 @@
 	w.next = c.now + c.t.Again
 	for _, k := range c.all {
 		if a, ok := w.answers[k]; !ok || !a.granted && a.why != Taken {
-			c.send(k, Message{Kind: Grab, Ticket: w.Ticket, Record: Record{Key: w.Key, Print: w.Print, Fates: []Fate{{Claim: w.claim, Stage: Claimed}}}})
+			c.send(k, Message{Kind: Grab, Ticket: w.wire(), Record: Record{Key: w.Key, Print: w.Print, Fates: []Fate{c.fateOf(w)}}})
 		}
 		if c.wants[w.Ticket] != w {
 			return // decided by this process's own vote
@@ -328,6 +337,23 @@
 	}
 }
 
+// wire is the ticket of what is asked now: an answer to a claim is none to the one that came in its place.
+func (w *want) wire() uint64 {
+	if w.bound != "" {
+		return w.Ticket | boundTicket
+	}
+	return w.Ticket
+}
+
+// fateOf is a want's claim as it is asked for.
+func (c *Core) fateOf(w *want) Fate {
+	f := Fate{Claim: w.claim, Stage: Claimed, Where: w.bound}
+	if w.bound != "" {
+		f.Age = uint64(max(c.now-w.first, 0))
+	}
+	return f
+}
+
 // granted tells whether a majority has granted it: one of each part, while keepers change. The vote of a process whose place another has
 // taken, by the word of a keeper among those that granted, does not count.
 func (c *Core) granted(w *want) bool {
@@ -353,7 +379,7 @@
 		delete(c.wants, w.Ticket)
 		c.mine[w.Ticket] = w
 		c.count("granted")
-		c.do(Decided{Ticket: w.Ticket, Outcome: Mine})
+		c.do(Decided{Ticket: w.Ticket, Outcome: Mine, Fate: c.fateOf(w)})
 		return
 	}
 	why := Why(0)
@@ -378,8 +404,11 @@
 			return // a majority may still be had
 		}
 	}
+	if c.bind(w, &all, other) {
+		return
+	}
 	delete(c.wants, w.Ticket)
-	c.release(w)
+	c.release(w, w.Ticket)
 	d := Decided{Ticket: w.Ticket, Outcome: Unsure, Why: why}
 	if end, ok := all.ended(); other {
 		d.Outcome = Other
@@ -396,15 +425,52 @@
 	c.do(d)
 }
 
+// bind asks for an op anew that may have run for a scheduler that is gone, bound to the group where it did, while that drops repeats. It
+// tells whether it does. An age that is answered was true at some moment after this was asked: so the way of the answer is in it.
+func (c *Core) bind(w *want, all *Record, other bool) bool {
+	f, stands := all.stands(w.claim)
+	if _, ended := all.ended(); w.Window == 0 || w.bound != "" || other || ended || !stands || !c.gone[f.By] || !all.bound(w.claim, f.Where) {
+		return false
+	}
+	first := c.now
+	for _, f := range all.Fates {
+		if f.Stage == Claimed && f.Claim != w.claim {
+			if f.Age == 0 {
+				return false
+			}
+			first = min(first, w.asked-Time(min(f.Age, maxAge)))
+		}
+	}
+	if c.now-first >= w.Window || c.now >= w.until {
+		return false
+	}
+	c.release(w, w.Ticket|boundTicket)
+	w.claim, w.bound, w.first = Claim{c.t.Name, c.rand.Uint64()}, f.Where, first
+	clear(w.answers)
+	c.count("bound to a group")
+	c.ask(w)
+	return true
+}
+
+// ran has the keepers know where a granted op may have run. Nothing waits for that: without it nobody goes on with the op.
+func (c *Core) ran(in MayHaveRun) {
+	w := c.mine[in.Ticket]
+	if w == nil || w.bound != "" || in.Where == "" {
+		return
+	}
+	w.bound, w.first = in.Where, c.now
+	c.tellThose(in.Ticket|ranTicket, Record{Key: w.Key, Print: w.Print, Fates: []Fate{c.fateOf(w)}}, map[string]bool{}, w.answers)
+}
+
 // release has the keepers know that a claim is not used. One that has refused it has nothing to release.
-func (c *Core) release(w *want) {
+func (c *Core) release(w *want, ticket uint64) {
 	refused := map[string]bool{}
 	for k, a := range w.answers {
 		if !a.granted {
 			refused[k] = true
 		}
 	}
-	c.tell(w.Ticket, Record{Key: w.Key, Print: w.Print, Fates: []Fate{{Claim: w.claim, Stage: Released}}}, refused)
+	c.tell(ticket, Record{Key: w.Key, Print: w.Print, Fates: []Fate{{Claim: w.claim, Stage: Released}}}, refused)
 }
 
 // end has the keepers know what became of an op.
@@ -415,7 +481,7 @@
 	}
 	delete(c.mine, in.Ticket)
 	if in.Unsent {
-		c.release(w)
+		c.release(w, w.Ticket)
 		return
 	}
 	c.tell(in.Ticket, Record{Key: w.Key, Print: w.Print, Fates: []Fate{{Claim: w.claim, Stage: Ended, Verdict: in.Verdict, Result: in.Result,
@@ -424,6 +490,10 @@
 
 // tell has those keepers know of a fate that need to.
 func (c *Core) tell(ticket uint64, r Record, known map[string]bool) {
+	c.tellThose(ticket, r, known, nil)
+}
+
+func (c *Core) tellThose(ticket uint64, r Record, known map[string]bool, granted map[string]answer) {
 	if c.toldAll(known) {
 		return
 	}
@@ -431,7 +501,7 @@
 		c.count("no room to tell") // the claim goes on standing: nobody pushes what may have run
 		return
 	}
-	t := &told{ticket: ticket, record: r, known: known}
+	t := &told{ticket: ticket, record: r, known: known, granted: granted}
 	c.tells[ticket] = t
 	c.tellOn(t)
 }
@@ -441,7 +511,11 @@
 	t.next = c.now + c.t.Again*Time(min(t.times, 10))
 	for _, k := range c.all {
 		if !t.known[k] {
-			c.send(k, Message{Kind: Tell, Ticket: t.ticket, Record: t.record})
+			x := Message{Kind: Tell, Ticket: t.ticket, Record: t.record}
+			if a := t.granted[k]; a.granted {
+				x.Of, x.Since = a.life, a.at
+			}
+			c.send(k, x)
 		}
 	}
 	if c.toldAll(t.known) || t.times >= tellTimes && c.set.Holds(func(k string) bool { return t.known[k] }) || t.times >= 4*tellTimes {
--- a/internal/copies/keeper.go
+++ b/internal/copies/keeper.go
@@ -38,7 +38,13 @@
 		c.answered(in)
 	case Tell:
 		if c.valid(x.Record) {
-			c.learn(x.Record)
+			// A moment of this process's own clock, at which it granted what only ran after that, comes back with the word that it may
+			// have run: however long that was on its way, its age is known.
+			asked := Time(0)
+			if x.Of == c.life && x.Since > 0 && Time(x.Since) <= c.now && len(x.Record.Fates) == 1 {
+				asked, x.Record.Fates[0].Age = Time(x.Since)+1, 1
+			}
+			c.learn(x.Record, asked)
 			c.send(in.From, Message{Kind: Known, Ticket: x.Ticket, Life: c.life})
 		}
 	case Known:
@@ -62,10 +68,12 @@
 	}
 }
 
+const maxAge = 1 << 40 // tenths of a millisecond
+
 func (c *Core) valid(r Record) bool {
 	ok := r.Key != "" && len(r.Key) <= longKey && len(r.Fates) > 0 && len(r.Fates) <= 4*mostClaims
 	for _, f := range r.Fates {
-		ok = ok && f.Stage >= Claimed && f.Stage <= Ended && f.By != "" && len(f.By) <= longKey
+		ok = ok && len(f.Where) <= longKey && f.Stage >= Claimed && f.Stage <= Ended && f.By != "" && len(f.By) <= longKey
 	}
 	if !ok {
 		c.count("garbled")
@@ -102,7 +110,7 @@
 			refuse(Taken, r)
 			return
 		}
-		if _, other := r.stands(claim); other {
+		if _, other := r.stands(claim); other && !r.bound(claim, x.Record.Fates[0].Where) {
 			refuse(Taken, r)
 			return
 		}
@@ -119,9 +127,9 @@
 			c.show(r)
 		}
 	}
-	x.Record.Fates = []Fate{{Claim: claim, Stage: Claimed, Voted: true}}
-	c.learn(x.Record)
-	c.send(in.From, Message{Kind: Granted, Ticket: x.Ticket, Life: c.life, Voters: c.votersNow()})
+	x.Record.Fates = []Fate{{Claim: claim, Stage: Claimed, Voted: true, Where: x.Record.Fates[0].Where}}
+	c.learn(x.Record, 0)
+	c.send(in.From, Message{Kind: Granted, Ticket: x.Ticket, Life: c.life, Voters: c.votersNow(), Since: uint64(max(c.now, 1))})
 }
 
 // votersNow are the processes that vote, as this keeper knows them.
@@ -136,17 +144,18 @@
 
 // answered takes a keeper's answer to a want.
 func (c *Core) answered(in Heard) {
-	w := c.wants[in.Ticket]
-	if w == nil {
-		return
+	w := c.wants[in.Ticket&^boundTicket]
+	if w == nil || w.wire() != in.Ticket {
+		return // or it is the answer to the claim before it was bound
 	}
 	x := in.Message
-	w.answers[in.From] = answer{granted: x.Kind == Granted, life: x.Life, voters: x.Voters, why: x.Why, record: x.Record}
+	w.answers[in.From] = answer{granted: x.Kind == Granted, life: x.Life, voters: x.Voters, why: x.Why, record: x.Record, at: x.Since}
 	c.judge(w, false)
 }
 
-// learn joins a record into what is known here.
-func (c *Core) learn(x Record) {
+// learn joins a record into what is known here. Its ages were true at some moment not before one; 0: they say nothing, as they have been
+// on their way for nobody knows how long.
+func (c *Core) learn(x Record, asked Time) {
 	r := c.records[x.Key]
 	if r == nil {
 		if len(c.records) >= c.t.Most || c.size+x.size() > c.t.MostSize {
@@ -181,6 +190,10 @@
 			c.count("too many claims")
 			continue
 		}
+		if f.notBefore = 0; f.Age > 0 && asked > 0 {
+			f.notBefore = max(asked-Time(min(f.Age, maxAge)), 1)
+		}
+		f.Age = 0
 		news, breach := r.join(f)
 		if changed = changed || news; breach {
 			c.count("breach: words that can't both be true")
@@ -229,6 +242,11 @@
 	x := *r
 	x.Age = uint64(max(c.now-r.since, 0) / second)
 	x.Fates = slices.Clone(r.Fates)
+	for i := range x.Fates {
+		if f := &x.Fates[i]; f.notBefore > 0 {
+			f.Age = uint64(max(c.now-f.notBefore, 0)) + 1
+		}
+	}
 	return x
 }
 
@@ -561,7 +579,7 @@
 		for _, d := range ask {
 			c.fetching[d] = c.now + c.t.Again
 		}
-		c.send(name, Message{Kind: Fetch, Life: c.life, Of: l.of, Digests: ask})
+		c.send(name, Message{Kind: Fetch, Ticket: uint64(max(c.now, 1)), Life: c.life, Of: l.of, Digests: ask})
 		return
 	}
 	if l.to > l.since { // all of them have come from another
@@ -578,7 +596,7 @@
 		c.pulled(in) // which tells that this is another process
 		return
 	}
-	x := Message{Kind: Fetched, Life: c.life, Of: c.life, Next: c.pos}
+	x := Message{Kind: Fetched, Ticket: in.Ticket, Life: c.life, Of: c.life, Next: c.pos}
 	room := pieceRoom
 	for _, d := range in.Digests {
 		if r := c.byDigest[d]; r != nil {
@@ -604,7 +622,7 @@
 			for i := range r.Fates {
 				r.Fates[i].Voted = false
 			}
-			c.learn(r)
+			c.learn(r, min(Time(in.Ticket), c.now))
 		}
 	}
 	c.counts["pulled"] += uint64(len(in.Records))
--- a/internal/copies/messages.go
+++ b/internal/copies/messages.go
@@ -78,7 +78,7 @@
 	Digests []uint64    `cbor:"17,keyasint,omitzero"` // Piece, Fetch and Fetched: of records as they stand there
 }
 
-// Input is one of Heard, Tick, Want, End, Serving, Lost, Adopt and Unkept.
+// Input is one of Heard, Tick, Want, End, MayHaveRun, Serving, Lost, Adopt and Unkept.
 type Input interface{ input() }
 
 // Heard is a message of another member, or of this process itself.
@@ -96,6 +96,14 @@
 	Key    string
 	Print  uint64
 	Within Time // to be decided
+	Window Time // for so long after its first push a group drops repeats of it; 0 for an op that may not be repeated
+}
+
+// MayHaveRun says that a granted op may have run, in a group that drops repeats. It is said of one push of an op: of the
+// first that is not proved to have run nowhere, and by then can't be.
+type MayHaveRun struct {
+	Ticket uint64
+	Where  string
 }
 
 // End says how an op ended that was granted.
@@ -125,14 +133,15 @@
 // Unkept says that records could not be put where they last: this keeper has no vote any more.
 type Unkept struct{}
 
-func (Adopt) input()   {}
-func (Unkept) input()  {}
-func (Heard) input()   {}
-func (Tick) input()    {}
-func (Want) input()    {}
-func (End) input()     {}
-func (Serving) input() {}
-func (Lost) input()    {}
+func (MayHaveRun) input() {}
+func (Adopt) input()      {}
+func (Unkept) input()     {}
+func (Heard) input()      {}
+func (Tick) input()       {}
+func (Want) input()       {}
+func (End) input()        {}
+func (Serving) input()    {}
+func (Lost) input()       {}
 
 // Effect is one of Send, Decided, Noted, Keep, Drop, Lives, Seen, Adopted and Readied.
 type Effect interface{ effect() }
@@ -166,7 +175,7 @@
 type Decided struct {
 	Ticket  uint64
 	Outcome Outcome
-	Fate    Fate // Again, Ran, Runs and Unknown
+	Fate    Fate // Again, Ran, Runs and Unknown; Mine: where it may have run before, and is bound to
 	Why     Why  // Unsure: what a keeper said
 }
 
--- a/internal/copies/play/play.go
+++ b/internal/copies/play/play.go
@@ -79,9 +79,13 @@
 	Breaches []string
 	holder   map[string]string // key: which claim may have run, or has ended
 	Granted  int
-	Records  int               // that were sent to who lacked them
-	Digests  int               // that were sent
-	Weigh    func(copies.Send) // hears of each message; nil for nobody
+	Window   Time // for which groups drop repeats of ops whose key begins with d; 0: there are none
+	Bound    int  // claims that were given beside another
+	first    map[string]ran
+	repeats  map[string]map[string]bool // key: claims under which it was repeated
+	Records  int                        // that were sent to who lacked them
+	Digests  int                        // that were sent
+	Weigh    func(copies.Send)          // hears of each message; nil for nobody
 	Answers  map[uint64]Answer
 	Agreed   bool                                   // keepers have disks, and change by agreement
 	Rule     keepers.Terms                          // of the agreement
@@ -100,7 +104,7 @@
 // New makes a cluster of so many schedulers, the first of which are keepers.
 func New(n, count int, seed uint64) *Play {
 	p := &Play{Rand: rand.New(rand.NewPCG(seed, 0x706c6179)), Terms: copies.Defaults(), Delay: 5, byName: map[string]*place{},
-		cuts: map[[2]string]bool{}, wants: map[uint64]want{}, holder: map[string]string{}, Answers: map[uint64]Answer{}, Turns: map[uint64]int{}, Rule: keepers.Defaults()}
+		cuts: map[[2]string]bool{}, wants: map[uint64]want{}, holder: map[string]string{}, first: map[string]ran{}, repeats: map[string]map[string]bool{}, Answers: map[uint64]Answer{}, Turns: map[uint64]int{}, Rule: keepers.Defaults()}
 	p.Terms.HoldOff, p.Terms.Remember = 5*Second, 600*Second
 	for i := range count {
 		p.Terms.Keepers = append(p.Terms.Keepers, fmt.Sprint("n", i))
@@ -245,8 +249,12 @@
 	}
 	p.tickets++
 	ticket := p.tickets
+	in := copies.Want{Ticket: ticket, Key: key, Print: 1, Within: 5 * Second}
+	if key[0] == 'd' {
+		in.Window = p.Window
+	}
 	p.wants[ticket] = want{key, pl, pl.core, p.Now()}
-	p.feed(pl, pl.core, copies.Want{Ticket: ticket, Key: key, Print: 1, Within: 5 * Second})
+	p.feed(pl, pl.core, in)
 }
 
 func (p *Play) breach(format string, v ...any) {
@@ -261,6 +269,14 @@
 	switch d.Outcome {
 	case copies.Mine:
 		p.Granted++
+		if d.Fate.Where != "" {
+			p.boundTo(w, claim, d)
+			return
+		}
+		if p.Window > 0 && w.key[0] == 'd' {
+			p.runs(w, claim, d.Ticket)
+			return
+		}
 		if h := p.holder[w.key]; h != "" {
 			p.breach("%s is given to claim %s of %s, and claim %s may have run", w.key, claim, w.by.name, h)
 		}
@@ -281,12 +297,73 @@
 			})
 		}
 	case copies.Again:
+		if p.repeats[w.key][string(d.Fate.Result)] {
+			return // it ran under another claim as well, where that was dropped
+		}
 		if h := p.holder[w.key]; string(d.Fate.Result) != h {
 			p.breach("%s is answered with the result of claim %s, and claim %s had it", w.key, d.Fate.Result, h)
 		}
 	}
 }
 
+// ran is where an op ran first, and when.
+type ran struct {
+	where string
+	at    Time
+}
+
+// runs has an op whose repeats a group drops begin to run at one of two, for a while.
+func (p *Play) runs(w want, claim string, ticket uint64) {
+	p.holder[w.key] = claim
+	where := []string{"zone east", "zone west"}[p.Rand.IntN(2)]
+	p.At(p.Now()+Time(p.Rand.IntN(300)), func() {
+		if !w.by.up || w.by.core != w.core || w.by.paused {
+			return
+		}
+		p.first[w.key] = ran{where, p.Now()}
+		p.feed(w.by, w.core, copies.MayHaveRun{Ticket: ticket, Where: where})
+		p.finish(w, claim, ticket)
+	})
+}
+
+// finish has an op end after a while, or never.
+func (p *Play) finish(w want, claim string, ticket uint64) {
+	if p.Rand.IntN(3) == 0 {
+		return
+	}
+	p.At(p.Now()+Time(p.Rand.IntN(60_000)), func() {
+		p.feed(w.by, w.core, copies.End{Ticket: ticket, Verdict: 200, Result: []byte(claim), Held: true})
+	})
+}
+
+// boundTo judges a claim that is given beside another one: only in the group where that ran, within the window, and told no younger.
+func (p *Play) boundTo(w want, claim string, d copies.Decided) {
+	p.Bound++
+	f, ok := p.first[w.key]
+	switch {
+	case !ok || f.where != d.Fate.Where:
+		p.breach("%s is given to claim %s of %s in %s, and ran in %q", w.key, claim, w.by.name, d.Fate.Where, f.where)
+	case p.Now()-f.at >= p.Window:
+		p.breach("%s is given to claim %s of %s after the window", w.key, claim, w.by.name)
+	case p.Now()-Time(d.Fate.Age) > f.at:
+		p.breach("%s is told to be younger than it is", w.key)
+	}
+	if p.repeats[w.key] == nil {
+		p.repeats[w.key] = map[string]bool{}
+	}
+	p.repeats[w.key][claim] = true
+	p.finish(w, claim, d.Ticket)
+}
+
+// Hold has everybody hold a member for gone, or for here.
+func (p *Play) Hold(i int, gone bool) {
+	for _, pl := range p.places {
+		if pl.up && pl != p.places[i] {
+			p.feed(pl, pl.core, copies.Lost{Name: p.places[i].name, Gone: gone})
+		}
+	}
+}
+
 // awake tells whether a process takes an input now; one that stands still takes it when it goes on.
 func (p *Play) awake(pl *place, core *copies.Core, later func()) bool {
 	if !pl.up || pl.core != core {
--- a/internal/copies/play/play_test.go
+++ b/internal/copies/play/play_test.go
@@ -320,3 +320,53 @@
 		t.Errorf("%d records were sent for 5000 that were missed", p.Records)
 	}
 }
+
+// Ops whose repeats a group drops go on at another scheduler, when theirs is held for gone: in that group alone, while it drops repeats,
+// also where the first one is only stopped, and where what says so is lost or late.
+func TestDrawnRepeatsInTheGroup(t *testing.T) {
+	bound := 0
+	for seed := uint64(1); seed <= 60; seed++ {
+		p := New(6, 3, seed)
+		r := p.Rand
+		p.Window, p.Loss, p.Dup, p.Delay = 6*Second, []float64{0, 0.1, 0.3}[r.IntN(3)], 0.05, Time(2+r.IntN(200))
+		for i := range 6 {
+			p.Start(i)
+		}
+		p.Run(6 * Second)
+		begin := p.Now()
+		for at := begin; at < begin+25*Second; at += Time(r.IntN(1500)) {
+			i, key := r.IntN(6), fmt.Sprint("d", (at-begin)/(9*Second), "-", r.IntN(4))
+			p.At(at, func() { p.Want(i, key) })
+		}
+		for at := begin; at < begin+25*Second; at += 3*Second + Time(r.IntN(20_000)) {
+			i, kill, long := 3+r.IntN(3), r.IntN(2) == 0, 2*Second+Time(r.IntN(80_000))
+			p.At(at, func() {
+				if kill {
+					p.Kill(i)
+				} else {
+					p.Pause(i)
+				}
+			})
+			p.At(at+Second/2, func() { p.Hold(i, true) })
+			p.At(at+long, func() {
+				if kill {
+					p.Start(i)
+				} else {
+					p.Resume(i)
+				}
+				p.Hold(i, false)
+			})
+		}
+		p.Run(begin + 45*Second)
+		bound += p.Bound
+		for _, b := range p.Breaches {
+			t.Errorf("seed %d: %s", seed, b)
+		}
+		if t.Failed() {
+			return
+		}
+	}
+	if bound < 60 {
+		t.Errorf("only %d went on elsewhere: this proves little", bound)
+	}
+}
--- a/internal/copies/record.go
+++ b/internal/copies/record.go
@@ -41,8 +41,15 @@
 	Result  []byte `cbor:"3,keyasint,omitzero"` // Ended: what its client was answered; nil where it was not held
 	Held    bool   `cbor:"4,keyasint,omitzero"` // the result is all of the answer
 	Voted   bool   `cbor:"5,keyasint,omitzero"` // here: this keeper has granted it
+	Where   string `cbor:"8,keyasint,omitzero"` // the group that drops repeats, in which it may have run; empty where nothing is known
+	Age     uint64 `cbor:"9,keyasint,omitzero"` // on the wire: it has not run for longer, in tenths of a millisecond; 0 where nobody knows
+
+	notBefore Time // it can't have run before that, since it was not granted; 0 where nobody knows
 }
 
+// nowhere is where a claim ran of which two groups are told.
+const nowhere = "\x00"
+
 // joinFate is the rule for two words of one claim. Of two that can't both be true the one that sends nothing stands.
 func joinFate(a, b Fate) (c Fate, breach bool) {
 	breach = a.Stage != b.Stage && min(a.Stage, b.Stage) == Released || a.Stage == Ended && b.Stage == Ended && a.Verdict != b.Verdict
@@ -51,6 +58,13 @@
 		c = b
 	}
 	c.Voted = a.Voted || b.Voted
+	c.notBefore = max(a.notBefore, b.notBefore)
+	if c.Age = min(a.Age, b.Age); c.Age == 0 {
+		c.Age = max(a.Age, b.Age)
+	}
+	if c.Where = max(a.Where, b.Where); a.Where != "" && b.Where != "" && a.Where != b.Where {
+		c.Where, breach = nowhere, true // one push fixes the group; of two words nobody may be bound by either
+	}
 	return c, breach
 }
 
@@ -94,7 +108,7 @@
 	before := r.Fates[i]
 	r.Fates[i], breach = joinFate(before, f)
 	after := r.Fates[i]
-	return after.Stage != before.Stage || after.Held != before.Held || after.Verdict != before.Verdict, breach
+	return after.Where != before.Where || after.Stage != before.Stage || after.Held != before.Held || after.Verdict != before.Verdict, breach
 }
 
 // stands is the claim that may still be used, other than one; false where there is none.
@@ -107,6 +121,16 @@
 	return Fate{}, false
 }
 
+// bound tells whether all claims that stand beside one may have run in a group, and nowhere else: a repeat there is dropped.
+func (r *Record) bound(but Claim, where string) bool {
+	for _, f := range r.Fates {
+		if f.Stage == Claimed && f.Claim != but && f.Where != where {
+			return false
+		}
+	}
+	return where != "" && where != nowhere
+}
+
 // ended is the end of the op, of several the one with a result.
 func (r *Record) ended() (end Fate, ok bool) {
 	for _, f := range r.Fates {
@@ -125,7 +149,7 @@
 func (r *Record) size() int {
 	n := len(r.Key) + 64
 	for _, f := range r.Fates {
-		n += len(f.By) + len(f.Result) + 48
+		n += len(f.By) + len(f.Result) + len(f.Where) + 48
 	}
 	return n
 }
@@ -141,7 +165,7 @@
 		if f.Held {
 			room = append(room, 1)
 		}
-		sum ^= xxhash.Sum64(room)
+		sum ^= xxhash.Sum64(append(room, f.Where...))
 	}
 	return sum
 }
--- a/internal/copies/record_test.go
+++ b/internal/copies/record_test.go
@@ -184,3 +184,62 @@
 		t.Errorf("with all that there is: voting %v, known %v", c.voting, ok)
 	}
 }
+
+// A claim that is bound to a group is granted beside others only where all of them ran in that one.
+func TestAKeeperGrantsBesideOthersInTheirGroupAlone(t *testing.T) {
+	terms := Defaults()
+	terms.Name, terms.Keepers = "a", []string{"a"}
+	c := New(terms, 0)
+	c.Take(1, Serving{On: true, Life: 1})
+	c.Take(2, Tick{})
+	grab := func(nonce uint64, where string) Kind {
+		r := Record{Key: "k", Print: 1, Fates: []Fate{{Claim: Claim{"x", nonce}, Stage: Claimed, Where: where}}}
+		for _, e := range c.Take(c.now+1, Heard{"x", Message{Kind: Grab, Epoch: c.epoch, Ticket: nonce, Record: r}}) {
+			if s, ok := e.(Send); ok {
+				return s.Kind
+			}
+		}
+		return 0
+	}
+	if grab(1, "") != Granted || grab(2, "zone east") != Refused {
+		t.Error("beside one that ran nobody knows where")
+	}
+	c.Take(c.now+1, Heard{"x", Message{Kind: Tell, Epoch: c.epoch, Record: Record{Key: "k", Print: 1, Fates: []Fate{{Claim: Claim{"x", 1},
+		Stage: Claimed, Where: "zone east"}}}}})
+	if grab(3, "") != Refused || grab(4, "zone west") != Refused || grab(5, "zone east") != Granted {
+		t.Error("beside one that ran in the east")
+	}
+}
+
+// An op that ran for one that is gone is asked for again only where its age is known; and what was granted to the claim before the bound
+// one is not granted to that.
+func TestAnAskerBindsItself(t *testing.T) {
+	for _, age := range []uint64{0, 10} {
+		terms := Defaults()
+		terms.Name, terms.Keepers = "x", []string{"a", "b", "c"}
+		c := New(terms, 0)
+		c.Take(1, Serving{On: true, Life: 1})
+		c.Take(2, Lost{Name: "y", Gone: true})
+		c.Take(3, Want{Ticket: 1, Key: "k", Print: 1, Within: second, Window: second})
+		r := Record{Key: "k", Print: 1, Fates: []Fate{{Claim: Claim{"y", 1}, Stage: Claimed, Where: "all", Age: age}}}
+		var out []Effect
+		for _, k := range []string{"a", "b"} {
+			out = c.Take(c.now+1, Heard{k, Message{Kind: Refused, Epoch: c.epoch, Ticket: 1, Why: Taken, Record: r}})
+		}
+		bound := false
+		for _, e := range out {
+			s, ok := e.(Send)
+			bound = bound || ok && s.Kind == Grab && s.Record.Fates[0].Where == "all"
+		}
+		if bound != (age > 0) {
+			t.Errorf("age %d: bound %v", age, bound)
+		}
+		for _, k := range []string{"a", "b", "c"} {
+			for _, e := range c.Take(c.now+1, Heard{k, Message{Kind: Granted, Epoch: c.epoch, Ticket: 1}}) {
+				if d, ok := e.(Decided); ok && d.Outcome == Mine {
+					t.Error("by grants to the claim before")
+				}
+			}
+		}
+	}
+}
--- a/internal/ending/ending.go
+++ b/internal/ending/ending.go
@@ -42,6 +42,15 @@
 	return names[e]
 }
 
+// NeverRan tells whether an ending proves that its push ran nowhere.
+func (e Ending) NeverRan() bool {
+	switch e.Outcome() {
+	case dispatch.Refused, dispatch.Unreached, dispatch.Unsent:
+		return true
+	}
+	return false
+}
+
 // Outcome is what an ending proves. A push of which nothing is known may have run.
 func (e Ending) Outcome() dispatch.Outcome {
 	switch e {
--- a/internal/fates/fates.go
+++ b/internal/fates/fates.go
@@ -452,14 +452,16 @@
 }
 
 // Ask asks whether an op may be pushed, and waits for the outcome: at most as long as the table says.
-func (f *Fates) Ask(ctx context.Context, category, id string, request []byte, within time.Duration) copies.Decided {
+// An op whose repeats its group drops for a window may be given though it ran for a scheduler that is gone: the outcome then says where.
+func (f *Fates) Ask(ctx context.Context, category, id string, request []byte, within, window time.Duration) copies.Decided {
 	ticket := f.tickets.Add(1)
 	c := make(chan copies.Decided, 1)
 	f.mu.Lock()
 	f.waiting[ticket] = c
 	f.mu.Unlock()
 	unsure := copies.Decided{Ticket: ticket, Outcome: copies.Unsure}
-	if !f.tell(copies.Want{Ticket: ticket, Key: category + "\x00" + id, Print: xxhash.Sum64(request), Within: members.Span(within)}) {
+	if !f.tell(copies.Want{Ticket: ticket, Key: category + "\x00" + id, Print: xxhash.Sum64(request), Within: members.Span(within),
+		Window: members.Span(window)}) {
 		f.mu.Lock()
 		delete(f.waiting, ticket)
 		f.mu.Unlock()
@@ -487,6 +489,11 @@
 	return unsure
 }
 
+// Ran says that an op that was granted may have run in a group that drops repeats.
+func (f *Fates) Ran(ticket uint64, where string) {
+	f.soon(input{copies: copies.MayHaveRun{Ticket: ticket, Where: where}})
+}
+
 // End says what became of an op that was granted. A longer answer than the table says is not held.
 func (f *Fates) End(ticket uint64, unsent bool, status int, answer []byte) {
 	e := copies.End{Ticket: ticket, Unsent: unsent, Verdict: uint16(status)}
@@ -532,6 +539,7 @@
 	Stage    string `json:"stage"`
 	Status   int    `json:"status,omitempty"`
 	Held     bool   `json:"held,omitempty"`
+	Where    string `json:"where,omitempty"` // the group that drops repeats, in which it may have run
 }
 
 // Page is some of the records in order, from after a key on, and the key to go on after; empty where there are no more.
@@ -567,7 +575,7 @@
 		}
 	}
 	for _, x := range r.Fates {
-		rows = append(rows, Row{category, id, x.By, fmt.Sprintf("%016x", x.Nonce), x.Stage.String(), int(x.Verdict), x.Held})
+		rows = append(rows, Row{category, id, x.By, fmt.Sprintf("%016x", x.Nonce), x.Stage.String(), int(x.Verdict), x.Held, x.Where})
 	}
 	return rows
 }
--- a/internal/fates/fates_test.go
+++ b/internal/fates/fates_test.go
@@ -48,7 +48,7 @@
 				t.Fatal("no vote")
 			}
 		}
-		d := f.Ask(context.Background(), "pay", id, []byte("x"), time.Second)
+		d := f.Ask(context.Background(), "pay", id, []byte("x"), time.Second, 0)
 		if end && d.Outcome == copies.Mine {
 			f.End(d.Ticket, false, 200, []byte("done"))
 			for until := time.Now().Add(20 * time.Second); len(f.Of("pay", id)) == 0 || f.Of("pay", id)[0].Stage != "ended"; time.Sleep(time.Millisecond) {
--- a/internal/front/door.go
+++ b/internal/front/door.go
@@ -35,6 +35,11 @@
 	target  string          // as the client wrote it
 	request conns.Request   // to workers
 	answer  chan ops.Answer // has room for the one answer
+
+	ticket uint64    // of the fates; 0 for an op that was not asked for
+	scope  string    // of the group that drops its repeats; empty for none
+	group  ops.Group // of the last push
+	placed bool      // the fates know where it may have run
 }
 
 // refusal is what a client is told whose request is no op.
--- a/internal/front/fates.go
+++ b/internal/front/fates.go
@@ -2,17 +2,24 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
+	"woaddyke/dispatch"
 	"woaddyke/internal/copies"
 	"woaddyke/internal/ops"
+	"woaddyke/internal/terms"
 )
 
 // Fates guards ops that must not run twice over all schedulers together.
 type Fates interface {
 	// Ask waits for whether an op may be pushed, at most so long.
-	Ask(ctx context.Context, category, id string, request []byte, within time.Duration) copies.Decided
+	Ask(ctx context.Context, category, id string, request []byte, within, window time.Duration) copies.Decided
+	// Ran says that it may have run, in a group that drops repeats.
+	Ran(ticket uint64, where string)
 	// End says what became of one that may.
 	End(ticket uint64, unsent bool, status int, answer []byte)
 }
@@ -20,16 +27,24 @@
 const comeBack = 200 * time.Millisecond // to an op that another scheduler holds, or that no majority could be asked for
 
 // Guard has ops of some categories asked for before they are taken. It is called before Serve.
-func (f *Front) Guard(by Fates, needs func(category string) bool) { f.fates, f.guarded = by, needs }
+func (f *Front) Guard(by Fates, needs func(category string) bool) {
+	f.fates, f.guarded, f.loop.fates = by, needs, by
+}
 
 // guard asks for an op. It returns the ticket to end it with, or the answer in place of taking it.
 func (f *Front) guard(r *http.Request, h *held) (ticket uint64, no *http.Response) {
 	left := time.Duration(int64(h.TTL)*int64(time.Second/10_000) - f.loop.clock.nanos(time.Now()))
+	window, scope := f.inForce.Load().Repeats(h.Category)
 	request := append(append([]byte(h.target), 0), h.request.Body...)
-	d := f.fates.Ask(r.Context(), h.Category, h.ID, request, left)
+	d := f.fates.Ask(r.Context(), h.Category, h.ID, request, left, window)
 	f.log.Debug().Str("id", h.ID).Stringer("outcome", d.Outcome).Stringer("why", d.Why).Msg("asked for")
 	switch d.Outcome {
 	case copies.Mine:
+		h.scope = scope
+		if d.Fate.Where != "" {
+			at := terms.Down(f.loop.clock.nanos(time.Now())) - dispatch.Time(d.Fate.Age)
+			h.Ran, h.placed = &ops.Ran{Group: groupOf(d.Fate.Where), At: at}, true
+		}
 		return d.Ticket, nil
 	case copies.Again:
 		return 0, plain(r, int(d.Fate.Verdict), d.Fate.Result, 0)
@@ -48,6 +63,42 @@
 	return 0, plain(r, http.StatusServiceUnavailable, []byte("nacked: no majority of keepers answered\n"), comeBack)
 }
 
+// whereOf names the group of a push, by what its category's repeats are dropped by.
+func whereOf(scope string, g ops.Group) string {
+	switch scope {
+	case "zone":
+		return "zone " + strconv.Quote(g.Zone)
+	case "cell":
+		return fmt.Sprintf("cell %d", g.Cell)
+	}
+	return "all"
+}
+
+// groupOf is the group that whereOf named; what it says nothing of is nowhere here.
+func groupOf(where string) ops.Group {
+	g := ops.Group{Cell: -1}
+	kind, name, _ := strings.Cut(where, " ")
+	switch kind {
+	case "zone":
+		g.Zone, _ = strconv.Unquote(name)
+	case "cell":
+		if n, err := strconv.Atoi(name); err == nil {
+			g.Cell = n
+		}
+	}
+	return g
+}
+
+// ran has the keepers know where an op may have run, the first time that it may.
+func (l *loop) ran(op uint64) {
+	h := l.held[op]
+	if h == nil || h.ticket == 0 || h.scope == "" || h.placed {
+		return
+	}
+	h.placed = true
+	l.fates.Ran(h.ticket, whereOf(h.scope, h.group))
+}
+
 // settle has the keepers know what became of an op that was asked for.
 func (f *Front) settle(ticket uint64, a ops.Answer) {
 	switch a.Verdict {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -376,6 +376,7 @@
 		if ticket, no = f.guard(r, h); no != nil {
 			return no, nil
 		}
+		h.ticket = ticket
 	}
 	h.Op, h.request.Head = f.numbers.Add(1), requestHead(r, h)
 	f.loop.in <- message{in: h.Arrived, held: h}
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -55,6 +55,7 @@
 	held    map[uint64]*held
 	out     map[uint64]*conns.Exchange
 	wake    *time.Timer
+	fates   Fates // nil: this scheduler alone knows its ops; set before it runs
 }
 
 func (l *loop) tell(in ops.Input) { l.in <- message{in: in} }
@@ -127,8 +128,14 @@
 func (l *loop) step(in ops.Input) {
 	now := time.Now()
 	switch in := in.(type) {
+	case ops.Noted:
+		if in.Started { // one that is only taken may come back unstarted, and go to another group
+			l.ran(in.Op)
+		}
 	case ops.Ended:
-		delete(l.out, in.Op)
+		if delete(l.out, in.Op); !in.How.NeverRan() {
+			l.ran(in.Op)
+		}
 	case ops.Left:
 		delete(l.held, in.Op)
 	case ops.Listed:
@@ -176,6 +183,7 @@
 func (l *loop) push(now time.Time, e ops.Push) {
 	h := l.held[e.Op] // a push is never asked for after the answer, or after its client left
 	wait := span(e.Within)
+	h.group = e.Group
 	l.log.Debug().Uint64("op", e.Op).Str("id", h.ID).Str("worker", e.Worker).Int("leg", e.Leg).Msg("push")
 	l.out[e.Op] = l.pool.Push(e.Addr, h.ID, h.request.Bytes(wait), now.Add(wait), func() {
 		l.tally.Pushed(h.Category)
--- a/internal/lab/several/several.go
+++ b/internal/lab/several/several.go
@@ -162,6 +162,7 @@
 	}
 	text := fmt.Sprintf(`{"name":%q,"listen":%q,"console":%q,"discovery":%q,"seed":"1","settings":{"discovery":"pushed",`+
 		`"bounds":{"maxPushes":3,"probes":true,"cancel":true,"connectTimeoutNs":2e8},"report":{"fields":["waiting","running"],"how":"on_probe"},"categories":[{"name":"pay","effect":"fragile","ttlNs":5e9,"targetLatencyNs":5e9},`+
+		`{"name":"note","effect":"dedup","windowNs":8e9,"dedupScope":"zone","ttlNs":5e9,"targetLatencyNs":5e9},`+
 		`{"name":"look","effect":"retryable","ttlNs":5e9,"targetLatencyNs":5e9}]}}`, p.Name, p.Listen,
 		p.Console, discovery)
 	var seeds []string
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -45,6 +45,19 @@
 	Slots, Memory float64
 	Work          dispatch.Time
 	Key           uint64 // what it needs at its worker, hashed; 0: nothing that workers keep
+	Ran           *Ran   // nil for an op that ran nowhere before
+}
+
+// Ran is where an op may have run for another scheduler, and since when.
+type Ran struct {
+	Group
+	At dispatch.Time
+}
+
+// Group is where repeats of an op may be dropped.
+type Group struct {
+	Zone string
+	Cell int
 }
 
 // Left says that an op's client has gone.
@@ -120,6 +133,7 @@
 	Worker string
 	Addr   string
 	Within dispatch.Time
+	Group  Group // of the worker
 }
 
 // Close ends the push of an op that is out, or only keeps it from being written.
@@ -178,6 +192,7 @@
 
 type worker struct {
 	name, addr    string
+	group         Group
 	listed, ready bool
 }
 
@@ -346,6 +361,7 @@
 			r.zones[e.Zone] = z
 		}
 		w := &r.workers[i]
+		w.group = Group{e.Zone, e.Cell}
 		w.addr, w.listed, w.ready = e.Addr, !e.Gone, e.Ready && e.Addr != ""
 		kind := e.Kind
 		if _, known := r.kinds[kind]; !r.byKind || !known && len(r.kinds) >= mostKinds {
@@ -395,6 +411,13 @@
 	if in.Key != 0 {
 		r.d.Key(i, in.Key)
 	}
+	if in.Ran != nil {
+		z, ok := r.zones[in.Ran.Zone]
+		if !ok {
+			z = -1
+		}
+		r.d.Ran(i, z, in.Ran.Cell, in.Ran.At)
+	}
 	r.ops[i] = op{number: in.Op, id: in.ID, ttl: in.TTL}
 	r.ids[in.ID] = 0
 	r.live[in.Op] = i
@@ -469,7 +492,7 @@
 			o := &r.ops[i]
 			o.worker, o.sentAt, o.out = w, now, true
 			todo = append(todo, Push{Op: o.number, Leg: o.legs, Worker: r.workers[w].name, Addr: r.workers[w].addr,
-				Within: span})
+				Within: span, Group: r.workers[w].group})
 			o.legs++
 		case dispatch.CallOff:
 			todo = append(todo, Close{Op: r.ops[i].number, How: ending.Withdrawn})
--- a/internal/shelf/shelf.go
+++ b/internal/shelf/shelf.go
@@ -91,7 +91,11 @@
 			if err := cbor.Unmarshal(v, &x); err != nil {
 				return err
 			}
-			x.Record.Age = uint64(max(now.Unix()-x.First, 0))
+			age := uint64(max(now.Unix()-x.First, 0))
+			for i := range x.Record.Fates {
+				x.Record.Fates[i].Age = 0 // a window that is counted by a clock that was set back would be too long: nobody knows
+			}
+			x.Record.Age = age
 			records = append(records, x.Record)
 			return nil
 		})
--- a/internal/shelf/shelf_test.go
+++ b/internal/shelf/shelf_test.go
@@ -1,6 +1,7 @@
 package shelf
 
 import (
+	"errors"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -8,6 +9,7 @@
 	"time"
 
 	"woaddyke/internal/copies"
+	"woaddyke/internal/keepers"
 )
 
 func record(key string) copies.Record {
@@ -32,6 +34,25 @@
 	if err := s.Keep(now, []copies.Record{record("a\x00x"), record("b\x00y")}, nil); err != nil {
 		t.Fatal(err)
 	}
+	aged := record("c\x00z")
+	aged.Fates[0].Age = 5
+	state := keepers.State{Seat: 3, Founding: 5, Set: keepers.Set{Founding: 5, Turn: 2, New: []string{"n"}}, Entries: [][]byte{{1}}}
+	seen := []copies.Seen{{Keeper: "m", Of: life, Since: 6}}
+	if err := errors.Join(s.Keep(now, []copies.Record{aged}, nil), s.Agree(state), s.See(seen)); err != nil {
+		t.Fatal(err)
+	}
+	if got, _, _, _, _ := s.Load(now); got[2].Fates[0].Age != 0 {
+		t.Error("how long ago an op ran is told by a clock that may have been set back")
+	}
+	if err := s.Keep(now, nil, []string{"c\x00z"}); err != nil {
+		t.Fatal(err)
+	}
+	if got, ok, err := s.Agreement(); err != nil || !ok || !reflect.DeepEqual(got, state) {
+		t.Errorf("the agreement: %+v, %v, %v", got, ok, err)
+	}
+	if got, err := s.Seen(); err != nil || !reflect.DeepEqual(got, seen) {
+		t.Errorf("what was seen: %+v, %v", got, err)
+	}
 	if err := s.Keep(now, nil, []string{"b\x00y", "never there"}); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/terms/sheet.go
+++ b/internal/terms/sheet.go
@@ -243,6 +243,18 @@
 	return ""
 }
 
+// Repeats tells for how long after its first push a group drops repeats of a category's ops, and what such a group is: "all" workers, a
+// "zone" or a "cell". 0 for a category whose repeats nobody drops.
+func (s *Sheet) Repeats(category string) (window time.Duration, scope string) {
+	for i, name := range s.Categories() {
+		if name == category && s.Effect(category) == "deduplicated" {
+			scope, _ = s.Site[Item("categories", i, "dedupScope")].(string)
+			return s.Span(Item("categories", i, "window"), 0), scope
+		}
+	}
+	return 0, ""
+}
+
 // LongestTTL is that of all categories: no op is out for longer.
 func (s *Sheet) LongestTTL() (longest time.Duration) {
 	for i := 0; s.Site[Item("categories", i, "ttl")] != nil; i++ {
