Copies: an id that runs at another scheduler can be waited for

Need: issue's point 2, 'running: joined or told when to come back, by setting'; only the second was there. copies.join has the door ask for such an id every 50 ms until it has ended, for so long and within its time to live, 1,024 at once; off by default. Measured: TestARunningOpIsJoined, real processes, one play each way: joined, the second client gets the first one's answer and the op runs once; without, a 503 at once.

--- a/cmd/woaddyke/copies_test.go
+++ b/cmd/woaddyke/copies_test.go
@@ -220,6 +220,53 @@
 	}
 }
 
+// With a time to join, an id that runs elsewhere is waited for, and its client gets that one's answer; without, it is told when to come
+// back at once.
+func TestARunningOpIsJoined(t *testing.T) {
+	t.Parallel()
+	for _, join := range []bool{true, false} {
+		t.Run(fmt.Sprint("join ", join), func(t *testing.T) {
+			t.Parallel()
+			c, b := guarded(t, 3, true, map[bool]string{true: "join = \"4s\"\n"}[join])
+			first := make(chan string, 1)
+			go func() {
+				_, text := post(c.Places[0], "pay", "hold-1", "x")
+				first <- text
+			}()
+			<-b.began
+			type answer struct {
+				status int
+				text   string
+			}
+			second := make(chan answer, 1)
+			go func() {
+				status, text := post(c.Places[1], "pay", "hold-1", "x")
+				second <- answer{status, text}
+			}()
+			if !join {
+				if a := <-second; a.status != http.StatusServiceUnavailable {
+					t.Errorf("without joining: %+v", a)
+				}
+			} else {
+				c.Await("it is asked for a few times", func() bool {
+					var s struct{ Counts map[string]uint64 }
+					return c.Places[1].Get("/api/copies", &s) && s.Counts["runs"] > 3
+				})
+			}
+			close(b.go_)
+			text := <-first
+			if join {
+				if a := <-second; a.status != http.StatusOK || a.text != text {
+					t.Errorf("joined: %+v, the first %q", a, text)
+				}
+			}
+			if n := b.ran("hold-1"); n != 1 {
+				t.Errorf("it ran %d times", n)
+			}
+		})
+	}
+}
+
 // An id that comes again elsewhere gets the first answer; another request under it is refused; at once at two, it runs once.
 func TestAnIDThatComesAgain(t *testing.T) {
 	t.Parallel()
--- a/internal/fates/fates.go
+++ b/internal/fates/fates.go
@@ -26,6 +26,8 @@
 	pageSize    = 500  // records that staff read at once
 	lateTime    = time.Second
 	mostStaff   = 8
+	mostJoined  = 1024
+	joinEvery   = 50 * time.Millisecond
 	staffTime   = 1800 * time.Millisecond // a call of staff has 2 s
 	mostRound   = 64                      // further inputs that share a wait for the disk
 )
@@ -57,6 +59,7 @@
 	once    sync.Once
 	tickets atomic.Uint64
 	lost    atomic.Uint64
+	joined  atomic.Int64 // that wait for ops of others
 
 	mu      sync.Mutex
 	waiting map[uint64]chan copies.Decided
@@ -453,7 +456,35 @@
 
 // Ask asks whether an op may be pushed, and waits for the outcome: at most as long as the table says.
 // An op whose repeats its group drops for a window may be given though it ran for a scheduler that is gone: the outcome then says where.
+// One that another scheduler has is asked for again until it has ended, for as long as the table says: its client gets that answer.
 func (f *Fates) Ask(ctx context.Context, category, id string, request []byte, within, window time.Duration) copies.Decided {
+	began := time.Now()
+	d := f.ask(ctx, category, id, request, within, window)
+	until := min(time.Duration(f.table.Join), within-joinEvery)
+	if d.Outcome != copies.Runs || until <= 0 {
+		return d
+	}
+	if f.joined.Add(1) > mostJoined {
+		f.joined.Add(-1)
+		return d
+	}
+	defer f.joined.Add(-1)
+	tick := time.NewTicker(joinEvery)
+	defer tick.Stop()
+	for d.Outcome == copies.Runs && time.Since(began) < until {
+		select {
+		case <-tick.C:
+			d = f.ask(ctx, category, id, request, within-time.Since(began), window)
+		case <-ctx.Done():
+			return d
+		case <-f.ended:
+			return d
+		}
+	}
+	return d
+}
+
+func (f *Fates) ask(ctx context.Context, category, id string, request []byte, within, window time.Duration) copies.Decided {
 	ticket := f.tickets.Add(1)
 	c := make(chan copies.Decided, 1)
 	f.mu.Lock()
--- a/internal/fates/table.go
+++ b/internal/fates/table.go
@@ -21,6 +21,7 @@
 	Spares       []string      `toml:"spares"`        // in order
 	Deduplicated bool          `toml:"deduplicated"`  // ops of deduplicated categories are guarded too
 	Wait         operator.Span `toml:"wait"`          // longest time for a majority, before an op is nacked
+	Join         operator.Span `toml:"join"`          // an id that another scheduler has is waited for so long, in place of a nack at once
 	Again        operator.Span `toml:"again"`         // between two tries at a keeper that does not answer
 	Pull         operator.Span `toml:"pull"`          // between two looks at another keeper's changes
 	Remember     operator.Span `toml:"remember"`      // of an id, from when it first came
@@ -59,6 +60,8 @@
 		return fault("agreed", errors.New("it is needed for replace_after and spares"))
 	case t.Again <= 0 || t.Again > t.Wait:
 		return fault("again", errors.New("from above 0 to wait"))
+	case t.Join < 0 || time.Duration(t.Join) > time.Minute:
+		return fault("join", errors.New("from 0 to 1m"))
 	case time.Duration(t.Pull) < 10*time.Millisecond:
 		return fault("pull", errors.New("10ms at least"))
 	case time.Duration(t.HoldOff) < longest:
