Members tell which settings they run by and who is evacuated; one line says who differs

Need: issue's table, staff's words: nobody saw that a roll-out of settings had stopped half way, or that a scheduler was evacuated, without asking each one. internal/staff keeps the newest word by the member's own count; each tells all on news and one by chance a second, which mends losses. Only with a table members. Measured: TestOtherSettingsAreTold, real processes, one play: three schedulers of which one differs and one is evacuated, told everywhere, forgotten with the member.

--- a/cmd/woaddyke/member.go
+++ b/cmd/woaddyke/member.go
@@ -30,9 +30,15 @@
 			p.stop()
 		}
 	}}
+	p.board = newBoard()
+	host.Staff = p.board.heard
+	host.Changed = p.ended
 	if t.Words {
 		host.Spoken = func(number int, text string) { p.front.Others(ops.Told{By: number, Text: text}) }
-		host.Changed = p.changed
+		host.Changed = func(c members.Changed) {
+			p.ended(c)
+			p.changed(c)
+		}
 	}
 	if t.Workers {
 		host.Workers = func(_ string, words []lists.Word) { p.front.Shared(words) }
@@ -55,6 +61,7 @@
 }
 
 func (p *process) speak() {
+	go p.tellStaff()
 	p.front.Count(p.others)
 	if p.offers.Members.Words {
 		p.front.Speak(p.mesh.Say)
@@ -195,7 +202,8 @@
 // calls are the console's for what is switched on.
 func (p *process) calls() (calls []console.Call) {
 	if p.mesh != nil {
-		calls = append(calls, console.Call{Path: "/api/members", Answer: func(*http.Request) any { return p.mesh.Shown() }})
+		calls = append(calls, console.Call{Path: "/api/members", Answer: func(*http.Request) any { return p.mesh.Shown() }},
+			console.Call{Path: "/api/staff", Answer: func(*http.Request) any { return p.board.shown() }})
 	}
 	if p.fates != nil {
 		calls = append(calls, console.Call{Path: "/api/copies", Answer: func(*http.Request) any { return p.fates.Shown() }},
--- a/cmd/woaddyke/members.go
+++ b/cmd/woaddyke/members.go
@@ -107,6 +107,16 @@
 				return err
 			}
 			v.print(c.OutOrStdout())
+			var s told
+			if err := ask(at, "/api/staff", &s); err != nil {
+				return err
+			}
+			if len(s.Differ) > 0 {
+				fmt.Fprintf(c.OutOrStdout(), "run by other settings than this one (%s): %s\n", s.Settings, strings.Join(s.Differ, ", "))
+			}
+			if len(s.Away) > 0 {
+				fmt.Fprintf(c.OutOrStdout(), "send their clients away: %s\n", strings.Join(s.Away, ", "))
+			}
 			return nil
 		}}
 	c.Flags().StringVar(&at, "console", os.Getenv("RELAY_CONSOLE"), "the scheduler's second address")
--- a/cmd/woaddyke/members_test.go
+++ b/cmd/woaddyke/members_test.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"net"
+	"net/http"
 	"net/netip"
 	"os"
 	"os/exec"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -184,3 +186,35 @@
 		t.Errorf("%d members beside it", n)
 	}
 }
+
+// Schedulers that run by other settings are told in one line everywhere, and so are those that staff have evacuated; one whose word was
+// lost is heard of all the same.
+func TestOtherSettingsAreTold(t *testing.T) {
+	t.Parallel()
+	c := several.New(t, 3, quick, noWorkers, thisProgram)
+	c.Places[2].Categories = `{"name":"pay","effect":"fragile","ttlNs":4e9,"targetLatencyNs":4e9}`
+	for _, p := range c.Places {
+		c.Start(p)
+	}
+	c.AwaitWhole(c.Places...)
+	resp, err := http.Post("http://"+c.Places[1].Console+"/api/evacuate", "", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	for i, want := range [][]string{{"n3"}, {"n3"}, {"n1", "n2"}} {
+		c.Await("it knows who differs and who is evacuated", func() bool {
+			var x told
+			return c.Places[i].Get("/api/staff", &x) && slices.Equal(x.Differ, want) && slices.Contains(x.Away, "n2") == (i != 1)
+		})
+	}
+	c.Places[2].Kill()
+	c.AwaitState("n3", "gone", c.Places[:2]...)
+	c.Await("one that is gone differs no more", func() bool {
+		var out bytes.Buffer
+		cmd := command()
+		cmd.SetOut(&out)
+		cmd.SetArgs([]string{"members", "--console", c.Places[0].Console})
+		return cmd.Execute() == nil && !strings.Contains(out.String(), "other settings") && strings.Contains(out.String(), "send their clients away: n2")
+	})
+}
--- a/cmd/woaddyke/operator_test.go
+++ b/cmd/woaddyke/operator_test.go
@@ -74,6 +74,7 @@
 		room := make([]byte, 1<<20)
 		mesh = strings.Contains(string(room[:runtime.Stack(room, true)]), "woaddyke/internal/mesh")
 		if stop(); p.mesh != nil { // its sockets and timers are its own
+			p.board.close()
 			p.mesh.Close()
 			mesh = true
 		}
--- a/cmd/woaddyke/process.go
+++ b/cmd/woaddyke/process.go
@@ -29,6 +29,7 @@
 	log   zerolog.Logger
 
 	offers offers
+	board  *board       // beside mesh
 	mesh   *mesh.Mesh   // nil where the operator's file has no members
 	fates  *fates.Fates // nil where it has no copies
 	stop   func()       // ends this process as SIGTERM does
--- a/cmd/woaddyke/serve.go
+++ b/cmd/woaddyke/serve.go
@@ -53,6 +53,7 @@
 			}
 			if p.mesh != nil {
 				defer p.mesh.Close()
+				defer p.board.close()
 				defer context.AfterFunc(ctx, p.leave)()
 				if p.fates != nil {
 					defer p.fates.Close()
--- /dev/null
+++ b/cmd/woaddyke/staff.go
@@ -0,0 +1,92 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"woaddyke/internal/members"
+	"woaddyke/internal/staff"
+)
+
+const staffEvery = time.Second // between two words to somebody by chance, which mend what was lost
+
+// board keeps what staff decided for each scheduler, as far as members tell.
+type board struct {
+	mu     sync.Mutex
+	staff  *staff.Board
+	differ []string // as it was logged last
+	quit   chan struct{}
+	once   sync.Once
+}
+
+func newBoard() *board {
+	return &board{staff: staff.New(uint64(time.Now().UnixNano())), quit: make(chan struct{})}
+}
+
+func (b *board) heard(name string, life uint64, w staff.Word) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.staff.Heard(name, life, w)
+}
+
+func (b *board) lost(name string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.staff.Lost(name)
+}
+
+func (b *board) close() { b.once.Do(func() { close(b.quit) }) }
+
+// told is what staff see.
+type told struct {
+	Settings string   `json:"settings"` // of this one, hashed
+	Differ   []string `json:"differ"`   // members that run by other settings
+	Away     []string `json:"away"`     // members whose clients are sent away
+}
+
+func (b *board) shown() told {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return told{fmt.Sprintf("%016x", b.staff.Own().Settings), append([]string{}, b.staff.Differ()...), append([]string{}, b.staff.Away()...)}
+}
+
+// tellStaff tells the other schedulers what staff decided for this one, and says in one line which run by other settings.
+func (p *process) tellStaff() {
+	b := p.board
+	tick := time.NewTicker(staffEvery)
+	defer tick.Stop()
+	for {
+		b.mu.Lock()
+		news := b.staff.Mine(p.front.SettingsHash(), p.front.Evacuated())
+		word, differ := b.staff.Own(), b.staff.Differ()
+		changed := !slices.Equal(differ, b.differ)
+		b.differ = differ
+		b.mu.Unlock()
+		if changed {
+			p.log.Warn().Str("here", fmt.Sprintf("%016x", word.Settings)).Str("others", strings.Join(differ, ", ")).Msg("schedulers run by other settings")
+		}
+		names := p.mesh.Names()
+		if !news && len(names) > 0 {
+			names = []string{names[rand.IntN(len(names))]} // it decides nothing
+		}
+		for _, name := range names {
+			p.mesh.TellStaff(name, word)
+		}
+		select {
+		case <-tick.C:
+		case <-b.quit:
+			return
+		}
+	}
+}
+
+// ended keeps the board to those that are here.
+func (p *process) ended(c members.Changed) {
+	if c.State.Ended() {
+		p.board.lost(c.Name)
+	}
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -323,7 +323,7 @@
 	return true
 }
 
-// Ran says of a new op that a push of another scheduler may have run, in a zone or a cell and since when. A place
+// Ran says of a new op that a push of another scheduler may have run, where and since when. A zone or a cell
 // that is not known here is -1.
 func (d *Dispatcher) Ran(i, zone, cell int, at Time) {
 	o := d.ops[i]
--- a/internal/front/drain.go
+++ b/internal/front/drain.go
@@ -40,6 +40,12 @@
 	f.log.Info().Msg("clients are sent away")
 }
 
+// Evacuated tells whether clients are sent away.
+func (f *Front) Evacuated() bool { return f.drain.on() }
+
+// SettingsHash names the settings in force, but for what is each scheduler's own.
+func (f *Front) SettingsHash() uint64 { return f.inForce.Load().Hash() }
+
 // Rejoin takes clients again.
 func (f *Front) Rejoin() {
 	f.drain.mu.Lock()
--- a/internal/lab/several/several.go
+++ b/internal/lab/several/several.go
@@ -35,6 +35,7 @@
 
 // Place is where one process runs; another may take its place.
 type Place struct {
+	Categories            string // of its sheet, in JSON; empty for pay, note and look
 	Name, Listen, Console string
 	Discovery             string // where its own is; empty: the cluster's
 	at                    netip.AddrPort
@@ -152,6 +153,10 @@
 	return p
 }
 
+const usual = `{"name":"pay","effect":"fragile","ttlNs":5e9,"targetLatencyNs":5e9},` +
+	`{"name":"note","effect":"dedup","windowNs":8e9,"dedupScope":"zone","ttlNs":5e9,"targetLatencyNs":5e9},` +
+	`{"name":"look","effect":"retryable","ttlNs":5e9,"targetLatencyNs":5e9}`
+
 // Start starts a process at a place, which may take the place of the one that runs there.
 func (c *Cluster) Start(p *Place) {
 	c.t.Helper()
@@ -160,11 +165,13 @@
 	if discovery == "" {
 		discovery = c.discovery
 	}
+	categories := p.Categories
+	if categories == "" {
+		categories = usual
+	}
 	text := fmt.Sprintf(`{"name":%q,"listen":%q,"console":%q,"discovery":%q,"seed":"1","settings":{"discovery":"pushed",`+
-		`"bounds":{"maxPushes":3,"probes":true,"cancel":true,"connectTimeoutNs":2e8},"report":{"fields":["waiting","running"],"how":"on_probe"},"categories":[{"name":"pay","effect":"fragile","ttlNs":5e9,"targetLatencyNs":5e9},`+
-		`{"name":"note","effect":"dedup","windowNs":8e9,"dedupScope":"zone","ttlNs":5e9,"targetLatencyNs":5e9},`+
-		`{"name":"look","effect":"retryable","ttlNs":5e9,"targetLatencyNs":5e9}]}}`, p.Name, p.Listen,
-		p.Console, discovery)
+		`"bounds":{"maxPushes":3,"probes":true,"cancel":true,"connectTimeoutNs":2e8},"report":{"fields":["waiting","running"],"how":"on_probe"},"categories":[%s]}}`,
+		p.Name, p.Listen, p.Console, discovery, categories)
 	var seeds []string
 	for i := range min(2, len(c.Places)) {
 		seeds = append(seeds, fmt.Sprintf("%q", c.Places[i].told))
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -22,6 +22,7 @@
 	"woaddyke/internal/keepers"
 	"woaddyke/internal/lists"
 	"woaddyke/internal/members"
+	"woaddyke/internal/staff"
 )
 
 // Bounds, each of one thing that others could make grow.
@@ -46,6 +47,7 @@
 	Workers func(from string, words []lists.Word) // what another was told of workers; called as Copied is
 	Copied  func(from string, x copies.Message)   // from a member as it is known here; called from the reader of datagrams
 	Agreed  func(from string, x keepers.Message)  // likewise
+	Staff   func(from string, incarnation uint64, w staff.Word)
 }
 
 // Mesh is one process's part in a cluster.
@@ -439,7 +441,8 @@
 		m.drop(err)
 	case w.Cluster != m.table.Cluster:
 		m.drop(errors.New("wrong cluster"))
-	case w.Copies != nil && m.host.Copied == nil || w.Keepers != nil && m.host.Agreed == nil || w.Workers != nil && m.host.Workers == nil:
+	case w.Copies != nil && m.host.Copied == nil || w.Keepers != nil && m.host.Agreed == nil || w.Workers != nil && m.host.Workers == nil ||
+		w.Staff != nil && m.host.Staff == nil:
 		m.drop(errors.New("switched off here"))
 	case !known || seen.Life != (members.Life{Incarnation: w.From.Incarnation, Nonce: w.From.Nonce}):
 		m.drop(errors.New("not the process that is known"))
@@ -447,6 +450,8 @@
 		m.host.Copied(w.From.Name, *w.Copies)
 	case b.me.State == members.Here && w.Keepers != nil:
 		m.host.Agreed(w.From.Name, *w.Keepers)
+	case b.me.State == members.Here && w.Staff != nil:
+		m.host.Staff(w.From.Name, w.From.Incarnation, *w.Staff)
 	case b.me.State == members.Here && w.Workers != nil:
 		m.host.Workers(w.From.Name, w.Workers)
 	}
@@ -467,6 +472,13 @@
 	}
 }
 
+// TellStaff sends a member what staff decided for this one.
+func (m *Mesh) TellStaff(to string, w staff.Word) {
+	if !m.silent.Load() {
+		m.sendOther(to, wireOther{Staff: &w})
+	}
+}
+
 // Tell sends words of workers to a member.
 func (m *Mesh) Tell(to string, words []lists.Word) {
 	if !m.silent.Load() {
--- a/internal/mesh/wire.go
+++ b/internal/mesh/wire.go
@@ -14,6 +14,7 @@
 	"woaddyke/internal/keepers"
 	"woaddyke/internal/lists"
 	"woaddyke/internal/members"
+	"woaddyke/internal/staff"
 )
 
 // A message is two letters, the version, a hash of the rest and the rest, in CBOR (RFC 8949). On a stream its length goes before it.
@@ -162,6 +163,7 @@
 	Workers []lists.Word    `cbor:"4,keyasint,omitempty"`
 
 	Keepers *keepers.Message `cbor:"5,keyasint,omitempty"`
+	Staff   *staff.Word      `cbor:"6,keyasint,omitempty"`
 }
 
 const otherMark = 'o' // in place of the second letter
--- a/internal/terms/sheet.go
+++ b/internal/terms/sheet.go
@@ -5,10 +5,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"maps"
 	"math"
 	"net/netip"
 	"os"
+	"slices"
 	"strconv"
 	"time"
 )
@@ -255,6 +257,17 @@
 	return 0, ""
 }
 
+// Hash is the same for two sheets whose settings are, but for which of the schedulers each is for.
+func (s *Sheet) Hash() uint64 {
+	h := fnv.New64a()
+	for _, name := range slices.Sorted(maps.Keys(s.Site)) {
+		if name != "myNumber" && name != "myZone" {
+			fmt.Fprintf(h, "%s=%v\n", name, s.Site[name]) // never fails
+		}
+	}
+	return h.Sum64()
+}
+
 // LongestTTL is that of all categories: no op is out for longer.
 func (s *Sheet) LongestTTL() (longest time.Duration) {
 	for i := 0; s.Site[Item("categories", i, "ttl")] != nil; i++ {
