Copies: two keepers that forget at once and a full disk, with real processes

TestTwoKeepersForgetAtOnce: no vote before the hold-off, and the third one's records are known by then. TestAKeeperWhoseDiskIsFull: a limit on the size of files takes the disk's place; the keeper gives its vote up and the other two go on; 20 ops each ran once.

--- a/cmd/woaddyke/copies_test.go
+++ b/cmd/woaddyke/copies_test.go
@@ -13,6 +13,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"woaddyke/internal/lab/between"
 	"woaddyke/internal/lab/several"
 )
@@ -431,6 +433,54 @@
 	}
 }
 
+// Two of three keepers come back without their memory at once: they have no votes until what they may have granted is over, and what the
+// third knows is known to them by then.
+func TestTwoKeepersForgetAtOnce(t *testing.T) {
+	t.Parallel()
+	c, b := guarded(t, 4, true)
+	if status, _ := post(c.Places[3], "pay", "a", "x"); status != http.StatusOK {
+		t.Fatal(status)
+	}
+	c.Places[0].Kill()
+	c.Places[1].Kill()
+	c.Start(c.Places[0])
+	c.Start(c.Places[1])
+	if status, text := post(c.Places[3], "pay", "b", "x"); status != http.StatusServiceUnavailable || b.ran("b") > 0 {
+		t.Errorf("before they have votes: %d %q, ran %d times", status, text, b.ran("b"))
+	}
+	for _, p := range c.Places[:2] {
+		c.Await("votes are back", func() bool { return votes(p) })
+	}
+	c.Places[2].Kill() // the one that knew
+	if status, text := post(c.Places[3], "pay", "a", "x"); status != http.StatusOK || text != "result of a" || b.ran("a") != 1 {
+		t.Errorf("an id of before: %d %q, ran %d times", status, text, b.ran("a"))
+	}
+	if status, text := post(c.Places[3], "pay", "b", "x"); status != http.StatusOK {
+		t.Errorf("a new one: %d %q", status, text)
+	}
+}
+
+// A keeper's disk takes nothing more: it gives up its vote and says so, and the other two go on.
+func TestAKeeperWhoseDiskIsFull(t *testing.T) {
+	t.Parallel()
+	c, b := guarded(t, 4, true, "path = \"{dir}/copies.db\"\n")
+	cmd, _ := c.Places[0].Running()
+	if err := unix.Prlimit(cmd.Process.Pid, unix.RLIMIT_FSIZE, &unix.Rlimit{Cur: 4096, Max: 4096}, nil); err != nil {
+		t.Fatal(err)
+	}
+	for k := range 20 {
+		id := fmt.Sprint("a", k)
+		if status, text := post(c.Places[3], "pay", id, "x"); status != http.StatusOK || b.ran(id) != 1 {
+			t.Errorf("%s: %d %q, ran %d times", id, status, text, b.ran(id))
+		}
+	}
+	c.Await("it has given up its vote", func() bool { return !votes(c.Places[0]) })
+	c.Places[1].Kill()
+	if status, text := post(c.Places[3], "pay", "b", "x"); status != http.StatusServiceUnavailable || b.ran("b") > 0 {
+		t.Errorf("with one vote left: %d %q, ran %d times", status, text, b.ran("b"))
+	}
+}
+
 // A claimer that is cut off from all but its client and the worker has its op; nobody else gets that one while it lasts, nor after.
 func TestAClaimerThatIsCutOff(t *testing.T) {
 	t.Parallel()
--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -630,16 +630,19 @@
 	return *r, true
 }
 
-// Page is some of the records, in order of their keys after one.
+// Page is some of the records, in order of their keys after one. It sorts no more than it shows: ops wait for it.
 func (c *Core) Page(after string, most int) (page []Record) {
-	var keys []string
+	keys := make([]string, 0, most+1)
 	for k := range c.records {
-		if k > after {
-			keys = append(keys, k)
+		if k <= after || len(keys) == most && k > keys[most-1] {
+			continue
+		}
+		i, _ := slices.BinarySearch(keys, k)
+		if keys = slices.Insert(keys, i, k); len(keys) > most {
+			keys = keys[:most]
 		}
 	}
-	slices.Sort(keys)
-	for _, k := range keys[:min(len(keys), most)] {
+	for _, k := range keys {
 		page = append(page, *c.records[k])
 	}
 	return page
--- a/internal/copies/record_test.go
+++ b/internal/copies/record_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"reflect"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -243,3 +244,38 @@
 		}
 	}
 }
+
+// Pages show each record once and in order, however many there are.
+func TestPagesShowAll(t *testing.T) {
+	terms := Defaults()
+	terms.Name, terms.Keepers = "a", []string{"a"}
+	c := New(terms, 0)
+	for n := range 100 {
+		c.learn(Record{Key: fmt.Sprintf("%03d", n*37%100), Print: 1, Fates: []Fate{{Claim: Claim{"x", 1}, Stage: Ended}}}, 0)
+	}
+	var all []string
+	for after := ""; ; after = all[len(all)-1] {
+		page := c.Page(after, 7)
+		if len(page) == 0 {
+			break
+		}
+		for _, r := range page {
+			all = append(all, r.Key)
+		}
+	}
+	if len(all) != 100 || !slices.IsSorted(all) {
+		t.Errorf("%d keys: %v", len(all), all)
+	}
+}
+
+func BenchmarkPage(b *testing.B) {
+	terms := Defaults()
+	terms.Name, terms.Keepers = "a", []string{"a"}
+	c := New(terms, 0)
+	for n := range 100_000 {
+		c.learn(Record{Key: fmt.Sprintf("%016x", uint64(n)*0x9e3779b97f4a7c15), Print: 1, Fates: []Fate{{Claim: Claim{"x", 1}, Stage: Ended}}}, 0)
+	}
+	for b.Loop() {
+		c.Page("8", 500)
+	}
+}
