Copies: a keeper registers as the life that members know; one had no vote for good

Seen: TestTwoKeepersForgetAtOnce failed once of five under load: n2 had no vote for 20 s. Its log, and n3's: n1 and n2 lost their memory and met each other first, so n2 took incarnation 1, which its earlier process had had, and members told the two apart by their nonces. Checked and ruled out: the hold-off (n1 voted after 5.0 s), the links. To blame: Core.serve took the process's own nonce, so of two lives with one number the later one was the smaller by chance, and n3 counted 'registration of an earlier process' for ever.

Now a keeper's life is the member's own, nonce included, which members order so that the later process stands. TestAKeeperRegistersAsTheLifeThatMembersKnow holds that.

--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -284,7 +284,10 @@
 		c.serving = false
 		return
 	}
-	life := Life{in.Life, c.t.Nonce}
+	life := Life{in.Life, in.Nonce}
+	if in.Nonce == 0 {
+		life.Nonce = c.t.Nonce
+	}
 	if c.serving = true; life == c.life {
 		return
 	}
--- a/internal/copies/messages.go
+++ b/internal/copies/messages.go
@@ -117,8 +117,9 @@
 
 // Serving says whether this process is a member now, and as which life.
 type Serving struct {
-	On   bool
-	Life uint64
+	On    bool
+	Life  uint64
+	Nonce uint64 // tells lives of one number apart, in the order that members have them; 0: this process's own
 }
 
 // Lost says that a scheduler is gone, or is back; it changes what a client is told and nothing else.
--- a/internal/fates/fates.go
+++ b/internal/fates/fates.go
@@ -65,7 +65,7 @@
 	waiting map[uint64]chan copies.Decided
 	staff   map[uint64]chan keepers.Told
 	heirs   uint64
-	life    uint64
+	life    members.Life
 	serving bool
 
 	shelf *shelf.Shelf // nil: memory alone; of the loop once it runs
@@ -363,17 +363,18 @@
 	f.hand(input{agreed: keepers.Heard{From: from, Message: x}})
 }
 
-// Serving says whether this process is a member, and in which incarnation. An heir, and a process whose heir has ended, is another
-// voter than the one before: what that one granted meanwhile it does not know.
-func (f *Fates) Serving(on bool, incarnation uint64) {
+// Serving says whether this process is a member, and as which life of its name. An heir, and a process whose heir has ended, is another
+// voter than the one before: what that one granted meanwhile it does not know. Two processes that took one incarnation, as each was the
+// first that the other met, are told apart as members tell them: with a nonce of its own one of two had no vote for good.
+func (f *Fates) Serving(on bool, l members.Life) {
 	f.mu.Lock()
 	f.serving = on
 	if on {
-		f.life = incarnation
+		f.life = l
 	}
-	life := f.life<<16 + f.heirs
+	life := copies.Serving{On: on, Life: f.life.Incarnation<<16 + f.heirs, Nonce: f.life.Nonce}
 	f.mu.Unlock()
-	f.soon(input{copies: copies.Serving{On: on, Life: life}})
+	f.soon(input{copies: life})
 	f.soon(input{agreed: keepers.Serving{On: on}})
 }
 
--- a/internal/fates/fates_test.go
+++ b/internal/fates/fates_test.go
@@ -42,7 +42,7 @@
 		}
 		defer f.Close()
 		f.Start(w)
-		f.Serving(true, uint64(time.Now().UnixNano()>>16))
+		f.Serving(true, members.Life{Incarnation: uint64(time.Now().UnixNano() >> 16)})
 		for until := time.Now().Add(20 * time.Second); !f.Shown().Voting; time.Sleep(time.Millisecond) {
 			if time.Now().After(until) {
 				t.Fatal("no vote")
@@ -69,3 +69,39 @@
 		}
 	}
 }
+
+// heard keeps what is sent.
+type heard struct {
+	alone
+	sent chan copies.Message
+}
+
+func (h heard) Copy(_ string, x copies.Message) { h.sent <- x }
+
+// Two keepers that lost their memory met each other first, so that one had the incarnation of the process before it. It registered with a
+// nonce of its own that happened to be the smaller one, and its registration was taken for the earlier process's: no vote, for good.
+func TestAKeeperRegistersAsTheLifeThatMembersKnow(t *testing.T) {
+	table := Defaults()
+	table.Keepers = []string{"a", "b", "c"}
+	w := heard{alone{time.Now()}, make(chan copies.Message, 99)}
+	f, err := New(table, "a", 1, 2, w.Now(), zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	f.Start(w)
+	f.Serving(true, members.Life{Incarnation: 1, Nonce: 7})
+	for late := time.After(20 * time.Second); ; {
+		select {
+		case x := <-w.sent:
+			if x.Kind == copies.Register {
+				if (x.Life != copies.Life{N: 1<<16 + 2, Nonce: 7}) {
+					t.Errorf("registered as %v", x.Life)
+				}
+				return
+			}
+		case <-late:
+			t.Fatal("it does not register")
+		}
+	}
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -43,7 +43,7 @@
 	Changed func(members.Changed)
 	Spoken  func(number int, text string)
 	Ended   func(superseded bool)                 // this process is a member no more; once for each time
-	Serving func(on bool, incarnation uint64)     // it is a member as of now, or is not
+	Serving func(on bool, life members.Life)      // it is a member as of now, or is not
 	Workers func(from string, words []lists.Word) // what another was told of workers; called as Copied is
 	Copied  func(from string, x copies.Message)   // from a member as it is known here; called from the reader of datagrams
 	Agreed  func(from string, x keepers.Message)  // likewise
@@ -67,9 +67,9 @@
 	once     sync.Once
 	answered chan struct{}
 	opened   chan struct{}
-	silent   atomic.Bool // its heir speaks
-	life     uint64      // as which the host was told that it serves
-	asks     bool        // it was away, and does not know yet what it missed
+	silent   atomic.Bool  // its heir speaks
+	life     members.Life // as which the host was told that it serves
+	asks     bool         // it was away, and does not know yet what it missed
 
 	mu      sync.Mutex
 	streams map[uint64]*stream
@@ -202,7 +202,7 @@
 	m.snapshot()
 	m.listen()
 	if l != nil && host.Serving != nil {
-		host.Serving(true, l.Me.Incarnation)
+		host.Serving(true, l.Me.Life)
 	}
 	go m.loop()
 	return m, nil
@@ -277,7 +277,7 @@
 		case members.Ended:
 			changed = true
 			if m.host.Serving != nil {
-				m.host.Serving(false, 0)
+				m.host.Serving(false, members.Life{})
 			}
 			m.log.Info().Bool("superseded", e.Superseded).Msg("is a member no more")
 			if m.host.Ended != nil {
@@ -289,7 +289,7 @@
 		m.snapshot()
 	}
 	// Its incarnation may grow while it is a member: it was taken without knowing of another process of this name.
-	asks, life := m.core.Asks(), m.core.Me().Incarnation
+	asks, life := m.core.Asks(), m.core.Me().Life
 	if m.host.Serving != nil && (serving || asks != m.asks || life != m.life && m.core.Me().State == members.Here) {
 		m.asks, m.life = asks, life
 		m.host.Serving(!asks, life)
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -134,7 +134,7 @@
 // registered under the lower one for good, and nobody took that.
 func TestAHostIsToldOfALaterIncarnation(t *testing.T) {
 	lives := make(chan uint64, 9)
-	a, err := Start(table(t), Name{"a", 0, 1}, Host{Serving: func(on bool, life uint64) { lives <- life }}, zerolog.Nop())
+	a, err := Start(table(t), Name{"a", 0, 1}, Host{Serving: func(_ bool, l members.Life) { lives <- l.Incarnation }}, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
 	}
