Lab: drains that only discovery tells, so that a neighbour's word can be seen to bind

Cause, by fleet.Drain and box: a draining worker says so in its own reports and turns jobs away, so a scheduler that discovery has forgotten learns of it by its probes.

--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -299,6 +299,21 @@
 	seen      = time.Second
 )
 
+// Announce has discovery say that a worker drains while it knows nothing of that and goes on; after a span it is gone, and a successor
+// stands in its place.
+func (f *Fleet) Announce(slot int, span time.Duration) {
+	w := f.at(slot)
+	f.list(f.entry(w, "draining"))
+	f.ending.Add(1)
+	go func() {
+		defer f.ending.Done()
+		time.Sleep(span)
+		w.end()
+		f.list(f.entry(w, "gone"))
+		f.succeed(slot, w)
+	}()
+}
+
 // Drain lets a worker finish and go. After a span a successor stands in its place, under another name; with a span
 // below 0 none does.
 func (f *Fleet) Drain(slot int, next time.Duration) {
@@ -334,20 +349,25 @@
 		if wait := next - time.Since(from); wait > 0 {
 			time.Sleep(wait)
 		}
-		f.mu.Lock()
-		if f.slots[slot] != w { // it was killed meanwhile, and is back
-			f.mu.Unlock()
-			return
-		}
-		f.births[slot]++
-		name := fmt.Sprintf("%s-%d", f.script.Workers[slot].Name, f.births[slot])
-		f.mu.Unlock()
-		if err := f.boot(slot, name, true); err != nil {
-			f.book.Add(ledger.Event{Kind: ledger.Fault, Text: err.Error()})
-		}
+		f.succeed(slot, w)
 	}()
 }
 
+// succeed starts a worker's successor under another name.
+func (f *Fleet) succeed(slot int, w *worker) {
+	f.mu.Lock()
+	if f.slots[slot] != w { // it was killed meanwhile, and is back
+		f.mu.Unlock()
+		return
+	}
+	f.births[slot]++
+	name := fmt.Sprintf("%s-%d", f.script.Workers[slot].Name, f.births[slot])
+	f.mu.Unlock()
+	if err := f.boot(slot, name, true); err != nil {
+		f.book.Add(ledger.Event{Kind: ledger.Fault, Text: err.Error()})
+	}
+}
+
 // Depth is a worker's queue at a moment.
 type Depth struct {
 	Slot             int
--- a/internal/lab/plan/plan.go
+++ b/internal/lab/plan/plan.go
@@ -223,22 +223,23 @@
 	size, schedulers bool
 	least, most      float64 // of the size
 }{
-	"slow":    {size: true, least: 1, most: 1000},
-	"hang":    {},
-	"pauses":  {size: true, least: 1, most: 60_000}, // ms each
-	"taken":   {size: true, least: 0, most: 0.99},   // share of the cores
-	"mute":    {size: true, least: 0, most: 1},
-	"fails":   {size: true, least: 0, most: 1},
-	"unfit":   {size: true, least: 0, most: 1},
-	"lies":    {},
-	"stale":   {size: true, least: 0, most: 60_000}, // ms
-	"refuses": {},
-	"kill":    {}, // the worker's process; it is back after for_s, cold
-	"drain":   {}, // told, drained and gone; a successor comes cold after for_s
-	"vanish":  {}, // the machine says nothing more: connections stay open and silent
-	"replace": {}, // a rolling deploy: each is drained and followed by a cold one within for_s
-	"shrink":  {}, // drained for good
-	"cut":     {}, // a zone's links are silent
+	"slow":       {size: true, least: 1, most: 1000},
+	"hang":       {},
+	"pauses":     {size: true, least: 1, most: 60_000}, // ms each
+	"taken":      {size: true, least: 0, most: 0.99},   // share of the cores
+	"mute":       {size: true, least: 0, most: 1},
+	"fails":      {size: true, least: 0, most: 1},
+	"unfit":      {size: true, least: 0, most: 1},
+	"lies":       {},
+	"stale":      {size: true, least: 0, most: 60_000}, // ms
+	"refuses":    {},
+	"kill":       {}, // the worker's process; it is back after for_s, cold
+	"drain":      {}, // told, drained and gone; a successor comes cold after for_s
+	"drain-told": {}, // discovery tells that they drain, and they know nothing of it; gone after for_s, with a cold successor
+	"vanish":     {}, // the machine says nothing more: connections stay open and silent
+	"replace":    {}, // a rolling deploy: each is drained and followed by a cold one within for_s
+	"shrink":     {}, // drained for good
+	"cut":        {}, // a zone's links are silent
 
 	"discovery-silent": {}, "discovery-broken": {}, "discovery-moved": {},
 
--- a/internal/lab/play/play.go
+++ b/internal/lab/play/play.go
@@ -396,6 +396,10 @@
 		} else if err := r.fleet.Restart(n); err != nil {
 			r.fail(err)
 		}
+	case "drain-told":
+		if t.On {
+			r.fleet.Announce(n, span)
+		}
 	case "drain":
 		if t.On {
 			r.fleet.Drain(n, span)
