Copies: a nacked op that may have run is given up, not released

Seen by reading settle: a deduplicated op with scope 'all' may be nacked after it has run, since its group drops a repeat for a while. It was released like one that never ran, so its id could be claimed anew by anybody, also after the window, without being bound to it.

A claim can now be given up: it stands, a scheduler that is asked again gets a bound claim within the window, also while the first one is here, and none after it. A bound claim is refused while any scheduler that is here has the op.

--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -420,7 +420,7 @@
 			d.Outcome = Again
 		}
 	} else if f, ok := all.stands(w.claim); ok {
-		if d.Outcome, d.Fate = Runs, f; c.gone[f.By] {
+		if d.Outcome, d.Fate = Runs, f; !c.runs(w, &all) {
 			d.Outcome = Unknown
 		}
 	}
@@ -428,16 +428,21 @@
 	c.do(d)
 }
 
-// bind asks for an op anew that may have run for a scheduler that is gone, bound to the group where it did, while that drops repeats. It
+// runs tells whether another scheduler that is here has the op.
+func (c *Core) runs(w *want, all *Record) bool {
+	return slices.ContainsFunc(all.Fates, func(f Fate) bool { return f.Stage == Claimed && f.Claim != w.claim && !c.gone[f.By] })
+}
+
+// bind asks for an op anew that may have run for a scheduler that is gone or has given it up, bound to the group where it did, while that drops repeats. It
 // tells whether it does. An age that is answered was true at some moment after this was asked: so the way of the answer is in it.
 func (c *Core) bind(w *want, all *Record, other bool) bool {
 	f, stands := all.stands(w.claim)
-	if _, ended := all.ended(); w.Window == 0 || w.bound != "" || other || ended || !stands || !c.gone[f.By] || !all.bound(w.claim, f.Where) {
+	if _, ended := all.ended(); w.Window == 0 || w.bound != "" || other || ended || !stands || c.runs(w, all) || !all.bound(w.claim, f.Where) {
 		return false
 	}
 	first := c.now
 	for _, f := range all.Fates {
-		if f.Stage == Claimed && f.Claim != w.claim {
+		if f.stands() && f.Claim != w.claim {
 			if f.Age == 0 {
 				return false
 			}
@@ -487,6 +492,12 @@
 		c.release(w, w.Ticket)
 		return
 	}
+	if in.GivenUp {
+		f := c.fateOf(w)
+		f.Stage = GivenUp
+		c.tell(in.Ticket, Record{Key: w.Key, Print: w.Print, Fates: []Fate{f}}, map[string]bool{})
+		return
+	}
 	c.tell(in.Ticket, Record{Key: w.Key, Print: w.Print, Fates: []Fate{{Claim: w.claim, Stage: Ended, Verdict: in.Verdict, Result: in.Result,
 		Held: in.Held}}}, map[string]bool{})
 }
--- a/internal/copies/messages.go
+++ b/internal/copies/messages.go
@@ -110,6 +110,7 @@
 type End struct {
 	Ticket  uint64
 	Unsent  bool // it is proved that nothing of it ran: its id may be claimed again
+	GivenUp bool // it is pushed no more and may have run, and has no answer that would stand: it may be repeated in its group
 	Verdict uint16
 	Result  []byte
 	Held    bool
--- a/internal/copies/play/play.go
+++ b/internal/copies/play/play.go
@@ -332,6 +332,10 @@
 		return
 	}
 	p.At(p.Now()+Time(p.Rand.IntN(60_000)), func() {
+		if p.Rand.IntN(3) == 0 { // nacked: a repeat is harmless, there
+			p.feed(w.by, w.core, copies.End{Ticket: ticket, GivenUp: true})
+			return
+		}
 		p.feed(w.by, w.core, copies.End{Ticket: ticket, Verdict: 200, Result: []byte(claim), Held: true})
 	})
 }
--- a/internal/copies/record.go
+++ b/internal/copies/record.go
@@ -20,11 +20,12 @@
 const (
 	Claimed  Stage = iota + 1 // its scheduler may push, and may have pushed
 	Released                  // its scheduler has proved that nothing was pushed, or that what was did not run, and pushes no more
+	GivenUp                   // its scheduler pushes no more, and what it pushed may have run
 	Ended                     // the op has its answer
 )
 
 func (s Stage) String() string {
-	return map[Stage]string{Claimed: "claimed", Released: "released", Ended: "ended"}[s]
+	return map[Stage]string{Claimed: "claimed", Released: "released", GivenUp: "given up", Ended: "ended"}[s]
 }
 
 // Claim is one scheduler's claim of one op. Its keys in CBOR are none of Fate's, which it is part of.
@@ -47,6 +48,9 @@
 	notBefore Time // it can't have run before that, since it was not granted; 0 where nobody knows
 }
 
+// stands tells whether what the claim was for may have run, or may run yet, and has no end.
+func (f *Fate) stands() bool { return f.Stage == Claimed || f.Stage == GivenUp }
+
 // nowhere is where a claim ran of which two groups are told.
 const nowhere = "\x00"
 
@@ -114,7 +118,7 @@
 // stands is the claim that may still be used, other than one; false where there is none.
 func (r *Record) stands(but Claim) (Fate, bool) {
 	for _, f := range r.Fates {
-		if f.Stage == Claimed && f.Claim != but {
+		if f.stands() && f.Claim != but {
 			return f, true
 		}
 	}
@@ -124,7 +128,7 @@
 // bound tells whether all claims that stand beside one may have run in a group, and nowhere else: a repeat there is dropped.
 func (r *Record) bound(but Claim, where string) bool {
 	for _, f := range r.Fates {
-		if f.Stage == Claimed && f.Claim != but && f.Where != where {
+		if f.stands() && f.Claim != but && f.Where != where {
 			return false
 		}
 	}
--- a/internal/copies/record_test.go
+++ b/internal/copies/record_test.go
@@ -279,3 +279,31 @@
 		c.Page("8", 500)
 	}
 }
+
+// What its scheduler has given up is repeated in its group while that scheduler is here, and waited for where another one has it.
+func TestWhatIsGivenUpIsRepeated(t *testing.T) {
+	for _, x := range []struct {
+		stages []Stage
+		bound  bool
+	}{{[]Stage{GivenUp}, true}, {[]Stage{Claimed}, false}, {[]Stage{GivenUp, Claimed}, false}, {[]Stage{GivenUp, GivenUp}, true}} {
+		terms := Defaults()
+		terms.Name, terms.Keepers = "x", []string{"a", "b", "c"}
+		c := New(terms, 0)
+		c.Take(1, Serving{On: true, Life: 1})
+		c.Take(2, Want{Ticket: 1, Key: "k", Print: 1, Within: second, Window: second})
+		r := Record{Key: "k", Print: 1}
+		for n, stage := range x.stages {
+			r.Fates = append(r.Fates, Fate{Claim: Claim{"y", uint64(n)}, Stage: stage, Where: "all", Age: 10})
+		}
+		bound := false
+		for _, k := range []string{"a", "b"} {
+			for _, e := range c.Take(c.now+1, Heard{k, Message{Kind: Refused, Epoch: c.epoch, Ticket: 1, Why: Taken, Record: r}}) {
+				s, ok := e.(Send)
+				bound = bound || ok && s.Kind == Grab && s.Record.Fates[0].Where == "all"
+			}
+		}
+		if bound != x.bound {
+			t.Errorf("%v: bound %v", x.stages, bound)
+		}
+	}
+}
--- a/internal/fates/fates.go
+++ b/internal/fates/fates.go
@@ -526,6 +526,11 @@
 	f.soon(input{copies: copies.MayHaveRun{Ticket: ticket, Where: where}})
 }
 
+// GiveUp says that one that may have run is pushed no more, and that its client was told that trying again is harmless.
+func (f *Fates) GiveUp(ticket uint64) {
+	f.must(input{copies: copies.End{Ticket: ticket, GivenUp: true}})
+}
+
 // End says what became of an op that was granted. A longer answer than the table says is not held.
 func (f *Fates) End(ticket uint64, unsent bool, status int, answer []byte) {
 	e := copies.End{Ticket: ticket, Unsent: unsent, Verdict: uint16(status)}
--- a/internal/front/fates.go
+++ b/internal/front/fates.go
@@ -22,6 +22,8 @@
 	Ran(ticket uint64, where string)
 	// End says what became of one that may.
 	End(ticket uint64, unsent bool, status int, answer []byte)
+	// GiveUp says that it is pushed no more, may have run, and may be repeated in its group.
+	GiveUp(ticket uint64)
 }
 
 const comeBack = 200 * time.Millisecond // to an op that another scheduler holds, or that no majority could be asked for
@@ -100,11 +102,18 @@
 }
 
 // settle has the keepers know what became of an op that was asked for.
-func (f *Front) settle(ticket uint64, a ops.Answer) {
+func (f *Front) settle(h *held, a ops.Answer) {
+	ticket := h.ticket
 	switch a.Verdict {
 	case ops.Acked:
 		f.fates.End(ticket, false, http.StatusOK, a.Result)
-	case ops.Nacked, ops.UnknownCategory, ops.TakenID:
+	case ops.Nacked:
+		if h.placed { // it may have run: its group drops a repeat, for a while, and nobody else does
+			f.fates.GiveUp(ticket)
+			return
+		}
+		f.fates.End(ticket, true, 0, nil)
+	case ops.UnknownCategory, ops.TakenID:
 		f.fates.End(ticket, true, 0, nil)
 	default:
 		f.fates.End(ticket, false, http.StatusBadGateway, []byte("dead-lettered\n"))
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -386,7 +386,7 @@
 			f.clients.Served(r.Context())
 		}
 		if ticket != 0 {
-			f.settle(ticket, a)
+			f.settle(h, a)
 		}
 		return response(r, a), nil
 	case <-r.Context().Done():
