check: a keeper or spare that may change needs a path, said before the start

Need: with agreed = true and no path a keeper's start ended with an error that 'woaddyke check' had not given, and a spare without one was only found out when it was to step in. Six more bad tables stand in the test of one-line faults (replace_after without spares, spares without agreed, join, catch_up, two keepers).

--- a/cmd/woaddyke/operator.go
+++ b/cmd/woaddyke/operator.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 
 	"woaddyke/internal/fates"
 	"woaddyke/internal/mesh"
@@ -58,8 +59,11 @@
 			return &operator.Fault{Table: "members", Key: "words", Err: fmt.Errorf("words: %w", err)}
 		}
 	}
-	if o.Copies != nil {
-		return o.Copies.Check(sheet.LongestTTL())
+	if c := o.Copies; c != nil {
+		if c.Agreed && c.Path == "" && (slices.Contains(c.Keepers, sheet.Name) || slices.Contains(c.Spares, sheet.Name)) {
+			return &operator.Fault{Table: "copies", Key: "path", Err: fmt.Errorf("%s is a keeper or a spare: it needs a file for what must last", sheet.Name)}
+		}
+		return c.Check(sheet.LongestTTL())
 	}
 	return nil
 }
--- a/cmd/woaddyke/operator_test.go
+++ b/cmd/woaddyke/operator_test.go
@@ -51,7 +51,10 @@
 		"[members]\ncluster=\"a\"\nlisten=\"127.0.0.1:1\"\n[copies]\nkeepers=[\"a\"]\nresult_bytes=99999\n",
 		"[members]\ncluster=\"a\"\n", "[members]\ncluster=\"a\"\nlisten=\"10.0.0.1:1\"\n",
 		"[members]\ncluster=\"a\"\nlisten=\"127.0.0.1:1\"\nsuperseded=\"fight\"\n", "[members]\ncluster=\"a\"\nlisten=\"127.0.0.1:1\"\nwords=true\n",
-		"[members]\ncluster=\"a\"\nlisten=\"127.0.0.1:1\"\nmost=1\n", "[members]\ncluster=\"a\"\nlisten=\"127.0.0.1:1\"\nseeds=[\"x\"]\n"} {
+		"[members]\ncluster=\"a\"\nlisten=\"127.0.0.1:1\"\nmost=1\n", "[members]\ncluster=\"a\"\nlisten=\"127.0.0.1:1\"\nseeds=[\"x\"]\n",
+		guards + "keepers=[\"a\",\"b\"]\n", guards + "keepers=[\"a\"]\nagreed=true\nreplace_after=\"20s\"\n",
+		guards + "keepers=[\"a\"]\nspares=[\"b\"]\n", guards + "keepers=[\"a\"]\njoin=\"2h\"\n", guards + "keepers=[\"a\"]\ncatch_up=1\n",
+		guards + "keepers=[\"" + sheet.Name + "\"]\nagreed=true\n"} {
 		os.WriteFile(path, []byte(bad), 0o600)
 		if _, err := readOffers(path, sheet); err == nil || strings.Count(err.Error(), "\n") > 0 || !strings.Contains(err.Error(), "bare.toml:") {
 			t.Errorf("%q: %v", bad, err)
@@ -59,6 +62,8 @@
 	}
 }
 
+const guards = "[members]\ncluster=\"a\"\nlisten=\"127.0.0.1:1\"\n[copies]\n"
+
 // Where the operator's file is not named, membership must cost nothing: the bench and the platform have it off.
 func TestWithoutAnOperatorsFileNothingMoreRuns(t *testing.T) {
 	t.Setenv("TMPDIR", t.TempDir())
