--- a/internal/copies/play/figures_test.go
+++ b/internal/copies/play/figures_test.go
@@ -84,3 +84,33 @@
 }
 
 func parted(p *Play, on bool) { p.cutOff([]int{2}, []int{0, 1, 3}, on) }
+
+// What a guarded op costs in messages, for the record: `OPS=2000 go test -run OpFigures -v`.
+func TestOpFigures(t *testing.T) {
+	var n int
+	if fmt.Sscan(os.Getenv("OPS"), &n); n == 0 {
+		t.Skip("OPS is not set")
+	}
+	for _, keepers := range []int{3, 5} {
+		p := New(8, keepers, 1)
+		for i := range 8 {
+			p.Start(i)
+		}
+		p.Run(6 * Second)
+		messages, bytes := 0, 0
+		p.Weigh = func(e copies.Send) {
+			text, _ := cbor.Marshal(e.Message)
+			messages, bytes = messages+1, bytes+len(text)
+		}
+		began := p.Now()
+		p.Run(began + 10*Second)
+		calm := bytes
+		for k := range n {
+			p.At(p.Now()+Time(k*50), func() { p.Want(keepers+k%(8-keepers), fmt.Sprintf("charge\x00%016x", k)) })
+		}
+		messages, bytes = 0, 0
+		p.Run(p.Now() + Time(n*50) + 5*Second)
+		t.Logf("%d keepers: %.1f messages and %d bytes of CBOR an op, all keepers together, at 200 ops a second; %.0f bytes a second without ops",
+			keepers, float64(messages)/float64(n), bytes/n, float64(calm)/10)
+	}
+}
