--- a/internal/copies/keeper.go
+++ b/internal/copies/keeper.go
@@ -171,7 +171,12 @@
 		age := Time(min(x.Age, uint64(c.t.Remember/second))) * second
 		r = &Record{Key: x.Key, Print: x.Print, since: c.now - age}
 		c.records[x.Key] = r
-		i, _ := slices.BinarySearchFunc(c.ages, r.since, func(a *Record, t Time) int { return int(a.since - t) })
+		i, _ := slices.BinarySearchFunc(c.ages, r.since, func(a *Record, t Time) int {
+			if a.since <= t { // behind those of the same moment: before them, a million of one moment would be moved a million times
+				return -1
+			}
+			return 1
+		})
 		c.ages = slices.Insert(c.ages, i, r)
 	} else {
 		c.size -= r.size()
--- a/internal/lab/between/net.go
+++ b/internal/lab/between/net.go
@@ -1,10 +1,12 @@
 package between
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -98,6 +100,31 @@
 	return x, nil
 }
 
+// Free is a port of an address that is free for datagrams and for streams, other than some: one that is free for datagrams alone may be
+// what another of the same scheduler's listeners was given, and then it does not start.
+func Free(at netip.Addr, but ...string) (netip.AddrPort, error) {
+	var last error
+	for range 50 {
+		udp, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(at, 0)))
+		if err != nil {
+			return netip.AddrPort{}, err
+		}
+		free := udp.LocalAddr().(*net.UDPAddr).AddrPort()
+		tcp, err := net.Listen("tcp4", free.String())
+		udp.Close()
+		if last = err; err != nil {
+			continue
+		}
+		if tcp.Close(); !slices.Contains(but, free.String()) {
+			return free, nil
+		}
+		last = errTaken
+	}
+	return netip.AddrPort{}, last
+}
+
+var errTaken = errors.New("links between schedulers: no port is free for both")
+
 // newMouth finds a port that is free for both.
 func newMouth(n int) (*mouth, error) {
 	var last error
--- a/internal/lab/play/mesh.go
+++ b/internal/lab/play/mesh.go
@@ -4,8 +4,6 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
-	"net"
-	"net/netip"
 	"os"
 	"path/filepath"
 	"slices"
@@ -75,12 +73,10 @@
 		return nil
 	}
 	// A port of its own address: nobody else takes it while the scheduler is down.
-	udp, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(r.mesh.Bound(n), 0)))
+	at, err := between.Free(r.mesh.Bound(n), s.Listen)
 	if err != nil {
 		return err
 	}
-	at := udp.LocalAddr().(*net.UDPAddr).AddrPort()
-	udp.Close()
 	r.mesh.Listens(n, at)
 	var seeds []string
 	for i := range min(mostSeeds, r.spare) {
--- a/internal/lab/several/several.go
+++ b/internal/lab/several/several.go
@@ -81,7 +81,7 @@
 
 // block is the number of the first of some addresses that no other cluster uses, in this process or in the tests beside it.
 func block() int {
-	const size, each, processes = 12, 360, 160 // thirty clusters to a process
+	const size, each, processes = 12, 720, 80 // sixty clusters to a process
 	return 1000 + os.Getpid()%processes*each + int(blocks.Add(1)-1)*size%each
 }
 
@@ -125,28 +125,20 @@
 
 // Place adds a place under a name, at the k-th address of the rig.
 func (c *Cluster) Place(k int, name string) *Place {
-	free := func(network string) string {
-		at := c.Bound(k).String() + ":0"
-		if network == "udp4" {
-			l, err := net.ListenPacket(network, at)
-			if err != nil {
-				c.t.Fatal(err)
-			}
-			defer l.Close()
-			return l.LocalAddr().String()
-		}
-		l, err := net.Listen(network, at)
+	var taken []string
+	free := func() netip.AddrPort {
+		at, err := between.Free(c.Bound(k), taken...)
 		if err != nil {
 			c.t.Fatal(err)
 		}
-		defer l.Close()
-		return l.Addr().String()
+		taken = append(taken, at.String())
+		return at
 	}
 	dir, err := os.MkdirTemp("", "several-") // not the test's own: that is gone before its logs are read
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	p := &Place{Name: name, Listen: free("tcp4"), Console: free("tcp4"), at: netip.MustParseAddrPort(free("udp4")), dir: dir,
+	p := &Place{Name: name, Listen: free().String(), Console: free().String(), at: free(), dir: dir,
 		told: c.Net.Told(k)}
 	c.Net.Listens(k, p.at)
 	c.Places = append(c.Places, p)
