Copies: records are forgotten by the second; a million of one minute are caught up with

Seen: a keeper that missed a million records had not caught up after 100 s of CPU; a stack taken then stood in learn. To blame: the order of forgetting was a sorted slice, and ages travel in whole seconds, so records of one time went into its middle and moved all behind them. Tried first and not enough: putting equals behind one another. Now seconds are buckets, and a record is forgotten up to a second later than before, never sooner.

--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -157,8 +157,9 @@
 	first    uint64    // pos of the first of order
 	pos      uint64
 	size     int
-	digest   uint64    // of all records, kept as they change: staff who look must not hold up the ops
-	ages     []*Record // in order of since
+	digest   uint64             // of all records, kept as they change: staff who look must not hold up the ops
+	ages     map[Time][]*Record // by the second in which they were first heard of
+	oldest   Time               // of those seconds
 
 	wants   map[uint64]*want
 	mine    map[uint64]*want // granted, and not ended
@@ -172,7 +173,7 @@
 // New makes a scheduler without memory. The terms have been checked.
 func New(t Terms, now Time) *Core {
 	c := &Core{t: t, rand: rand.New(rand.NewPCG(t.Chance, t.Nonce^0x636f70696573)), now: now,
-		voters: map[string]Life{}, former: map[string]Life{}, looks: map[string]*look{}, records: map[string]*Record{}, byDigest: map[uint64]*Record{}, fetching: map[uint64]Time{}, wants: map[uint64]*want{}, mine: map[uint64]*want{}, tells: map[uint64]*told{},
+		voters: map[string]Life{}, former: map[string]Life{}, looks: map[string]*look{}, records: map[string]*Record{}, ages: map[Time][]*Record{}, oldest: secondOf(now), byDigest: map[uint64]*Record{}, fetching: map[uint64]Time{}, wants: map[uint64]*want{}, mine: map[uint64]*want{}, tells: map[uint64]*told{},
 		gone: map[string]bool{}, counts: map[string]uint64{}, first: 1}
 	c.goBy(keepers.ByFile(t.Keepers))
 	return c
--- a/internal/copies/keeper.go
+++ b/internal/copies/keeper.go
@@ -171,13 +171,8 @@
 		age := Time(min(x.Age, uint64(c.t.Remember/second))) * second
 		r = &Record{Key: x.Key, Print: x.Print, since: c.now - age}
 		c.records[x.Key] = r
-		i, _ := slices.BinarySearchFunc(c.ages, r.since, func(a *Record, t Time) int {
-			if a.since <= t { // behind those of the same moment: before them, a million of one moment would be moved a million times
-				return -1
-			}
-			return 1
-		})
-		c.ages = slices.Insert(c.ages, i, r)
+		k := secondOf(r.since)
+		c.ages[k], c.oldest = append(c.ages[k], r), min(c.oldest, k)
 	} else {
 		c.size -= r.size()
 		c.hide(r)
@@ -255,19 +250,29 @@
 	return x
 }
 
-// forget drops records in the order in which they were first heard of, when their time is over.
+// forget drops records in the order in which they were first heard of, by whole seconds, when their time is over: ages are told in whole
+// seconds, and a million of one moment in their exact order cost a move of all for each.
 func (c *Core) forget() {
-	for len(c.ages) > 0 && c.now-c.ages[0].since >= c.t.Remember {
-		r := c.ages[0]
-		c.ages = c.ages[1:]
-		c.size -= r.size()
-		c.hide(r)
-		delete(c.records, r.Key)
-		if c.lasting {
-			c.do(Drop{r.Key})
+	for ; (c.oldest+1)*second+c.t.Remember <= c.now; c.oldest++ {
+		for _, r := range c.ages[c.oldest] {
+			c.size -= r.size()
+			c.hide(r)
+			delete(c.records, r.Key)
+			if c.lasting {
+				c.do(Drop{r.Key})
+			}
+			c.order[r.pos-c.first] = nil
 		}
-		c.order[r.pos-c.first] = nil
+		delete(c.ages, c.oldest)
+	}
+}
+
+// secondOf is the second that a moment is in.
+func secondOf(t Time) Time {
+	if t < 0 {
+		t -= second - 1
 	}
+	return t / second
 }
 
 // keep registers with the other keepers, looks at their changes, and begins to vote when that is safe.
