One maker of a port for both, of drawn numbers and of record digests; no idle work per message

Found on reading the change again. between.Free wrote newMouth's loop a second time: both call one that opens the two sockets. fates drew eight bytes at three places: one function. A record's digest was hashed again whenever it was listed, and twice for each change: it stands in the record now. begin counted keepers at every message of a keeper that votes and whose set is settled, where nothing is left to begin. With sync on, the agreement's state was synced twice. The span to the next look, what is unknown of some digests and the names of seats stood at two to three places each, the door's ticket in two variables; the lab had an own comparison of two lists.

No test was changed.

--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -173,8 +173,10 @@
 // New makes a scheduler without memory. The terms have been checked.
 func New(t Terms, now Time) *Core {
 	c := &Core{t: t, rand: rand.New(rand.NewPCG(t.Chance, t.Nonce^0x636f70696573)), now: now,
-		voters: map[string]Life{}, former: map[string]Life{}, looks: map[string]*look{}, records: map[string]*Record{}, ages: map[Time][]*Record{}, oldest: secondOf(now), byDigest: map[uint64]*Record{}, fetching: map[uint64]Time{}, wants: map[uint64]*want{}, mine: map[uint64]*want{}, tells: map[uint64]*told{},
-		gone: map[string]bool{}, counts: map[string]uint64{}, first: 1}
+		voters: map[string]Life{}, former: map[string]Life{}, looks: map[string]*look{},
+		records: map[string]*Record{}, byDigest: map[uint64]*Record{}, fetching: map[uint64]Time{}, first: 1,
+		ages: map[Time][]*Record{}, oldest: secondOf(now),
+		wants: map[uint64]*want{}, mine: map[uint64]*want{}, tells: map[uint64]*told{}, gone: map[string]bool{}, counts: map[string]uint64{}}
 	c.goBy(keepers.ByFile(t.Keepers))
 	return c
 }
@@ -434,8 +436,8 @@
 	return slices.ContainsFunc(all.Fates, func(f Fate) bool { return f.Stage == Claimed && f.Claim != w.claim && !c.gone[f.By] })
 }
 
-// bind asks for an op anew that may have run for a scheduler that is gone or has given it up, bound to the group where it did, while that drops repeats. It
-// tells whether it does. An age that is answered was true at some moment after this was asked: so the way of the answer is in it.
+// bind asks for an op anew that may have run for a scheduler that is gone or has given it up, bound to the group where it did, while that
+// drops repeats. It tells whether it does. An age that is answered was true at some moment after this was asked: so the way of the answer is in it.
 func (c *Core) bind(w *want, all *Record, other bool) bool {
 	f, stands := all.stands(w.claim)
 	if _, ended := all.ended(); w.Window == 0 || w.bound != "" || other || ended || !stands || c.runs(w, all) || !all.bound(w.claim, f.Where) {
@@ -619,7 +621,8 @@
 
 // Shown is the state as of now.
 func (c *Core) Shown() Shown {
-	s := Shown{Epoch: fmt.Sprintf("%016x", c.epoch), Turn: c.set.Turn, Keepers: c.set.New, Before: c.set.Old, Ready: c.ready, Keeper: c.keeper, Voting: c.voting && c.serving, Records: len(c.records),
+	s := Shown{Epoch: fmt.Sprintf("%016x", c.epoch), Turn: c.set.Turn, Keepers: c.set.New, Before: c.set.Old, Ready: c.ready,
+		Keeper: c.keeper, Voting: c.voting && c.serving, Records: len(c.records),
 		Bytes: c.size, Asking: len(c.wants), Mine: len(c.mine), Telling: len(c.tells), Digest: fmt.Sprintf("%016x", c.Digest()),
 		Counts: map[string]uint64{}, Looks: []Look{}}
 	for _, k := range c.all {
--- a/internal/copies/keeper.go
+++ b/internal/copies/keeper.go
@@ -122,9 +122,8 @@
 			return
 		}
 		if !r.protects() {
-			c.hide(r)
 			r.Print = x.Record.Print // nothing of what came before ran
-			c.show(r)
+			c.stamp(r)
 		}
 	}
 	x.Record.Fates = []Fate{{Claim: claim, Stage: Claimed, Voted: true, Where: x.Record.Fates[0].Where}}
@@ -175,7 +174,6 @@
 		c.ages[k], c.oldest = append(c.ages[k], r), min(c.oldest, k)
 	} else {
 		c.size -= r.size()
-		c.hide(r)
 		if x.Print != r.Print {
 			if r.protects() && (&x).protects() {
 				c.count("breach: two requests under one id")
@@ -201,7 +199,7 @@
 		}
 	}
 	c.size += r.size()
-	c.show(r)
+	c.stamp(r)
 	if changed {
 		if c.move(r); c.lasting {
 			c.do(Keep{c.aged(r)})
@@ -209,17 +207,18 @@
 	}
 }
 
-// show and hide keep the digests as records change.
-func (c *Core) show(r *Record) {
-	d := r.digest()
-	c.digest ^= d
-	c.byDigest[d] = r
+// stamp keeps the digests after a record has changed.
+func (c *Core) stamp(r *Record) {
+	c.unstamp(r)
+	r.sum = r.digest()
+	c.digest ^= r.sum
+	c.byDigest[r.sum] = r
 }
 
-func (c *Core) hide(r *Record) {
-	d := r.digest()
-	c.digest ^= d
-	delete(c.byDigest, d)
+// unstamp takes a record out of the digests.
+func (c *Core) unstamp(r *Record) {
+	c.digest ^= r.sum
+	delete(c.byDigest, r.sum)
 }
 
 // move puts a record at the end of the order of changes.
@@ -256,7 +255,7 @@
 	for ; (c.oldest+1)*second+c.t.Remember <= c.now; c.oldest++ {
 		for _, r := range c.ages[c.oldest] {
 			c.size -= r.size()
-			c.hide(r)
+			c.unstamp(r)
 			delete(c.records, r.Key)
 			if c.lasting {
 				c.do(Drop{r.Key})
@@ -300,8 +299,8 @@
 // vote counts beside this one's. Where too few others vote, it waits until all that may have been granted is over. While keepers change
 // these others are of the old part, without whose majority nothing is granted.
 func (c *Core) begin() {
-	if !c.keeper {
-		return
+	if !c.keeper || (c.voting || c.unkept) && !c.set.Joint() {
+		return // nothing is left to begin: this stands in the way of every message
 	}
 	part := c.set.Parts()[0]
 	others := keepers.Count(part, func(k string) bool { return k != c.t.Name })
@@ -506,7 +505,7 @@
 	at := max(in.Since+1, c.first)
 	for ; at-c.first < uint64(len(c.order)) && len(x.Digests) < pieceDigests; at++ {
 		if r := c.order[at-c.first]; r != nil {
-			x.Digests = append(x.Digests, r.digest())
+			x.Digests = append(x.Digests, r.sum)
 		}
 	}
 	x.Next, x.More = at-1, at-c.first < uint64(len(c.order))
@@ -529,12 +528,7 @@
 		return // of an earlier look
 	}
 	l.to, l.more, l.voting, l.ready = in.Next, in.More, in.Voting, in.Ready
-	l.lacks = l.lacks[:0]
-	for _, d := range in.Digests {
-		if c.byDigest[d] == nil {
-			l.lacks = append(l.lacks, d)
-		}
-	}
+	l.lacks = c.unknown(slices.Clone(in.Digests))
 	c.lookOn(in.From, l, 8*len(in.Digests))
 }
 
@@ -552,7 +546,7 @@
 	}
 	switch {
 	case len(l.lacks) == 0 && !l.more:
-		l.next = c.now + c.t.Pull/2 + Time(c.rand.Int64N(int64(c.t.Pull)))
+		l.next = c.nextLook()
 		if l.seen && c.lasting && c.voting {
 			l.seen = false
 			c.do(Seen{name, l.of, l.since})
@@ -565,10 +559,18 @@
 	c.begin()
 }
 
+// nextLook is when another keeper is looked at again.
+func (c *Core) nextLook() Time { return c.now + c.t.Pull/2 + Time(c.rand.Int64N(int64(c.t.Pull))) }
+
+// unknown are those of some digests of which no record stands here, in their place.
+func (c *Core) unknown(digests []uint64) []uint64 {
+	return slices.DeleteFunc(digests, func(d uint64) bool { return c.byDigest[d] != nil })
+}
+
 // pull asks for what is lacking, or for what comes next; again after a while, where no answer comes.
 func (c *Core) pull(name string, l *look) {
-	l.next = c.now + c.t.Pull/2 + Time(c.rand.Int64N(int64(c.t.Pull)))
-	l.lacks = slices.DeleteFunc(l.lacks, func(d uint64) bool { return c.byDigest[d] != nil })
+	l.next = c.nextLook()
+	l.lacks = c.unknown(l.lacks)
 	if len(l.lacks) > 0 {
 		ask := slices.Collect(func(yield func(uint64) bool) {
 			for _, d := range l.lacks {
@@ -650,7 +652,7 @@
 		l.mark = max(l.mark, in.Next)
 	}
 	before := len(l.lacks)
-	l.lacks = slices.DeleteFunc(l.lacks, func(d uint64) bool { return gone[d] || c.byDigest[d] != nil })
+	l.lacks = c.unknown(slices.DeleteFunc(l.lacks, func(d uint64) bool { return gone[d] }))
 	if len(l.lacks) < before { // else it is the answer to an earlier one
 		c.lookOn(in.From, l, size)
 	}
--- a/internal/copies/record.go
+++ b/internal/copies/record.go
@@ -91,6 +91,7 @@
 
 	since Time
 	pos   uint64 // in the order of changes here
+	sum   uint64 // its digest, as it stands in that of all
 }
 
 func compareClaims(a, b Claim) int {
--- a/internal/fates/fates.go
+++ b/internal/fates/fates.go
@@ -74,13 +74,13 @@
 // New makes a process's part at a moment of the clock that it will run by; it does nothing before Start. A process that took over says
 // how many did before it.
 func New(t *Table, name string, chance, heirs uint64, now members.Time, log zerolog.Logger) (*Fates, error) {
-	var room [8]byte
-	if _, err := crand.Read(room[:]); err != nil {
-		return nil, fmt.Errorf("copies: %w", err)
+	nonce, err := drawn()
+	if err != nil {
+		return nil, err
 	}
 	f := &Fates{table: t, log: log, in: make(chan input, mostWaiting), calls: make(chan func()), quit: make(chan struct{}),
 		ended: make(chan struct{}), waiting: map[uint64]chan copies.Decided{}, staff: map[uint64]chan keepers.Told{}, heirs: heirs}
-	f.core = copies.New(t.terms(name, chance, binary.BigEndian.Uint64(room[:])|1), now)
+	f.core = copies.New(t.terms(name, chance, nonce), now)
 	keeper := slices.Contains(t.Keepers, name)
 	if t.Agreed && keeper && t.Path == "" {
 		return nil, errors.New("copies: agreed: a keeper has to have a path for what must last")
@@ -94,6 +94,15 @@
 	return f, nil
 }
 
+// drawn is a number that no other process draws, and no seed; never 0, nor one of those that the agreement's library keeps for itself.
+func drawn() (uint64, error) {
+	var room [8]byte
+	if _, err := crand.Read(room[:]); err != nil {
+		return 0, fmt.Errorf("copies: %w", err)
+	}
+	return binary.BigEndian.Uint64(room[:])>>1 | 1, nil
+}
+
 // open opens the place where records last. A file that can't be read ends the start: a keeper that goes on without what it granted must
 // be one that has been told to, by taking the file away.
 func (f *Fates) open(name string, chance uint64, now members.Time) (err error) {
@@ -128,12 +137,9 @@
 func (f *Fates) openAgreement(name string, chance uint64, now members.Time) error {
 	state, ok, err := f.shelf.Agreement()
 	if err == nil && !ok {
-		var room [8]byte
-		if _, err := crand.Read(room[:]); err != nil {
-			return fmt.Errorf("copies: %w", err)
+		if state.Seat, err = drawn(); err == nil {
+			err = f.shelf.Agree(state)
 		}
-		state = keepers.State{Seat: binary.BigEndian.Uint64(room[:])>>1 | 1}
-		err = f.shelf.Agree(state)
 	}
 	if err != nil {
 		return err
@@ -406,11 +412,11 @@
 	if !f.table.Agreed {
 		return no("keepers do not change by agreement here: copies.agreed is not set", false)
 	}
-	var room [8]byte
-	if _, err := crand.Read(room[:]); err != nil {
+	ticket, err := drawn()
+	if err != nil {
 		return no(err.Error(), false)
 	}
-	ticket, c := binary.BigEndian.Uint64(room[:])|1, make(chan keepers.Told, 1)
+	c := make(chan keepers.Told, 1)
 	f.mu.Lock()
 	full := len(f.staff) >= mostStaff
 	if !full {
--- a/internal/front/fates.go
+++ b/internal/front/fates.go
@@ -33,8 +33,8 @@
 	f.fates, f.guarded, f.loop.fates = by, needs, by
 }
 
-// guard asks for an op. It returns the ticket to end it with, or the answer in place of taking it.
-func (f *Front) guard(r *http.Request, h *held) (ticket uint64, no *http.Response) {
+// guard asks for an op. It sets the ticket to end it with, or returns the answer in place of taking it.
+func (f *Front) guard(r *http.Request, h *held) (no *http.Response) {
 	left := time.Duration(int64(h.TTL)*int64(time.Second/10_000) - f.loop.clock.nanos(time.Now()))
 	window, scope := f.inForce.Load().Repeats(h.Category)
 	request := append(append([]byte(h.target), 0), h.request.Body...)
@@ -42,27 +42,27 @@
 	f.log.Debug().Str("id", h.ID).Stringer("outcome", d.Outcome).Stringer("why", d.Why).Msg("asked for")
 	switch d.Outcome {
 	case copies.Mine:
-		h.scope = scope
+		h.ticket, h.scope = d.Ticket, scope
 		if d.Fate.Where != "" {
 			at := terms.Down(f.loop.clock.nanos(time.Now())) - dispatch.Time(d.Fate.Age)
 			h.Ran, h.placed = &ops.Ran{Group: groupOf(d.Fate.Where), At: at}, true
 		}
-		return d.Ticket, nil
+		return nil
 	case copies.Again:
-		return 0, plain(r, int(d.Fate.Verdict), d.Fate.Result, 0)
+		return plain(r, int(d.Fate.Verdict), d.Fate.Result, 0)
 	case copies.Ran:
 		if d.Fate.Verdict == http.StatusOK {
-			return 0, plain(r, http.StatusConflict, []byte("an op with this id was acked; its answer is not held\n"), 0)
+			return plain(r, http.StatusConflict, []byte("an op with this id was acked; its answer is not held\n"), 0)
 		}
-		return 0, plain(r, http.StatusBadGateway, []byte("dead-lettered: an op with this id may have run\n"), 0)
+		return plain(r, http.StatusBadGateway, []byte("dead-lettered: an op with this id may have run\n"), 0)
 	case copies.Runs:
-		return 0, plain(r, http.StatusServiceUnavailable, []byte("nacked: another scheduler holds an op with this id\n"), comeBack)
+		return plain(r, http.StatusServiceUnavailable, []byte("nacked: another scheduler holds an op with this id\n"), comeBack)
 	case copies.Unknown:
-		return 0, plain(r, http.StatusBadGateway, []byte("dead-lettered: an op with this id may have run, and its scheduler is gone\n"), 0)
+		return plain(r, http.StatusBadGateway, []byte("dead-lettered: an op with this id may have run, and its scheduler is gone\n"), 0)
 	case copies.Other:
-		return 0, plain(r, http.StatusUnprocessableEntity, []byte("another request came under this id\n"), 0)
+		return plain(r, http.StatusUnprocessableEntity, []byte("another request came under this id\n"), 0)
 	}
-	return 0, plain(r, http.StatusServiceUnavailable, []byte("nacked: no majority of keepers answered\n"), comeBack)
+	return plain(r, http.StatusServiceUnavailable, []byte("nacked: no majority of keepers answered\n"), comeBack)
 }
 
 // whereOf names the group of a push, by what its category's repeats are dropped by.
@@ -103,19 +103,18 @@
 
 // settle has the keepers know what became of an op that was asked for.
 func (f *Front) settle(h *held, a ops.Answer) {
-	ticket := h.ticket
 	switch a.Verdict {
 	case ops.Acked:
-		f.fates.End(ticket, false, http.StatusOK, a.Result)
+		f.fates.End(h.ticket, false, http.StatusOK, a.Result)
 	case ops.Nacked:
 		if h.placed { // it may have run: its group drops a repeat, for a while, and nobody else does
-			f.fates.GiveUp(ticket)
+			f.fates.GiveUp(h.ticket)
 			return
 		}
-		f.fates.End(ticket, true, 0, nil)
+		f.fates.End(h.ticket, true, 0, nil)
 	case ops.UnknownCategory, ops.TakenID:
-		f.fates.End(ticket, true, 0, nil)
+		f.fates.End(h.ticket, true, 0, nil)
 	default:
-		f.fates.End(ticket, false, http.StatusBadGateway, []byte("dead-lettered\n"))
+		f.fates.End(h.ticket, false, http.StatusBadGateway, []byte("dead-lettered\n"))
 	}
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -370,13 +370,10 @@
 	if !ok {
 		return nil, errors.New("a request that holds no op")
 	}
-	ticket := uint64(0)
 	if f.fates != nil && f.guarded(h.Category) {
-		var no *http.Response
-		if ticket, no = f.guard(r, h); no != nil {
+		if no := f.guard(r, h); no != nil {
 			return no, nil
 		}
-		h.ticket = ticket
 	}
 	h.Op, h.request.Head = f.numbers.Add(1), requestHead(r, h)
 	f.loop.in <- message{in: h.Arrived, held: h}
@@ -385,14 +382,14 @@
 		if a.Verdict == ops.Acked {
 			f.clients.Served(r.Context())
 		}
-		if ticket != 0 {
+		if h.ticket != 0 {
 			f.settle(h, a)
 		}
 		return response(r, a), nil
 	case <-r.Context().Done():
 		f.loop.tell(ops.Left{Op: h.Op})
-		if ticket != 0 {
-			f.fates.End(ticket, false, 0, nil) // it may have run; nobody knows
+		if h.ticket != 0 {
+			f.fates.End(h.ticket, false, 0, nil) // it may have run; nobody knows
 		}
 		return nil, r.Context().Err()
 	}
--- a/internal/keepers/keepers.go
+++ b/internal/keepers/keepers.go
@@ -58,15 +58,14 @@
 }
 
 const (
-	mostSpares  = 64
-	mostNames   = 4096 // members whose presence is known: as many as the view has by default
-	longName    = 512
-	logLength   = 64   // entries before what is settled is put into a snapshot
-	roundSize   = 4096 // of entries in one message
-	askAgain    = 200 * ms
-	snapBeats   = 5  // for a snapshot to be taken
-	beats       = 10 // without a majority, after which who leads stands back
-	looksSecond = second
+	mostSpares = 64
+	mostNames  = 4096 // members whose presence is known: as many as the view has by default
+	longName   = 512
+	logLength  = 64   // entries before what is settled is put into a snapshot
+	roundSize  = 4096 // of entries in one message
+	askAgain   = 200 * ms
+	snapBeats  = 5  // for a snapshot to be taken
+	beats      = 10 // without a majority, after which who leads stands back
 )
 
 // Fit tells what is wrong with a list of keepers.
@@ -269,13 +268,18 @@
 	if err := cbor.Unmarshal(s.Data, &x); err != nil {
 		panic(err)
 	}
-	for _, seat := range x.Seats {
-		c.names[seat.ID] = seat.Name
-	}
+	c.name(x.Seats)
 	c.applied, c.conf = s.Metadata.Index, s.Metadata.ConfState
 	c.settle(x.Turn)
 }
 
+// name notes whose seats these are.
+func (c *Core) name(seats []Seat) {
+	for _, x := range seats {
+		c.names[x.ID] = x.Name
+	}
+}
+
 // settled is what a snapshot holds beside the voters.
 type settled struct {
 	Turn  uint64
@@ -357,9 +361,7 @@
 				panic(err)
 			}
 		}
-		for _, x := range seats {
-			c.names[x.ID] = x.Name
-		}
+		c.name(seats)
 		was := c.votes()
 		c.conf = *c.node.ApplyConfChange(change)
 		c.settle(e.Index)
@@ -386,9 +388,7 @@
 		panic(err)
 	}
 	clear(c.names)
-	for _, x := range seats {
-		c.names[x.ID] = x.Name
-	}
+	c.name(seats)
 	c.keep()
 }
 
@@ -475,7 +475,7 @@
 		}
 	}
 	if c.now >= c.look {
-		c.look = c.now + looksSecond
+		c.look = c.now + second
 		c.lookRound()
 	}
 	c.askOn()
--- a/internal/lab/between/net.go
+++ b/internal/lab/between/net.go
@@ -100,48 +100,50 @@
 	return x, nil
 }
 
+// both opens the two sockets of a port that is free for datagrams and for streams.
+func both(at netip.Addr) (*net.UDPConn, net.Listener, error) {
+	var last error
+	for range 20 {
+		udp, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(at, 0)))
+		if err != nil {
+			return nil, nil, fmt.Errorf("links between schedulers: %w", err)
+		}
+		tcp, err := net.Listen("tcp4", udp.LocalAddr().String())
+		if err == nil {
+			return udp, tcp, nil
+		}
+		last = err
+		udp.Close()
+	}
+	return nil, nil, fmt.Errorf("links between schedulers: %w", last)
+}
+
 // Free is a port of an address that is free for datagrams and for streams, other than some: one that is free for datagrams alone may be
 // what another of the same scheduler's listeners was given, and then it does not start.
 func Free(at netip.Addr, but ...string) (netip.AddrPort, error) {
-	var last error
-	for range 50 {
-		udp, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(at, 0)))
+	for range 20 {
+		udp, tcp, err := both(at)
 		if err != nil {
 			return netip.AddrPort{}, err
 		}
 		free := udp.LocalAddr().(*net.UDPAddr).AddrPort()
-		tcp, err := net.Listen("tcp4", free.String())
 		udp.Close()
-		if last = err; err != nil {
-			continue
-		}
 		if tcp.Close(); !slices.Contains(but, free.String()) {
 			return free, nil
 		}
-		last = errTaken
 	}
-	return netip.AddrPort{}, last
+	return netip.AddrPort{}, errTaken
 }
 
 var errTaken = errors.New("links between schedulers: no port is free for both")
 
-// newMouth finds a port that is free for both.
 func newMouth(n int) (*mouth, error) {
-	var last error
-	for range 20 {
-		udp, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(toldAddr(n), 0)))
-		if err != nil {
-			return nil, fmt.Errorf("links between schedulers: %w", err)
-		}
-		tcp, err := net.Listen("tcp4", udp.LocalAddr().String())
-		if err == nil {
-			udp.SetReadBuffer(4 << 20)
-			return &mouth{told: udp.LocalAddr().String(), udp: udp, tcp: tcp}, nil
-		}
-		last = err
-		udp.Close()
+	udp, tcp, err := both(toldAddr(n))
+	if err != nil {
+		return nil, err
 	}
-	return nil, fmt.Errorf("links between schedulers: %w", last)
+	udp.SetReadBuffer(4 << 20)
+	return &mouth{told: udp.LocalAddr().String(), udp: udp, tcp: tcp}, nil
 }
 
 // Bound is the address that the n-th scheduler binds.
--- a/internal/lab/play/keepers.go
+++ b/internal/lab/play/keepers.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/url"
+	"slices"
 	"strings"
 	"time"
 
@@ -24,6 +25,7 @@
 	for _, n := range t.Targets {
 		names = append(names, fmt.Sprintf("n%d", n+1))
 	}
+	slices.Sort(names) // as the program shows them
 	began := time.Now()
 	for k := 0; time.Since(began) < span; k++ {
 		s := r.schedulers[(k+t.Fault)%len(r.schedulers)]
@@ -35,7 +37,7 @@
 			time.Sleep(changeEvery)
 			continue
 		}
-		if len(c.Before) == 0 && same(c.Keepers, names) {
+		if len(c.Before) == 0 && slices.Equal(c.Keepers, names) {
 			r.mu.Lock()
 			r.changed = append(r.changed, time.Since(began))
 			r.mu.Unlock()
@@ -50,19 +52,6 @@
 	return nil
 }
 
-func same(a, b []string) bool {
-	in := map[string]bool{}
-	for _, x := range a {
-		in[x] = true
-	}
-	for _, x := range b {
-		if !in[x] {
-			return false
-		}
-	}
-	return len(a) == len(b)
-}
-
 // shownCopies is what a scheduler shows of its copies, in the program's published form.
 type shownCopies struct {
 	Turn    uint64            `json:"turn"`
--- a/internal/shelf/shelf.go
+++ b/internal/shelf/shelf.go
@@ -169,7 +169,10 @@
 	if err == nil {
 		err = s.db.Update(func(tx *bbolt.Tx) error { return tx.Bucket(metaName).Put(agreedKey, text) })
 	}
-	return errors.Join(err, s.db.Sync())
+	if err != nil || !s.db.NoSync {
+		return err
+	}
+	return s.db.Sync()
 }
 
 // Keep puts records in and takes others out, all in one step; when it returns without an error they last.
