Lab clients wait in one way, and drawn plays read their seeds in one

A client's wait before its next try stood twice, in wish and insist, and what SEED and PLAYS say was read twice in the tests of the plays. One function each; the same draws in the same order, the same waits, no assertion changed.

--- a/internal/copies/play/change_test.go
+++ b/internal/copies/play/change_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"fmt"
-	"os"
 	"slices"
-	"strconv"
 	"strings"
 	"testing"
 
@@ -321,13 +319,7 @@
 
 // Whatever fails while keepers change, and whenever, no op is given to two schedulers; and at rest all go by one set.
 func TestDrawnChangesOfKeepers(t *testing.T) {
-	first, last := uint64(1), uint64(24)
-	if v, err := strconv.ParseUint(os.Getenv("PLAYS"), 10, 64); err == nil {
-		last = v
-	}
-	if v, err := strconv.ParseUint(os.Getenv("SEED"), 10, 64); err == nil {
-		first, last = v, v
-	}
+	first, last := seeds(24)
 	granted, turns := 0, 0
 	for seed := first; seed <= last; seed++ {
 		p := New(7, 3, seed)
--- a/internal/copies/play/play_test.go
+++ b/internal/copies/play/play_test.go
@@ -31,15 +31,20 @@
 	return 0
 }
 
-// Whatever fails, and whenever: no op is given to two schedulers. SEED repeats a seed that failed, PLAYS plays more.
-func TestDrawnTroubles(t *testing.T) {
-	first, last := uint64(1), uint64(90)
-	if v, err := strconv.ParseUint(os.Getenv("PLAYS"), 10, 64); err == nil {
-		last = v
-	}
+// seeds are the first and the last to play: so many, or what SEED or PLAYS says.
+func seeds(plays uint64) (first, last uint64) {
 	if v, err := strconv.ParseUint(os.Getenv("SEED"), 10, 64); err == nil {
-		first, last = v, v
+		return v, v
+	}
+	if v, err := strconv.ParseUint(os.Getenv("PLAYS"), 10, 64); err == nil {
+		plays = v
 	}
+	return 1, plays
+}
+
+// Whatever fails, and whenever: no op is given to two schedulers. SEED repeats a seed that failed, PLAYS plays more.
+func TestDrawnTroubles(t *testing.T) {
+	first, last := seeds(90)
 	granted := 0
 	for seed := first; seed <= last; seed++ {
 		keepers := 3
--- a/internal/lab/clients/clients.go
+++ b/internal/lab/clients/clients.go
@@ -187,20 +187,27 @@
 		if !c.again(t, end) || k >= c.plan.Clients.Retries || ctx.Err() != nil {
 			return
 		}
-		wait := c.wait(r, w, k, end)
-		due = time.Now().Add(wait)
-		if until.Sub(due) < leastTry {
-			return
-		}
-		select {
-		case <-time.After(wait):
-		case <-ctx.Done():
+		var ok bool
+		if due, ok = c.rest(ctx, c.wait(r, w, k, end), until); !ok {
 			return
 		}
 		at = r.IntN(len(c.addrs)) // the front deals it out anew
 	}
 }
 
+// rest waits before a client's next try and tells when that is due; false where it would come too late, or the run ends.
+func (c *Crowd) rest(ctx context.Context, wait time.Duration, until time.Time) (due time.Time, ok bool) {
+	if due = time.Now().Add(wait); until.Sub(due) < leastTry {
+		return due, false
+	}
+	select {
+	case <-time.After(wait):
+		return due, true
+	case <-ctx.Done():
+		return due, false
+	}
+}
+
 // insist asks for an op under one id until it has a final answer: first at one scheduler, then at others, now and then at two at once.
 func (c *Crowd) insist(ctx context.Context, effect string, w *script.Wish, due, until time.Time, r *rand.Rand) {
 	cat := &c.plan.Categories[w.Category]
@@ -229,14 +236,8 @@
 		if end.kind == ledger.Left || end.kind == ledger.Answer && end.which != ledger.Nacked || ctx.Err() != nil {
 			return
 		}
-		wait := c.wait(r, w, k-1, end)
-		due := time.Now().Add(wait)
-		if until.Sub(due) < leastTry {
-			return
-		}
-		select {
-		case <-time.After(wait):
-		case <-ctx.Done():
+		due, ok := c.rest(ctx, c.wait(r, w, k-1, end), until)
+		if !ok {
 			return
 		}
 		at, ok := elsewhere()
