Nothing is sent on for a client that has left, however and whenever it left

Seen, by the new tests on the lines before: (a) ops.leave closed a push only where the settings allow a cancel, so one that was dialling was written when the connection came up (test TestADialThatOutlastsItsClientIsNotWrittenTo, cancel false); (b) net/http reads one byte to see a client leave and looks no more once it has it, so a client that had sent a byte, or a whole next request over 4 KiB, and left was never seen to leave; (c) an op that lay before a busy loop, with its client's leaving behind it, was pushed at once where no probe is waited for; (d) a grant of the fates that crossed the leaving was ended as "may have run". Ruled out: the wait for probes and for a second look (the module drops the op at Left), a body of length 0, chunks, FIN against reset: these were seen before, and have their rows now. Change: guests answers the server's one-byte watch with the end alone (what comes before it stays in the kernel for the next request; the TCP state tells of an end behind unread bytes); an unwritten push is kept back whatever the settings say of cancels, and asks once more just before its first byte; the door and the loop hand on nothing for a client that has gone; no handler waits for a loop that has ended. A connection that was opened for nothing is kept. Also: a push that this side closed while it was written is Unwritten, not the worker's failure. Measured: tests pass with -race.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -30,11 +31,12 @@
 
 // Pool is all connections to workers.
 type Pool struct {
-	bounds Bounds
-	mu     sync.Mutex
-	idle   map[string][]*conn // by address, the last used at the end
-	open   int                // with those that are being dialled
-	dialed int
+	Connect func(ctx context.Context, network, addr string) (net.Conn, error) // set before use; nil: the network's own
+	bounds  Bounds
+	mu      sync.Mutex
+	idle    map[string][]*conn // by address, the last used at the end
+	open    int                // with those that are being dialled
+	dialed  int
 }
 
 // New makes a pool without connections.
@@ -123,9 +125,19 @@
 
 func (p *Pool) put(c *conn) {
 	c.since = time.Now()
+	p.back(c)
+}
+
+// back keeps a connection that was not used as it was: for its worker it has stood idle all the while.
+func (p *Pool) back(c *conn) {
 	p.mu.Lock()
-	p.idle[c.addr] = append(p.idle[c.addr], c)
-	p.mu.Unlock()
+	defer p.mu.Unlock()
+	few := p.idle[c.addr]
+	k := len(few)
+	for k > 0 && few[k-1].since.After(c.since) {
+		k--
+	}
+	p.idle[c.addr] = slices.Insert(few, k, c)
 }
 
 func (p *Pool) drop(c *conn) {
@@ -151,10 +163,13 @@
 	if !p.room() {
 		return nil, ending.NoDescriptor
 	}
-	d := net.Dialer{Timeout: p.bounds.Dial, KeepAlive: -1}
-	nc, err := d.DialContext(ctx, "tcp", addr)
+	connect := p.Connect
+	if connect == nil {
+		connect = (&net.Dialer{Timeout: p.bounds.Dial, KeepAlive: -1}).DialContext
+	}
+	nc, err := connect(ctx, "tcp", addr)
 	if err == nil {
-		return &conn{Conn: nc, r: bufio.NewReaderSize(nc, 4096), addr: addr}, ending.Unknown
+		return &conn{Conn: nc, r: bufio.NewReaderSize(nc, 4096), addr: addr, since: time.Now()}, ending.Unknown
 	}
 	p.mu.Lock()
 	p.open--
--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -22,7 +22,7 @@
 // push pushes once and waits for the end.
 func push(p *Pool, addr string, wait time.Duration) End {
 	ends := make(chan End, 1)
-	p.Push(addr, "a1", request, time.Now().Add(wait), func() {}, func(Line) {}, func(e End) { ends <- e })
+	p.Push(addr, "a1", request, time.Now().Add(wait), always, func() {}, func(Line) {}, func(e End) { ends <- e })
 	return <-ends
 }
 
@@ -135,7 +135,7 @@
 	addr := worker(t, func(net.Conn) { <-hold })
 	p := pool(1)
 	ends := make(chan End, 1)
-	x := p.Push(addr, "a1", request, time.Now().Add(time.Minute), func() {}, func(Line) {}, func(e End) { ends <- e })
+	x := p.Push(addr, "a1", request, time.Now().Add(time.Minute), always, func() {}, func(Line) {}, func(e End) { ends <- e })
 	for open, _ := p.Counts(); open == 0; open, _ = p.Counts() {
 		time.Sleep(time.Millisecond)
 	}
@@ -167,7 +167,7 @@
 		time.Sleep(time.Minute)
 	})
 	told := make(chan Line, 9)
-	x := pool(1).Push(addr, "a1", request, time.Now().Add(time.Minute), func() {}, func(l Line) { told <- l }, func(End) {})
+	x := pool(1).Push(addr, "a1", request, time.Now().Add(time.Minute), always, func() {}, func(l Line) { told <- l }, func(End) {})
 	defer x.Close(false, ending.Withdrawn)
 	select {
 	case l := <-told:
--- a/internal/conns/exchange.go
+++ b/internal/conns/exchange.go
@@ -43,6 +43,7 @@
 type Exchange struct {
 	pool    *Pool
 	stop    context.CancelFunc
+	wanted  func() bool // asked before the first byte
 	mu      sync.Mutex
 	c       *conn
 	written bool
@@ -65,11 +66,12 @@
 	}
 }
 
-// Push writes a request and reads job lines until the last one. It tells once that the request is written whole, notes
-// as they come, and the end once, after the connection is closed or the worker has said its last word on it.
-func (p *Pool) Push(addr, id string, request []byte, limit time.Time, written func(), note func(Line),
+// Push writes a request and reads job lines until the last one. Just before the first byte it asks whether the push is wanted
+// still, and ends Unwritten where it is not: a dial may have outlasted the client's patience. It tells once that the request is
+// written whole, notes as they come, and the end once, after the connection is closed or the worker has said its last word on it.
+func (p *Pool) Push(addr, id string, request []byte, limit time.Time, wanted func() bool, written func(), note func(Line),
 	end func(End)) *Exchange {
-	return p.begin(addr, request, limit, func(c *conn, e End) (*http.Response, End) {
+	return p.begin(addr, request, limit, wanted, func(c *conn, e End) (*http.Response, End) {
 		written()
 		return job(c, id, note, e)
 	}, end)
@@ -77,14 +79,17 @@
 
 // Probe asks a worker for its load.
 func (p *Pool) Probe(addr string, request []byte, limit time.Time, end func(End)) {
-	p.begin(addr, request, limit, load, end)
+	p.begin(addr, request, limit, always, load, end)
 }
 
+func always() bool { return true }
+
 // reader reads an answer, and how the exchange ended from it.
 type reader func(*conn, End) (*http.Response, End)
 
-func (p *Pool) begin(addr string, request []byte, limit time.Time, read reader, end func(End)) *Exchange {
+func (p *Pool) begin(addr string, request []byte, limit time.Time, wanted func() bool, read reader, end func(End)) *Exchange {
 	x, ctx := p.exchange(limit)
+	x.wanted = wanted
 	go func() {
 		defer x.stop()
 		c, e := x.send(ctx, addr, request, limit)
@@ -107,7 +112,7 @@
 
 func (p *Pool) exchange(limit time.Time) (*Exchange, context.Context) {
 	ctx, stop := context.WithDeadline(context.Background(), limit)
-	return &Exchange{pool: p, stop: stop}, ctx
+	return &Exchange{pool: p, stop: stop, wanted: always}, ctx
 }
 
 func (x *Exchange) connect(ctx context.Context, addr string, limit time.Time) (*conn, End) {
@@ -120,6 +125,7 @@
 			return nil, e
 		}
 	}
+	wanted := x.wanted()
 	x.mu.Lock()
 	if x.closed != ending.Unknown {
 		x.mu.Unlock()
@@ -127,6 +133,12 @@
 		e.How = x.closed
 		return nil, e
 	}
+	if !wanted {
+		x.closed, e.How = ending.Unwritten, ending.Unwritten
+		x.mu.Unlock()
+		x.pool.back(c) // nothing was written to it, and opening it was paid for
+		return nil, e
+	}
 	x.c, x.written = c, true // from here on nothing keeps it from being written
 	x.mu.Unlock()
 	c.SetDeadline(limit)
@@ -152,6 +164,11 @@
 	if n, err := c.Write(request); err != nil && n < len(request) {
 		x.pool.drop(c)
 		e.How = ending.PartWritten
+		x.mu.Lock()
+		if x.closed != ending.Unknown {
+			e.How = ending.Unwritten // this side closed it: nothing of that is the worker's doing
+		}
+		x.mu.Unlock()
 		return nil, e
 	}
 	return c, e
--- a/internal/front/door.go
+++ b/internal/front/door.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -13,6 +14,7 @@
 
 	"woaddyke/dispatch"
 	"woaddyke/internal/conns"
+	"woaddyke/internal/guests"
 	"woaddyke/internal/ops"
 	"woaddyke/internal/terms"
 )
@@ -35,6 +37,7 @@
 	target  string          // as the client wrote it
 	request conns.Request   // to workers
 	answer  chan ops.Answer // has room for the one answer
+	client  context.Context // of the request: it ends when the client is seen to leave
 
 	ticket uint64    // of the fates; 0 for an op that was not asked for
 	scope  string    // of the group that drops its repeats; empty for none
@@ -42,6 +45,10 @@
 	placed bool      // the fates know where it may have run
 }
 
+// waits tells whether the client is there still: nothing is sent on for one that has left. The server's own word of that may
+// be a moment late, so the connection is looked at too.
+func (h *held) waits() bool { return h.client.Err() == nil && !guests.Left(h.client) }
+
 // refusal is what a client is told whose request is no op.
 type refusal struct {
 	status int
@@ -57,7 +64,7 @@
 	if r.Method != http.MethodPost {
 		return nil, &refusal{http.StatusMethodNotAllowed, "ops come by POST"}
 	}
-	h := &held{target: r.RequestURI, answer: make(chan ops.Answer, 1)}
+	h := &held{target: r.RequestURI, answer: make(chan ops.Answer, 1), client: r.Context()}
 	if h.ID = r.Header.Get(idHeader); h.ID == "" {
 		return nil, bad("no %s", idHeader)
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -71,6 +71,8 @@
 
 type heldKey struct{}
 
+var errEnded = errors.New("the scheduler has ended")
+
 // New makes a scheduler from what it is told at its start.
 func New(sheet *terms.Sheet, log zerolog.Logger) (*Front, error) {
 	f := &Front{sheet: sheet, log: log, ready: make(chan struct{})}
@@ -91,6 +93,7 @@
 		tally:     f.tally,
 		shows:     sheet.Console != "",
 		listed:    make(chan struct{}),
+		ended:     make(chan struct{}),
 		held:      map[uint64]*held{},
 		out:       map[uint64]*conns.Exchange{},
 		wake:      time.NewTimer(0),
@@ -146,15 +149,12 @@
 		go f.loop.peers.hear(f.loop.tell)
 	}
 	go f.roster.Keep(watching)
-	quit, ended := make(chan struct{}), make(chan struct{})
+	quit := make(chan struct{})
 	defer func() {
 		close(quit)
-		<-ended // its last counts are logged by then
-	}()
-	go func() {
-		defer close(ended)
-		f.loop.run(quit)
+		<-f.loop.ended // its last counts are logged by then
 	}()
+	go f.loop.run(quit)
 	if f.shared != nil {
 		go f.shared.run(quit)
 	}
@@ -277,7 +277,9 @@
 	came := time.Now()
 	control := http.NewResponseController(w)
 	control.SetWriteDeadline(came.Add(patience))
-	control.SetReadDeadline(came.Add(bodyTime)) // the server itself would wait for the rest of what is refused
+	if r.ContentLength != 0 {
+		control.SetReadDeadline(came.Add(bodyTime)) // the server itself would wait for the rest of what is refused
+	} // without a body the watch for the client's end is on already, and has no deadline
 	if len(r.TransferEncoding) > 0 && !guests.OnlyChunked(r.Context()) {
 		// net/http has dropped a Content-Length beside it. A peer that went by that one would take what follows the
 		// last chunk for body, so nothing more may be read from this connection (RFC 9112, 6.1).
@@ -376,7 +378,12 @@
 		}
 	}
 	h.Op, h.request.Head = f.numbers.Add(1), requestHead(r, h)
-	f.loop.in <- message{in: h.Arrived, held: h}
+	if err := f.hand(h); err != nil {
+		if h.ticket != 0 {
+			f.fates.End(h.ticket, true, 0, nil)
+		}
+		return nil, err
+	}
 	select {
 	case a := <-h.answer:
 		if a.Verdict == ops.Acked {
@@ -386,6 +393,8 @@
 			f.settle(h, a)
 		}
 		return response(r, a), nil
+	case <-f.loop.ended:
+		return nil, errEnded
 	case <-r.Context().Done():
 		f.loop.tell(ops.Left{Op: h.Op})
 		if h.ticket != 0 {
@@ -395,6 +404,21 @@
 	}
 }
 
+// hand gives an op to the loop. One whose client has left by then, at the fates' door or while the loop was busy, is not given.
+func (f *Front) hand(h *held) error {
+	if err := h.client.Err(); err != nil {
+		return err
+	}
+	select {
+	case f.loop.in <- message{in: h.Arrived, held: h}:
+		return nil
+	case <-h.client.Done():
+		return h.client.Err()
+	case <-f.loop.ended:
+		return errEnded
+	}
+}
+
 func response(r *http.Request, a ops.Answer) *http.Response {
 	switch a.Verdict {
 	case ops.Acked:
--- /dev/null
+++ b/internal/front/leave_test.go
@@ -0,0 +1,269 @@
+package front
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"woaddyke/internal/copies"
+	"woaddyke/internal/terms"
+)
+
+// gate is a scheduler whose one worker answers probes only when let, and counts the ops that come.
+type gate struct {
+	front  *Front
+	addr   string
+	probed chan bool   // a probe has come
+	let    chan bool   // answers one
+	pushed chan string // the ids of ops that came
+}
+
+// gated starts one. Nothing is decided on an op before its worker has been let answer: probes may take a minute.
+func gated(t *testing.T, cancel, probes bool) *gate {
+	g := &gate{probed: make(chan bool, 99), let: make(chan bool), pushed: make(chan string, 99)}
+	worker := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			g.probed <- true
+			select {
+			case <-g.let:
+			case <-r.Context().Done():
+			}
+			fmt.Fprintln(w, `{"waiting":0,"running":0}`)
+			return
+		}
+		io.Copy(io.Discard, r.Body)
+		g.pushed <- r.Header.Get(idHeader)
+		done(w, r.Header.Get(idHeader))
+	}))
+	t.Cleanup(worker.Close)
+	sheet := sheetOf(t, fmt.Sprintf(`{"rev":1,"all":true,"targets":[{"uid":"w","endpoint":%q,"state":"SERVING"}]}`,
+		worker.Listener.Addr()))
+	sheet.Site = terms.Flat(map[string]any{
+		"bounds": map[string]any{"maxPushes": 1.0, "cancel": cancel, "probes": probes, "connectTimeoutNs": 60e9},
+		"report": map[string]any{"fields": []any{"waiting", "running"}, "how": "on_probe"},
+		"categories": []any{map[string]any{"name": "look", "effect": "fragile", "ttlNs": 300e9, "targetLatencyNs": 240e9},
+			map[string]any{"name": "asked", "effect": "fragile", "ttlNs": 300e9, "targetLatencyNs": 240e9}}})
+	f, err := New(sheet, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.front = f
+	g.addr, _ = serveUntil(t, f)
+	return g
+}
+
+// none lets what is held go on, and has an op of a client that stays behind it: what was to be sent on before is there by then.
+func (g *gate) none(t *testing.T, step string) {
+	t.Helper()
+	go func() {
+		for {
+			select {
+			case g.let <- true:
+			case <-t.Context().Done():
+				return
+			}
+		}
+	}()
+	for k := range 3 {
+		if resp, _ := post(t, g.addr, "", idHeader+": "+fmt.Sprint(step, k)); resp.StatusCode != http.StatusOK {
+			t.Fatalf("%s: an op of a client that stays: %s", step, resp.Status)
+		}
+		if id := <-g.pushed; id != fmt.Sprint(step, k) {
+			t.Errorf("%s: the op of a client that had left was sent on: %q", step, id)
+			<-g.pushed
+		}
+	}
+}
+
+func (g *gate) await(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for until := time.Now().Add(10 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatalf("%s: never; figures %+v", what, g.front.Figures())
+		}
+	}
+}
+
+func opText(id, framing string) string {
+	return fmt.Sprintf("POST / HTTP/1.1\r\nHost: x\r\n%s: %s\r\n%s: look\r\n%s: 250000\r\n%s", idHeader, id, categoryHeader,
+		timeLeftHeader, framing)
+}
+
+// However a client leaves while its op waits for probes, it is seen, counted as gone, and the op is not sent on. One that had sent
+// a byte of a next request was not seen to leave: the server looks no more once it has that byte.
+func TestNothingIsSentOnForAClientThatLeft(t *testing.T) {
+	const empty, chunked = "Content-Length: 0\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+	for name, x := range map[string]struct {
+		framing, then string
+		leave         func(*net.TCPConn)
+	}{
+		"ends its sending":                 {empty, "", func(c *net.TCPConn) { c.CloseWrite() }},
+		"closes":                           {empty, "", func(c *net.TCPConn) { c.Close() }},
+		"resets":                           {empty, "", func(c *net.TCPConn) { c.SetLinger(0); c.Close() }},
+		"closes after a body":              {"Content-Length: 3\r\n\r\nabc", "", func(c *net.TCPConn) { c.Close() }},
+		"closes after chunks":              {chunked, "", func(c *net.TCPConn) { c.Close() }},
+		"closes after a further byte":      {empty, "P", func(c *net.TCPConn) { c.Close() }},
+		"closes after one and a body":      {"Content-Length: 3\r\n\r\nabc", "P", func(c *net.TCPConn) { c.Close() }},
+		"closes after one and chunks":      {chunked, "P", func(c *net.TCPConn) { c.Close() }},
+		"ends its sending after a byte":    {empty, "P", func(c *net.TCPConn) { c.CloseWrite() }},
+		"resets after a further byte":      {empty, "P", func(c *net.TCPConn) { c.SetLinger(0); c.Close() }},
+		"closes after a whole next one":    {empty, opText("next", empty), func(c *net.TCPConn) { c.Close() }},
+		"closes after one longer than 4 K": {empty, opText("next", "Content-Length: 9000\r\n\r\n"+string(make([]byte, 9000))), func(c *net.TCPConn) { c.Close() }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gated(t, true, true)
+			nc, err := net.Dial("tcp", g.addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			c := nc.(*net.TCPConn)
+			defer c.Close()
+			fmt.Fprint(c, opText("left", x.framing))
+			<-g.probed // the op waits now
+			io.WriteString(c, x.then)
+			x.leave(c)
+			g.await(t, "seen to leave", func() bool {
+				f := g.front.Figures()
+				return f.InFlight == 0 && f.Requests["look"].Gone >= 1 && f.Requests["look"].Failed+f.Requests["look"].Refused == 0
+			})
+			g.none(t, "behind ")
+		})
+	}
+}
+
+// A next request that is there before the answer to the first one is read once that is answered, as it came.
+func TestARequestBehindAnotherIsServedAfterIt(t *testing.T) {
+	g := gated(t, true, true)
+	c, err := net.Dial("tcp", g.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprint(c, opText("first", "Content-Length: 0\r\n\r\n"))
+	<-g.probed
+	fmt.Fprint(c, opText("second", "Content-Length: 3\r\n\r\nabc"))
+	g.let <- true
+	if id := <-g.pushed; id != "first" {
+		t.Fatal(id)
+	}
+	<-g.probed
+	g.let <- true
+	if id := <-g.pushed; id != "second" {
+		t.Fatal(id)
+	}
+}
+
+// An op that lay before a busy loop, with its client's leaving behind it, went to a worker at once where no probe is waited for.
+func TestAnOpWhoseClientLeftInTheBacklogIsNotTaken(t *testing.T) {
+	g := gated(t, false, false)
+	busy, free := make(chan bool), make(chan bool)
+	g.front.loop.in <- message{call: func() { busy <- true; <-free }}
+	<-busy
+	for k, framing := range []string{"Content-Length: 0\r\n\r\n", "Content-Length: 3\r\n\r\nabc"} {
+		c, err := net.Dial("tcp", g.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprint(c, opText(fmt.Sprint("left", k), framing))
+		g.await(t, "the op lies before the loop", func() bool { return len(g.front.loop.in) > 2*k })
+		c.Close()
+		g.await(t, "its leaving too", func() bool { return len(g.front.loop.in) > 2*k+1 })
+	}
+	close(free)
+	g.none(t, "behind ")
+}
+
+// A push that is still dialling when its client leaves was written when the connection came up, where the settings allow no cancel:
+// to keep back what is not written withdraws nothing.
+func TestADialThatOutlastsItsClientIsNotWrittenTo(t *testing.T) {
+	for _, cancel := range []bool{false, true} {
+		t.Run(fmt.Sprint("cancel ", cancel), func(t *testing.T) {
+			g := gated(t, cancel, false)
+			dials, up := make(chan bool, 9), make(chan bool)
+			g.front.loop.pool.Connect = func(ctx context.Context, network, addr string) (net.Conn, error) {
+				dials <- true
+				select {
+				case <-up:
+				case <-ctx.Done():
+					return nil, ctx.Err()
+				}
+				return (&net.Dialer{}).Dial(network, addr)
+			}
+			c, err := net.Dial("tcp", g.addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			fmt.Fprint(c, opText("left", "Content-Length: 0\r\n\r\n"))
+			<-dials
+			c.Close()
+			g.await(t, "seen to leave", func() bool { return g.front.Figures().Requests["look"].Gone == 1 })
+			close(up)
+			g.none(t, "behind ")
+			if f := g.front.Figures(); f.Attempts != 3 {
+				t.Errorf("%d pushes are counted as written, of three", f.Attempts)
+			}
+		})
+	}
+}
+
+// asked are fates that let an op wait until its client has left, and are told what became of it.
+type asked struct {
+	waits chan bool
+	ends  chan bool // whether it is said to be unsent
+}
+
+func (a *asked) Ask(ctx context.Context, _, _ string, _ []byte, _, _ time.Duration) copies.Decided {
+	a.waits <- true
+	<-ctx.Done()
+	return copies.Decided{Outcome: copies.Mine, Ticket: 7} // the grant that crosses it
+}
+func (a *asked) Ran(uint64, string)                         {}
+func (a *asked) End(_ uint64, unsent bool, _ int, _ []byte) { a.ends <- unsent }
+func (a *asked) GiveUp(uint64)                              {}
+
+// A grant that came as the client left was spent on nobody, and its op called one that may have run.
+func TestAnOpWhoseClientLeftAtTheFatesDoorIsUnsent(t *testing.T) {
+	g := gated(t, false, false)
+	by := &asked{make(chan bool, 1), make(chan bool, 1)}
+	g.front.Guard(by, func(category string) bool { return category == "asked" })
+	c, err := net.Dial("tcp", g.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n%s: left\r\n%s: asked\r\n%s: 250000\r\n\r\n", idHeader,
+		categoryHeader, timeLeftHeader)
+	<-by.waits
+	c.Close()
+	if !<-by.ends {
+		t.Error("it is said that it may have run")
+	}
+	g.none(t, "behind ")
+}
+
+// A handler that waits for a loop that has ended would keep its process from ending.
+func TestNobodyWaitsForALoopThatHasEnded(t *testing.T) {
+	f, err := New(sheetOf(t, `{"rev":1,"all":true,"targets":[]}`), zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	quit := make(chan struct{})
+	close(quit)
+	f.loop.run(quit)
+	for range 2 * backlog {
+		f.loop.tell(nil)
+	}
+	r := httptest.NewRequest(http.MethodPost, "/", nil)
+	for range 2 * backlog {
+		h := &held{client: context.Background()}
+		if _, err := f.RoundTrip(r.WithContext(context.WithValue(r.Context(), heldKey{}, h))); err == nil {
+			t.Fatal("an answer from nowhere")
+		}
+	}
+}
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -7,6 +7,7 @@
 
 	"woaddyke/dispatch"
 	"woaddyke/internal/conns"
+	"woaddyke/internal/ending"
 	"woaddyke/internal/ops"
 	"woaddyke/internal/tally"
 	"woaddyke/internal/terms"
@@ -48,6 +49,7 @@
 	shows   bool          // staff read the figures
 	listed  chan struct{} // closed with the first list that is not remembered
 	heard   bool          // it is closed
+	ended   chan struct{} // closed once it takes nothing more
 	watches bool
 	taken   uint64
 	peers   *peers
@@ -58,7 +60,13 @@
 	fates   Fates // nil: this scheduler alone knows its ops; set before it runs
 }
 
-func (l *loop) tell(in ops.Input) { l.in <- message{in: in} }
+// tell waits for room, but not for a loop that has ended.
+func (l *loop) tell(in ops.Input) {
+	select {
+	case l.in <- message{in: in}:
+	case <-l.ended:
+	}
+}
 
 // learned asks the loop what its reducer has learned; false where it has no time for that.
 func (l *loop) learned() (ops.Learned, bool) {
@@ -78,6 +86,7 @@
 
 // run works until quit is closed.
 func (l *loop) run(quit <-chan struct{}) {
+	defer close(l.ended)
 	sweep, count := time.NewTicker(sweepEvery), time.NewTicker(countEvery)
 	defer sweep.Stop()
 	defer count.Stop()
@@ -96,6 +105,9 @@
 				continue
 			}
 			if m.held != nil {
+				if m.held.client.Err() != nil {
+					continue // its client left while it lay here
+				}
 				l.held[m.held.Op] = m.held
 				l.taken++
 				l.log.Debug().Uint64("op", m.held.Op).Str("id", m.held.ID).Str("category", m.held.Category).
@@ -185,7 +197,7 @@
 	wait := span(e.Within)
 	h.group = e.Group
 	l.log.Debug().Uint64("op", e.Op).Str("id", h.ID).Str("worker", e.Worker).Int("leg", e.Leg).Msg("push")
-	l.out[e.Op] = l.pool.Push(e.Addr, h.ID, h.request.Bytes(wait), now.Add(wait), func() {
+	l.out[e.Op] = l.pool.Push(e.Addr, h.ID, h.request.Bytes(wait), now.Add(wait), h.waits, func() {
 		l.tally.Pushed(h.Category)
 	}, func(line conns.Line) {
 		l.log.Debug().Uint64("op", e.Op).Str("state", line.State).Float64("share", line.Share).Msg("job line")
@@ -193,6 +205,9 @@
 	}, func(end conns.End) {
 		l.log.Debug().Uint64("op", e.Op).Str("worker", e.Worker).Stringer("how", end.How).
 			Bool("dialed", end.Dialed).Dur("took_ms", time.Since(now)).Msg("push ended")
+		if end.How == ending.Unwritten && !h.waits() {
+			l.tell(ops.Left{Op: e.Op}) // before the end: what was not wanted here is not to go elsewhere
+		}
 		l.tell(ops.Ended{Op: e.Op, How: end.How, Result: end.Result, Report: end.Load})
 	})
 }
--- a/internal/guests/guests.go
+++ b/internal/guests/guests.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -11,6 +12,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"woaddyke/internal/conns"
 )
 
@@ -43,11 +46,23 @@
 type conn struct {
 	net.Conn
 
-	mu   sync.Mutex
-	head head
+	mu      sync.Mutex
+	head    head
+	untimed bool // no deadline is set for reading
 }
 
+// Read reads, but for the one byte that the standard server asks for, without a deadline, while a request is served: that is its
+// way to see that the client leaves. Once it has such a byte it looks no more, and a client that sent one and left had its op
+// pushed. Here the end alone answers that call; what comes before it stays in the kernel for the next request.
 func (c *conn) Read(b []byte) (int, error) {
+	c.mu.Lock()
+	watches := len(b) == 1 && c.untimed
+	c.mu.Unlock()
+	if watches {
+		if known, err := c.awaitEnd(); known {
+			return 0, err
+		}
+	}
 	n, err := c.Conn.Read(b)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -55,6 +70,65 @@
 	return n, err
 }
 
+// SetReadDeadline is how the server says what it reads for: all but the watch for the client's end has a deadline.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	c.untimed = t.IsZero()
+	c.mu.Unlock()
+	return c.Conn.SetReadDeadline(t)
+}
+
+// awaitEnd waits until the other side has ended or a deadline is set that passes. It is not known how where there is no socket.
+func (c *conn) awaitEnd() (known bool, err error) {
+	raw, no := c.SyscallConn()
+	if no != nil {
+		return false, nil
+	}
+	var ended error
+	if err := raw.Read(func(fd uintptr) bool {
+		ended = end(int(fd))
+		return ended != nil
+	}); err != nil {
+		return true, err
+	}
+	return true, ended
+}
+
+// end is how the other side has ended, nil where it has not.
+func end(fd int) error {
+	var b [1]byte
+	n, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	switch {
+	case err == syscall.EAGAIN || err == syscall.EINTR:
+		return nil
+	case err != nil:
+		return err
+	case n == 0:
+		return io.EOF
+	}
+	// Something lies before the end, if there is one: the state of the connection tells.
+	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err == nil && (info.State == unix.BPF_TCP_CLOSE_WAIT || info.State == unix.BPF_TCP_CLOSE) { // it ended, or reset
+		return io.EOF
+	}
+	return nil
+}
+
+// Left tells whether the client of a request has ended its connection or its sending, as far as this machine knows now.
+func Left(ctx context.Context) bool {
+	c, ok := Of(ctx).(*conn)
+	if !ok {
+		return false
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	left := false
+	err = raw.Control(func(fd uintptr) { left = end(int(fd)) != nil })
+	return left || err != nil // closed here
+}
+
 // begun tells whether the first byte of a request has been read.
 func (c *conn) begun() bool {
 	c.mu.Lock()
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -435,8 +435,11 @@
 	o := &r.ops[i]
 	o.answered = true
 	r.d.Left(i)
-	if o.out && r.cancel {
+	switch {
+	case o.out && r.cancel:
 		return []Effect{Close{Op: number, How: ending.Withdrawn}}
+	case o.out: // to keep back what is not written yet withdraws nothing: it is no cancel
+		return []Effect{Close{Op: number, OnlyUnwritten: true, How: ending.Unwritten}}
 	}
 	return nil
 }
