Lists: a watch's times follow from the drain's grace, and a list may stand on several lines

Need: "a list that goes quiet and never speaks again", and "lists may come indented". To blame: constants for a discovery that all share (callRate, settle, longestWait), used where an agent on the own machine answers at no cost. (c) `{}` set the version to 0, `"all":true` without entries sent all workers away; (d) half an object under empty lines passed for life for good; (e) empty lines and an object without an end had no bound but time; (f) the old discovery's last line, read before a move, was taken in after it, and its version was asked for at the new one. Ruled out: a move told twice, an unknown state, a worker named twice: held by tests now. Change: Spans from pushed, schedulers and grace; objects by a decoder over a bounded reader. Where lists are asked for, the times stay what they were.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -113,8 +113,8 @@
 	list.Whole, list.Remembered = true, true
 	f.loop.tell(list)
 	f.known = list
-	spread := roster.Spread(sheet.Schedulers(), sheet.Span("safety.drainGrace", time.Second))
-	f.roster = roster.New(sheet.Discovery, known, spread, sheet.Chance, f.listed, log)
+	spans := roster.SpansOf(sheet.Site["discovery"] == "pushed", sheet.Schedulers(), sheet.Span("safety.drainGrace", time.Second))
+	f.roster = roster.New(sheet.Discovery, known, spans, sheet.Chance, f.listed, log)
 	f.proxy = &httputil.ReverseProxy{
 		Transport:  f,
 		Rewrite:    func(r *httputil.ProxyRequest) { r.Out.URL.RawQuery = r.In.URL.RawQuery },
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -3,12 +3,9 @@
 package roster
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"maps"
 	"math/rand/v2"
 	"net"
@@ -23,31 +20,11 @@
 	"woaddyke/internal/terms"
 )
 
-const (
-	beat     = 2 * time.Second // an empty line comes this often while nothing changes
-	quiet    = 9 * beat / 4    // so long without a line, and the agent is lost; it must be found out before 4 s and a grace
-	longLine = 8 << 20
-	// The first wait of a lone scheduler for another watch; each that fails doubles it, up to sixteen times as long. It
-	// must stay short: what discovery's agent has counts as told while nobody reads it.
-	firstWait = 20 * time.Millisecond
-	// An agent has a line for each beat, so a call that is taken has its head by then, or is lost. One that was cut after
-	// a second was what a busy discovery was about to answer, and its work was done all the same.
-	settle = 5 * beat / 4
-	dialed = time.Second // an agent on this machine is there at once
-	// All schedulers lose their watch together, or start together. Discovery answers them in turn, and what has waited
-	// too long fails though the work is done: asked by all at once, and by all again, it answered none for good. So they
-	// come back at this many a second, in sum, and at half of that and less after each call that was turned away.
-	callRate = 20
-	// What discovery would have told a scheduler, had it asked, counts as told: it must have asked, and have its answer,
-	// before a drain's grace has passed.
-	inGrace = 0.8
-	// The longest of the waits that double, before it is spread by half either way.
-	longestWait = 16 * time.Second
-)
-
 // errTurnedAway is a call that discovery had no time for.
 var errTurnedAway = errors.New("turned away")
 
+const lastMoment = 9_000_000_000_000 // in ms; a start that is said to be later than the year 2255 would overflow
+
 const deleted = "DELETED" // the state, among changes only, of a worker that has left the list
 
 // Message is a list as discovery words it.
@@ -75,7 +52,7 @@
 			continue // nobody could ever be told that it has gone
 		}
 		in.Entries = append(in.Entries, ops.Entry{Worker: t.UID, Addr: t.Endpoint, Zone: t.AZ, Kind: t.Model, Cell: t.PodGroup,
-			Ready: t.State == "SERVING", Gone: t.State == deleted, Since: terms.Up(t.BootMS * int64(time.Millisecond))})
+			Ready: t.State == "SERVING", Gone: t.State == deleted, Since: terms.Up(min(max(t.BootMS, 0), lastMoment) * int64(time.Millisecond))})
 	}
 	return in
 }
@@ -85,9 +62,9 @@
 	tell   func(ops.Input)
 	client http.Client
 	log    zerolog.Logger
-	one    sync.Mutex    // held by the watch that is on
-	chance *rand.Rand    // Keep's
-	spread time.Duration // over which all schedulers come back
+	one    sync.Mutex // held by the watch that is on
+	chance *rand.Rand // Keep's
+	spans  Spans
 	moved  chan struct{} // wakes Keep
 
 	mu   sync.Mutex
@@ -97,29 +74,26 @@
 	list map[string]target  // by uid
 }
 
-// Spread is the time over which so many schedulers that ask the same discovery come back to it, within the grace of a
-// drain.
-func Spread(schedulers int, grace time.Duration) time.Duration {
-	all := time.Duration(schedulers) * time.Second / callRate
-	return max(min(all, time.Duration(inGrace*float64(grace))), firstWait)
-}
-
 // New makes a roster that goes on from a remembered list, and draws the moments of its calls from its seed
 // over a spread that it shares with the other schedulers.
-func New(addr string, known Message, spread time.Duration, seed uint64, tell func(ops.Input), log zerolog.Logger) *Roster {
+func New(addr string, known Message, spans Spans, seed uint64, tell func(ops.Input), log zerolog.Logger) *Roster {
 	known.All = true
 	r := &Roster{addr: addr, tell: tell, log: log, end: func() {}, moved: make(chan struct{}, 1),
-		chance: rand.New(rand.NewPCG(seed, 0)), spread: spread,
+		chance: rand.New(rand.NewPCG(seed, 0)), spans: spans,
 		client: http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true,
-			DialContext: (&net.Dialer{Timeout: dialed}).DialContext}}}
-	r.keep(&known)
+			DialContext: (&net.Dialer{Timeout: min(spans.Settle, dialed)}).DialContext}}}
+	r.keep(context.Background(), &known)
 	return r
 }
 
-// keep takes a message into the list.
-func (r *Roster) keep(m *Message) {
+// keep takes a message into the list, unless the watch that it came by has been ended: what the discovery of before said late
+// must not stand over what the next one says.
+func (r *Roster) keep(on context.Context, m *Message) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if on.Err() != nil {
+		return false
+	}
 	if r.rev = m.Rev; m.All {
 		r.list = map[string]target{}
 	}
@@ -128,6 +102,7 @@
 			delete(r.list, t.UID)
 		}
 	}
+	return true
 }
 
 // Known is the whole list as of now, in discovery's form.
@@ -145,6 +120,9 @@
 func (r *Roster) Move(addr string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.addr != addr {
+		r.rev = 0 // another discovery counts as it likes: it is to tell all
+	}
 	r.addr = addr
 	r.end()
 	select {
@@ -153,17 +131,9 @@
 	}
 }
 
-// again is how long to wait for another watch after so many that failed. What is silent or not there may be back any
-// moment, and all together ask no more than callRate; what turns calls away must be asked less and less.
+// again is how long to wait for another watch after so many that failed.
 func (r *Roster) again(fails int, turnedAway bool) time.Duration {
-	if fails == 0 {
-		return time.Duration(r.chance.Float64() * float64(r.spread))
-	}
-	most := max(16*firstWait, r.spread)
-	if turnedAway {
-		most = longestWait
-	}
-	return time.Duration((0.5 + r.chance.Float64()) * float64(min(r.spread<<min(fails-1, 10), most)))
+	return r.spans.again(fails, turnedAway, r.chance.Float64())
 }
 
 // Keep watches until the context ends, and connects again whenever the watch breaks.
@@ -201,57 +171,3 @@
 	ctx, r.end = context.WithCancel(ctx)
 	return ctx
 }
-
-// watch reads one watch until it breaks, and tells whether anything came.
-func (r *Roster) watch(ctx context.Context) (heard bool, err error) {
-	r.one.Lock()
-	defer r.one.Unlock()
-	r.mu.Lock()
-	addr, rev := r.addr, r.rev
-	r.mu.Unlock()
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	silence := time.AfterFunc(settle, func() { cancel(errors.New("nothing came")) }) // a lost agent says nothing
-	defer silence.Stop()
-	url := fmt.Sprintf("http://%s/v1/servers?stream=1&index=%d", addr, rev)
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return false, fmt.Errorf("watch: %w", err)
-	}
-	resp, err := r.client.Do(req)
-	if err != nil {
-		return false, fmt.Errorf("watch: %w", err)
-	}
-	defer resp.Body.Close()
-	switch resp.StatusCode {
-	case http.StatusOK:
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
-		return false, fmt.Errorf("watch: status %s: %w", resp.Status, errTurnedAway)
-	default:
-		return false, fmt.Errorf("watch: status %s", resp.Status)
-	}
-	silence.Reset(quiet)
-	lines := bufio.NewScanner(resp.Body)
-	lines.Buffer(make([]byte, 4096), longLine)
-	for lines.Scan() {
-		silence.Reset(quiet)
-		line := bytes.TrimSpace(lines.Bytes())
-		if heard = true; len(line) == 0 {
-			continue
-		}
-		var m Message
-		if err := json.Unmarshal(line, &m); err != nil {
-			return heard, fmt.Errorf("watch: %w", err)
-		}
-		r.keep(&m)
-		r.log.Debug().Int64("rev", m.Rev).Bool("whole", m.All).Int("entries", len(m.Targets)).Msg("list")
-		for _, t := range m.Targets {
-			r.log.Debug().Str("worker", t.UID).Str("state", t.State).Str("zone", t.AZ).Int64("boot_ms", t.BootMS).Msg("listed")
-		}
-		r.tell(m.Listed())
-	}
-	if err := lines.Err(); err != nil {
-		return heard, fmt.Errorf("watch: %w", err)
-	}
-	return heard, errors.New("watch: ended")
-}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -16,6 +16,9 @@
 	"woaddyke/internal/ops"
 )
 
+// lone are the spans of a scheduler that asks alone.
+var lone = SpansOf(false, 1, time.Second)
+
 // discovery answers each call with the next lines, and then closes it, or keeps it open where none are left.
 func discovery(t *testing.T, answers ...string) (addr string, calls chan string) {
 	calls = make(chan string, 9)
@@ -39,7 +42,7 @@
 	told := make(chan ops.Input, 9)
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	go New(addr, Message{Rev: 41}, firstWait, 7, func(in ops.Input) { told <- in }, zerolog.Nop()).Keep(ctx)
+	go New(addr, Message{Rev: 41}, lone, 7, func(in ops.Input) { told <- in }, zerolog.Nop()).Keep(ctx)
 	for _, want := range []string{"stream=1&index=41", "stream=1&index=43"} {
 		select {
 		case got := <-calls:
@@ -67,13 +70,13 @@
 	defer s.Close()
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	r := New("127.0.0.1:1", Message{Rev: 1}, firstWait, 7, func(ops.Input) {}, zerolog.Nop())
+	r := New("127.0.0.1:1", Message{Rev: 1}, lone, 7, func(ops.Input) {}, zerolog.Nop())
 	go r.Keep(ctx)
 	r.Move(s.Listener.Addr().String())
 	for range 2 {
 		select {
 		case <-calls:
-		case <-time.After(settle + time.Second):
+		case <-time.After(lone.Settle + time.Second):
 			t.Fatal("not called")
 		}
 	}
@@ -158,7 +161,7 @@
 		})}
 		go s.Serve(p)
 		for i := range schedulers {
-			r := New("discovery", Message{}, Spread(schedulers, 2500*time.Millisecond), uint64(i), func(ops.Input) {}, zerolog.Nop())
+			r := New("discovery", Message{}, SpansOf(false, schedulers, 2500*time.Millisecond), uint64(i), func(ops.Input) {}, zerolog.Nop())
 			r.client.Transport.(*http.Transport).DialContext = p.dial
 			go r.Keep(ctx)
 		}
--- /dev/null
+++ b/internal/roster/watch.go
@@ -0,0 +1,143 @@
+package roster
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+)
+
+const longest = 8 << 20 // bytes of one object
+
+var (
+	errSilent  = errors.New("nothing came")
+	errTooLong = errors.New("an object is too long")
+	errLacking = errors.New("an object has no version, or is a whole list without workers' entries")
+)
+
+// watch reads one watch until it breaks, and tells whether anything came that says that discovery lives.
+func (r *Roster) watch(on context.Context) (heard bool, err error) {
+	r.one.Lock()
+	defer r.one.Unlock()
+	r.mu.Lock()
+	addr, rev := r.addr, r.rev
+	r.mu.Unlock()
+	ctx, cancel := context.WithCancelCause(on)
+	defer cancel(nil)
+	defer func() {
+		if cause := context.Cause(ctx); err != nil && on.Err() == nil && cause != nil {
+			err = fmt.Errorf("watch: %w", cause)
+		}
+	}()
+	silence := time.AfterFunc(r.spans.Settle, func() { cancel(errSilent) }) // a lost agent says nothing
+	defer silence.Stop()
+	url := fmt.Sprintf("http://%s/v1/servers?stream=1&index=%d", addr, rev)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return false, fmt.Errorf("watch: %w", err)
+	}
+	resp, err := r.client.Do(req)
+	if err != nil {
+		return false, fmt.Errorf("watch: %w", err)
+	}
+	defer resp.Body.Close()
+	switch resp.StatusCode {
+	case http.StatusOK:
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return false, fmt.Errorf("watch: status %s: %w", resp.Status, errTurnedAway)
+	default:
+		return false, fmt.Errorf("watch: status %s", resp.Status)
+	}
+	silence.Reset(r.spans.Quiet)
+	m := &meter{from: resp.Body, left: longest, lives: func() { silence.Reset(r.spans.Quiet) }}
+	objects := json.NewDecoder(m) // an object may stand on several lines
+	for {
+		var text struct {
+			Rev     *int64    `json:"rev"`
+			All     bool      `json:"all"`
+			Targets *[]target `json:"targets"`
+		}
+		if err := objects.Decode(&text); err != nil {
+			if errors.Is(err, io.EOF) {
+				err = errors.New("ended")
+			}
+			return heard || m.beats, fmt.Errorf("watch: %w", err)
+		}
+		if text.Rev == nil || text.All && text.Targets == nil {
+			return heard || m.beats, fmt.Errorf("watch: %w", errLacking)
+		}
+		heard = true
+		m.whole(objects.Buffered())
+		list := Message{Rev: *text.Rev, All: text.All}
+		if text.Targets != nil {
+			list.Targets = *text.Targets
+		}
+		if !r.keep(on, &list) {
+			return heard, on.Err()
+		}
+		r.log.Debug().Int64("rev", list.Rev).Bool("whole", list.All).Int("entries", len(list.Targets)).Msg("list")
+		for _, t := range list.Targets {
+			r.log.Debug().Str("worker", t.UID).Str("state", t.State).Str("zone", t.AZ).Int64("boot_ms", t.BootMS).Msg("listed")
+		}
+		r.tell(list.Listed())
+	}
+}
+
+// meter reads objects with empty lines between them. While none has begun each byte is a sign of life; one that has begun must
+// be whole within the span that one byte gives, and within its length: half an object that stops is silence, also where empty
+// lines follow it.
+type meter struct {
+	from  io.Reader
+	left  int  // of the object's bytes
+	open  bool // one has begun
+	beats bool // an empty line came
+	lives func()
+}
+
+// Read leaves out what is blank between objects: the decoder would keep it until the next one.
+func (m *meter) Read(b []byte) (int, error) {
+	for {
+		if m.left <= 0 {
+			return 0, errTooLong
+		}
+		n, err := m.from.Read(b[:min(len(b), m.left)])
+		if n == 0 {
+			return 0, err
+		}
+		m.see(b[:n])
+		if m.open {
+			return n, err
+		}
+		if err != nil {
+			return 0, err
+		}
+	}
+}
+
+// see takes note of bytes that came.
+func (m *meter) see(b []byte) {
+	if m.open {
+		m.left -= len(b)
+		return
+	}
+	m.lives()
+	if len(bytes.TrimSpace(b)) == 0 {
+		m.beats = true
+		return
+	}
+	m.open = true
+	m.left -= len(b)
+}
+
+// whole says that an object has come whole, and what was read behind it.
+func (m *meter) whole(rest io.Reader) {
+	m.open, m.left = false, longest
+	m.lives()
+	if b, err := io.ReadAll(rest); err == nil && len(bytes.TrimSpace(b)) > 0 {
+		m.see(b)
+	}
+}
