The end of a process answers what crosses it; a wait that ends is looked at once more

Need: a restart while requests are in flight. Ruled out: what is held at a worker, ops at the last moment, a new connection after the word, SIGHUP and a drain in the middle (held by tests, passed before too). Change: one way to leave, with an heir and without: from a moment on each answer ends its connection, those that wait are parted and looked at once more, the listener stays to the end, and the server is shut down when nothing is open. Who is parted counts as a socket until closed. Tests changed: TestARequestThatHasBegunIsNotParted held that part closes a silent connection itself; now its server's read must fail at once, and the client must see the end after the server's close. TestANewcomerWaitsForRoom read one byte without a deadline, which is now the server's watch; it reads nine. Both hold as much as before. Measured: -race, 50 repeats of the crossings in guests, 10 of the stop's tests: pass. Each guard taken out has its test fail.

--- a/cmd/woaddyke/serve.go
+++ b/cmd/woaddyke/serve.go
@@ -25,6 +25,8 @@
 		RunE: func(*cobra.Command, []string) error {
 			reread := make(chan os.Signal, 1)
 			signal.Notify(reread, syscall.SIGHUP) // first of all: until then it would end the process
+			told := make(chan os.Signal, 1)
+			signal.Notify(told, syscall.SIGTERM, os.Interrupt)
 			l, err := zerolog.ParseLevel(level)
 			if err != nil {
 				return fmt.Errorf("--log: %w", err)
@@ -43,8 +45,13 @@
 				return err
 			}
 			runtime.GOMAXPROCS(max(1, int(math.Ceil(sheet.Limits.Cores))))
-			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+			// To the very end a further SIGTERM changes nothing: taken back from us it would end the process at once, with all ops.
+			ctx, stop := context.WithCancel(context.Background())
 			defer stop()
+			go func() {
+				<-told
+				stop()
+			}()
 			p := &process{sheet: sheet, log: log, offers: *offers, stop: stop}
 			p.memory(1)
 			at, err := p.begin()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -40,6 +40,7 @@
 	listWait   = 3 * time.Second        // for discovery's first list, before the remembered one has to do
 	mostPlaces = 1024                   // categories taken up since the start: the module keeps them all
 	lookEvery  = 20 * time.Millisecond  // while the last connections end
+	newWaits   = 60 * time.Millisecond  // one that has just come up, or was answered, may have its request on the way
 	stays      = 0.6                    // of its last time it keeps connections: their clients may have no other
 )
 
@@ -249,29 +250,39 @@
 	last := ops.Stopping{By: terms.Down(f.loop.clock.nanos(by))}
 	f.loop.tell(last)
 	defer time.AfterFunc(time.Until(by), func() { f.loop.tell(last) }).Stop()
-	some := time.Duration(stays * float64(within))
+	leaves := time.Now().Add(time.Duration(stays * float64(within)))
 	if heir {
 		f.clients.Close()
 		f.loop.peers.deaf()
-		for f.clients.Count() > 0 && time.Now().Before(by) {
-			if time.Until(by) < within-some {
-				f.clients.Part(f.clients.Count(), 0)
-			}
-			time.Sleep(lookEvery)
-		}
-	} else {
-		time.Sleep(some)
-		s.SetKeepAlivesEnabled(false)
 	}
+	f.leave(leaves, heir, by.Add(stopSlack/3))
+	// Only now: from its beginning on it drops a request that it has read a moment ago, and closes connections on which one has begun.
 	ctx, cancel := context.WithDeadline(context.Background(), by.Add(stopSlack/3))
 	defer cancel()
-	if err := s.Shutdown(ctx); err != nil { // it waits for the answers that are still owed
+	if err := s.Shutdown(ctx); err != nil {
 		f.log.Warn().Err(err).Msg("connections were left open")
 	}
 	open, dialed := f.loop.pool.Counts()
 	f.log.Info().Int("open", open).Int("dialed", dialed).Msg("stopped")
 }
 
+// leave has all clients gone: from a moment on each answer ends its connection, and those that wait for a request are told that
+// their wait is over. Without an heir it goes on accepting to the end: what a client wrote to a connection that the machine
+// accepted is taken. It returns when nothing is open, or at the last moment.
+func (f *Front) leave(from time.Time, heir bool, last time.Time) {
+	for empty := 0; empty < 2 && time.Now().Before(last); time.Sleep(lookEvery) {
+		if time.Now().After(from) {
+			f.leaving.Store(true)
+			f.clients.Part(f.clients.Count(), newWaits)
+		}
+		if (heir || f.leaving.Load()) && f.clients.Sockets() == 0 {
+			empty++ // one that was accepted between two looks is seen at the second
+		} else {
+			empty = 0
+		}
+	}
+}
+
 // ServeHTTP answers health checks, takes ops and turns away what is none.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	came := time.Now()
--- a/internal/front/handover.go
+++ b/internal/front/handover.go
@@ -27,7 +27,7 @@
 		return nil, nil, err
 	}
 	workers, _ := f.loop.pool.Counts()
-	giver, heir := handover.Split(f.sheet.Limits.Sockets, f.clients.Count()+workers+spare)
+	giver, heir := handover.Split(f.sheet.Limits.Sockets, f.clients.Sockets()+workers+spare)
 	state := handover.State{Sockets: heir, Known: known, Drained: f.drain.on()}
 	if learned, ok := f.loop.learned(); ok {
 		if state.Learned, err = json.Marshal(learned); err != nil {
--- a/internal/guests/guests.go
+++ b/internal/guests/guests.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"syscall"
@@ -32,6 +33,7 @@
 	mu         sync.Mutex
 	most, full int // from the first on others give way to a newcomer; at the second it is closed unread
 	open       map[*conn]*guest
+	parted     map[*conn]bool // told that their wait is over, and not closed yet
 }
 
 type guest struct {
@@ -45,10 +47,12 @@
 // conn follows what is read of a request: until its head is whole the server says that the connection waits.
 type conn struct {
 	net.Conn
+	of *Guests
 
-	mu      sync.Mutex
-	head    head
-	untimed bool // no deadline is set for reading
+	mu       sync.Mutex
+	head     head
+	deadline time.Time // that the server has set for reading; zero for none
+	parted   bool      // its wait is over
 }
 
 // Read reads, but for the one byte that the standard server asks for, without a deadline, while a request is served: that is its
@@ -56,7 +60,7 @@
 // pushed. Here the end alone answers that call; what comes before it stays in the kernel for the next request.
 func (c *conn) Read(b []byte) (int, error) {
 	c.mu.Lock()
-	watches := len(b) == 1 && c.untimed
+	watches := len(b) == 1 && c.deadline.IsZero()
 	c.mu.Unlock()
 	if watches {
 		if known, err := c.awaitEnd(); known {
@@ -64,6 +68,9 @@
 		}
 	}
 	n, err := c.Conn.Read(b)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		n, err = c.last(b, err)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.head.feed(b[:n])
@@ -73,11 +80,48 @@
 // SetReadDeadline is how the server says what it reads for: all but the watch for the client's end has a deadline.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
-	c.untimed = t.IsZero()
-	c.mu.Unlock()
+	defer c.mu.Unlock()
+	if c.deadline = t; c.parted {
+		return nil // it has one that has passed, until the last look at it
+	}
 	return c.Conn.SetReadDeadline(t)
 }
 
+// part has its reader look once more for a request, and close it where there is none.
+func (c *conn) part() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.parted = true
+	c.Conn.SetReadDeadline(time.Unix(1, 0))
+}
+
+// last is the last look at a connection whose wait is over: what came until now is read, and it goes on. Between a look before
+// that and the close a request was lost; now there is only the instant of the close itself.
+func (c *conn) last(b []byte, late error) (n int, err error) {
+	c.mu.Lock()
+	parted := c.parted
+	c.mu.Unlock()
+	raw, err := c.SyscallConn()
+	if !parted || err != nil {
+		return 0, late
+	}
+	var no error
+	err = raw.Control(func(fd uintptr) { n, _, no = syscall.Recvfrom(int(fd), b, syscall.MSG_DONTWAIT) })
+	if err != nil || no != nil || n <= 0 {
+		return 0, late
+	}
+	c.of.goesOn(c)
+	return n, nil
+}
+
+// goesOn lets a connection be read as the server wants it.
+func (c *conn) goesOn() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.parted = false
+	c.Conn.SetReadDeadline(c.deadline)
+}
+
 // awaitEnd waits until the other side has ended or a deadline is set that passes. It is not known how where there is no socket.
 func (c *conn) awaitEnd() (known bool, err error) {
 	raw, no := c.SyscallConn()
@@ -155,7 +199,7 @@
 // New makes room for so many connections: from the first bound on others give way to a newcomer, at the second it
 // is closed unread.
 func New(most, full int) *Guests {
-	return &Guests{most: most, full: full, open: map[*conn]*guest{}}
+	return &Guests{most: most, full: full, open: map[*conn]*guest{}, parted: map[*conn]bool{}}
 }
 
 // Most is the first bound.
@@ -179,6 +223,13 @@
 	return len(g.open)
 }
 
+// Sockets is how many are open or about to be closed: their descriptors are taken still.
+func (g *Guests) Sockets() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.open) + len(g.parted)
+}
+
 // Part ends the wait of at most so many that have waited for a request for so long, the longest waiting first. One on which a
 // first byte has come is none of them: the rest comes in pieces, and once its last byte is written the request is taken.
 func (g *Guests) Part(most int, waited time.Duration) {
@@ -223,7 +274,7 @@
 		if err != nil {
 			return nil, err
 		}
-		c, until := &conn{Conn: nc}, time.Now().Add(g.Patience)
+		c, until := &conn{Conn: nc, of: g}, time.Now().Add(g.Patience)
 		let := g.admit(c)
 		for !let && time.Now().Before(until) {
 			time.Sleep(look)
@@ -277,16 +328,28 @@
 	return nil
 }
 
-// part ends the wait of a connection. One between requests is not closed but told that its wait is over: a
-// request read a moment ago would be lost with it.
+// part ends the wait of a connection. It is not closed but told that its wait is over: a request that came a moment ago would be
+// lost with it.
 func (g *Guests) part(nc *conn) {
-	x := g.open[nc]
 	delete(g.open, nc)
-	if x.state == http.StateNew {
-		nc.Close()
-		return
+	g.parted[nc] = true
+	nc.part()
+}
+
+// goesOn takes back a connection on which a request came in the last moment.
+func (g *Guests) goesOn(nc *conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.takeBack(nc)
+}
+
+// takeBack is goesOn with the lock held.
+func (g *Guests) takeBack(nc *conn) {
+	if g.parted[nc] {
+		delete(g.parted, nc)
+		g.open[nc] = &guest{since: time.Now(), state: http.StateActive}
+		nc.goesOn()
 	}
-	nc.SetReadDeadline(time.Unix(1, 0))
 }
 
 // Track is told of each change by the server.
@@ -294,7 +357,13 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	c, _ := nc.(*conn)
+	if state == http.StateActive {
+		g.takeBack(c) // its head was read already when its wait was said to be over
+	}
 	x := g.open[c]
+	if state == http.StateClosed || state == http.StateHijacked {
+		delete(g.parted, c)
+	}
 	switch {
 	case x == nil || state == http.StateNew:
 	case state == http.StateClosed || state == http.StateHijacked:
--- a/internal/guests/guests_test.go
+++ b/internal/guests/guests_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -34,7 +35,7 @@
 	defer l.Close()
 	g := New(9, 9)
 	g.Listener = l
-	_, silent := pair(t, g)
+	quiet, silent := pair(t, g)
 	begun, piece := pair(t, g)
 	idle, _ := pair(t, g)
 	busy, _ := pair(t, g)
@@ -56,9 +57,13 @@
 	if g.Count() != 2 {
 		t.Errorf("%d are left; the request that has begun and the one that is served were to stay", g.Count())
 	}
+	if _, err := quiet.Read(make([]byte, 9)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("the silent one may be read on: %v", err)
+	}
+	quiet.Close() // as the server does that reads so
 	silent.SetReadDeadline(time.Now().Add(5 * time.Second))
-	if _, err := silent.Read(make([]byte, 1)); err == nil {
-		t.Error("the silent one is open")
+	if _, err := silent.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("the silent one: %v", err)
 	}
 	if _, err := idle.Read(make([]byte, 1)); err == nil {
 		t.Error("the idle one may read on")
@@ -103,7 +108,7 @@
 	if _, err := caller.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
 		t.Errorf("the newcomer: %v", err)
 	}
-	half.Read(make([]byte, 1)) // the server has it now: half a call, and no reason to keep others out
+	half.Read(make([]byte, 9)) // the server has it now: half a call, and no reason to keep others out
 	if c := <-let; c == nil || c.RemoteAddr().String() != caller.LocalAddr().String() {
 		t.Errorf("let in: %v", c)
 	}
