Connections to workers rest between answers, and no answer is without a bound

Need: a connection closed, or spoken on, at exactly the wrong instant; answers that never end. Change: an idle connection is used again 50 ms after its answer at the earliest (one that says something in between is given up); a gauge below the reader bounds heads, reports and answers in bytes, notes in time; a connection seen later than the bound and 0.1 s is not written to. What remains: a second answer later than 50 ms that crosses the next request (docs/design.md). Test changed: TestAConnectionThatTheWorkerClosedIsNotUsedAgain waits for the rest, and holds that the connection is used then.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -22,13 +22,23 @@
 	Idle time.Duration // a worker closes one that has stood idle for this long
 }
 
+// rest is how long a connection is left alone after an answer. A worker that answers twice does so some milliseconds later, and a
+// bare status names no op: read as the next push's, a late 503 would prove falsely that it never ran. What comes in this time has
+// the connection given up.
+const rest = 50 * time.Millisecond
+
 type conn struct {
 	net.Conn
 	r     *bufio.Reader
+	gauge *gauge // below r
 	addr  string
 	since time.Time // idle since then
 }
 
+// lateDial is let pass between a connection's coming up and its being looked at. What decides on a push reckons that its first byte
+// comes a dial later at the most: a group drops repeats within its window only, and a starved process is late.
+const lateDial = 100 * time.Millisecond
+
 // Pool is all connections to workers.
 type Pool struct {
 	Connect func(ctx context.Context, network, addr string) (net.Conn, error) // set before use; nil: the network's own
@@ -103,18 +113,22 @@
 	}
 }
 
-// take finds an idle connection that can still be written to.
+// take finds an idle connection that has rested and can still be written to.
 func (p *Pool) take(addr string) *conn {
 	now := time.Now()
 	for {
 		p.mu.Lock()
 		few := p.idle[addr]
-		if len(few) == 0 {
+		k := len(few) - 1
+		for k >= 0 && now.Sub(few[k].since) < rest {
+			k--
+		}
+		if k < 0 {
 			p.mu.Unlock()
 			return nil
 		}
-		c := few[len(few)-1]
-		p.idle[addr] = few[:len(few)-1]
+		c := few[k]
+		p.idle[addr] = slices.Delete(few, k, k+1)
 		p.mu.Unlock()
 		if p.usable(c, now) {
 			return c
@@ -167,15 +181,22 @@
 	if connect == nil {
 		connect = (&net.Dialer{Timeout: p.bounds.Dial, KeepAlive: -1}).DialContext
 	}
+	began := time.Now()
 	nc, err := connect(ctx, "tcp", addr)
+	if err == nil && time.Since(began) <= p.bounds.Dial+lateDial {
+		g := &gauge{from: nc}
+		return &conn{Conn: nc, r: bufio.NewReaderSize(g, 4096), gauge: g, addr: addr, since: time.Now()}, ending.Unknown
+	}
 	if err == nil {
-		return &conn{Conn: nc, r: bufio.NewReaderSize(nc, 4096), addr: addr, since: time.Now()}, ending.Unknown
+		nc.Close()
 	}
 	p.mu.Lock()
 	p.open--
 	p.mu.Unlock()
 	var late net.Error
 	switch {
+	case err == nil:
+		return nil, ending.Unwritten // it was this side that came late, and nothing of that is the worker's doing
 	case errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE):
 		return nil, ending.NoDescriptor
 	case errors.Is(err, syscall.ECONNREFUSED):
--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -101,6 +101,7 @@
 		for n := 0; n < 100 && len(p.idleAt(addr)) == 0; n++ {
 			time.Sleep(time.Millisecond) // the last bytes are read after the end is told
 		}
+		time.Sleep(rest) // before that it is not used again in any case
 	}
 	p.Sweep(time.Now().Add(10 * time.Second))
 	if open, _ := p.Counts(); open != 0 {
--- /dev/null
+++ b/internal/conns/ends_test.go
@@ -0,0 +1,302 @@
+package conns
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"woaddyke/internal/ending"
+	"woaddyke/internal/pieces"
+)
+
+// head reads one request's head.
+func head(c net.Conn) bool {
+	text, b := "", make([]byte, 1)
+	for !strings.HasSuffix(text, "\r\n\r\n") {
+		if _, err := c.Read(b); err != nil {
+			return false
+		}
+		text += string(b)
+	}
+	return true
+}
+
+const full = "HTTP/1.1 503 Full\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"
+
+// A worker's second answer, some milliseconds late, was read as that to the next push on the connection: a 503 that says unprocessed
+// proved falsely that this one never ran, and it ran twice. Forced: the late answer comes once the next push has reached the worker,
+// on whichever connection.
+func TestALateSecondAnswerIsNotTheNextPushs(t *testing.T) {
+	began := make(chan bool)
+	var n atomic.Int64 // connections: the second is accepted long after the first
+	addr := pieces.Serve(t, func(c *net.TCPConn) {
+		mine := n.Add(1)
+		if !head(c) {
+			return
+		}
+		if mine > 1 {
+			close(began)
+			io.WriteString(c, stream(`{"id":"a1","state":"done","result":"x"}`))
+			return
+		}
+		io.WriteString(c, stream(`{"id":"a1","state":"done","result":"x"}`))
+		next := make(chan bool)
+		go func() {
+			if head(c) {
+				close(next)
+			}
+		}()
+		select {
+		case <-next:
+		case <-began:
+		}
+		io.WriteString(c, full)
+		io.Copy(io.Discard, c)
+	})
+	p := pool(4)
+	if e := push(p, addr, 20*time.Second); e.How != ending.Done {
+		t.Fatal(e.How)
+	}
+	for len(p.idleAt(addr)) == 0 {
+		time.Sleep(time.Millisecond) // the last bytes are read after the end is told
+	}
+	if e := push(p, addr, 20*time.Second); e.How != ending.Done || !e.Dialed {
+		t.Errorf("the next push: %v, dialed %v", e.How, e.Dialed)
+	}
+	for until := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		if few := p.idleAt(addr); len(few) > 0 {
+			if k, _ := Peek(few[0].Conn); k > 0 {
+				break
+			}
+		}
+		if time.Now().After(until) {
+			t.Fatal("the late answer has not come")
+		}
+	}
+	p.Sweep(time.Now())
+	for _, c := range p.idleAt(addr) {
+		if k, _ := Peek(c.Conn); k > 0 {
+			t.Error("a connection that has said something unasked is kept")
+		}
+	}
+}
+
+// forever writes a text again and again.
+func forever(c io.Writer, text string) {
+	many := []byte(strings.Repeat(text, max(1, 32<<10/len(text))))
+	for {
+		if _, err := c.Write(many); err != nil {
+			return
+		}
+	}
+}
+
+// An answer that never ends took memory as fast as loopback brings it: a scheduler of 64 MB was killed within a push's time. Each
+// has a bound in bytes, proves nothing, and ends long before its time does.
+func TestAnAnswerWithoutAnEndIsBounded(t *testing.T) {
+	const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	started := `{"id":"a1","state":"started"}` + "\n"
+	for name, x := range map[string][2]string{
+		"a status line":    {"HTTP/1.1 200 ", "O"},
+		"a head's line":    {"HTTP/1.1 200 OK\r\nX-Backend-Load: ", "x"},
+		"a head":           {"HTTP/1.1 200 OK\r\n", "X-More: and more\r\n"},
+		"interim answers":  {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+		"early hints":      {"", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"},
+		"a chunk's length": {chunked, "0"},
+		"an extension":     {chunked + "5;", "x"},
+		"empty lines":      {"HTTP/1.1 200 OK\r\n\r\n", "\n"},
+		"one line":         {"HTTP/1.1 200 OK\r\n\r\n", "x"},
+		"starts":           {"HTTP/1.1 200 OK\r\n\r\n", started},
+		"trailers":         {chunked + fmt.Sprintf("%x\r\n%s\r\n0\r\n", len(started), started), "X-More: and more\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr := worker(t, func(c net.Conn) {
+				io.WriteString(c, x[0])
+				forever(c, x[1])
+			})
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			ends, notes := make(chan End, 1), 0
+			began := time.Now()
+			pool(1).Push(addr, "a1", request, began.Add(20*time.Second), always, func() {}, func(Line) { notes++ },
+				func(e End) { ends <- e })
+			e := <-ends
+			runtime.ReadMemStats(&after)
+			if e.How.NeverRan() || e.How == ending.Done || e.How == ending.Silent {
+				t.Errorf("%v", e.How)
+			}
+			if mb := (after.TotalAlloc - before.TotalAlloc) >> 20; mb > 32 {
+				t.Errorf("%d MB were taken", mb)
+			}
+			if notes > 2+int(time.Since(began)/noteRest) {
+				t.Errorf("%d notes were passed on", notes)
+			}
+		})
+	}
+	for name, text := range map[string]string{"a load": "HTTP/1.1 200 OK\r\n\r\n", "a load's head": "HTTP/1.1 200 OK\r\nX: "} {
+		addr := worker(t, func(c net.Conn) {
+			io.WriteString(c, text)
+			forever(c, "7")
+		})
+		ends := make(chan End, 1)
+		pool(1).Probe(addr, request, time.Now().Add(20*time.Second), func(e End) { ends <- e })
+		if e := <-ends; e.How != ending.Garbled || len(e.Load) > 0 && e.How == ending.Done {
+			t.Errorf("%s: %v", name, e.How)
+		}
+	}
+	// A body behind the last line, and more behind that, are the worker's own affair: the op is done, the connection is not kept.
+	addr := worker(t, func(c net.Conn) {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n"+`{"id":"a1","state":"done","result":"x"}`+"\n")
+		forever(c, "7")
+	})
+	p := pool(1)
+	if e := push(p, addr, 20*time.Second); e.How != ending.Done || string(e.Result) != "x" {
+		t.Errorf("%v", e.How)
+	}
+	for until := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		if open, _ := p.Counts(); open == 0 {
+			break
+		}
+		if time.Now().After(until) {
+			t.Fatal("it is kept")
+		}
+	}
+}
+
+// A push whose dial came up later than the bound, as in a process that is starved, was written after its group had ceased to drop
+// repeats: what decided on it reckoned with a dial.
+func TestADialThatCameUpLateIsNotWrittenTo(t *testing.T) {
+	wrote := make(chan int, 1)
+	addr := pieces.Serve(t, func(c *net.TCPConn) {
+		n, _ := c.Read(make([]byte, 1))
+		wrote <- n
+	})
+	p := New(Bounds{Open: 4, Dial: time.Millisecond, Idle: 10 * time.Second})
+	p.Connect = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		time.Sleep(lateDial + 10*time.Millisecond)
+		return net.Dial(network, addr)
+	}
+	if e := push(p, addr, 20*time.Second); e.How != ending.Unwritten {
+		t.Errorf("%v", e.How)
+	}
+	if open, _ := p.Counts(); open != 0 || <-wrote > 0 {
+		t.Errorf("%d open, or something was written", open)
+	}
+}
+
+// A worker that closes at an instant of its own choosing: before a byte of the request is read, in the middle of it, after the last.
+// What broke before the last byte was written never ran; all else may have.
+func TestACloseAtEachInstantProvesNoMoreThanItCan(t *testing.T) {
+	large := append(append([]byte(nil), request...), make([]byte, 8<<20)...) // more than the kernel takes: the write is still on
+	for name, x := range map[string]struct {
+		request []byte
+		serve   func(*net.TCPConn)
+		may     map[ending.Ending]bool
+	}{
+		"in the middle of the request": {large, func(c *net.TCPConn) {
+			io.ReadFull(c, make([]byte, 1<<10))
+			c.SetLinger(0)
+		}, map[ending.Ending]bool{ending.PartWritten: true}},
+		"at the last byte, with a reset": {request, func(c *net.TCPConn) {
+			head(c)
+			c.SetLinger(0)
+		}, map[ending.Ending]bool{ending.Reset: true}},
+		"at the last byte": {request, func(c *net.TCPConn) { head(c) }, map[ending.Ending]bool{ending.EndedEarly: true}},
+		"unread": {request, func(c *net.TCPConn) {
+			for n := 0; n == 0; n, _ = Peek(c) {
+				time.Sleep(time.Millisecond)
+			}
+		}, map[ending.Ending]bool{ending.Reset: true, ending.EndedEarly: true}}, // it is in the worker's machine
+		"with an answer, and the request unread": {large, func(c *net.TCPConn) {
+			io.ReadFull(c, make([]byte, 1<<10))
+			io.WriteString(c, full)
+			c.SetLinger(0)
+		}, map[ending.Ending]bool{ending.PartWritten: true}},
+	} {
+		addr := pieces.Serve(t, x.serve)
+		ends := make(chan End, 1)
+		pool(1).Push(addr, "a1", x.request, time.Now().Add(20*time.Second), always, func() {}, func(Line) {}, func(e End) { ends <- e })
+		if e := <-ends; !x.may[e.How] {
+			t.Errorf("%s: %v", name, e.How)
+		}
+	}
+}
+
+// Pushes, sweeps, evictions and closes at once: a connection is never one exchange's and another's, and what a push is told is its
+// own answer. The seed is CONNS_SEED.
+func TestAConnectionIsOneExchangesAtATime(t *testing.T) {
+	seed, err := strconv.ParseUint(os.Getenv("CONNS_SEED"), 10, 64)
+	if err != nil {
+		seed = 7
+	}
+	t.Logf("CONNS_SEED=%d", seed)
+	var mu sync.Mutex
+	runs := map[string]int{}
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get("X-Id")
+		mu.Lock()
+		runs[id]++
+		mu.Unlock()
+		io.Copy(io.Discard, r.Body)
+		fmt.Fprintf(w, `{"id":%q,"state":"done","result":%q}`+"\n", id, id)
+	}))
+	defer s.Close()
+	addr, p := s.Listener.Addr().String(), pool(12)
+	var all sync.WaitGroup
+	for k := range 8 {
+		all.Go(func() {
+			chance := rand.New(rand.NewPCG(seed, uint64(k)))
+			for n := range 60 {
+				id := fmt.Sprint(k, "-", n)
+				ends := make(chan End, 1)
+				x := p.Push(addr, id, []byte("POST / HTTP/1.1\r\nHost: w\r\nX-Id: "+id+"\r\nContent-Length: 0\r\n\r\n"), time.Now().Add(20*time.Second),
+					always, func() {}, func(Line) {}, func(e End) { ends <- e })
+				switch chance.IntN(6) {
+				case 0:
+					x.Close(false, ending.Withdrawn)
+				case 1:
+					p.Sweep(time.Now().Add(time.Duration(chance.IntN(10)) * time.Second))
+				case 2:
+					p.Limit(4 + chance.IntN(8))
+				}
+				e := <-ends
+				x.Close(false, ending.Withdrawn) // it has ended: the connection may be another's by now
+				mu.Lock()
+				ran := runs[id]
+				mu.Unlock()
+				switch {
+				case e.How == ending.Done && (string(e.Result) != id || ran != 1):
+					t.Errorf("%s got %q and ran %d times", id, e.Result, ran)
+				case e.How.NeverRan() && ran > 0:
+					t.Errorf("%s: %v, and it ran", id, e.How)
+				case e.How != ending.Done && e.How != ending.Withdrawn && !e.How.NeverRan():
+					t.Errorf("%s: %v", id, e.How)
+				}
+			}
+		})
+	}
+	all.Wait()
+	p.Limit(0)
+	for until := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		p.Limit(0)
+		open, _ := p.Counts()
+		if open == 0 {
+			break
+		}
+		if time.Now().After(until) {
+			t.Fatalf("%d are counted as open", open)
+		}
+	}
+}
--- a/internal/conns/exchange.go
+++ b/internal/conns/exchange.go
@@ -142,6 +142,7 @@
 	x.c, x.written = c, true // from here on nothing keeps it from being written
 	x.mu.Unlock()
 	c.SetDeadline(limit)
+	c.gauge.begin()
 	return c, e
 }
 
@@ -188,7 +189,8 @@
 func load(c *conn, e End) (*http.Response, End) {
 	resp, err := answer(c)
 	if err == nil {
-		e.Load, err = io.ReadAll(io.LimitReader(resp.Body, longestLine))
+		c.gauge.allow(mostHead + mostLoad)
+		e.Load, err = io.ReadAll(resp.Body)
 	}
 	switch {
 	case err != nil:
@@ -215,7 +217,9 @@
 		e.How = refused(resp)
 		return resp, e
 	}
+	c.gauge.allow(mostSaid)
 	note(Line{State: "taken", Share: -1})
+	started, noted := false, time.Time{}
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(make([]byte, 0, 1024), longestLine)
 	for lines.Scan() {
@@ -238,7 +242,11 @@
 		case "lost":
 			e.How = ending.Lost
 		default:
-			note(l)
+			first := l.State == "started" && !started
+			if now := time.Now(); first || now.Sub(noted) >= noteRest {
+				started, noted = started || first, now
+				note(l)
+			}
 			continue
 		}
 		e.Result = l.Result
@@ -281,6 +289,7 @@
 	case ending.Done, ending.Failed, ending.Returned, ending.Lost, ending.TurnedAway, ending.Rejected,
 		ending.ServerError:
 		c.SetDeadline(time.Now().Add(tail))
+		c.gauge.allow(c.gauge.used + longestLine + 1)
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, longestLine))
 		x.mu.Lock()
 		whole := err == nil && n < longestLine && !resp.Close && x.closed == ending.Unknown
