A handover goes to a replacement only: same name and address, discovery or settings the same

Need: one customer picking up another customer's settings. Seen: the handover's path was made of the clients' address alone (32 bits of a hash, in a folder that deployments may share), and whoever asked there was given the listening socket, the list of workers, the ids and what was learned. By the new test on the lines before, a process with another deployment's settings and discovery took over and answered the first one's clients (TestAnotherDeploymentsProcessTakesNothing); a mere question had the giver cut its descriptors to half and give up its records of copies before it could know who asked. Ruled out: what was learned goes by names already (categories, zones, workers' marks; kinds by worker), old and torn messages start the process alone (tests from before, one row more each). Change: the asker says who it is before anything is given (name, address, discovery, a hash of the settings), and is refused plainly; the path has the name and the network namespace in it; the heir checks the socket's port; a process that was refused does not listen beside the stranger. Tests changed: the rows for a form that is not read are 3 and 1 now, and a giver that fails must say so with ErrRefused, which any error satisfied before.

--- a/cmd/woaddyke/process.go
+++ b/cmd/woaddyke/process.go
@@ -47,11 +47,17 @@
 // begin makes the scheduler and its listening socket, from those of a process that is to be replaced if there is one.
 func (p *process) begin() (at net.Listener, err error) {
 	var legacy *pass.Legacy
+	stranger := false // beside another's scheduler clients would come to either
 	if p.sheet.Console != "" {
-		if legacy, err = pass.Ask(pass.Path(p.sheet.Listen)); err != nil && !errors.Is(err, os.ErrNotExist) &&
-			!errors.Is(err, syscall.ECONNREFUSED) {
+		asker, err := p.asker().Bytes()
+		if err != nil {
+			return nil, err
+		}
+		legacy, err = pass.Ask(pass.Path(p.sheet.Listen, p.sheet.Name), asker)
+		if err != nil && !errors.Is(err, os.ErrNotExist) && !errors.Is(err, syscall.ECONNREFUSED) {
 			p.log.Warn().Err(err).Msg("nothing taken over")
 		}
+		stranger = errors.Is(err, pass.ErrRefused)
 	}
 	if legacy != nil {
 		if at, err = p.inherit(legacy); err == nil {
@@ -64,7 +70,7 @@
 		return nil, err
 	}
 	var how net.ListenConfig
-	if p.sheet.Console != "" {
+	if p.sheet.Console != "" && !stranger {
 		how.Control = shared
 	}
 	if at, err = how.Listen(context.Background(), "tcp", p.sheet.Listen); err != nil {
@@ -97,6 +103,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("handover: %w", err)
 	}
+	if _, want, err := net.SplitHostPort(p.sheet.Listen); err == nil {
+		if _, got, _ := net.SplitHostPort(at.Addr().String()); want != "0" && got != want {
+			at.Close()
+			return nil, fmt.Errorf("handover: the socket that came is at %s", at.Addr())
+		}
+	}
 	var peers *net.UDPConn
 	if len(legacy.Files) > 1 && p.sheet.Peers != nil && len(state.Members) == 0 {
 		conn, err := net.FilePacketConn(legacy.Files[1])
@@ -136,13 +148,31 @@
 		p.offered.Close()
 	}
 	var err error
-	if p.offered, err = pass.Offer(pass.Path(p.sheet.Listen), p, p.log); err != nil {
+	if p.offered, err = pass.Offer(pass.Path(p.sheet.Listen, p.sheet.Name), p, p.log); err != nil {
 		p.log.Warn().Err(err).Msg("no process can take over from this one")
 	}
 }
 
-// Give is the front's.
-func (p *process) Give() ([]byte, []syscall.Conn, error) { return p.front.Give(p.giveMember) }
+// asker is who this process is to one whose place it may take, and to one that may take its own.
+func (p *process) asker() handover.Asker {
+	a := handover.Asker{Name: p.sheet.Name, Listen: p.sheet.Listen, Discovery: p.sheet.Discovery, Settings: p.sheet.Hash()}
+	if p.front != nil {
+		a.Discovery, a.Settings = p.front.Asker()
+	}
+	return a
+}
+
+// Give is the front's, to a process that may take the place of this one.
+func (p *process) Give(asker []byte) ([]byte, []syscall.Conn, error) {
+	a, err := handover.ReadAsker(asker)
+	if err == nil {
+		err = a.Replaces(p.asker())
+	}
+	if err != nil {
+		return nil, nil, err
+	}
+	return p.front.Give(p.giveMember)
+}
 
 // Heir shares what only one process may use. An heir that was ready has offered in this one's place; when it has ended, the
 // next would find nobody there.
--- a/cmd/woaddyke/process_test.go
+++ b/cmd/woaddyke/process_test.go
@@ -138,3 +138,44 @@
 	}
 	beside.Close()
 }
+
+// A process of another deployment at the same address, under the same name, was given the listening socket, workers and ids of the one
+// that serves there, and served its clients by other settings. It must get nothing and serve nobody there, and the other must not notice.
+func TestAnotherDeploymentsProcessTakesNothing(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := free.Addr().String()
+	free.Close()
+	first := replaceable(t, addr)
+	at, err := first.begin()
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop, ended := first.start(at)
+	defer stop()
+	first.offer()
+	other := replaceable(t, addr)
+	other.sheet.Site = terms.Flat(map[string]any{"categories": []any{map[string]any{"name": "pay", "ttlNs": 3e9}}})
+	if at, err := other.begin(); err == nil {
+		at.Close()
+		t.Error("it listens where another's clients come")
+	}
+	if other.sheet.Known != nil {
+		t.Errorf("it knows another's workers: %s", other.sheet.Known)
+	}
+	if first.front.Replaced() {
+		t.Error("the one that serves takes it for its heir")
+	}
+	for range 5 {
+		if status, ends := health(t, dial(t, addr)); status != http.StatusOK || ends {
+			t.Errorf("%d, ends %v", status, ends)
+		}
+	}
+	stop()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/front/drain.go
+++ b/internal/front/drain.go
@@ -43,6 +43,12 @@
 // Evacuated tells whether clients are sent away.
 func (f *Front) Evacuated() bool { return f.drain.on() }
 
+// Asker is what tells this scheduler's deployment from another's: its discovery and settings, as they are in force.
+func (f *Front) Asker() (discovery string, settings uint64) {
+	s := f.inForce.Load()
+	return s.Discovery, s.Hash()
+}
+
 // SettingsHash names the settings in force, but for what is each scheduler's own.
 func (f *Front) SettingsHash() uint64 { return f.inForce.Load().Hash() }
 
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -8,7 +8,7 @@
 	"fmt"
 )
 
-const version = 1 // of State: a process hands nothing to one that reads it otherwise
+const version = 2 // of State and Asker: a process hands nothing to one that reads it otherwise
 
 // State is what the giver knows and its heir can't read in the configuration.
 type State struct {
@@ -21,6 +21,52 @@
 	Members []byte          `json:"members"` // what it is to other schedulers; its two sockets come last. Empty: nothing
 }
 
+// Asker is who asks for a handover, and who gives one.
+type Asker struct {
+	Version   int    `json:"version"`
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Settings  uint64 `json:"settings"` // hashed, but for what is each scheduler's own
+}
+
+// Bytes are an asker as it is sent.
+func (a Asker) Bytes() ([]byte, error) {
+	a.Version = version
+	text, err := json.Marshal(a)
+	if err != nil {
+		return nil, fmt.Errorf("handover: %w", err)
+	}
+	return text, nil
+}
+
+// ReadAsker is an asker as it came.
+func ReadAsker(text []byte) (Asker, error) {
+	var a Asker
+	if err := json.Unmarshal(text, &a); err != nil {
+		return Asker{}, fmt.Errorf("handover: %w", err)
+	}
+	if a.Version != version {
+		return Asker{}, fmt.Errorf("handover: version %d, this process reads %d", a.Version, version)
+	}
+	return a, nil
+}
+
+// Replaces tells whether one may take the place of another: it is the same scheduler, at the same address, with the same discovery or
+// the same settings. A replacement may bring other settings, or come after discovery has moved; with both it is another
+// customer's, whose clients, workers and ids are none of ours.
+func (a Asker) Replaces(b Asker) error {
+	switch {
+	case a.Name != b.Name:
+		return fmt.Errorf("handover: %q is not %q", a.Name, b.Name)
+	case a.Listen != b.Listen:
+		return fmt.Errorf("handover: %s is not at %s", a.Listen, b.Listen)
+	case a.Discovery != b.Discovery && a.Settings != b.Settings:
+		return errors.New("handover: both discovery and the settings are others: another deployment")
+	}
+	return nil
+}
+
 // Bytes are the state as it is sent.
 func (s State) Bytes() ([]byte, error) {
 	s.Version = version
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -11,7 +11,7 @@
 	if s, err := Read(whole); err != nil || s.Sockets != 288 || string(s.Known) != `{"rev":7}` {
 		t.Errorf("%+v, %v", s, err)
 	}
-	for _, text := range []string{"", string(whole[:len(whole)/2]), `{"version":2,"sockets":9}`, `{"version":1}`, `[]`} {
+	for _, text := range []string{"", string(whole[:len(whole)/2]), `{"version":3,"sockets":9}`, `{"version":1,"sockets":9}`, `{"version":2}`, `[]`} {
 		if _, err := Read([]byte(text)); err == nil {
 			t.Errorf("%q was read", text)
 		}
@@ -30,8 +30,8 @@
 
 // Whatever comes over the line is a state that can be sent on as it is, or an error.
 func FuzzState(f *testing.F) {
-	f.Add([]byte(`{"version":1,"sockets":288,"known":{"rev":7},"drained":true}`))
-	f.Add([]byte(`{"version":1,"sockets":1e99}`))
+	f.Add([]byte(`{"version":2,"sockets":288,"known":{"rev":7},"drained":true}`))
+	f.Add([]byte(`{"version":2,"sockets":1e99}`))
 	f.Add([]byte("{"))
 	f.Fuzz(func(t *testing.T, text []byte) {
 		s, err := Read(text)
@@ -47,3 +47,38 @@
 		}
 	})
 }
+
+// One customer's scheduler must not take up another's: its listening socket, workers, ids and what was learned of them.
+func TestOnlyAReplacementMayTakeOver(t *testing.T) {
+	was := Asker{Name: "n1", Listen: "127.0.0.1:9000", Discovery: "127.0.0.1:8500", Settings: 7}
+	for name, x := range map[string]struct {
+		change func(*Asker)
+		may    bool
+	}{
+		"the same":            {func(*Asker) {}, true},
+		"other settings":      {func(a *Asker) { a.Settings++ }, true},
+		"discovery has moved": {func(a *Asker) { a.Discovery += "1" }, true},
+		"both":                {func(a *Asker) { a.Settings++; a.Discovery += "1" }, false},
+		"another name":        {func(a *Asker) { a.Name = "n2" }, false},
+		"another address":     {func(a *Asker) { a.Listen += "1" }, false},
+	} {
+		now := was
+		x.change(&now)
+		text, err := now.Bytes()
+		if err != nil {
+			t.Fatal(err)
+		}
+		read, err := ReadAsker(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if no := read.Replaces(was); (no == nil) != x.may {
+			t.Errorf("%s: %v", name, no)
+		}
+		for _, torn := range []string{string(text[:len(text)/2]), `{"version":1,"name":"n1"}`, ""} {
+			if _, err := ReadAsker([]byte(torn)); err == nil {
+				t.Errorf("%q was read", torn)
+			}
+		}
+	}
+}
--- a/internal/handover/pass/pass.go
+++ b/internal/handover/pass/pass.go
@@ -19,16 +19,19 @@
 )
 
 const (
-	sendTime    = time.Second // for a whole message
-	longest     = 16 << 20    // bytes of one
-	mostSockets = 4           // that come with one
+	sendTime     = time.Second // for a whole message
+	longest      = 16 << 20    // bytes of one
+	longestAsker = 64 << 10
+	mostSockets  = 4 // that come with one
 )
 
-// Path is where a scheduler with this address for clients hands over.
-func Path(listen string) string {
-	h := fnv.New32a()
-	h.Write([]byte(listen)) // never fails
-	return filepath.Join(os.TempDir(), fmt.Sprintf("woaddyke-%08x", h.Sum32()))
+// Path is where a scheduler of this name with this address for clients hands over. The same address may be another one's in another
+// network namespace that shares the folder.
+func Path(listen, name string) string {
+	space, _ := os.Readlink("/proc/self/ns/net") // empty where it is not told
+	h := fnv.New64a()
+	fmt.Fprintf(h, "%s\n%s\n%s", listen, name, space) // never fails
+	return filepath.Join(os.TempDir(), fmt.Sprintf("woaddyke-%016x", h.Sum64()))
 }
 
 // Legacy is what a process got from the one before it.
@@ -47,14 +50,21 @@
 	l.line.Close()
 }
 
-// Ask takes over from the process that offers at the path. The error is os.ErrNotExist or ECONNREFUSED where there is none.
-func Ask(path string) (*Legacy, error) {
+// ErrRefused is the giver's word that it hands nothing to this asker.
+var ErrRefused = errors.New("the process there hands nothing to this one")
+
+// Ask takes over from the process that offers at the path, which is told who asks. The error is os.ErrNotExist or ECONNREFUSED where
+// there is none.
+func Ask(path string, asker []byte) (*Legacy, error) {
 	nc, err := net.DialTimeout("unix", path, sendTime)
 	if err != nil {
 		return nil, fmt.Errorf("handover: %w", err)
 	}
 	line := nc.(*net.UnixConn)
-	l, err := receive(line)
+	var l *Legacy
+	if err = introduce(line, asker); err == nil {
+		l, err = receive(line)
+	}
 	if err != nil {
 		line.Close()
 		return nil, fmt.Errorf("handover: %w", err)
@@ -66,6 +76,29 @@
 	return l, nil
 }
 
+// introduce says who asks: a giver that is not asked by its like gives nothing up.
+func introduce(line *net.UnixConn, asker []byte) error {
+	line.SetDeadline(time.Now().Add(sendTime))
+	_, err := line.Write(append(binary.BigEndian.AppendUint32(nil, uint32(len(asker))), asker...))
+	return err
+}
+
+// hears reads who asks.
+func hears(line *net.UnixConn) ([]byte, error) {
+	line.SetDeadline(time.Now().Add(sendTime))
+	var size [4]byte
+	if _, err := io.ReadFull(line, size[:]); err != nil {
+		return nil, err
+	}
+	length := binary.BigEndian.Uint32(size[:])
+	if length > longestAsker {
+		return nil, fmt.Errorf("an asker of %d bytes", length)
+	}
+	asker := make([]byte, length)
+	_, err := io.ReadFull(line, asker)
+	return asker, err
+}
+
 func receive(line *net.UnixConn) (*Legacy, error) {
 	if err := sameUser(line); err != nil {
 		return nil, err
@@ -102,6 +135,9 @@
 		return fail(err)
 	}
 	length := binary.BigEndian.Uint32(size[:])
+	if length == 0 {
+		return fail(ErrRefused)
+	}
 	if length > longest {
 		return fail(fmt.Errorf("a message of %d bytes", length))
 	}
@@ -115,7 +151,7 @@
 // Giver is asked for a handover, and told when an heir is there and when it has gone. By then the path may be the heir's: who
 // wants to be asked again must offer again.
 type Giver interface {
-	Give() (text []byte, sockets []syscall.Conn, err error)
+	Give(asker []byte) (text []byte, sockets []syscall.Conn, err error)
 	Heir(there bool)
 }
 
@@ -163,8 +199,13 @@
 	if err := sameUser(line); err != nil {
 		return false, err
 	}
-	text, sockets, err := g.Give()
+	asker, err := hears(line)
+	if err != nil {
+		return false, err
+	}
+	text, sockets, err := g.Give(asker)
 	if err != nil {
+		line.Write(make([]byte, 4)) // an empty message: no
 		return false, err
 	}
 	g.Heir(true)
--- a/internal/handover/pass/pass_test.go
+++ b/internal/handover/pass/pass_test.go
@@ -21,8 +21,8 @@
 
 func (g *giver) Heir(there bool) { g.heirs <- there }
 
-func (g *giver) Give() ([]byte, []syscall.Conn, error) {
-	if g.fails {
+func (g *giver) Give(asker []byte) ([]byte, []syscall.Conn, error) {
+	if g.fails || string(asker) != `me` {
 		return nil, nil, errors.New("not now")
 	}
 	return []byte(strings.Repeat("known", 100_000)), []syscall.Conn{g.l}, nil
@@ -35,7 +35,7 @@
 		t.Fatal(err)
 	}
 	path := filepath.Join(t.TempDir(), "h")
-	if _, err := Ask(path); !errors.Is(err, os.ErrNotExist) {
+	if _, err := Ask(path, []byte(`me`)); !errors.Is(err, os.ErrNotExist) {
 		t.Errorf("nobody there: %v", err)
 	}
 	g := &giver{l: l.(*net.TCPListener), heirs: make(chan bool, 9)}
@@ -43,7 +43,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	got, err := Ask(path)
+	got, err := Ask(path, []byte(`me`))
 	if err != nil || len(got.Text) != 500_000 || len(got.Files) != 1 || !<-g.heirs {
 		t.Fatalf("%v", err)
 	}
@@ -62,7 +62,7 @@
 		t.Errorf("%v, %v", c, err)
 	}
 	offer.Close()
-	if _, err := Ask(path); !errors.Is(err, syscall.ECONNREFUSED) {
+	if _, err := Ask(path, []byte(`me`)); !errors.Is(err, syscall.ECONNREFUSED) {
 		t.Errorf("the giver offers no more: %v", err)
 	}
 }
@@ -85,6 +85,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	if err := introduce(line.(*net.UnixConn), []byte(`me`)); err != nil {
+		t.Fatal(err)
+	}
 	if got, err := receive(line.(*net.UnixConn)); err != nil || len(got.Files) != 1 || !<-g.heirs {
 		t.Fatalf("%v", err)
 	}
@@ -97,7 +100,7 @@
 	case <-time.After(20 * time.Second):
 		t.Fatal("the giver has not seen that its heir has ended")
 	}
-	if got, err := Ask(path); err != nil || !<-g.heirs {
+	if got, err := Ask(path, []byte(`me`)); err != nil || !<-g.heirs {
 		t.Errorf("the next heir: %v, %v", got, err)
 	}
 }
@@ -111,8 +114,8 @@
 	}
 	defer offer.Close()
 	for range 2 {
-		if _, err := Ask(path); err == nil {
-			t.Error("nothing was given")
+		if _, err := Ask(path, []byte(`me`)); !errors.Is(err, ErrRefused) {
+			t.Errorf("nothing was given: %v", err)
 		}
 	}
 	// A path is taken over from one that is gone without a word.
@@ -145,9 +148,59 @@
 			}()
 		}
 		began := time.Now()
-		if _, err := Ask(path); err == nil || time.Since(began) > 5*sendTime {
+		if _, err := Ask(path, []byte(`me`)); err == nil || time.Since(began) > 5*sendTime {
 			t.Errorf("%s: %v after %v", name, err, time.Since(began))
 		}
 		l.Close()
 	}
 }
+
+// Whoever asks and is no replacement leaves the giver as it was: it is not told of an heir, and gives up neither descriptors nor records.
+// One that says nothing, too much, or half of who it is does not keep the next one waiting for long.
+func TestAGiverIsNotDisturbedByAStranger(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	path := filepath.Join(t.TempDir(), "h")
+	g := &giver{l: l.(*net.TCPListener), heirs: make(chan bool, 9)}
+	offer, err := Offer(path, g, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer offer.Close()
+	if _, err := Ask(path, []byte("another")); !errors.Is(err, ErrRefused) {
+		t.Errorf("a stranger: %v", err)
+	}
+	for name, text := range map[string][]byte{"nothing": nil, "half": {0, 0, 0, 9, 'm'}, "too much": {255, 255, 255, 255}} {
+		line, err := net.Dial("unix", path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		line.Write(text)
+		line.SetReadDeadline(time.Now().Add(20 * time.Second))
+		if n, err := line.Read(make([]byte, 1)); n > 0 || errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("%s: %d bytes, %v", name, n, err)
+		}
+		line.Close()
+	}
+	if len(g.heirs) > 0 {
+		t.Error("it was told of an heir")
+	}
+	if got, err := Ask(path, []byte("me")); err != nil || !<-g.heirs {
+		t.Errorf("the next one: %v", err)
+	} else {
+		got.Close()
+	}
+}
+
+// Two schedulers at one address, of other names, or of other network namespaces that share the folder, must not meet.
+func TestPathsAreEachSchedulersOwn(t *testing.T) {
+	if Path("127.0.0.1:9000", "a") == Path("127.0.0.1:9000", "b") || Path("127.0.0.1:9000", "a") == Path("127.0.0.1:9001", "a") {
+		t.Error("they meet")
+	}
+	if Path("127.0.0.1:9000", "a") != Path("127.0.0.1:9000", "a") {
+		t.Error("a scheduler does not find its own")
+	}
+}
