--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -491,8 +491,8 @@
 	w := &d.workers[o.worker]
 	w.out = slices.DeleteFunc(w.out, func(p *op) bool { return p == o })
 	d.tell(o.worker)
-	if how != TimedOut && how != Withdrawn {
-		w.heard = d.now // those two are this side's own word
+	if how != TimedOut && how != Withdrawn && how != Unsent {
+		w.heard = d.now // those three are this side's own word
 	}
 	switch how {
 	case Served:
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -906,3 +906,24 @@
 		t.Errorf("%d probes for 40 cheap ops 5 s later", n)
 	}
 }
+
+// A push that was kept back because its client had left was taken for word from its worker, and silence about others there was let pass
+// for longer. Nothing of a worker is learned from what was never written to it.
+func TestNothingIsLearnedFromAPushThatWasKeptBack(t *testing.T) {
+	d := fleet(2, map[string]any{"bounds.probes": false})
+	d.Op(0, 0, d.now+50_000, 1, 0, 0)
+	to := push(t, d)
+	w := d.workers[to]
+	d.Clock(d.now + 70)
+	d.Left(0)
+	d.Outcome(0, 0, Unsent, 70, false)
+	if now := d.workers[to]; now.heard != w.heard || len(now.health.Verdicts()) != len(w.health.Verdicts()) ||
+		len(now.places)+len(now.strides)+len(now.readings) > 0 || len(now.out) > 0 || len(d.taus)+len(d.starts) > 0 {
+		t.Errorf("%+v became %+v", w, now)
+	}
+	for _, a := range decisions(d) {
+		if a.do != Forget {
+			t.Errorf("%+v", a)
+		}
+	}
+}
--- /dev/null
+++ b/internal/front/apart_test.go
@@ -0,0 +1,108 @@
+package front
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"woaddyke/internal/terms"
+)
+
+// Buffers, header maps and connections are used again: nothing of one client's op may be seen in another's, at the worker or in an
+// answer. Half of the clients send in chunks, some answers are refusals.
+func TestNothingOfOneOpIsSeenInAnothers(t *testing.T) {
+	addr, _, _ := scheduler(t, func(w http.ResponseWriter, r *http.Request) {
+		b, _ := io.ReadAll(r.Body)
+		var others []string
+		for name, values := range r.Header {
+			if strings.HasPrefix(name, "X-Only-") {
+				others = append(others, name+"="+strings.Join(values, ","))
+			}
+		}
+		slices.Sort(others)
+		id := r.Header.Get(idHeader)
+		if strings.HasSuffix(id, "7") {
+			w.Header().Set("X-Unprocessed", "1")
+			http.Error(w, "full for "+id, http.StatusServiceUnavailable)
+			return
+		}
+		fmt.Fprintf(w, `{"id":%q,"state":"done","result":%q}`+"\n", id, fmt.Sprint(r.RequestURI, " ", others, " ", len(b), " ", string(b)))
+	})
+	var all sync.WaitGroup
+	for k := range 8 {
+		all.Go(func() {
+			c := &http.Client{Transport: &http.Transport{}}
+			defer c.CloseIdleConnections()
+			for n := range 40 {
+				id, path := fmt.Sprintf("%d-%d", k, n), fmt.Sprintf("/of-%d?n=%d", k, n)
+				body := strings.Repeat(fmt.Sprint(k), 1+(n*977)%9000)
+				var from io.Reader = strings.NewReader(body)
+				if k%2 == 0 {
+					from = io.MultiReader(from) // of a length that is not told
+				}
+				r, _ := http.NewRequest(http.MethodPost, "http://"+addr+path, from)
+				only := fmt.Sprintf("X-Only-%d", k*100+n)
+				r.Header = http.Header{idHeader: {id}, categoryHeader: {"look"}, timeLeftHeader: {"20000"}, only: {id}}
+				resp, err := c.Do(r)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				b, _ := io.ReadAll(resp.Body)
+				resp.Body.Close()
+				if strings.HasSuffix(id, "7") {
+					if resp.StatusCode != http.StatusServiceUnavailable || strings.Contains(string(b), "full for") {
+						t.Errorf("%s: %d %q", id, resp.StatusCode, b)
+					}
+					continue
+				}
+				if want := fmt.Sprint(path, " ", []string{only + "=" + id}, " ", len(body), " ", body); string(b) != want {
+					t.Errorf("%s: %d, %.80q, want %.80q", id, resp.StatusCode, b, want)
+				}
+			}
+		})
+	}
+	all.Wait()
+}
+
+// Told to end before discovery has said a word, a scheduler answers by the list that it remembers, and does not wait for one.
+func TestAStopBeforeTheFirstListAnswersAll(t *testing.T) {
+	silent := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+	t.Cleanup(silent.Close)
+	worker := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { done(w, r.Header.Get(idHeader)) }))
+	t.Cleanup(worker.Close)
+	known := fmt.Sprintf(`{"rev":1,"all":true,"targets":[{"uid":"w","endpoint":%q,"state":"SERVING"}]}`, worker.Listener.Addr())
+	sheet := sheetOf(t, known)
+	sheet.Discovery = silent.Listener.Addr().String()
+	sheet.Site = terms.Flat(map[string]any{"bounds": map[string]any{"maxPushes": 1.0},
+		"categories": []any{map[string]any{"name": "look", "effect": "fragile", "ttlNs": 1e9, "targetLatencyNs": 1e9}}})
+	f, err := New(sheet, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	stop()
+	ended := make(chan error, 1)
+	go func() { ended <- f.Serve(ctx, l, time.Second) }()
+	if resp, text := post(t, l.Addr().String(), ""); resp.StatusCode != http.StatusOK || text != "made for a1" {
+		t.Errorf("%s %q", resp.Status, text)
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+	silent.CloseClientConnections()
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -114,7 +114,7 @@
 	list.Whole, list.Remembered = true, true
 	f.loop.tell(list)
 	f.known = list
-	spans := roster.SpansOf(sheet.Site["discovery"] == "pushed", sheet.Schedulers(), sheet.Span("safety.drainGrace", time.Second))
+	spans := roster.SpansOf(sheet.Site["discovery"] != "on_request", sheet.Schedulers(), sheet.Span("safety.drainGrace", time.Second))
 	f.roster = roster.New(sheet.Discovery, known, spans, sheet.Chance, f.listed, log)
 	f.proxy = &httputil.ReverseProxy{
 		Transport:  f,
--- a/internal/front/leave_test.go
+++ b/internal/front/leave_test.go
@@ -180,6 +180,27 @@
 	g.none(t, "behind ")
 }
 
+// A client that leaves while there is no room before the loop is waited for by nobody, and its op is never taken.
+func TestAnOpWhoseClientLeftBeforeAFullLoopIsNotTaken(t *testing.T) {
+	g := gated(t, false, false)
+	busy, free := make(chan bool), make(chan bool)
+	g.front.loop.in <- message{call: func() { busy <- true; <-free }}
+	<-busy
+	for range backlog {
+		g.front.loop.in <- message{call: func() {}}
+	}
+	c, err := net.Dial("tcp", g.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprint(c, opText("left", "Content-Length: 0\r\n\r\n"))
+	g.await(t, "the op waits", func() bool { return g.front.Figures().InFlight == 1 })
+	c.Close()
+	g.await(t, "seen to leave", func() bool { f := g.front.Figures(); return f.InFlight == 0 && f.Requests["look"].Gone == 1 })
+	close(free)
+	g.none(t, "behind ")
+}
+
 // A push that is still dialling when its client leaves was written when the connection came up, where the settings allow no cancel:
 // to keep back what is not written withdraws nothing.
 func TestADialThatOutlastsItsClientIsNotWrittenTo(t *testing.T) {
