Two crossings less open: an heir that dies late, settings that overtake an op at the door

Seen: (a) a giver that had been told to end closed its part of the listening socket; an heir killed in the next moment left clients refused, while the giver was there for an op that it held (the new test with real processes does not pass with the close in place of the pause); (b) with copies on, an op that the fates' door had let in by one effect, or had not asked about, was taken by another when a SIGHUP came in between (TestAnOpThatSettingsOvertookIsNacked). Ruled out: the ordinary upgrade under load, and a first heir that dies before the word to end. Change: the giver pauses its accepting and resumes when the heir has ended; its health check then says no. The reducer nacks an op whose effect at the door is not the one in force: it was never pushed. A debug line tells that a client left.

--- a/cmd/woaddyke/ends_test.go
+++ b/cmd/woaddyke/ends_test.go
@@ -82,3 +82,86 @@
 		t.Errorf("%v: %s", err, s.log)
 	}
 }
+
+// A process that had been told to end left new clients to its heir for good: when that one died in the next moment, nobody accepted
+// any more, though the process was still there for an op that it held.
+func TestAnHeirThatDiesAfterItsGiverWasToldToEnd(t *testing.T) {
+	at, free := make(chan string, 9), make(chan bool)
+	worker := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			fmt.Fprintln(w, `{"waiting":0,"running":0}`)
+			return
+		}
+		io.Copy(io.Discard, r.Body)
+		id := r.Header.Get("X-Correlation-Id")
+		if at <- id; id == "held" {
+			<-free
+		}
+		fmt.Fprintf(w, `{"id":%q,"state":"done","result":"x"}`+"\n", id)
+	}))
+	t.Cleanup(worker.Close)
+	known := fmt.Sprintf(`{"rev":1,"all":true,"targets":[{"uid":"w","endpoint":%q,"state":"SERVING"}]}`, worker.Listener.Addr())
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listen, dir := l.Addr().String(), t.TempDir()
+	l.Close()
+	discovery := discoveryOf(t, known)
+	giver := startProcess(t, dir, listen, discovery, 0)
+	held := make(chan int, 1)
+	go client(listen, "h", t.Context().Done(), func(string, int, error) {}) // clients that come on and on
+	go func() {
+		c, err := net.Dial("tcp", listen)
+		if err != nil {
+			held <- 0
+			return
+		}
+		defer c.Close()
+		c.SetDeadline(time.Now().Add(20 * time.Second))
+		fmt.Fprint(c, "POST / HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: held\r\nX-Service-Class: pay\r\nX-Time-Left-Ms: 5000\r\nContent-Length: 0\r\n\r\n")
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			held <- 0
+			return
+		}
+		held <- resp.StatusCode
+	}()
+	for id := ""; id != "held"; {
+		select {
+		case id = <-at:
+		case <-time.After(20 * time.Second):
+			t.Fatal("it is not pushed")
+		}
+	}
+	go func() {
+		for range at { // nobody counts the others
+		}
+	}()
+	heir := startProcess(t, dir, listen, discovery, 1)
+	giver.cmd.Process.Signal(syscall.SIGTERM)
+	heir.cmd.Process.Kill()
+	heir.cmd.Wait()
+	served := false
+	for until := time.Now().Add(time.Second); !served && time.Now().Before(until); {
+		c, err := net.Dial("tcp", listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.SetDeadline(time.Now().Add(time.Second))
+		fmt.Fprint(c, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		served = err == nil && resp.StatusCode > 0
+		c.Close()
+	}
+	if !served {
+		t.Error("nobody accepts")
+	}
+	close(free)
+	if status := <-held; status != http.StatusOK {
+		t.Errorf("the op that was held: %d", status)
+	}
+	if err := giver.cmd.Wait(); err != nil {
+		t.Errorf("%v: %s", err, giver.log)
+	}
+}
--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -27,3 +27,6 @@
 		}
 	}
 }
+
+// Effect is how often ops of a category may run, by its place.
+func (d *Dispatcher) Effect(place int) string { return d.categories[place].effect }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -252,10 +252,10 @@
 	defer time.AfterFunc(time.Until(by), func() { f.loop.tell(last) }).Stop()
 	leaves := time.Now().Add(time.Duration(stays * float64(within)))
 	if heir {
-		f.clients.Close()
+		f.clients.Pause()
 		f.loop.peers.deaf()
 	}
-	f.leave(leaves, heir, by.Add(stopSlack/3))
+	f.leave(leaves, by.Add(stopSlack/3))
 	// Only now: from its beginning on it drops a request that it has read a moment ago, and closes connections on which one has begun.
 	ctx, cancel := context.WithDeadline(context.Background(), by.Add(stopSlack/3))
 	defer cancel()
@@ -268,14 +268,14 @@
 
 // leave has all clients gone: from a moment on each answer ends its connection, and those that wait for a request are told that
 // their wait is over. Without an heir it goes on accepting to the end: what a client wrote to a connection that the machine
-// accepted is taken. It returns when nothing is open, or at the last moment.
-func (f *Front) leave(from time.Time, heir bool, last time.Time) {
+// accepted is taken. An heir may die meanwhile: then this process has none. It returns when nothing is open, or at the last moment.
+func (f *Front) leave(from, last time.Time) {
 	for empty := 0; empty < 2 && time.Now().Before(last); time.Sleep(lookEvery) {
 		if time.Now().After(from) {
 			f.leaving.Store(true)
 			f.clients.Part(f.clients.Count(), newWaits)
 		}
-		if (heir || f.leaving.Load()) && f.clients.Sockets() == 0 {
+		if (f.heir.Load() || time.Now().After(from)) && f.clients.Sockets() == 0 {
 			empty++ // one that was accepted between two looks is seen at the second
 		} else {
 			empty = 0
@@ -354,7 +354,7 @@
 // health tells whoever deals out clients whether to send them here.
 func (f *Front) health(w http.ResponseWriter) {
 	status := http.StatusOK
-	if f.stopping.Load() || f.drain.on() {
+	if f.stopping.Load() || f.leaving.Load() && !f.heir.Load() || f.drain.on() {
 		status = http.StatusServiceUnavailable
 	}
 	f.closeBehind(w.Header(), status)
@@ -383,6 +383,9 @@
 	if !ok {
 		return nil, errors.New("a request that holds no op")
 	}
+	if f.fates != nil {
+		h.Effect = f.Effect(h.Category) // that it is asked for by, or not
+	}
 	if f.fates != nil && f.guarded(h.Category) {
 		if no := f.guard(r, h); no != nil {
 			return no, nil
--- a/internal/front/handover.go
+++ b/internal/front/handover.go
@@ -68,6 +68,7 @@
 func (f *Front) Heir(there bool) {
 	if f.heir.Store(there); !there {
 		f.Limit(f.sheet.Limits.Sockets)
+		f.clients.Resume()
 	}
 }
 
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -149,6 +149,7 @@
 			l.ran(in.Op)
 		}
 	case ops.Left:
+		l.log.Debug().Uint64("op", in.Op).Msg("client left")
 		delete(l.held, in.Op)
 	case ops.Listed:
 		if !in.Remembered && !l.heard {
--- a/internal/guests/guests.go
+++ b/internal/guests/guests.go
@@ -33,6 +33,7 @@
 	mu         sync.Mutex
 	most, full int // from the first on others give way to a newcomer; at the second it is closed unread
 	open       map[*conn]*guest
+	paused     chan struct{}  // nil while connections are accepted; closed when they are again
 	parted     map[*conn]bool // told that their wait is over, and not closed yet
 }
 
@@ -271,6 +272,10 @@
 func (g *Guests) Accept() (net.Conn, error) {
 	for {
 		nc, err := g.Listener.Accept()
+		if paused := g.pausing(); paused != nil && errors.Is(err, os.ErrDeadlineExceeded) {
+			<-paused
+			continue
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -287,6 +292,39 @@
 	}
 }
 
+func (g *Guests) pausing() chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.paused
+}
+
+// Pause leaves new connections to the process that shares the socket, until Resume. The socket stays open: that process may die.
+func (g *Guests) Pause() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if l, ok := g.Listener.(interface{ SetDeadline(time.Time) error }); ok && g.paused == nil && l.SetDeadline(time.Unix(1, 0)) == nil {
+		g.paused = make(chan struct{})
+	}
+}
+
+// Resume accepts again.
+func (g *Guests) Resume() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.paused != nil {
+		g.Listener.(interface{ SetDeadline(time.Time) error }).SetDeadline(time.Time{})
+		close(g.paused)
+		g.paused = nil
+	}
+}
+
+// Close ends accepting for good.
+func (g *Guests) Close() error {
+	err := g.Listener.Close()
+	g.Resume()
+	return err
+}
+
 func (g *Guests) admit(nc *conn) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/ops/ends_test.go
+++ b/internal/ops/ends_test.go
@@ -200,3 +200,15 @@
 	}
 	return n, ok
 }
+
+// An op that the fates had let in by one rule, or had not been asked for by it, was taken by another when SIGHUP came in between.
+func TestAnOpThatSettingsOvertookIsNacked(t *testing.T) {
+	for effect, want := range map[string]Verdict{"": -1, "redeliverable": -1, "at-most-once": Nacked} {
+		r := started()
+		todo := r.Take(2, Arrived{Op: 1, ID: "a", Category: "look", TTL: 2 * second, Effect: effect})
+		a, answered := first[Answer](todo)
+		if _, pushed := first[Push](todo); answered != (want == Nacked) || pushed == answered || answered && a.Verdict != want {
+			t.Errorf("%q: %+v", effect, todo)
+		}
+	}
+}
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -46,6 +46,7 @@
 	Work          dispatch.Time
 	Key           uint64 // what it needs at its worker, hashed; 0: nothing that workers keep
 	Ran           *Ran   // nil for an op that ran nowhere before
+	Effect        string // by which it was let in at the door; empty where nothing was asked by it
 }
 
 // Ran is where an op may have run for another scheduler, and since when.
@@ -394,6 +395,10 @@
 		}
 		return []Effect{Answer{Op: in.Op, Verdict: verdict}}
 	}
+	if in.Effect != "" && in.Effect != r.d.Effect(cat) {
+		// The settings changed between the door and here: it was asked for by one rule, and would be kept to another.
+		return []Effect{Answer{Op: in.Op, Verdict: Nacked}}
+	}
 	// A second push under one id is a second copy for its worker, also after the answer: the first may still run.
 	if until, taken := r.ids[in.ID]; taken && (until == 0 || now <= until) {
 		return []Effect{Answer{Op: in.Op, Verdict: TakenID}}
