An op whose answer can't be written leaves the figures

Seen: ReverseProxy panics with http.ErrAbortHandler where the copy of an answer fails, by design, so that the server drops the connection. Front.answer counted the op's end behind that call: an answer over the server's 4 KiB buffer to a client that had just left stood in flight for good (TestAnAnswerThatCanNotBeWrittenIsCountedAsGone, fails without the deferred count). Ruled out: smaller answers, whose error shows at the flush (counted as gone before). Change: what has not been counted when answer is left is counted as gone.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -312,14 +312,21 @@
 // answer answers a request, which is an op or is refused, and counts it.
 func (f *Front) answer(w http.ResponseWriter, r *http.Request, h *held, no *refusal) {
 	f.tally.Took()
-	said := &answered{ResponseWriter: w}
+	said, written := &answered{ResponseWriter: w}, false
+	defer func() {
+		if !written { // the proxy's panic, which has the server drop the connection
+			f.tally.Ended(r.Header.Get(categoryHeader), tally.Gone)
+		}
+	}()
 	if no == nil {
 		r.Body = http.NoBody
 		f.proxy.ServeHTTP(said, r.WithContext(context.WithValue(r.Context(), heldKey{}, h)))
 	} else {
 		f.refuse(said, no)
 	}
-	f.tally.Ended(r.Header.Get(categoryHeader), said.end(r.Context()))
+	end := said.end(r.Context())
+	written = true
+	f.tally.Ended(r.Header.Get(categoryHeader), end)
 }
 
 // answered keeps the status of an answer, whoever worded it.
--- a/internal/front/leave_test.go
+++ b/internal/front/leave_test.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"woaddyke/internal/copies"
+	"woaddyke/internal/ops"
 	"woaddyke/internal/terms"
 )
 
@@ -288,3 +289,39 @@
 		}
 	}
 }
+
+// torn is a client's connection that breaks under the answer.
+type torn struct{}
+
+func (torn) Header() http.Header       { return http.Header{} }
+func (torn) Write([]byte) (int, error) { return 0, net.ErrClosed }
+func (torn) WriteHeader(int)           {}
+
+// The proxy gives up by a panic where an answer can't be written, and the op stood in the figures as in flight for good.
+func TestAnAnswerThatCanNotBeWrittenIsCountedAsGone(t *testing.T) {
+	f, err := New(sheetOf(t, `{"rev":1,"all":true,"targets":[]}`), zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		for m := range f.loop.in {
+			if m.held != nil {
+				m.held.answer <- ops.Answer{Verdict: ops.Acked, Result: make([]byte, 64<<10)}
+				return
+			}
+		}
+	}()
+	r := httptest.NewRequest(http.MethodPost, "/", nil)
+	ctx := context.WithValue(r.Context(), http.ServerContextKey, &http.Server{})
+	func() {
+		defer func() {
+			if p := recover(); p != http.ErrAbortHandler {
+				t.Errorf("the server is to drop the connection: %v", p)
+			}
+		}()
+		f.answer(torn{}, r.WithContext(ctx), &held{client: ctx, answer: make(chan ops.Answer, 1)}, nil)
+	}()
+	if x := f.Figures(); x.InFlight != 0 || x.Other.Gone != 1 || x.Taken != 1 {
+		t.Errorf("%+v", x)
+	}
+}
