An answer that crosses its client's leaving, or the loop's end, stands

Seen: RoundTrip chose by chance where the answer and the leaving (or the loop's end) were both there: half of such at-most-once ops were told to the keepers as "may have run", and a repeat under the id was a dead letter though the result was known (TestAnAnswerThatCrossesTheLeavingStands; with the second look taken out it fails at once). Change: after the leaving one look for the answer.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -407,22 +407,34 @@
 	}
 	select {
 	case a := <-h.answer:
-		if a.Verdict == ops.Acked {
-			f.clients.Served(r.Context())
-		}
-		if h.ticket != 0 {
-			f.settle(h, a)
-		}
-		return response(r, a), nil
-	case <-f.loop.ended:
-		return nil, errEnded
+		return f.final(r, h, a), nil
 	case <-r.Context().Done():
 		f.loop.tell(ops.Left{Op: h.Op})
-		if h.ticket != 0 {
-			f.fates.End(h.ticket, false, 0, nil) // it may have run; nobody knows
-		}
-		return nil, r.Context().Err()
+	case <-f.loop.ended:
+	}
+	select {
+	case a := <-h.answer: // it came in the same instant
+		return f.final(r, h, a), nil
+	default:
+	}
+	if h.ticket != 0 {
+		f.fates.End(h.ticket, false, 0, nil) // it may have run; nobody knows
+	}
+	if err := r.Context().Err(); err != nil {
+		return nil, err
+	}
+	return nil, errEnded
+}
+
+// final is an op's one answer as it goes to its client.
+func (f *Front) final(r *http.Request, h *held, a ops.Answer) *http.Response {
+	if a.Verdict == ops.Acked {
+		f.clients.Served(r.Context())
+	}
+	if h.ticket != 0 {
+		f.settle(h, a)
 	}
+	return response(r, a)
 }
 
 // hand gives an op to the loop. One whose client has left by then, at the fates' door or while the loop was busy, is not given.
--- a/internal/front/leave_test.go
+++ b/internal/front/leave_test.go
@@ -325,3 +325,67 @@
 		t.Errorf("%+v", x)
 	}
 }
+
+// An op's answer and its client's leaving, or the loop's end, in one instant: the answer stands, and the fates are told of its result.
+// Half of such were told that the op may have run, and a repeat under its id was a dead letter.
+func TestAnAnswerThatCrossesTheLeavingStands(t *testing.T) {
+	for _, loopEnds := range []bool{false, true} {
+		for range 60 {
+			f, err := New(sheetOf(t, `{"rev":1,"all":true,"targets":[]}`), zerolog.Nop())
+			if err != nil {
+				t.Fatal(err)
+			}
+			by := &granted{ends: make(chan int, 1)}
+			f.Guard(by, func(string) bool { return true })
+			plain, leave := context.WithCancel(context.Background())
+			quit, both := make(chan struct{}), make(chan struct{})
+			ctx := crossing{plain, both}
+			go func() {
+				defer close(both)
+				for m := range f.loop.in {
+					if m.held == nil {
+						continue
+					}
+					m.held.answer <- ops.Answer{Verdict: ops.Acked, Result: []byte("x")}
+					if loopEnds {
+						close(quit)
+						f.loop.run(quit)
+					} else {
+						leave()
+					}
+					return
+				}
+			}()
+			h := &held{client: plain, answer: make(chan ops.Answer, 1)}
+			r := httptest.NewRequest(http.MethodPost, "/", nil)
+			if resp, err := f.RoundTrip(r.WithContext(context.WithValue(ctx, heldKey{}, h))); err != nil || resp.StatusCode != http.StatusOK {
+				t.Fatalf("loop ends %v: %v, %v", loopEnds, resp, err)
+			}
+			if status := <-by.ends; status != http.StatusOK {
+				t.Fatalf("loop ends %v: the fates are told of %d", loopEnds, status)
+			}
+			leave()
+		}
+	}
+}
+
+// crossing is a context that is waited on only once two things have happened.
+type crossing struct {
+	context.Context
+	both chan struct{}
+}
+
+func (c crossing) Done() <-chan struct{} {
+	<-c.both
+	return c.Context.Done()
+}
+
+// granted are fates that grant all and are told what came of it.
+type granted struct{ ends chan int }
+
+func (*granted) Ask(context.Context, string, string, []byte, time.Duration, time.Duration) copies.Decided {
+	return copies.Decided{Outcome: copies.Mine, Ticket: 7}
+}
+func (*granted) Ran(uint64, string)                           {}
+func (g *granted) End(_ uint64, _ bool, status int, _ []byte) { g.ends <- status }
+func (*granted) GiveUp(uint64)                                {}
