A push goes over its probe's connection again: the rest is between pushes only

Cause: with the rest of 50 ms after each answer, that of a probe too, the push that follows a probe at once found no rested connection and dialled: a handshake of one to three round trips, 10 to 60 ms across halls, for nearly each op. What the rest guards against is a push's second answer, a 503 that says unprocessed; what answers a probe proves nothing of a push. Change: the rest counts from the last push on a connection, and binds pushes only. The test of the late answer holds as before; a new one walks probe, push, probe, push. A pool's rest is a field, so that no test hangs on the machine's speed.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -22,9 +22,10 @@
 	Idle time.Duration // a worker closes one that has stood idle for this long
 }
 
-// rest is how long a connection is left alone after an answer. A worker that answers twice does so some milliseconds later, and a
-// bare status names no op: read as the next push's, a late 503 would prove falsely that it never ran. What comes in this time has
-// the connection given up.
+// rest is how long no push goes over a connection after the answer to another. A worker that answers twice does so some milliseconds
+// later, and a bare status names no op: read as the next push's, a late 503 would prove falsely that it never ran. What comes in this
+// time has the connection given up. After a probe there is no rest: what answers one proves nothing of a push, and the push that
+// follows it goes over the same connection; with a rest there each op paid for a handshake.
 const rest = 50 * time.Millisecond
 
 type conn struct {
@@ -33,6 +34,7 @@
 	gauge *gauge // below r
 	addr  string
 	since time.Time // idle since then
+	ended time.Time // the last push on it, zero before one
 }
 
 // lateDial is let pass between a connection's coming up and its being looked at. What decides on a push reckons that its first byte
@@ -43,6 +45,7 @@
 type Pool struct {
 	Connect func(ctx context.Context, network, addr string) (net.Conn, error) // set before use; nil: the network's own
 	bounds  Bounds
+	rest    time.Duration
 	mu      sync.Mutex
 	idle    map[string][]*conn // by address, the last used at the end
 	open    int                // with those that are being dialled
@@ -50,7 +53,7 @@
 }
 
 // New makes a pool without connections.
-func New(b Bounds) *Pool { return &Pool{bounds: b, idle: map[string][]*conn{}} }
+func New(b Bounds) *Pool { return &Pool{bounds: b, rest: rest, idle: map[string][]*conn{}} }
 
 // Limit sets another bound on the connections that are open. Idle ones beyond it are closed.
 func (p *Pool) Limit(open int) {
@@ -113,14 +116,14 @@
 	}
 }
 
-// take finds an idle connection that has rested and can still be written to.
-func (p *Pool) take(addr string) *conn {
+// take finds an idle connection that can still be written to, and for a push has rested.
+func (p *Pool) take(addr string, push bool) *conn {
 	now := time.Now()
 	for {
 		p.mu.Lock()
 		few := p.idle[addr]
 		k := len(few) - 1
-		for k >= 0 && now.Sub(few[k].since) < rest {
+		for k >= 0 && push && now.Sub(few[k].ended) < p.rest {
 			k--
 		}
 		if k < 0 {
--- a/internal/conns/ends_test.go
+++ b/internal/conns/ends_test.go
@@ -66,6 +66,7 @@
 		io.Copy(io.Discard, c)
 	})
 	p := pool(4)
+	p.rest = time.Hour // however slow this machine is
 	if e := push(p, addr, 20*time.Second); e.How != ending.Done {
 		t.Fatal(e.How)
 	}
@@ -93,6 +94,56 @@
 	}
 }
 
+// A push goes over the connection of the probe that it follows, also where that one was used for a push a moment before the probe, but
+// not over one whose last push ended a moment ago.
+func TestAPushFollowsItsProbeAndNotAnotherPush(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			io.WriteString(w, "{}")
+			return
+		}
+		io.WriteString(w, `{"id":"a1","state":"done"}`+"\n")
+	}))
+	defer s.Close()
+	addr, p := s.Listener.Addr().String(), pool(4)
+	p.rest = time.Hour
+	idle := func(n int) {
+		t.Helper()
+		for until := time.Now().Add(10 * time.Second); len(p.idleAt(addr)) != n; time.Sleep(time.Millisecond) {
+			if time.Now().After(until) {
+				t.Fatalf("%d idle, not %d", len(p.idleAt(addr)), n)
+			}
+		}
+	}
+	probe := func() bool {
+		ends := make(chan End, 1)
+		p.Probe(addr, []byte("GET /load HTTP/1.1\r\nHost: w\r\n\r\n"), time.Now().Add(20*time.Second), func(e End) { ends <- e })
+		e := <-ends
+		if e.How != ending.Done {
+			t.Fatal(e.How)
+		}
+		return e.Dialed
+	}
+	for step, x := range []struct {
+		push, dials bool
+		idle        int
+	}{{false, true, 1}, {true, false, 1}, {false, false, 1}, {true, true, 2}} {
+		dialed := false
+		if x.push {
+			e := push(p, addr, 20*time.Second)
+			if dialed = e.Dialed; e.How != ending.Done {
+				t.Fatal(e.How)
+			}
+		} else {
+			dialed = probe()
+		}
+		if dialed != x.dials {
+			t.Errorf("step %d: dialed %v", step, dialed)
+		}
+		idle(x.idle)
+	}
+}
+
 // forever writes a text again and again.
 func forever(c io.Writer, text string) {
 	many := []byte(strings.Repeat(text, max(1, 32<<10/len(text))))
--- a/internal/conns/exchange.go
+++ b/internal/conns/exchange.go
@@ -43,6 +43,7 @@
 type Exchange struct {
 	pool    *Pool
 	stop    context.CancelFunc
+	push    bool        // it is none of a probe
 	wanted  func() bool // asked before the first byte
 	mu      sync.Mutex
 	c       *conn
@@ -71,7 +72,7 @@
 // written whole, notes as they come, and the end once, after the connection is closed or the worker has said its last word on it.
 func (p *Pool) Push(addr, id string, request []byte, limit time.Time, wanted func() bool, written func(), note func(Line),
 	end func(End)) *Exchange {
-	return p.begin(addr, request, limit, wanted, func(c *conn, e End) (*http.Response, End) {
+	return p.begin(true, addr, request, limit, wanted, func(c *conn, e End) (*http.Response, End) {
 		written()
 		return job(c, id, note, e)
 	}, end)
@@ -79,7 +80,7 @@
 
 // Probe asks a worker for its load.
 func (p *Pool) Probe(addr string, request []byte, limit time.Time, end func(End)) {
-	p.begin(addr, request, limit, always, load, end)
+	p.begin(false, addr, request, limit, always, load, end)
 }
 
 func always() bool { return true }
@@ -87,9 +88,10 @@
 // reader reads an answer, and how the exchange ended from it.
 type reader func(*conn, End) (*http.Response, End)
 
-func (p *Pool) begin(addr string, request []byte, limit time.Time, wanted func() bool, read reader, end func(End)) *Exchange {
+func (p *Pool) begin(push bool, addr string, request []byte, limit time.Time, wanted func() bool, read reader,
+	end func(End)) *Exchange {
 	x, ctx := p.exchange(limit)
-	x.wanted = wanted
+	x.push, x.wanted = push, wanted
 	go func() {
 		defer x.stop()
 		c, e := x.send(ctx, addr, request, limit)
@@ -117,7 +119,7 @@
 
 func (x *Exchange) connect(ctx context.Context, addr string, limit time.Time) (*conn, End) {
 	var e End
-	c := x.pool.take(addr)
+	c := x.pool.take(addr, x.push)
 	if c == nil {
 		e.Dialed = true
 		if c, e.How = x.pool.dial(ctx, addr); c == nil {
@@ -297,6 +299,9 @@
 		x.mu.Unlock()
 		if whole {
 			c.SetDeadline(time.Time{})
+			if x.push {
+				c.ended = time.Now()
+			}
 			x.pool.put(c)
 			return
 		}
