--- a/internal/guests/guests.go
+++ b/internal/guests/guests.go
@@ -96,8 +96,8 @@
 	c.Conn.SetReadDeadline(time.Unix(1, 0))
 }
 
-// last is the last look at a connection whose wait is over, also by the server's own deadline: what came until now is read, and it goes on. Between a look before
-// that and the close a request was lost; now there is only the instant of the close itself.
+// last is the last look at a connection whose wait is over, also by the server's own deadline: what came until now is read, and it
+// goes on. Between a look before that and the close a request was lost; now there is only the instant of the close itself.
 func (c *conn) last(b []byte, late error) (n int, err error) {
 	c.mu.Lock()
 	looks := c.parted || !c.head.inside // one that dribbles its head has had its time
