--- a/cmd/woaddyke/ends_test.go
+++ b/cmd/woaddyke/ends_test.go
@@ -12,11 +12,10 @@
 	"time"
 )
 
-// A real process that is told to end again and again, before discovery has said a word, in the middle of a SIGHUP and of a drain: what
-// it holds at a worker is answered, what comes on new connections too, and it ends by itself. A second SIGTERM during an end that the
-// process had begun by itself killed it with all that it held.
-func TestAProcessToldToEndTwiceAnswersWhatItHolds(t *testing.T) {
-	at, free := make(chan string, 9), make(chan bool)
+// holding is a stand-in worker that holds the op "held" until it is freed and tells of each that comes, its discovery, and a free
+// address for clients.
+func holding(t *testing.T) (discovery, listen string, at chan string, free chan bool) {
+	at, free = make(chan string, 9), make(chan bool)
 	worker := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodGet {
 			fmt.Fprintln(w, `{"waiting":0,"running":0}`)
@@ -24,21 +23,27 @@
 		}
 		io.Copy(io.Discard, r.Body)
 		id := r.Header.Get("X-Correlation-Id")
-		at <- id
-		if id == "held" {
+		if at <- id; id == "held" {
 			<-free
 		}
 		fmt.Fprintf(w, `{"id":%q,"state":"done","result":"x"}`+"\n", id)
 	}))
 	t.Cleanup(worker.Close)
-	known := fmt.Sprintf(`{"rev":1,"all":true,"targets":[{"uid":"w","endpoint":%q,"state":"SERVING"}]}`, worker.Listener.Addr())
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	listen := l.Addr().String()
-	l.Close()
-	s := startProcess(t, t.TempDir(), listen, discoveryOf(t, known), 0)
+	defer l.Close()
+	return discoveryOf(t, fmt.Sprintf(`{"rev":1,"all":true,"targets":[{"uid":"w","endpoint":%q,"state":"SERVING"}]}`,
+		worker.Listener.Addr())), l.Addr().String(), at, free
+}
+
+// A real process that is told to end again and again, before discovery has said a word, in the middle of a SIGHUP and of a drain: what
+// it holds at a worker is answered, what comes on new connections too, and it ends by itself. A second SIGTERM during an end that the
+// process had begun by itself killed it with all that it held.
+func TestAProcessToldToEndTwiceAnswersWhatItHolds(t *testing.T) {
+	discovery, listen, at, free := holding(t)
+	s := startProcess(t, t.TempDir(), listen, discovery, 0)
 	send := func(id string) (net.Conn, *bufio.Reader) {
 		c, err := net.Dial("tcp", listen)
 		if err != nil {
@@ -86,28 +91,8 @@
 // A process that had been told to end left new clients to its heir for good: when that one died in the next moment, nobody accepted
 // any more, though the process was still there for an op that it held.
 func TestAnHeirThatDiesAfterItsGiverWasToldToEnd(t *testing.T) {
-	at, free := make(chan string, 9), make(chan bool)
-	worker := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Method == http.MethodGet {
-			fmt.Fprintln(w, `{"waiting":0,"running":0}`)
-			return
-		}
-		io.Copy(io.Discard, r.Body)
-		id := r.Header.Get("X-Correlation-Id")
-		if at <- id; id == "held" {
-			<-free
-		}
-		fmt.Fprintf(w, `{"id":%q,"state":"done","result":"x"}`+"\n", id)
-	}))
-	t.Cleanup(worker.Close)
-	known := fmt.Sprintf(`{"rev":1,"all":true,"targets":[{"uid":"w","endpoint":%q,"state":"SERVING"}]}`, worker.Listener.Addr())
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	listen, dir := l.Addr().String(), t.TempDir()
-	l.Close()
-	discovery := discoveryOf(t, known)
+	discovery, listen, at, free := holding(t)
+	dir := t.TempDir()
 	giver := startProcess(t, dir, listen, discovery, 0)
 	held := make(chan int, 1)
 	go client(listen, "h", t.Context().Done(), func(string, int, error) {}) // clients that come on and on
