One look at a socket's bytes, one form of a handover's messages, fewer states in watch and answer

Change: the watch for a client's end calls the pool's Peek (PeekAt, by descriptor) in place of a copy of it; asker and state of a handover are written and read by the same two functions; the front's Asker repeated SettingsHash and is now only Discovery; the end of an answer is one variable that begins as gone, not a flag and two counts; the meter of a watch keeps heard, and the watch no second of its own; the fates are asked for once whether they are there. Tests: sample.Bit in place of two copies, one maker of a free address and one of a listener with guests. No behaviour, bound or assertion is changed.

--- a/cmd/woaddyke/ends_test.go
+++ b/cmd/woaddyke/ends_test.go
@@ -29,13 +29,8 @@
 		fmt.Fprintf(w, `{"id":%q,"state":"done","result":"x"}`+"\n", id)
 	}))
 	t.Cleanup(worker.Close)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
 	return discoveryOf(t, fmt.Sprintf(`{"rev":1,"all":true,"targets":[{"uid":"w","endpoint":%q,"state":"SERVING"}]}`,
-		worker.Listener.Addr())), l.Addr().String(), at, free
+		worker.Listener.Addr())), freeAddr(t), at, free
 }
 
 // A real process that is told to end again and again, before discovery has said a word, in the middle of a SIGHUP and of a drain: what
--- a/cmd/woaddyke/process.go
+++ b/cmd/woaddyke/process.go
@@ -157,7 +157,7 @@
 func (p *process) asker() handover.Asker {
 	a := handover.Asker{Name: p.sheet.Name, Listen: p.sheet.Listen, Discovery: p.sheet.Discovery, Settings: p.sheet.Hash()}
 	if p.front != nil {
-		a.Discovery, a.Settings = p.front.Asker()
+		a.Discovery, a.Settings = p.front.Discovery(), p.front.SettingsHash()
 	}
 	return a
 }
--- a/cmd/woaddyke/process_test.go
+++ b/cmd/woaddyke/process_test.go
@@ -65,15 +65,21 @@
 	return c
 }
 
-// The second process could not listen and ended, and the first one had sent its clients away: jobs were lost at the door.
-func TestAProcessIsReplacedAndNobodyIsTurnedAway(t *testing.T) {
-	t.Setenv("TMPDIR", t.TempDir())
-	free, err := net.Listen("tcp", "127.0.0.1:0")
+// freeAddr is an address that nobody listens at.
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	addr := free.Addr().String()
-	free.Close()
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// The second process could not listen and ended, and the first one had sent its clients away: jobs were lost at the door.
+func TestAProcessIsReplacedAndNobodyIsTurnedAway(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	addr := freeAddr(t)
 	first := replaceable(t, addr)
 	at, err := first.begin()
 	if err != nil {
@@ -143,12 +149,7 @@
 // that serves there, and served its clients by other settings. It must get nothing and serve nobody there, and the other must not notice.
 func TestAnotherDeploymentsProcessTakesNothing(t *testing.T) {
 	t.Setenv("TMPDIR", t.TempDir())
-	free, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	addr := free.Addr().String()
-	free.Close()
+	addr := freeAddr(t)
 	first := replaceable(t, addr)
 	at, err := first.begin()
 	if err != nil {
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -232,9 +232,13 @@
 		return 0, err
 	}
 	var peeked error
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, peeked = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	return max(n, 0), errors.Join(err, peeked)
+	err = raw.Control(func(fd uintptr) { n, peeked = PeekAt(fd) })
+	return n, errors.Join(err, peeked)
+}
+
+// PeekAt is Peek for those who have the descriptor.
+func PeekAt(fd uintptr) (n int, err error) {
+	var b [1]byte
+	n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return max(n, 0), err
 }
--- a/internal/front/drain.go
+++ b/internal/front/drain.go
@@ -43,11 +43,8 @@
 // Evacuated tells whether clients are sent away.
 func (f *Front) Evacuated() bool { return f.drain.on() }
 
-// Asker is what tells this scheduler's deployment from another's: its discovery and settings, as they are in force.
-func (f *Front) Asker() (discovery string, settings uint64) {
-	s := f.inForce.Load()
-	return s.Discovery, s.Hash()
-}
+// Discovery is where the list is read, by the configuration in force.
+func (f *Front) Discovery() string { return f.inForce.Load().Discovery }
 
 // SettingsHash names the settings in force, but for what is each scheduler's own.
 func (f *Front) SettingsHash() uint64 { return f.inForce.Load().Hash() }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -312,21 +312,15 @@
 // answer answers a request, which is an op or is refused, and counts it.
 func (f *Front) answer(w http.ResponseWriter, r *http.Request, h *held, no *refusal) {
 	f.tally.Took()
-	said, written := &answered{ResponseWriter: w}, false
-	defer func() {
-		if !written { // the proxy's panic, which has the server drop the connection
-			f.tally.Ended(r.Header.Get(categoryHeader), tally.Gone)
-		}
-	}()
+	said, end := &answered{ResponseWriter: w}, tally.Gone // as it stays where the proxy has the server drop the connection, by a panic
+	defer func() { f.tally.Ended(r.Header.Get(categoryHeader), end) }()
 	if no == nil {
 		r.Body = http.NoBody
 		f.proxy.ServeHTTP(said, r.WithContext(context.WithValue(r.Context(), heldKey{}, h)))
 	} else {
 		f.refuse(said, no)
 	}
-	end := said.end(r.Context())
-	written = true
-	f.tally.Ended(r.Header.Get(categoryHeader), end)
+	end = said.end(r.Context())
 }
 
 // answered keeps the status of an answer, whoever worded it.
@@ -392,10 +386,10 @@
 	}
 	if f.fates != nil {
 		h.Effect = f.Effect(h.Category) // that it is asked for by, or not
-	}
-	if f.fates != nil && f.guarded(h.Category) {
-		if no := f.guard(r, h); no != nil {
-			return no, nil
+		if f.guarded(h.Category) {
+			if no := f.guard(r, h); no != nil {
+				return no, nil
+			}
 		}
 	}
 	h.Op, h.request.Head = f.numbers.Add(1), requestHead(r, h)
--- a/internal/front/stop_test.go
+++ b/internal/front/stop_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"woaddyke/internal/sample"
 )
 
 // stopped is a scheduler whose worker holds the op named "held" until told, and what its clients need.
@@ -89,7 +91,7 @@
 		if status == 0 && fresh {
 			lost++
 		}
-		if answered += bit(status != 0); ends {
+		if answered += sample.Bit(status != 0); ends {
 			kept.Close()
 			kept = nil
 		}
@@ -118,13 +120,6 @@
 	}
 }
 
-func bit(x bool) int {
-	if x {
-		return 1
-	}
-	return 0
-}
-
 // A request that has begun and whose rest comes only while its scheduler leaves is served, and its connection ends with it.
 func TestARequestInPiecesAcrossTheEndOfAStopIsServed(t *testing.T) {
 	for _, cut := range []int{1, 40, len(opText("pieces", "Content-Length: 2\r\n\r\n")), len(opText("pieces", "Content-Length: 2\r\n\r\nh"))} {
--- a/internal/guests/guests.go
+++ b/internal/guests/guests.go
@@ -131,7 +131,7 @@
 	}
 	var ended error
 	if err := raw.Read(func(fd uintptr) bool {
-		ended = end(int(fd))
+		ended = end(fd)
 		return ended != nil
 	}); err != nil {
 		return true, err
@@ -140,9 +140,8 @@
 }
 
 // end is how the other side has ended, nil where it has not.
-func end(fd int) error {
-	var b [1]byte
-	n, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+func end(fd uintptr) error {
+	n, err := conns.PeekAt(fd)
 	switch {
 	case err == syscall.EAGAIN || err == syscall.EINTR:
 		return nil
@@ -152,7 +151,7 @@
 		return io.EOF
 	}
 	// Something lies before the end, if there is one: the state of the connection tells.
-	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
 	if err == nil && (info.State == unix.BPF_TCP_CLOSE_WAIT || info.State == unix.BPF_TCP_CLOSE) { // it ended, or reset
 		return io.EOF
 	}
@@ -170,7 +169,7 @@
 		return false
 	}
 	left := false
-	err = raw.Control(func(fd uintptr) { left = end(int(fd)) != nil })
+	err = raw.Control(func(fd uintptr) { left = end(fd) != nil })
 	return left || err != nil // closed here
 }
 
--- a/internal/guests/guests_test.go
+++ b/internal/guests/guests_test.go
@@ -12,6 +12,19 @@
 	"woaddyke/internal/conns"
 )
 
+// listening makes room for so many on a listener of its own.
+func listening(t *testing.T, most int) *Guests {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	g := New(most, most)
+	g.Listener = l
+	return g
+}
+
 // pair is a connection from a client as the server sees it, and the client's side.
 func pair(t *testing.T, g *Guests) (server, client net.Conn) {
 	t.Helper()
@@ -28,13 +41,7 @@
 
 // A client that writes in pieces lost its request when its connection was taken for one that waits.
 func TestARequestThatHasBegunIsNotParted(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	g := New(9, 9)
-	g.Listener = l
+	g := listening(t, 9)
 	quiet, silent := pair(t, g)
 	begun, piece := pair(t, g)
 	idle, _ := pair(t, g)
--- a/internal/guests/last_test.go
+++ b/internal/guests/last_test.go
@@ -184,13 +184,7 @@
 // The server's own time for a connection that idles was up in the instant in which a request came. One that dribbles a head is given
 // no more than its time.
 func TestARequestThatCrossesTheServersDeadlineIsRead(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	g := New(9, 9)
-	g.Listener = l
+	g := listening(t, 9)
 	server, client := pair(t, g)
 	server.SetReadDeadline(time.Unix(1, 0))
 	for k, want := range []int{2, 0} {
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -21,6 +21,25 @@
 	Members []byte          `json:"members"` // what it is to other schedulers; its two sockets come last. Empty: nothing
 }
 
+func text(of any) ([]byte, error) {
+	b, err := json.Marshal(of)
+	if err != nil {
+		return nil, fmt.Errorf("handover: %w", err)
+	}
+	return b, nil
+}
+
+// read reads what came, of this form alone.
+func read(text []byte, into any, form *int) error {
+	if err := json.Unmarshal(text, into); err != nil {
+		return fmt.Errorf("handover: %w", err)
+	}
+	if *form != version {
+		return fmt.Errorf("handover: version %d, this process reads %d", *form, version)
+	}
+	return nil
+}
+
 // Asker is who asks for a handover, and who gives one.
 type Asker struct {
 	Version   int    `json:"version"`
@@ -33,21 +52,14 @@
 // Bytes are an asker as it is sent.
 func (a Asker) Bytes() ([]byte, error) {
 	a.Version = version
-	text, err := json.Marshal(a)
-	if err != nil {
-		return nil, fmt.Errorf("handover: %w", err)
-	}
-	return text, nil
+	return text(a)
 }
 
 // ReadAsker is an asker as it came.
 func ReadAsker(text []byte) (Asker, error) {
 	var a Asker
-	if err := json.Unmarshal(text, &a); err != nil {
-		return Asker{}, fmt.Errorf("handover: %w", err)
-	}
-	if a.Version != version {
-		return Asker{}, fmt.Errorf("handover: version %d, this process reads %d", a.Version, version)
+	if err := read(text, &a, &a.Version); err != nil {
+		return Asker{}, err
 	}
 	return a, nil
 }
@@ -70,21 +82,14 @@
 // Bytes are the state as it is sent.
 func (s State) Bytes() ([]byte, error) {
 	s.Version = version
-	text, err := json.Marshal(s)
-	if err != nil {
-		return nil, fmt.Errorf("handover: %w", err)
-	}
-	return text, nil
+	return text(s)
 }
 
 // Read is the state as it came.
 func Read(text []byte) (State, error) {
 	var s State
-	if err := json.Unmarshal(text, &s); err != nil {
-		return State{}, fmt.Errorf("handover: %w", err)
-	}
-	if s.Version != version {
-		return State{}, fmt.Errorf("handover: version %d, this process reads %d", s.Version, version)
+	if err := read(text, &s, &s.Version); err != nil {
+		return State{}, err
 	}
 	if s.Sockets <= 0 {
 		return State{}, errors.New("handover: no descriptors left")
--- a/internal/roster/ends_test.go
+++ b/internal/roster/ends_test.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"woaddyke/internal/ops"
+	"woaddyke/internal/sample"
 )
 
 const (
@@ -96,16 +97,18 @@
 				told time.Duration // counts from then, after the first call
 				how  func(call int, since time.Duration) way
 			}{
-				"at the start":           {0, func(int, time.Duration) way { return answers }},
-				"silent after its head":  {silenceTold, func(call int, _ time.Duration) way { return []way{headed, answers}[min(call-1, 1)] }},
-				"silent after a line":    {silenceTold + beat, func(call int, _ time.Duration) way { return []way{beats, answers}[min(call-1, 1)] }},
-				"silent in an object":    {silenceTold, func(call int, _ time.Duration) way { return []way{halved, answers}[min(call-1, 1)] }},
-				"silent twice":           {silenceTold, func(call int, _ time.Duration) way { return []way{headed, hangs, answers}[min(call-1, 2)] }},
-				"silent twice, headed":   {silenceTold, func(call int, _ time.Duration) way { return []way{headed, headed, answers}[min(call-1, 2)] }},
-				"reset":                  {0, func(call int, _ time.Duration) way { return []way{reset, answers}[min(call-1, 1)] }},
-				"down for 8 s and back":  {8 * time.Second, func(_ int, since time.Duration) way { return []way{hangs, answers}[bit(since >= 8*time.Second)] }},
-				"away for 8 s and back":  {8 * time.Second, func(_ int, since time.Duration) way { return []way{reset, answers}[bit(since >= 8*time.Second)] }},
-				"turned away for 8 s":    {8 * time.Second, func(_ int, since time.Duration) way { return []way{turned, answers}[bit(since >= 8*time.Second)] }},
+				"at the start":          {0, func(int, time.Duration) way { return answers }},
+				"silent after its head": {silenceTold, func(call int, _ time.Duration) way { return []way{headed, answers}[min(call-1, 1)] }},
+				"silent after a line":   {silenceTold + beat, func(call int, _ time.Duration) way { return []way{beats, answers}[min(call-1, 1)] }},
+				"silent in an object":   {silenceTold, func(call int, _ time.Duration) way { return []way{halved, answers}[min(call-1, 1)] }},
+				"silent twice":          {silenceTold, func(call int, _ time.Duration) way { return []way{headed, hangs, answers}[min(call-1, 2)] }},
+				"silent twice, headed":  {silenceTold, func(call int, _ time.Duration) way { return []way{headed, headed, answers}[min(call-1, 2)] }},
+				"reset":                 {0, func(call int, _ time.Duration) way { return []way{reset, answers}[min(call-1, 1)] }},
+				"down for 8 s and back": {8 * time.Second, func(_ int, since time.Duration) way { return []way{hangs, answers}[sample.Bit(since >= 8*time.Second)] }},
+				"away for 8 s and back": {8 * time.Second, func(_ int, since time.Duration) way { return []way{reset, answers}[sample.Bit(since >= 8*time.Second)] }},
+				"turned away for 8 s": {8 * time.Second, func(_ int, since time.Duration) way {
+					return []way{turned, answers}[sample.Bit(since >= 8*time.Second)]
+				}},
 				"hangs after a SIGHUP":   {moveTold, func(call int, _ time.Duration) way { return []way{hangs, answers}[min(call-1, 1)] }},
 				"hangs twice after that": {moveTold, func(call int, _ time.Duration) way { return []way{hangs, hangs, answers}[min(call-1, 2)] }},
 			} {
@@ -125,13 +128,6 @@
 	}
 }
 
-func bit(x bool) int {
-	if x {
-		return 1
-	}
-	return 0
-}
-
 // applied is when the list was applied, from the first call on, or from the start where that is the question.
 func applied(t *testing.T, seed uint64, spans Spans, how func(int, time.Duration) way) (after time.Duration) {
 	t.Helper()
@@ -253,7 +249,7 @@
 // The decoder keeps what stands before an object: empty lines of months, or a flood of them, stayed in memory.
 func TestEmptyLinesAreNotKept(t *testing.T) {
 	m := &meter{from: &blanks{1 << 16}, left: longest, lives: func() {}}
-	if n, err := m.Read(make([]byte, 512)); n != 0 || err != io.EOF || !m.beats {
+	if n, err := m.Read(make([]byte, 512)); n != 0 || err != io.EOF || !m.heard {
 		t.Errorf("%d bytes go on, %v", n, err)
 	}
 }
--- a/internal/roster/watch.go
+++ b/internal/roster/watch.go
@@ -65,19 +65,18 @@
 			if errors.Is(err, io.EOF) {
 				err = errors.New("ended")
 			}
-			return heard || m.beats, fmt.Errorf("watch: %w", err)
+			return m.heard, fmt.Errorf("watch: %w", err)
 		}
 		if text.Rev == nil || text.All && text.Targets == nil {
-			return heard || m.beats, fmt.Errorf("watch: %w", errLacking)
+			return m.heard, fmt.Errorf("watch: %w", errLacking)
 		}
-		heard = true
 		m.whole(objects.Buffered())
 		list := Message{Rev: *text.Rev, All: text.All}
 		if text.Targets != nil {
 			list.Targets = *text.Targets
 		}
 		if !r.keep(on, &list) {
-			return heard, on.Err()
+			return m.heard, on.Err()
 		}
 		r.log.Debug().Int64("rev", list.Rev).Bool("whole", list.All).Int("entries", len(list.Targets)).Msg("list")
 		for _, t := range list.Targets {
@@ -94,7 +93,7 @@
 	from  io.Reader
 	left  int  // of the object's bytes
 	open  bool // one has begun
-	beats bool // an empty line came
+	heard bool // an empty line came, or a list
 	lives func()
 }
 
@@ -120,22 +119,20 @@
 
 // see takes note of bytes that came.
 func (m *meter) see(b []byte) {
-	if m.open {
-		m.left -= len(b)
-		return
-	}
-	m.lives()
-	if len(bytes.TrimSpace(b)) == 0 {
-		m.beats = true
-		return
+	if !m.open {
+		m.lives()
+		if len(bytes.TrimSpace(b)) == 0 {
+			m.heard = true
+			return
+		}
+		m.open = true
 	}
-	m.open = true
 	m.left -= len(b)
 }
 
-// whole says that an object has come whole, and what was read behind it.
+// whole says that a list has come whole, and what was read behind it.
 func (m *meter) whole(rest io.Reader) {
-	m.open, m.left = false, longest
+	m.open, m.left, m.heard = false, longest, true
 	m.lives()
 	if b, err := io.ReadAll(rest); err == nil && len(bytes.TrimSpace(b)) > 0 {
 		m.see(b)
