Lists: what discovery has is applied within 6 s of its return, however calls had failed

Seen: a stand-in that answers 503 for 20 s and is then back with a drain (on_request, one scheduler, grace 10 s) still got pushes to that worker 12.6 s after its return. Under a clock of the test's, on the lines of before, with an answer at once: applied up to 17.7 s after the return with one scheduler, 20.8 s with 300; 18 of 18 ways in which a list is late fail where lists are asked for, 0 of 18 where they are pushed. Lines at fault: longestWait (16 s, and half as much more) and the doubled Spread (up to 15 s with 300 schedulers) in Spans.again; waits came on top of calls that had hung for 2.5 s or 4.5 s (Keep waits from the end of a call); a silent watch was lost after 4.5 s only. Ruled out: the applying (a list is told at once), and pushed lists, whose sums held already. Change: the wait counts from where the failed call began and is 4.4 s at most (3.6 s for a grace of 0.25 s): with an answer of 1.5 s and 0.1 s of applying 6 s, with the longest answer that is waited for within the grace. The first wait of that length is drawn from it, later ones are exact, so schedulers stay spread and call no more often than they must. A silent watch is lost after 3 s, and then called within 1.4 s. Tests: the 18 ways in virtual time, and the sums up to 20,000 schedulers. A row of TestADiscoveryThatIsAskedByAllAnswersMost is replaced: 80 schedulers of a discovery that does 4 calls a second and works on for those that it has failed. In its place 16 schedulers of that discovery within 20 s, and 80 of one that turns away at once, within 25 s of the 20 s that its rate needs.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -131,34 +131,34 @@
 	}
 }
 
-// again is how long to wait for another watch after so many that failed.
-func (r *Roster) again(fails int, turnedAway bool) time.Duration {
-	return r.spans.again(fails, turnedAway, r.chance.Float64())
-}
-
 // Keep watches until the context ends, and connects again whenever the watch breaks.
 func (r *Roster) Keep(ctx context.Context) {
-	wait, turnedAway := r.again(0, false), false // the remembered list serves meanwhile
-	for fails := 0; ; {
+	var b broken
+	wait := r.spans.again(b, r.chance.Float64()) // the remembered list serves meanwhile
+	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-r.moved:
-			fails, turnedAway = 0, false
+			b = broken{}
 		case <-time.After(wait):
 		}
 		r.mu.Lock()
 		on := r.replace(ctx)
 		r.mu.Unlock()
+		began := time.Now()
 		heard, err := r.watch(on)
 		if ctx.Err() != nil {
 			return
 		}
-		if fails++; heard {
-			fails = 0
+		if heard {
+			b = broken{}
+		} else {
+			b.fails++
+			b.turnedAway = b.turnedAway || errors.Is(err, errTurnedAway)
 		}
-		turnedAway = !heard && (turnedAway || errors.Is(err, errTurnedAway))
-		wait = r.again(fails, turnedAway)
+		b.silent, b.took = errors.Is(err, errSilent), time.Since(began)
+		wait = r.spans.again(b, r.chance.Float64())
 		if !errors.Is(err, context.Canceled) { // a move is no break
 			r.log.Warn().Err(err).Dur("again_in_ms", wait).Msg("watch broke")
 		}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -112,19 +112,31 @@
 
 // Eighty schedulers started together and asked a discovery that does thirteen calls a second, in turn, and fails what has
 // waited for 2 s though it does the work. They came back within 320 ms, so its time went to calls that had failed by
-// then: a fifth of them had a list again, the others never. One that does four a second can't be had by spreading alone.
-// Each roster here has its own seed and nothing else.
+// then: a fifth of them had a list again, the others never. One that does four a second can't be had by spreading alone: its
+// eighty schedulers waited for up to 24 s between two calls, and by then what it has counts as told for long. So of such a
+// discovery it is asked what sixteen can bear; and of one that turns away at once what it has no time for, that it serves all
+// eighty as fast as it can. Each roster here has its own seed and nothing else.
 func TestADiscoveryThatIsAskedByAllAnswersMost(t *testing.T) {
-	for _, x := range []struct{ each, within time.Duration }{
-		{time.Second / 13, 20 * time.Second},
-		{time.Second / 4, time.Minute},
+	for name, x := range map[string]crowd{
+		"80, 13 a second, in turn":      {80, time.Second / 13, 4 * time.Second, 20 * time.Second},
+		"16, 4 a second, in turn":       {16, time.Second / 4, 4 * time.Second, 20 * time.Second},
+		"80, 4 a second, or not at all": {80, time.Second / 4, time.Second / 2, 25 * time.Second},
 	} {
-		t.Run(fmt.Sprint(x.each), func(t *testing.T) { askedByAll(t, x.each, x.within) })
+		t.Run(name, x.ask)
 	}
 }
 
-func askedByAll(t *testing.T, each, within time.Duration) {
-	const schedulers, wait, most = 80, 2 * time.Second, 4 * time.Second
+// crowd is some schedulers that ask at once.
+type crowd struct {
+	schedulers int
+	each       time.Duration // a call takes so long
+	most       time.Duration // what would wait for longer is turned away at once
+	within     time.Duration // nine in ten are to be served
+}
+
+func (c crowd) ask(t *testing.T) {
+	const wait = 2 * time.Second
+	schedulers, each, most, within := c.schedulers, c.each, c.most, c.within
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(context.Background())
 		p := &pipes{make(chan net.Conn), make(chan struct{})}
--- a/internal/roster/spans.go
+++ b/internal/roster/spans.go
@@ -6,17 +6,27 @@
 	dialed = time.Second // a connection that takes longer to come up never will
 
 	beat = 2 * time.Second // an empty line comes this often while nothing changes
-	// The first wait of a lone scheduler for another watch; each that fails doubles it, up to sixteen times as long.
+	// The first wait of a lone scheduler for another watch; each that fails doubles it.
 	firstWait = 20 * time.Millisecond
+
+	// A change counts as told so long after discovery had it and could be reached, whatever became of the calls before.
+	told     = 6 * time.Second
+	applying = 100 * time.Millisecond // of a list, from its last byte on
+	// An answer that is waited for. A call that was cut after a second was what a busy discovery was about to answer: its work was
+	// done all the same. One that has no news may send its head with the first empty line.
+	answered = 5 * beat / 4
+	// An answer that takes no longer is applied by the time when it counts as told; one that takes longer, within a drain's grace.
+	usual = 3 * time.Second / 2
+
 	// All schedulers lose their watch together, or start together. A discovery that is asked answers them in turn, and what has
 	// waited too long fails though the work is done: asked by all at once, and by all again, it answered none for good. So they
-	// come back at this many a second, in sum, and at half of that and less after each call that was turned away.
+	// come back at this many a second, in sum, as far as the spans above and a drain's grace allow it.
 	callRate = 20
 	// What such a discovery would have told a scheduler, had it asked, counts as told: it must have asked, and have its answer,
 	// before a drain's grace has passed.
 	inGrace = 0.8
-	// The longest of the waits that double, before it is spread by half either way.
-	longestWait = 16 * time.Second
+	// All schedulers are not spread over more after a break, so that what is turned away then has another call in time.
+	longestSpread = beat
 
 	// A discovery that pushes has an agent on this machine, which answers at once and at no cost, and what it has counts as told
 	// while nobody reads it, also at the moment when it is back after a silence. So a call that it leaves hanging and the wait for
@@ -32,34 +42,58 @@
 	Quiet  time.Duration // so long without a byte, or without the rest of an object, and the watch is lost
 	Settle time.Duration // a call that has no head by then is lost
 	Spread time.Duration // over which all schedulers come back
-	Most   time.Duration // the longest wait for another watch, before it is spread by half either way
+	Silent time.Duration // the same after a silence, of which Quiet has passed
+	Most   time.Duration // the longest time from the beginning of a call that failed to that of the next one
 	Turned time.Duration // the same while calls are turned away
 }
 
 // SpansOf works them out from whether discovery pushes, how many schedulers ask it, and the grace of a drain. docs/design.md has
-// the sums that they have to keep, and a test adds them up.
+// the sums that they have to keep, and tests add them up.
 func SpansOf(pushes bool, schedulers int, grace time.Duration) Spans {
+	const quiet = 3 * beat / 2
 	if pushes {
-		most := min(16*firstWait, time.Duration(waiting/1.5*float64(grace)))
-		return Spans{Quiet: 3 * beat / 2, Settle: min(max(time.Duration(hanging*float64(grace)), leastSettle), 5*beat/4),
-			Spread: min(firstWait, most), Most: most, Turned: most}
+		most := min(16*firstWait, time.Duration(waiting*float64(grace)))
+		spread := min(firstWait, most)
+		return Spans{Quiet: quiet, Settle: min(max(time.Duration(hanging*float64(grace)), leastSettle), answered),
+			Spread: spread, Silent: spread, Most: most, Turned: most}
 	}
 	all := time.Duration(schedulers) * time.Second / callRate
-	spread := max(min(all, time.Duration(inGrace*float64(grace))), firstWait)
-	// A busy discovery's beats come late, and a call that was cut after a second was what it was about to answer: its work was
-	// done all the same.
-	return Spans{Quiet: 9 * beat / 4, Settle: 5 * beat / 4, Spread: spread, Most: max(16*firstWait, spread), Turned: longestWait}
+	in := time.Duration(inGrace * float64(grace))
+	spread := max(min(all, in, longestSpread), firstWait)
+	period := told - applying - max(usual, answered-in)
+	return Spans{Quiet: quiet, Settle: answered, Spread: spread, Silent: min(spread, told-applying-usual-quiet),
+		Most: min(max(all, 16*firstWait), period), Turned: period}
 }
 
-// again is the wait for another watch after so many that failed; luck is from 0 to 1. What is silent or not there may be back any
-// moment; what turns calls away must be asked less and less.
-func (s Spans) again(fails int, turnedAway bool, luck float64) time.Duration {
-	if fails == 0 {
+// broken is how the calls since the last that was heard have ended.
+type broken struct {
+	fails      int  // none: a watch was heard, or there was no call yet
+	turnedAway bool // one of them
+	silent     bool // the last one
+	took       time.Duration
+}
+
+// again is the wait for another watch; luck is from 0 to 1. What is silent or not there may be back any moment; what turns calls
+// away is asked as rarely as what it has to tell allows.
+//
+// A wait counts from where the failed call began: one that hung has used it up. It doubles up to a quarter of the longest; the next
+// is drawn from the rest, and those that follow have it exactly. So schedulers which failed together are spread over
+// it and stay so, and none asks more often than it must.
+func (s Spans) again(b broken, luck float64) time.Duration {
+	if b.fails == 0 && b.silent {
+		return time.Duration(luck * float64(s.Silent))
+	} else if b.fails == 0 {
 		return time.Duration(luck * float64(s.Spread))
 	}
 	most := s.Most
-	if turnedAway {
+	if b.turnedAway {
 		most = s.Turned
 	}
-	return time.Duration((0.5 + luck) * float64(min(s.Spread<<min(fails-1, 10), most)))
+	wait := most
+	if last := s.Spread << min(b.fails-1, 10); last < most/4 {
+		wait = time.Duration((1 + luck) / 2 * float64(last))
+	} else if last < most/2 {
+		wait = time.Duration((1 + 3*luck) / 4 * float64(most))
+	}
+	return max(wait-b.took, 0)
 }
--- /dev/null
+++ b/internal/roster/told_test.go
@@ -0,0 +1,235 @@
+package roster
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"woaddyke/internal/ops"
+)
+
+// outage is a discovery that can't be reached for a while, under a clock of the test's. It has a list before, and another after.
+type outage struct {
+	pipes
+	from      time.Time
+	cut, back time.Duration // it can't be reached between them
+	open      way           // what becomes of an open watch when it is cut: reset or hangs
+	how       []way         // of the calls in between, in turn
+	slow      time.Duration // an answer takes so long after that
+	calls     int
+}
+
+const (
+	refused way = 100 + iota // no connection
+	dialing                  // one that never comes up
+	enough                   // a 429
+)
+
+func (o *outage) is() (w way, down bool) {
+	since := time.Since(o.from)
+	if since < o.cut || since >= o.back {
+		return answers, false
+	}
+	return o.how[o.calls%len(o.how)], true
+}
+
+func (o *outage) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	switch w, _ := o.is(); w {
+	case refused:
+		o.calls++
+		return nil, errors.New("refused")
+	case dialing:
+		o.calls++
+		ctx, stop := context.WithTimeout(ctx, dialed)
+		defer stop()
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return o.pipes.dial(ctx, network, addr)
+}
+
+func (o *outage) serve() {
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		how, down := o.is()
+		say := func(text string) {
+			io.WriteString(w, text)
+			w.(http.Flusher).Flush()
+		}
+		beats := func(until time.Duration) {
+			for r.Context().Err() == nil && time.Since(o.from) < until {
+				time.Sleep(min(beat, until-time.Since(o.from)))
+				say("\n")
+			}
+		}
+		if down {
+			o.calls++
+		}
+		switch how {
+		case answers:
+			if time.Since(o.from) < o.cut {
+				say(`{"rev":8,"all":true,"targets":[]}` + "\n")
+				if beats(o.cut); o.open == reset {
+					panic(http.ErrAbortHandler)
+				}
+				break
+			}
+			time.Sleep(o.slow)
+			say(`{"rev":9,"all":true,"targets":[]}` + "\n")
+			beats(time.Hour)
+		case headed:
+			say("")
+		case halved:
+			say(`{"rev":9,"all":true,`)
+			beats(time.Hour)
+		case reset:
+			panic(http.ErrAbortHandler)
+		case turned:
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		case enough:
+			w.WriteHeader(http.StatusTooManyRequests)
+			return
+		}
+		<-r.Context().Done()
+	})}
+	s.Serve(&o.pipes)
+}
+
+// late is how long after discovery's return its list was applied; a move to another address comes in between where one is given.
+func (o *outage) late(t *testing.T, seed uint64, spans Spans, move time.Duration) (after time.Duration) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(context.Background())
+		o.pipes, o.from, o.calls = pipes{make(chan net.Conn), make(chan struct{})}, time.Now(), 0
+		go o.serve()
+		at := make(chan time.Time, 99)
+		r := New("discovery", Message{}, spans, seed, func(in ops.Input) {
+			if in.(ops.Listed).Rev == 9 {
+				at <- time.Now()
+			}
+		}, zerolog.Nop())
+		r.client.Transport.(*http.Transport).DialContext = o.dial
+		go r.Keep(ctx)
+		if move > 0 {
+			time.Sleep(move)
+			r.Move("another")
+		}
+		after = (<-at).Sub(o.from) - o.back
+		stop()
+		close(o.ended)
+		time.Sleep(time.Minute) // all ends
+	})
+	return after
+}
+
+// A change counts as told 6 s after discovery had it and could be reached. A scheduler that asks alone and whose calls were turned
+// away for 20 s applied it 17.7 s after that, one of three hundred 20.8 s: waits doubled, up to 16 s and a half more, started
+// from the number of schedulers, and came on top of calls that hung.
+func TestWhatDiscoveryHasIsAppliedWithinSixSecondsOfItsReturn(t *testing.T) {
+	for name, x := range map[string]struct {
+		outage
+		move time.Duration
+	}{
+		"down at the start":        {outage: outage{back: 4 * time.Second, how: []way{refused}}},
+		"silent at the start":      {outage: outage{back: 7 * time.Second, how: []way{hangs}}},
+		"turned away at the start": {outage: outage{back: 11 * time.Second, how: []way{turned}}},
+		"a silent watch":           {outage: outage{cut: 9 * time.Second, back: 9 * time.Second, open: hangs}},
+		"a reset watch":            {outage: outage{cut: 9 * time.Second, back: 9 * time.Second, open: reset}},
+		"refused":                  {outage: outage{cut: 9 * time.Second, back: 25 * time.Second, open: reset, how: []way{refused}}},
+		"reset":                    {outage: outage{cut: 9 * time.Second, back: 25 * time.Second, open: reset, how: []way{reset}}},
+		"dials that hang":          {outage: outage{cut: 9 * time.Second, back: 25 * time.Second, open: hangs, how: []way{dialing}}},
+		"hangs":                    {outage: outage{cut: 9 * time.Second, back: 25 * time.Second, open: hangs, how: []way{hangs}}},
+		"hangs behind its head":    {outage: outage{cut: 9 * time.Second, back: 25 * time.Second, open: hangs, how: []way{headed}}},
+		"hangs in an object":       {outage: outage{cut: 9 * time.Second, back: 25 * time.Second, open: hangs, how: []way{halved}}},
+		"503":                      {outage: outage{cut: 9 * time.Second, back: 29 * time.Second, open: reset, how: []way{turned}}},
+		"503 for minutes":          {outage: outage{cut: 9 * time.Second, back: 300 * time.Second, open: reset, how: []way{turned}}},
+		"429":                      {outage: outage{cut: 9 * time.Second, back: 12 * time.Second, open: reset, how: []way{enough}}},
+		"429 for minutes":          {outage: outage{cut: 9 * time.Second, back: 200 * time.Second, open: hangs, how: []way{enough}}},
+		"one and the other":        {outage: outage{cut: 9 * time.Second, back: 40 * time.Second, open: reset, how: []way{turned, hangs, refused, headed, reset, halved, dialing}}},
+		"503 across a SIGHUP":      {outage{cut: 9 * time.Second, back: 25 * time.Second, open: reset, how: []way{turned}}, 24500 * time.Millisecond},
+		"hangs across a SIGHUP":    {outage{cut: 9 * time.Second, back: 25 * time.Second, open: hangs, how: []way{hangs}}, 24500 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for _, pushes := range []bool{true, false} {
+				for _, schedulers := range []int{1, 300} { // for more, the spans are the same
+					for _, grace := range []time.Duration{250 * time.Millisecond, 10 * time.Second} {
+						for _, slow := range []time.Duration{0, usual, answered - slack} {
+							if slow > 0 && pushes {
+								continue // an agent answers at once
+							}
+							spans, worst, seed := SpansOf(pushes, schedulers, grace), time.Duration(0), uint64(0)
+							plays := uint64(3)
+							if x.back > time.Minute {
+								plays = 1
+							}
+							for k := range plays {
+								o := x.outage
+								if o.slow = slow; o.back > o.cut {
+									o.back += time.Duration(k) * 970 * time.Millisecond // anywhere between two calls
+								}
+								if late := o.late(t, k, spans, x.move); late > worst {
+									worst, seed = late, k
+								}
+							}
+							most := told - applying
+							if slow > usual {
+								most += min(grace*9/10, slow-usual)
+							}
+							if worst > most {
+								t.Errorf("pushes %t, %d schedulers, grace %v, answers in %v, seed %d: applied %v after the return", pushes, schedulers, grace, slow, seed, worst)
+							}
+						}
+					}
+				}
+			}
+		})
+	}
+}
+
+// The same as sums, for every number of schedulers and every grace, with the worst draws of chance.
+func TestTheSpansOfAWatchFitIntoSixSeconds(t *testing.T) {
+	for _, pushes := range []bool{true, false} {
+		for _, schedulers := range []int{1, 2, 20, 68, 88, 300, 1000, 4096, 6300, 20000} {
+			for _, grace := range []time.Duration{time.Millisecond, 100 * time.Millisecond, 250 * time.Millisecond, time.Second,
+				1250 * time.Millisecond, 2500 * time.Millisecond, 10 * time.Second, time.Minute} {
+				t.Run(fmt.Sprint(pushes, " ", schedulers, " ", grace), func(t *testing.T) {
+					s := SpansOf(pushes, schedulers, grace)
+					over := time.Duration(0) // of the grace, where an answer takes as long as is waited for
+					if !pushes {
+						over = time.Duration(inGrace * float64(grace))
+					}
+					for _, answer := range []struct{ takes, over time.Duration }{{min(usual, s.Settle), 0}, {s.Settle, over}} {
+						sum := func(name string, from time.Duration) {
+							if sum := from + answer.takes + applying; sum > told+answer.over {
+								t.Errorf("%s: %v, with an answer in %v", name, sum, answer.takes)
+							}
+						}
+						sum("the start, or a watch that ended", s.again(broken{}, 1))
+						sum("a silent watch", s.Quiet+s.again(broken{silent: true}, 1))
+						for fails := 1; fails < 70; fails++ {
+							for _, luck := range []float64{0, 0.5, 1} {
+								for _, turnedAway := range []bool{false, true} {
+									for _, took := range []time.Duration{0, dialed, s.Settle} {
+										b := broken{fails: fails, turnedAway: turnedAway, took: took}
+										sum(fmt.Sprint(b, luck), took+s.again(b, luck))
+									}
+								}
+							}
+						}
+						// A call that is silent behind its head, or in an object, was reached at that moment.
+						sum("a call without a body", s.Quiet+s.again(broken{fails: 9, turnedAway: true, silent: true, took: s.Quiet}, 1))
+					}
+				})
+			}
+		}
+	}
+}
