Benchmarks of the slopes that a capacity page needs, on the program's own code

Need: a page that says what each role costs at 6,300 workers needs a command under each figure. There were two benchmarks of the module, at 100 workers and without probes, and none of a list, a probe's bytes, a change of settings, a member or a whole process.

The swarm tells whoever asks of each message and each input; it counts as before.

--- /dev/null
+++ b/cmd/woaddyke/size_test.go
@@ -0,0 +1,316 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// hosted is a process of the program among so many workers, which are one listener at as many addresses.
+type hosted struct {
+	cmd             *exec.Cmd
+	listen, console string
+	sheet           string // the file's path
+	ready           time.Duration
+	listBytes       int
+	probes, pushes  *atomic.Int64
+}
+
+// worked answers probes and pushes.
+func worked(probes, pushes *atomic.Int64) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/load" {
+			probes.Add(1)
+			io.WriteString(w, `{"pending":0,"busy_reqs":0,"x0":4,"x1":8}`)
+			return
+		}
+		pushes.Add(1)
+		id := r.Header.Get("X-Correlation-Id")
+		for _, state := range []string{"started", "done"} {
+			fmt.Fprintf(w, `{"id":%q,"from":"w","state":%q,"result":"x"}`+"\n", id, state)
+			w.(http.Flusher).Flush()
+		}
+	}
+}
+
+// beside is a list of so many workers, all of them at one port of 127.0.0.0/8.
+func beside(port, workers int) string {
+	type target struct {
+		UID      string `json:"uid"`
+		Endpoint string `json:"endpoint"`
+		AZ       string `json:"az"`
+		PodGroup int    `json:"pod_group"`
+		Model    string `json:"model"`
+		State    string `json:"state"`
+		BootMS   int64  `json:"boot_ms"`
+	}
+	list := struct {
+		Rev     int      `json:"rev"`
+		All     bool     `json:"all"`
+		Targets []target `json:"targets"`
+	}{Rev: 1, All: true}
+	for i := range workers {
+		list.Targets = append(list.Targets, target{fmt.Sprintf("worker-%05d", i), fmt.Sprintf("127.%d.%d.%d:%d", 20+i%14, i/250, 1+i%250, port),
+			fmt.Sprintf("zone-%02d", i%14), i / 60, fmt.Sprintf("kind-%d", i%5), "SERVING", 1_700_000_000_000})
+	}
+	text, _ := json.Marshal(list)
+	return string(text)
+}
+
+// host starts a process and waits until it is ready.
+func host(b *testing.B, workers int) *hosted {
+	h := &hosted{probes: &atomic.Int64{}, pushes: &atomic.Int64{}}
+	l, err := net.Listen("tcp4", "0.0.0.0:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	worker := &httptest.Server{Listener: l, Config: &http.Server{Handler: worked(h.probes, h.pushes)}}
+	worker.Start()
+	b.Cleanup(worker.Close)
+	list := beside(l.Addr().(*net.TCPAddr).Port, workers)
+	h.listBytes = len(list)
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprintln(w, list)
+		for r.Context().Err() == nil {
+			w.(http.Flusher).Flush()
+			select {
+			case <-r.Context().Done():
+			case <-time.After(2 * time.Second):
+				fmt.Fprintln(w)
+			}
+		}
+	}))
+	b.Cleanup(func() {
+		discovery.CloseClientConnections()
+		discovery.Close()
+	})
+	free := func() string {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer l.Close()
+		return l.Addr().String()
+	}
+	h.listen, h.console, h.sheet = free(), free(), filepath.Join(b.TempDir(), "sheet.json")
+	text, err := os.ReadFile("../../examples/config.json")
+	if err != nil {
+		b.Fatal(err)
+	}
+	var sheet map[string]any
+	if err := json.Unmarshal(text, &sheet); err != nil {
+		b.Fatal(err)
+	}
+	sheet["listen"], sheet["console"], sheet["discovery"] = h.listen, h.console, discovery.Listener.Addr().String()
+	sheet["limits"] = map[string]any{"cores": 1.0, "memory_mb": 128, "sockets": 8000}
+	h.write(b, sheet)
+	h.cmd = thisProgram("serve", "--config", h.sheet)
+	h.cmd.Env = append(h.cmd.Env, "TMPDIR="+b.TempDir())
+	h.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	began := time.Now()
+	if err := h.cmd.Start(); err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() {
+		h.cmd.Process.Kill()
+		h.cmd.Wait()
+	})
+	for !h.call("/api/ready") {
+		if time.Since(began) > 20*time.Second {
+			b.Fatal("it is not ready")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	h.ready = time.Since(began)
+	return h
+}
+
+func (h *hosted) write(b *testing.B, sheet map[string]any) {
+	text, err := json.Marshal(sheet)
+	if err != nil {
+		b.Fatal(err)
+	}
+	if err := os.WriteFile(h.sheet+".new", text, 0o600); err != nil {
+		b.Fatal(err)
+	}
+	if err := os.Rename(h.sheet+".new", h.sheet); err != nil {
+		b.Fatal(err)
+	}
+}
+
+// caller is a client of the second address that opens a connection for each call, as callers do.
+var caller = http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+
+func (h *hosted) call(path string) bool {
+	resp, err := caller.Get("http://" + h.console + path)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode == http.StatusOK
+}
+
+// resident is the process's memory, in KB, as the system has it.
+func (h *hosted) resident(b *testing.B, row string) float64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", h.cmd.Process.Pid))
+	if err != nil {
+		b.Fatal(err)
+	}
+	_, rest, _ := bytes.Cut(text, []byte(row+":"))
+	kb, err := strconv.ParseFloat(strings.Fields(string(rest))[0], 64)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return kb
+}
+
+// spent is the processor time that the process has had.
+func (h *hosted) spent(b *testing.B) time.Duration {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/schedstat", h.cmd.Process.Pid))
+	if err != nil {
+		b.Fatal(err)
+	}
+	tasks, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", h.cmd.Process.Pid))
+	if err != nil {
+		b.Fatal(err)
+	}
+	total := time.Duration(0)
+	for _, t := range tasks {
+		if text, err = os.ReadFile(t); err != nil {
+			continue // a thread that has ended
+		}
+		ns, err := strconv.ParseInt(strings.Fields(string(text))[0], 10, 64)
+		if err != nil {
+			b.Fatal(err)
+		}
+		total += time.Duration(ns)
+	}
+	return total
+}
+
+// BenchmarkProcess is what a whole process takes among so many workers: until it is ready, idle, for each op one by one, for each
+// idle client, for each call of staff.
+func BenchmarkProcess(b *testing.B) {
+	for _, workers := range []int{100, 400, 1_600, 6_300} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			for range b.N {
+				h := host(b, workers)
+				b.ReportMetric(float64(h.ready.Milliseconds()), "ready-ms")
+				b.ReportMetric(float64(h.listBytes)/float64(workers), "list-B/worker")
+				b.ReportMetric(float64(h.spent(b).Milliseconds()), "start-cpu-ms")
+				time.Sleep(2 * time.Second)
+				before, from := h.spent(b), time.Now()
+				time.Sleep(5 * time.Second)
+				b.ReportMetric(100*float64(h.spent(b)-before)/float64(time.Since(from)), "idle-%core")
+				b.ReportMetric(h.resident(b, "VmRSS"), "idle-KB")
+
+				const calls = 100
+				before = h.spent(b)
+				for range calls {
+					if !h.call("/api/telemetry") {
+						b.Fatal("staff have no answer")
+					}
+				}
+				b.ReportMetric(float64((h.spent(b)-before).Microseconds())/calls, "us/call")
+
+				client := http.Client{Timeout: 10 * time.Second}
+				const ops = 400
+				probes, pushes := h.probes.Load(), h.pushes.Load()
+				before = h.spent(b)
+				for n := range ops {
+					r, _ := http.NewRequest(http.MethodPost, "http://"+h.listen+"/api", strings.NewReader("hello"))
+					r.Header = http.Header{"X-Correlation-Id": {fmt.Sprint("op", n)}, "X-Service-Class": {"preview"}, "X-Time-Left-Ms": {"4000"}}
+					resp, err := client.Do(r)
+					if err != nil {
+						b.Fatal(err)
+					}
+					io.Copy(io.Discard, resp.Body)
+					if resp.Body.Close(); resp.StatusCode != http.StatusOK {
+						b.Fatal(resp.Status)
+					}
+				}
+				b.ReportMetric(float64((h.spent(b)-before).Microseconds())/ops, "us/op")
+				b.ReportMetric(float64(h.probes.Load()-probes)/ops, "probes/op")
+				b.ReportMetric(float64(h.pushes.Load()-pushes)/ops, "pushes/op")
+				b.ReportMetric(h.resident(b, "VmHWM"), "peak-KB")
+
+				const clients = 1000
+				kb := h.resident(b, "VmRSS")
+				var open []net.Conn
+				for range clients {
+					c, err := net.Dial("tcp", h.listen)
+					if err != nil {
+						b.Fatal(err)
+					}
+					open = append(open, c)
+					fmt.Fprint(c, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n") // one that has said nothing is soon closed
+					if _, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil {
+						b.Fatal(err)
+					}
+				}
+				b.ReportMetric((h.resident(b, "VmRSS")-kb)/clients, "KB/client")
+				for _, c := range open {
+					c.Close()
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkReread is a change of one category's target latency by SIGHUP, and how many such changes are taken before one is turned down.
+func BenchmarkReread(b *testing.B) {
+	const most = 400
+	for range b.N {
+		h := host(b, 100)
+		var sheet map[string]any
+		text, err := os.ReadFile(h.sheet)
+		if err == nil {
+			err = json.Unmarshal(text, &sheet)
+		}
+		if err != nil {
+			b.Fatal(err)
+		}
+		first := sheet["settings"].(map[string]any)["categories"].([]any)[0].(map[string]any)
+		before, taken, turned := h.spent(b), 0, 0
+		for n := range most {
+			first["targetLatencyNs"] = 3e8 + float64(n+1)*1e5
+			h.write(b, sheet)
+			h.cmd.Process.Signal(syscall.SIGHUP)
+			for wait := time.Now().Add(5 * time.Second); ; time.Sleep(2 * time.Millisecond) {
+				var x struct {
+					OK     int `json:"reloads_ok"`
+					Failed int `json:"reloads_failed"`
+				}
+				if resp, err := caller.Get("http://" + h.console + "/api/telemetry"); err == nil {
+					json.NewDecoder(resp.Body).Decode(&x)
+					resp.Body.Close()
+				}
+				if taken, turned = x.OK, x.Failed; taken+turned > n {
+					break
+				}
+				if time.Now().After(wait) {
+					b.Fatal("nobody reads it")
+				}
+			}
+		}
+		b.ReportMetric(float64(taken), "taken")
+		b.ReportMetric(float64(turned), "turned-down")
+		b.ReportMetric(float64((h.spent(b)-before).Microseconds())/most, "us/change+looks")
+		b.ReportMetric(h.resident(b, "VmRSS"), "KB")
+	}
+}
--- a/internal/members/swarm/swarm.go
+++ b/internal/members/swarm/swarm.go
@@ -74,7 +74,9 @@
 	Bound    Time // a pause up to this long must not be taken for an end
 	Watch    func(at Time, by, of string, state members.State)
 
-	Sent, Bytes int64 // datagrams and messages on streams, by an estimate of their size
+	Weigh       func(members.Message) // each message that is sent
+	Around      func(take func())     // each input that a member takes
+	Sent, Bytes int64                 // datagrams and messages on streams, by an estimate of their size
 	Detected    []Time
 	Kinds       map[members.Kind]int64
 }
@@ -82,7 +84,8 @@
 // New makes a cluster of so many names, none of which runs.
 func New(n int, seed uint64) *Swarm {
 	s := &Swarm{rand: rand.New(rand.NewPCG(seed, 0x737761726d)), byAddr: map[string]*node{}, byName: map[string][]*node{}, cut: map[[2]int]bool{},
-		streams: map[uint64][2]*node{}, Kinds: map[members.Kind]int64{}, Terms: members.Defaults(), Links: Links{Delay: 2 * 1, Jitter: 3}, Bound: 2 * Second, gone: map[string]bool{}}
+		streams: map[uint64][2]*node{}, Kinds: map[members.Kind]int64{}, Terms: members.Defaults(), Links: Links{Delay: 2 * 1, Jitter: 3}, Bound: 2 * Second, gone: map[string]bool{},
+		Weigh: func(members.Message) {}, Around: func(take func()) { take() }}
 	for i := range n {
 		s.Place(fmt.Sprintf("n%03d", i))
 	}
@@ -239,7 +242,9 @@
 		return
 	}
 	m := n.m
-	for _, e := range m.Take(s.Now(), in) {
+	var todo []members.Effect
+	s.Around(func() { todo = m.Take(s.Now(), in) })
+	for _, e := range todo {
 		s.carry(n, e)
 	}
 	at := m.Next()
@@ -304,10 +309,15 @@
 	}
 }
 
-func (s *Swarm) datagram(n *node, addr string, x members.Message) {
+func (s *Swarm) count(x members.Message) {
 	s.Sent++
 	s.Bytes += size(x)
 	s.Kinds[x.Kind]++
+	s.Weigh(x)
+}
+
+func (s *Swarm) datagram(n *node, addr string, x members.Message) {
+	s.count(x)
 	to := s.byAddr[addr]
 	lost, twice := s.rand.Float64() < s.Links.Loss, s.rand.Float64() < s.Links.Dup
 	wait := s.Links.Delay + Time(float64(s.Links.Jitter)*s.rand.Float64())
@@ -326,9 +336,7 @@
 
 // stream passes a message of a stream on: whole, later than a datagram and later still for what was lost of it, or not at all.
 func (s *Swarm) stream(n, to *node, id uint64, x members.Message) {
-	s.Sent++
-	s.Bytes += size(x)
-	s.Kinds[x.Kind]++
+	s.count(x)
 	wait := 3*s.Links.Delay + Time(float64(3*s.Links.Jitter)*s.rand.Float64())
 	for s.rand.Float64() < s.Links.Loss {
 		if wait += 200 * MS; wait > 5*Second {
--- /dev/null
+++ b/internal/mesh/bench_test.go
@@ -0,0 +1,179 @@
+package mesh
+
+import (
+	"fmt"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	"woaddyke/internal/members"
+	"woaddyke/internal/members/swarm"
+)
+
+// heads are what IP and UDP put before a datagram.
+const heads = 20 + 8
+
+// wire is what a message takes on the wire, as this package words it. A play's addresses are shorter than real ones.
+func wire(b *testing.B, x members.Message) int64 {
+	text, err := encode(lengthened(x))
+	if err != nil {
+		b.Fatal(err)
+	}
+	return int64(len(text) + heads)
+}
+
+const realAddr = "10.101.102.103:7946"
+
+// lengthened is a message as of a real deployment, with names and addresses as long as they are there.
+func lengthened(x members.Message) members.Message {
+	one := func(c members.Claim) members.Claim {
+		c.Name, c.Addr = "scheduler-"+c.Name, realAddr
+		if c.By != "" {
+			c.By = "scheduler-" + c.By
+		}
+		return c
+	}
+	x.From = one(x.From)
+	if x.Target != "" {
+		x.Target = "scheduler-" + x.Target
+	}
+	claims := x.Claims
+	x.Claims = nil
+	for _, c := range claims {
+		x.Claims = append(x.Claims, one(c))
+	}
+	return x
+}
+
+// BenchmarkMember is what a member costs while nothing happens, for each virtual second: bytes sent as they are on the wire,
+// messages, and the time its core takes. One member sends as many as it hears, in the mean.
+func BenchmarkMember(b *testing.B) {
+	for _, n := range []int{5, 20, 100, 300, 1_000, 2_000} {
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			for range b.N {
+				s := swarm.New(n, 1)
+				for i := range n {
+					s.Start(i)
+				}
+				s.Run(20 * swarm.Second)
+				var bytes, messages int64
+				var core time.Duration
+				s.Weigh = func(x members.Message) { bytes, messages = bytes+wire(b, x), messages+1 }
+				s.Around = func(take func()) {
+					from := time.Now()
+					take()
+					core += time.Since(from)
+				}
+				const span = 3
+				s.Run(s.Now() + span*swarm.Second)
+				runtime.KeepAlive(s)
+				each := float64(n * span)
+				b.ReportMetric(float64(bytes)/each, "B/member-s")
+				b.ReportMetric(float64(messages)/each, "messages/member-s")
+				b.ReportMetric(float64(core.Microseconds())/each, "core-us/member-s")
+			}
+		})
+	}
+}
+
+// BenchmarkRestart is what the restart of a part of the members costs those that stay: bytes sent by one of them, by each restart.
+func BenchmarkRestart(b *testing.B) {
+	for _, n := range []int{100, 300, 1_000} {
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			for range b.N {
+				s := swarm.New(n, 1)
+				for i := range n {
+					s.Start(i)
+				}
+				s.Run(20 * swarm.Second)
+				var bytes int64
+				s.Weigh = func(x members.Message) { bytes += wire(b, x) }
+				const span = 20
+				s.Run(s.Now() + span*swarm.Second)
+				calm := bytes
+				bytes = 0
+				gone := n / 14 // a zone's
+				for i := range gone {
+					s.Kill(n - 1 - i)
+				}
+				s.At(s.Now()+swarm.Second/2, func() {
+					for i := range gone {
+						s.Start(n - 1 - i)
+					}
+				})
+				s.Run(s.Now() + span*swarm.Second)
+				b.ReportMetric(float64(bytes-calm)/float64(n)/float64(gone), "B/member-restart")
+				b.ReportMetric(float64(bytes)/float64(n)/span, "B/member-s")
+				if wrong := s.Settle(); len(wrong) > 0 {
+					b.Log("not settled: ", len(wrong))
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkView is what a member keeps of the others, and what its core takes to have them all from one.
+func BenchmarkView(b *testing.B) {
+	for _, n := range []int{300, 1_000, 6_300} {
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			live := func() uint64 {
+				runtime.GC()
+				runtime.GC()
+				var m runtime.MemStats
+				runtime.ReadMemStats(&m)
+				return m.HeapAlloc
+			}
+			claim := func(i int) members.Claim {
+				return members.Claim{Name: fmt.Sprintf("scheduler-%04d", i), Addr: fmt.Sprintf("10.%d.%d.%d:7946", i%14, i/250, i%250), Number: i,
+					Life: members.Life{Incarnation: 3, Nonce: uint64(i)}, State: members.Here, By: fmt.Sprintf("scheduler-%04d", i)}
+			}
+			t := members.Defaults()
+			t.Cluster, t.Name, t.Addr, t.Number, t.Seeds, t.Nonce, t.Most = "c", "me", "10.0.0.1:7946", n, nil, 7, 2*n
+			for range b.N {
+				b.StopTimer()
+				before := live()
+				b.StartTimer()
+				m := members.New(t, 1)
+				m.Take(1, members.Tick{})
+				m.Take(60_000, members.Tick{})
+				x := members.Message{Kind: members.Rest, Cluster: "c", From: claim(0), Seq: 1}
+				for i := range n {
+					x.Claims = append(x.Claims, claim(i))
+				}
+				m.Take(60_001, members.Heard{Message: x})
+				b.StopTimer()
+				if got := len(m.View()); got < n {
+					b.Fatalf("%d of %d are in the view", got, n)
+				}
+				text, err := encode(x)
+				if err != nil {
+					b.Fatal(err)
+				}
+				wire := float64(len(text)) / float64(n)
+				x, text = members.Message{}, nil
+				b.ReportMetric(float64(live()-before)/float64(n), "live-B/member")
+				b.ReportMetric(wire, "wire-B/member")
+				runtime.KeepAlive(m)
+				b.StartTimer()
+			}
+		})
+	}
+}
+
+// BenchmarkCodec is a ping as it is written and read.
+func BenchmarkCodec(b *testing.B) {
+	c := members.Claim{Name: "scheduler-0001", Addr: realAddr, Number: 1, Life: members.Life{Incarnation: 3, Nonce: 1 << 60}, State: members.Here,
+		By: "scheduler-0001"}
+	x := members.Message{Kind: members.Ping, Cluster: "cluster", From: c, Seq: 1 << 20, Nonce: 1 << 60}
+	b.ReportAllocs()
+	for range b.N {
+		text, err := encode(x)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := decode(text, func(netip.Addr) bool { return true }); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/ops/bench_test.go
@@ -0,0 +1,117 @@
+package ops
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"woaddyke/dispatch"
+)
+
+// workersOf is a whole list of so many workers in 14 zones, 60 workers to a cell.
+func workersOf(n int) Listed {
+	in := Listed{Whole: true, Rev: 1}
+	for i := range n {
+		in.Entries = append(in.Entries, Entry{Worker: fmt.Sprintf("worker-%05d", i), Addr: fmt.Sprintf("10.%d.%d.%d:8080", i%14, i/250, i%250),
+			Zone: fmt.Sprintf("zone-%02d", i%14), Kind: fmt.Sprintf("kind-%d", i%5), Cell: i / 60, Ready: true, Since: 1})
+	}
+	return in
+}
+
+// settings are a site's with so many categories, of which one has a target latency of its own.
+func settings(categories, version int) map[string]any {
+	site := map[string]any{"bounds.cancel": true, "bounds.maxPushes": 3.0, "step": 50.0}
+	for k := range categories {
+		at := fmt.Sprintf("categories.%d.", k)
+		site[at+"name"], site[at+"effect"], site[at+"ttl"], site[at+"targetLatency"] = fmt.Sprint("c", k), "redeliverable", 50_000.0, 5_000.0
+	}
+	site["categories.0.targetLatency"] = float64(5_000 + version)
+	return site
+}
+
+// heap is what is live, in bytes.
+func heap() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// BenchmarkList is what a list costs the reducer and its module: the first whole one, the same again, and a change of one worker.
+func BenchmarkList(b *testing.B) {
+	for _, workers := range []int{100, 400, 1_600, 6_300} {
+		list := workersOf(workers)
+		site := settings(3, 0)
+		b.Run(fmt.Sprintf("first/workers=%d", workers), func(b *testing.B) {
+			b.ReportAllocs()
+			var kept []*Reducer
+			before := heap()
+			b.ResetTimer()
+			for range b.N {
+				r := New(7, site)
+				r.Take(1, list)
+				if kept = append(kept, r); len(kept) == 8 {
+					b.StopTimer()
+					b.ReportMetric((heap()-before)/8/float64(workers), "live-B/worker")
+					kept = kept[:0]
+					clear(kept[:8])
+					b.StartTimer()
+				}
+			}
+		})
+		b.Run(fmt.Sprintf("again/workers=%d", workers), func(b *testing.B) {
+			b.ReportAllocs()
+			r := New(7, site)
+			r.Take(1, list)
+			b.ResetTimer()
+			for n := range b.N {
+				r.Take(dispatch.Time(n+2), list)
+			}
+		})
+		b.Run(fmt.Sprintf("change/workers=%d", workers), func(b *testing.B) {
+			b.ReportAllocs()
+			r := New(7, site)
+			r.Take(1, list)
+			b.ResetTimer()
+			for n := range b.N {
+				e := list.Entries[n%workers]
+				e.Ready = n/workers%2 > 0
+				r.Take(dispatch.Time(n+2), Listed{Rev: int64(n), Entries: []Entry{e}})
+			}
+		})
+	}
+}
+
+// BenchmarkRetune is a change of one category's target latency, after so many such changes.
+func BenchmarkRetune(b *testing.B) {
+	for _, categories := range []int{3, 256} {
+		for _, before := range []int{0, 340, 16_000} {
+			if categories*before > 1_000_000 {
+				continue // setting it up takes longer than what it shows
+			}
+			b.Run(fmt.Sprintf("categories=%d/before=%d", categories, before), func(b *testing.B) {
+				b.ReportAllocs()
+				r := New(7, settings(categories, 0))
+				r.Take(1, workersOf(100))
+				empty := heap()
+				for v := range before {
+					r.Take(dispatch.Time(v+2), Retuned{Site: settings(categories, v+1), Until: dispatch.Time(v + 3)})
+				}
+				if before > 0 {
+					defer func(kept float64) { b.ReportMetric(kept, "kept-B/change") }((heap() - empty) / float64(before))
+				}
+				next := make([]map[string]any, min(b.N, 64)) // settings that differ, each from the last
+				for k := range next {
+					next[k] = settings(categories, before+1+k)
+				}
+				b.ResetTimer()
+				for n := range b.N {
+					r.Take(dispatch.Time(before+n+2), Retuned{Site: next[n%len(next)], Until: dispatch.Time(before + n + 3)})
+				}
+				b.StopTimer()
+				runtime.KeepAlive(r)
+			})
+		}
+	}
+}
