--- a/cmd/woaddyke/size_test.go
+++ b/cmd/woaddyke/size_test.go
@@ -18,6 +18,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"woaddyke/internal/lab/several"
 )
 
 // hosted is a process of the program among so many workers, which are one listener at as many addresses.
@@ -180,18 +182,16 @@
 }
 
 // spent is the processor time that the process has had.
-func (h *hosted) spent(b *testing.B) time.Duration {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/schedstat", h.cmd.Process.Pid))
-	if err != nil {
-		b.Fatal(err)
-	}
-	tasks, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", h.cmd.Process.Pid))
+func (h *hosted) spent(b *testing.B) time.Duration { return spent(b, h.cmd) }
+
+func spent(b *testing.B, cmd *exec.Cmd) (total time.Duration) {
+	tasks, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", cmd.Process.Pid))
 	if err != nil {
 		b.Fatal(err)
 	}
-	total := time.Duration(0)
 	for _, t := range tasks {
-		if text, err = os.ReadFile(t); err != nil {
+		text, err := os.ReadFile(t)
+		if err != nil {
 			continue // a thread that has ended
 		}
 		ns, err := strconv.ParseInt(strings.Fields(string(text))[0], 10, 64)
@@ -314,3 +314,45 @@
 		b.ReportMetric(h.resident(b, "VmRSS"), "KB")
 	}
 }
+
+// BenchmarkMembership is what a process takes as one of so many members, and as one of three keepers, while nothing happens.
+func BenchmarkMembership(b *testing.B) {
+	for _, n := range []int{2, 6, 12} {
+		for _, keepers := range []bool{false, true} {
+			if keepers && n < 6 {
+				continue
+			}
+			b.Run(fmt.Sprintf("members=%d/keepers=%v", n, keepers), func(b *testing.B) {
+				for range b.N {
+					offer := ""
+					if keepers {
+						offer = "[copies]\nkeepers = [\"n1\", \"n2\", \"n3\"]\n"
+					}
+					c := several.New(b, n, offer, noWorkers, thisProgram)
+					for _, p := range c.Places {
+						c.Start(p)
+					}
+					c.AwaitWhole(c.Places...)
+					time.Sleep(2 * time.Second)
+					sum := func(places []*several.Place) (total time.Duration) {
+						for _, p := range places {
+							cmd, _ := p.Running()
+							total += spent(b, cmd)
+						}
+						return total / time.Duration(len(places))
+					}
+					some := c.Places // all of them, or those that keep
+					if keepers {
+						some = some[:3]
+					}
+					before, from := sum(some), time.Now()
+					time.Sleep(10 * time.Second)
+					b.ReportMetric(100*float64(sum(some)-before)/float64(time.Since(from)), "%core")
+					for _, p := range c.Places {
+						p.Kill()
+					}
+				}
+			})
+		}
+	}
+}
--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -76,15 +76,10 @@
 }
 
 // atSize is a scheduler with workers in 14 zones that holds so many started ops, spread evenly.
-func atSize(workers, held int, probes bool) (*Dispatcher, Time) {
-	d := New(7, terms(map[string]any{"discovery": "pushed", "bounds.probes": probes, "extra.progress": 10_000.0}))
-	now := Time(1_000_000)
+func atSize(workers, held int, more map[string]any) (*Dispatcher, Time) {
+	d, now := New(7, terms(more)), Time(1_000_000)
 	d.Clock(now)
-	d.ListWhole()
-	for i := range workers {
-		d.Entry(i, i%14, i%100, true, 0)
-	}
-	d.ListEnd()
+	listed(d, workers)
 	for i := range held {
 		now++
 		d.Clock(now)
@@ -94,6 +89,15 @@
 	return d, now
 }
 
+func listed(d *Dispatcher, workers int) {
+	d.ListWhole()
+	for i := range workers {
+		d.Entry(i, i%14, i%100, true, 0)
+		d.Mark(i, ownKey(i), 0)
+	}
+	d.ListEnd()
+}
+
 // served carries an op's decisions out: each probe is answered by an idle worker, and the push starts, and is served where it ends.
 func served(d *Dispatcher, i int, now Time, ends bool) {
 	for {
@@ -113,21 +117,57 @@
 	}
 }
 
-// BenchmarkDecision is an op from its arrival to its end, beside 100 that are out, by the length of the list of workers.
+// BenchmarkDecision is an op from its arrival to its end, beside 100 that are out, by the length of the list of workers: where probes
+// are allowed and where not, and in the shapes in which a key or the scheduler has its own order of the workers.
 func BenchmarkDecision(b *testing.B) {
-	for _, probes := range []bool{false, true} {
+	for _, shape := range []struct {
+		name string
+		key  uint64
+		more map[string]any
+	}{
+		{"probes=false", 0, map[string]any{"discovery": "pushed", "bounds.probes": false, "extra.progress": 10_000.0}},
+		{"probes=true", 0, map[string]any{"discovery": "pushed", "extra.progress": 10_000.0}},
+		{"keys", 1, map[string]any{"discovery": "pushed", "extra.progress": 10_000.0, "keys": true}},
+		{"regulars", 0, map[string]any{"discovery": "pushed", "extra.progress": 10_000.0, "prices.connection": 1.0}},
+	} {
 		for _, workers := range []int{100, 400, 1_600, 6_300} {
-			b.Run(fmt.Sprintf("probes=%v/workers=%d", probes, workers), func(b *testing.B) {
-				d, now := atSize(workers, 100, probes)
+			b.Run(fmt.Sprintf("%s/workers=%d", shape.name, workers), func(b *testing.B) {
+				d, now := atSize(workers, 100, shape.more)
 				b.ReportAllocs()
 				b.ResetTimer()
-				for range b.N {
+				for n := range b.N {
 					now++
 					d.Clock(now)
 					d.Op(100, 0, now+1<<40, 1, 0, 0)
+					if shape.key > 0 {
+						d.Key(100, ownKey(n%500))
+					}
 					served(d, 100, now, true)
 				}
 			})
 		}
 	}
 }
+
+// BenchmarkAudiences is what any list costs where connections are priced and words allowed: who is told of which worker.
+func BenchmarkAudiences(b *testing.B) {
+	for _, schedulers := range []int{10, 30, 300} {
+		for _, workers := range []int{400, 6_300} {
+			b.Run(fmt.Sprintf("schedulers=%d/workers=%d", schedulers, workers), func(b *testing.B) {
+				d, now := atSize(workers, 0, map[string]any{"prices.connection": 1.0, "bounds.peerMessages": true, "peers": true,
+					"instances": float64(schedulers), "myNumber": 0.0})
+				if !d.site.peers {
+					b.Fatal("no words are allowed")
+				}
+				b.ReportAllocs()
+				b.ResetTimer()
+				for n := range b.N {
+					now++
+					d.Clock(now)
+					d.Entry(n%workers, n%workers%14, n%workers%100, n%2 > 0, 0)
+					d.ListEnd()
+				}
+			})
+		}
+	}
+}
