--- a/cmd/woaddyke/size_test.go
+++ b/cmd/woaddyke/size_test.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -30,21 +31,25 @@
 	ready           time.Duration
 	listBytes       int
 	probes, pushes  *atomic.Int64
+	held            chan bool // closed: the worker ends the jobs that it was asked to hold
 }
 
-// worked answers probes and pushes.
-func worked(probes, pushes *atomic.Int64) http.HandlerFunc {
+// work answers probes and pushes.
+func (h *hosted) work() http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/load" {
-			probes.Add(1)
+			h.probes.Add(1)
 			io.WriteString(w, `{"pending":0,"busy_reqs":0,"x0":4,"x1":8}`)
 			return
 		}
-		pushes.Add(1)
+		h.pushes.Add(1)
+		text, _ := io.ReadAll(r.Body)
 		id := r.Header.Get("X-Correlation-Id")
 		for _, state := range []string{"started", "done"} {
 			fmt.Fprintf(w, `{"id":%q,"from":"w","state":%q,"result":"x"}`+"\n", id, state)
-			w.(http.Flusher).Flush()
+			if w.(http.Flusher).Flush(); string(text) == "hold" && state == "started" {
+				<-h.held
+			}
 		}
 	}
 }
@@ -75,12 +80,12 @@
 
 // host starts a process and waits until it is ready.
 func host(b *testing.B, workers int) *hosted {
-	h := &hosted{probes: &atomic.Int64{}, pushes: &atomic.Int64{}}
+	h := &hosted{probes: &atomic.Int64{}, pushes: &atomic.Int64{}, held: make(chan bool)}
 	l, err := net.Listen("tcp4", "0.0.0.0:0")
 	if err != nil {
 		b.Fatal(err)
 	}
-	worker := &httptest.Server{Listener: l, Config: &http.Server{Handler: worked(h.probes, h.pushes)}}
+	worker := &httptest.Server{Listener: l, Config: &http.Server{Handler: h.work()}}
 	worker.Start()
 	b.Cleanup(worker.Close)
 	list := beside(l.Addr().(*net.TCPAddr).Port, workers)
@@ -203,6 +208,49 @@
 	return total
 }
 
+var submitter = http.Client{Timeout: 20 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 1000}}
+
+// op has an op served.
+func (h *hosted) op(b *testing.B, n int, body string) {
+	r, _ := http.NewRequest(http.MethodPost, "http://"+h.listen+"/api", strings.NewReader(body))
+	r.Header = http.Header{"X-Correlation-Id": {fmt.Sprint("op", n)}, "X-Service-Class": {"preview"}, "X-Time-Left-Ms": {"15000"}}
+	resp, err := submitter.Do(r)
+	if err != nil {
+		b.Error(err)
+		return
+	}
+	io.Copy(io.Discard, resp.Body)
+	if resp.Body.Close(); resp.StatusCode != http.StatusOK {
+		b.Error(resp.Status)
+	}
+}
+
+// BenchmarkOpenOps is what a process keeps for each op that runs at a worker, with both its connections.
+func BenchmarkOpenOps(b *testing.B) {
+	for _, open := range []int{100, 500, 1_000} {
+		b.Run(fmt.Sprintf("open=%d", open), func(b *testing.B) {
+			for range b.N {
+				h := host(b, 6_300)
+				for n := range 100 { // so that its heap is that of one that works
+					h.op(b, n, "hello")
+				}
+				kb, done := h.resident(b, "VmRSS"), sync.WaitGroup{}
+				for n := range open {
+					done.Go(func() { h.op(b, 1_000+n, "hold") })
+				}
+				for until := time.Now().Add(5 * time.Second); h.pushes.Load() < int64(100+open); time.Sleep(time.Millisecond) {
+					if time.Now().After(until) {
+						b.Fatalf("%d of %d are open", h.pushes.Load()-100, open)
+					}
+				}
+				b.ReportMetric((h.resident(b, "VmRSS")-kb)/float64(open), "KB/open-op")
+				close(h.held)
+				done.Wait()
+			}
+		})
+	}
+}
+
 // BenchmarkProcess is what a whole process takes among so many workers: until it is ready, idle, for each op one by one, for each
 // idle client, for each call of staff.
 func BenchmarkProcess(b *testing.B) {
@@ -228,28 +276,18 @@
 				}
 				b.ReportMetric(float64((h.spent(b)-before).Microseconds())/calls, "us/call")
 
-				client := http.Client{Timeout: 10 * time.Second}
 				const ops = 400
 				probes, pushes := h.probes.Load(), h.pushes.Load()
 				before = h.spent(b)
 				for n := range ops {
-					r, _ := http.NewRequest(http.MethodPost, "http://"+h.listen+"/api", strings.NewReader("hello"))
-					r.Header = http.Header{"X-Correlation-Id": {fmt.Sprint("op", n)}, "X-Service-Class": {"preview"}, "X-Time-Left-Ms": {"4000"}}
-					resp, err := client.Do(r)
-					if err != nil {
-						b.Fatal(err)
-					}
-					io.Copy(io.Discard, resp.Body)
-					if resp.Body.Close(); resp.StatusCode != http.StatusOK {
-						b.Fatal(resp.Status)
-					}
+					h.op(b, n, "hello")
 				}
 				b.ReportMetric(float64((h.spent(b)-before).Microseconds())/ops, "us/op")
 				b.ReportMetric(float64(h.probes.Load()-probes)/ops, "probes/op")
 				b.ReportMetric(float64(h.pushes.Load()-pushes)/ops, "pushes/op")
 				b.ReportMetric(h.resident(b, "VmHWM"), "peak-KB")
 
-				const clients = 1000
+				const clients = 2000
 				kb := h.resident(b, "VmRSS")
 				var open []net.Conn
 				for range clients {
