Benchmarks of a handover's size and of regions that part

Need: the message by which a process tells its heir what was learned has a bound of 16 MB and nobody had measured what it holds among thousands of workers; nor what a cut of five minutes costs members.

Change: a benchmark of what is learned once each worker has served sixty ops, in bytes a worker; one of a region of a quarter of the members cut off for 300 virtual seconds, in bytes a member and second.

--- a/internal/mesh/bench_test.go
+++ b/internal/mesh/bench_test.go
@@ -113,6 +113,54 @@
 	}
 }
 
+// BenchmarkParted is what it costs a member that a region of a quarter of them is cut off for five minutes, and is back: bytes sent while
+// they are parted and in the minute after, over what goes on at rest, by each that was lost and found again.
+func BenchmarkParted(b *testing.B) {
+	for _, n := range []int{40, 100, 200} {
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			for range b.N {
+				s := swarm.New(n, 1)
+				for i := range n {
+					s.Start(i)
+				}
+				s.Run(20 * swarm.Second)
+				var bytes int64
+				s.Weigh = func(x members.Message) { bytes += wire(b, x) }
+				s.Run(s.Now() + 20*swarm.Second)
+				calm := float64(bytes) / float64(n) / 20
+				var few, others []int
+				for i := range n {
+					if i%4 == 3 {
+						few = append(few, i)
+					} else {
+						others = append(others, i)
+					}
+				}
+				s.Part(few, others, true)
+				bytes = 0
+				s.Run(s.Now() + 20*swarm.Second)
+				found := float64(bytes) / float64(n) / 20
+				bytes = 0
+				s.Run(s.Now() + 280*swarm.Second)
+				parted := float64(bytes) / float64(n) / 280
+				s.Part(few, others, false)
+				bytes = 0
+				at, settled := s.Now(), swarm.Time(0)
+				for s.Now()-at < 60*swarm.Second {
+					if s.Run(s.Now() + swarm.Second); settled == 0 && len(s.Settle()) == 0 {
+						settled = s.Now() - at
+					}
+				}
+				b.ReportMetric(calm, "calm-B/member-s")
+				b.ReportMetric(found, "first-20s-B/member-s")
+				b.ReportMetric(parted, "parted-B/member-s")
+				b.ReportMetric(float64(bytes)/float64(n)/60, "60s-after-B/member-s")
+				b.ReportMetric(float64(settled)/float64(swarm.Second), "s-to-one-view")
+			}
+		})
+	}
+}
+
 // BenchmarkView is what a member keeps of the others, and what its core takes to have them all from one.
 func BenchmarkView(b *testing.B) {
 	for _, n := range []int{300, 1_000, 6_300} {
--- a/internal/ops/bench_test.go
+++ b/internal/ops/bench_test.go
@@ -1,11 +1,13 @@
 package ops
 
 import (
+	"encoding/json"
 	"fmt"
 	"runtime"
 	"testing"
 
 	"woaddyke/dispatch"
+	"woaddyke/internal/ending"
 )
 
 // workersOf is a whole list of so many workers in 14 zones, 60 workers to a cell.
@@ -115,3 +117,41 @@
 		}
 	}
 }
+
+// BenchmarkLearned is what one process hands the next, once each worker has served as many ops as are remembered of it: bytes a worker,
+// and the time in which the loop does nothing else.
+func BenchmarkLearned(b *testing.B) {
+	for _, workers := range []int{100, 400} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			site := settings(3, 0)
+			site["extra.tellsStart"] = true
+			r := New(7, site)
+			r.Take(1, workersOf(workers))
+			now := dispatch.Time(17_000_000_000_000) // a year of ours, as a process has it
+			for n := range uint64(60 * workers) {
+				now += 100
+				op := n + 1
+				if p, ok := first[Push](r.Take(now, Arrived{Op: op, ID: fmt.Sprintf("%016x", op), Category: "c0", TTL: now + 50_000})); !ok || p.Op != op {
+					b.Fatal("no push")
+				}
+				now += 13
+				r.Take(now, Noted{Op: op, Started: true})
+				now += dispatch.Time(200 + n%97)
+				r.Take(now, Ended{Op: op, How: ending.Done})
+			}
+			b.ResetTimer()
+			var l Learned
+			for range b.N {
+				l = r.Learned()
+			}
+			b.StopTimer()
+			l.IDs = nil // of the last few seconds
+			text, err := json.Marshal(l)
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.ReportMetric(float64(len(text))/float64(workers), "B/worker")
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*workers), "loop-ns/worker")
+		})
+	}
+}
