Capacity: what members tell of the settings in force, each to all at each change

Seen while the messages between schedulers were gone through: a member whose settings change tells all others the hash of those that it runs by.

--- a/internal/mesh/bench_test.go
+++ b/internal/mesh/bench_test.go
@@ -7,8 +7,10 @@
 	"testing"
 	"time"
 
+	"woaddyke/internal/lists"
 	"woaddyke/internal/members"
 	"woaddyke/internal/members/swarm"
+	"woaddyke/internal/staff"
 )
 
 // heads are what IP and UDP put before a datagram.
@@ -225,3 +227,34 @@
 		}
 	}
 }
+
+// BenchmarkOther is what the messages between schedulers that are not of membership take on the wire: what staff decided, which goes to one
+// member a second and at each change to all of them, and words of workers that drain.
+func BenchmarkOther(b *testing.B) {
+	from := toWire(members.Claim{Name: "scheduler-0001", Addr: realAddr, Number: 1, Life: members.Life{Incarnation: 3, Nonce: 1 << 60}, State: members.Here,
+		By: "scheduler-0001"})
+	var words []lists.Word
+	for i := range 30 {
+		words = append(words, lists.Word{Worker: fmt.Sprintf("worker-%05d", i), Boot: 1_700_000_000_000, Rev: 1 << 30})
+	}
+	for name, w := range map[string]wireOther{
+		"staff":          {Cluster: "cluster", From: from, Staff: &staff.Word{Settings: 1 << 60, N: uint64(1_700_000_000_000_000_000)}},
+		"one worker":     {Cluster: "cluster", From: from, Workers: words[:1]},
+		"thirty workers": {Cluster: "cluster", From: from, Workers: words},
+	} {
+		b.Run(name, func(b *testing.B) {
+			size := 0
+			for range b.N {
+				text, err := encodeOther(w)
+				if err != nil {
+					b.Fatal(err)
+				}
+				if _, err := decodeOther(text); err != nil {
+					b.Fatal(err)
+				}
+				size = len(text) + heads
+			}
+			b.ReportMetric(float64(size), "B/message")
+		})
+	}
+}
