Benchmarks: changes of settings with 256 categories, what it costs to write a handover

Need: that a process with 256 categories takes three changes was arithmetic; so was how long the giver writes what it hands over.

Change: the benchmark of changes by SIGHUP with 3 and 256 categories, and the time to word what was learned.

--- a/cmd/woaddyke/size_test.go
+++ b/cmd/woaddyke/size_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -312,45 +313,66 @@
 
 // BenchmarkReread is a change of one category's target latency by SIGHUP, and how many such changes are taken before one is turned down.
 func BenchmarkReread(b *testing.B) {
-	const most = 400
-	for range b.N {
-		h := host(b, 100)
-		var sheet map[string]any
-		text, err := os.ReadFile(h.sheet)
-		if err == nil {
-			err = json.Unmarshal(text, &sheet)
-		}
-		if err != nil {
-			b.Fatal(err)
-		}
-		first := sheet["settings"].(map[string]any)["categories"].([]any)[0].(map[string]any)
-		before, taken, turned := h.spent(b), 0, 0
-		for n := range most {
-			first["targetLatencyNs"] = 3e8 + float64(n+1)*1e5
-			h.write(b, sheet)
-			h.cmd.Process.Signal(syscall.SIGHUP)
-			for wait := time.Now().Add(5 * time.Second); ; time.Sleep(2 * time.Millisecond) {
-				var x struct {
-					OK     int `json:"reloads_ok"`
-					Failed int `json:"reloads_failed"`
+	for _, x := range []struct{ categories, most int }{{3, 400}, {256, 10}} {
+		b.Run(fmt.Sprintf("categories=%d", x.categories), func(b *testing.B) {
+			for range b.N {
+				h := host(b, 100)
+				var sheet map[string]any
+				text, err := os.ReadFile(h.sheet)
+				if err == nil {
+					err = json.Unmarshal(text, &sheet)
+				}
+				if err != nil {
+					b.Fatal(err)
 				}
-				if resp, err := caller.Get("http://" + h.console + "/api/telemetry"); err == nil {
-					json.NewDecoder(resp.Body).Decode(&x)
-					resp.Body.Close()
+				settings := sheet["settings"].(map[string]any)
+				categories := settings["categories"].([]any)
+				first := categories[0].(map[string]any)
+				for len(categories) < x.categories {
+					more := maps.Clone(first)
+					more["name"] = fmt.Sprint("category-", len(categories))
+					categories = append(categories, more)
 				}
-				if taken, turned = x.OK, x.Failed; taken+turned > n {
-					break
+				settings["categories"] = categories
+				taken, turned := h.change(b, sheet, 0, 0) // that there are so many categories is none of the changes
+				if taken != 1 {
+					b.Fatal("the first file is turned down")
 				}
-				if time.Now().After(wait) {
-					b.Fatal("nobody reads it")
+				before := h.spent(b)
+				for n := range x.most {
+					first["targetLatencyNs"] = 3e8 + float64(n+1)*1e5
+					taken, turned = h.change(b, sheet, taken, turned)
 				}
+				b.ReportMetric(float64((h.spent(b)-before).Microseconds())/float64(x.most), "us/change+looks")
+				b.ReportMetric(float64(taken-1), "taken")
+				b.ReportMetric(float64(turned), "turned-down")
+				b.ReportMetric(h.resident(b, "VmRSS"), "KB")
 			}
+		})
+	}
+}
+
+// change has the process read a file, and returns how many it has taken and turned down by then.
+func (h *hosted) change(b *testing.B, sheet map[string]any, taken, turned int) (nowTaken, nowTurned int) {
+	h.write(b, sheet)
+	h.cmd.Process.Signal(syscall.SIGHUP)
+	for wait := time.Now().Add(5 * time.Second); time.Now().Before(wait); time.Sleep(2 * time.Millisecond) {
+		var x struct {
+			OK     int `json:"reloads_ok"`
+			Failed int `json:"reloads_failed"`
+		}
+		resp, err := caller.Get("http://" + h.console + "/api/telemetry")
+		if err != nil {
+			continue
+		}
+		json.NewDecoder(resp.Body).Decode(&x)
+		resp.Body.Close()
+		if x.OK+x.Failed > taken+turned {
+			return x.OK, x.Failed
 		}
-		b.ReportMetric(float64(taken), "taken")
-		b.ReportMetric(float64(turned), "turned-down")
-		b.ReportMetric(float64((h.spent(b)-before).Microseconds())/most, "us/change+looks")
-		b.ReportMetric(h.resident(b, "VmRSS"), "KB")
 	}
+	b.Fatal("nobody reads it")
+	return 0, 0
 }
 
 // BenchmarkMembership is what a process takes as one of so many members, and as one of three keepers, while nothing happens.
--- a/internal/ops/bench_test.go
+++ b/internal/ops/bench_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"runtime"
 	"testing"
+	"time"
 
 	"woaddyke/dispatch"
 	"woaddyke/internal/ending"
@@ -146,10 +147,12 @@
 			}
 			b.StopTimer()
 			l.IDs = nil // of the last few seconds
+			from := time.Now()
 			text, err := json.Marshal(l)
 			if err != nil {
 				b.Fatal(err)
 			}
+			b.ReportMetric(float64(time.Since(from).Nanoseconds())/float64(workers), "written-ns/worker")
 			b.ReportMetric(float64(len(text))/float64(workers), "B/worker")
 			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*workers), "loop-ns/worker")
 		})
