Benchmarks: a process at the peak's own pace, a keeper's and the door's share of a guarded op

Need: ops one by one keep caches warm and connections near; at the pace of the peak a scheduler of 300 has one each 0.23 s. And a keeper's processor time for a grant was known only as a sum over six schedulers.

Change: a real process among 6,300 workers at the rates of 6,300, 1,000, 300 and 100 schedulers; in the benchmark of guarded ops, the processor time of each keeper and of the scheduler at the door; bytes of the members' call of staff.

--- a/cmd/woaddyke/bench_test.go
+++ b/cmd/woaddyke/bench_test.go
@@ -34,6 +34,15 @@
 			}
 			client := http.Client{Timeout: 10 * time.Second}
 			var took []time.Duration
+			kept := func() (total time.Duration) { // the processor time of the three that keep
+				for _, p := range c.Places[:3] {
+					cmd, _ := p.Running()
+					total += spent(b, cmd)
+				}
+				return total
+			}
+			door, _ := c.Places[3].Running()
+			keepers, own := kept(), spent(b, door)
 			b.ResetTimer()
 			for n := range b.N {
 				r, _ := http.NewRequest(http.MethodPost, "http://"+c.Places[3].Listen+"/", strings.NewReader("x"))
@@ -50,6 +59,8 @@
 				}
 			}
 			b.StopTimer()
+			b.ReportMetric(float64((kept()-keepers).Microseconds())/float64(3*b.N), "us/op-keeper")
+			b.ReportMetric(float64((spent(b, door)-own).Microseconds())/float64(b.N), "us/op-door")
 			slices.Sort(took)
 			for name, q := range map[string]float64{"p50-us": 0.5, "p99-us": 0.99, "p99.9-us": 0.999} {
 				b.ReportMetric(float64(took[int(q*float64(len(took)-1))].Microseconds()), name)
--- a/cmd/woaddyke/size_test.go
+++ b/cmd/woaddyke/size_test.go
@@ -226,6 +226,34 @@
 	}
 }
 
+// BenchmarkPeak is what a real process among 6,300 workers takes at the rates that one of 6,300, 1,000 and 300 schedulers has at the
+// peak, and at three times the last.
+func BenchmarkPeak(b *testing.B) {
+	for _, schedulers := range []int{6_300, 1_000, 300, 100} {
+		b.Run(fmt.Sprintf("schedulers=%d", schedulers), func(b *testing.B) {
+			for range b.N {
+				h := host(b, 6_300)
+				time.Sleep(time.Second)
+				const span = 15 * time.Second
+				every := time.Duration(float64(time.Second) * float64(schedulers) / 1_300)
+				before, began, done := h.spent(b), time.Now(), sync.WaitGroup{}
+				n := 0
+				for at := began; time.Since(began) < span; at = at.Add(every) {
+					time.Sleep(time.Until(at))
+					number := n
+					done.Go(func() { h.op(b, number, "hello") })
+					n++
+				}
+				done.Wait()
+				b.ReportMetric(100*float64(h.spent(b)-before)/float64(time.Since(began)), "%core")
+				b.ReportMetric(float64(n)/span.Seconds(), "ops/s")
+				b.ReportMetric(float64(h.probes.Load())/float64(n), "probes/op")
+				b.ReportMetric(h.resident(b, "VmHWM"), "peak-KB")
+			}
+		})
+	}
+}
+
 // BenchmarkOpenOps is what a process keeps for each op that runs at a worker, with both its connections.
 func BenchmarkOpenOps(b *testing.B) {
 	for _, open := range []int{100, 500, 1_000} {
--- a/internal/mesh/bench_test.go
+++ b/internal/mesh/bench_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/netip"
 	"runtime"
@@ -201,7 +202,12 @@
 					b.Fatal(err)
 				}
 				wire := float64(len(text)) / float64(n)
-				x, text = members.Message{}, nil
+				shown, err := json.Marshal(m.View())
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.ReportMetric(float64(len(shown))/float64(n), "shown-B/member")
+				x, text, shown = members.Message{}, nil, nil
 				b.ReportMetric(float64(live()-before)/float64(n), "live-B/member")
 				b.ReportMetric(wire, "wire-B/member")
 				runtime.KeepAlive(m)
