A request is asked for before each part of its write, and an old look is taken again

A client that has left is looked for just before a push's first byte. Two ways led past that look. A worker begins a request with its last byte, and a write that its machine took nothing of, or only a part, went on by itself once the worker read on: the rest went out however long ago the client had left, also where the loop had heard of it, as the push counted as written from the moment before its first byte. And a process that was kept from running between the look and the write wrote on a look of any age.

Now each part of a request is written behind a look of its own, in the instant in which the kernel takes something; a request counts as written with its last byte, under the lock that a close takes, so that what is closed before that never ran and what is closed after it may have. A look older than 10 ms by the clock is taken again. What stays is the way from reading the clock into the kernel. Close closes its connection without the lock: Go's close waits for a write that is in the kernel.

Tests: a worker that takes nothing before the first byte, or stops in the middle, with and without the loop's word; a look that becomes old. All fail on the lines of before, the first part of them by the whole request's coming.

--- a/internal/conns/exchange.go
+++ b/internal/conns/exchange.go
@@ -12,6 +12,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"woaddyke/internal/ending"
@@ -20,6 +21,7 @@
 const (
 	longestLine = 512 << 10             // 64 KiB as a JSON string, all escaped: longer is no answer
 	tail        = 50 * time.Millisecond // for the last bytes of an answer that is complete without them
+	lookLasts   = 10 * time.Millisecond // from asking whether a push is wanted to the write; an older answer is asked for again
 )
 
 // Line is one line that a worker says of a job.
@@ -44,32 +46,38 @@
 	pool    *Pool
 	stop    context.CancelFunc
 	push    bool        // it is none of a probe
-	wanted  func() bool // asked before the first byte
+	wanted  func() bool // asked before each write
 	mu      sync.Mutex
 	c       *conn
-	written bool
+	written bool          // whole
 	closed  ending.Ending // why this side closed it, if it did
 }
 
-// Close ends an exchange from this side. What it had not begun to write is never written then.
+// Close ends an exchange from this side. A request whose last byte is not written yet is never whole then, and never runs.
 func (x *Exchange) Close(onlyUnwritten bool, how ending.Ending) {
+	if c := x.close(onlyUnwritten, how); c != nil {
+		c.Close() // without the lock: it waits for a write that is in the kernel, which waits for the lock
+	}
+}
+
+// close is the connection that is to be closed, nil for none.
+func (x *Exchange) close(onlyUnwritten bool, how ending.Ending) *conn {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.written && onlyUnwritten || x.closed != ending.Unknown {
-		return
+		return nil
 	}
 	if x.closed = how; !x.written {
 		x.closed = ending.Unwritten
 	}
 	x.stop()
-	if x.c != nil {
-		x.c.Close()
-	}
+	return x.c
 }
 
-// Push writes a request and reads job lines until the last one. Just before the first byte it asks whether the push is wanted
-// still, and ends Unwritten where it is not: a dial may have outlasted the client's patience. It tells once that the request is
-// written whole, notes as they come, and the end once, after the connection is closed or the worker has said its last word on it.
+// Push writes a request and reads job lines until the last one. Just before each write it asks whether the push is wanted
+// still, and ends Unwritten where it is not: a dial may have outlasted the client's patience, or a worker that reads slowly the
+// write. It tells once that the request is written whole, notes as they come, and the end once, after the connection is closed or
+// the worker has said its last word on it.
 func (p *Pool) Push(addr, id string, request []byte, limit time.Time, wanted func() bool, written func(), note func(Line),
 	end func(End)) *Exchange {
 	return p.begin(true, addr, request, limit, wanted, func(c *conn, e End) (*http.Response, End) {
@@ -127,7 +135,6 @@
 			return nil, e
 		}
 	}
-	wanted := x.wanted()
 	x.mu.Lock()
 	if x.closed != ending.Unknown {
 		x.mu.Unlock()
@@ -135,13 +142,7 @@
 		e.How = x.closed
 		return nil, e
 	}
-	if !wanted {
-		x.closed, e.How = ending.Unwritten, ending.Unwritten
-		x.mu.Unlock()
-		x.pool.back(c) // nothing was written to it, and opening it was paid for
-		return nil, e
-	}
-	x.c, x.written = c, true // from here on nothing keeps it from being written
+	x.c = c
 	x.mu.Unlock()
 	c.SetDeadline(limit)
 	c.gauge.begin()
@@ -164,17 +165,73 @@
 	if c == nil {
 		return nil, e
 	}
-	if n, err := c.Write(request); err != nil && n < len(request) {
+	n, kept, err := x.write(c, request, limit)
+	if n == len(request) {
+		return c, e
+	}
+	e.How = ending.PartWritten
+	x.mu.Lock()
+	if x.c = nil; x.closed != ending.Unknown {
+		e.How = ending.Unwritten // this side kept it back or closed it: nothing of that is the worker's doing
+	}
+	x.mu.Unlock()
+	if kept && n == 0 && err == nil && c.SetDeadline(time.Time{}) == nil {
+		x.pool.back(c) // nothing was written to it, and opening it was paid for
+	} else {
 		x.pool.drop(c)
-		e.How = ending.PartWritten
+	}
+	return nil, e
+}
+
+// write hands a request to the kernel and tells how much of it was taken, and whether the rest was kept back as it is not wanted any
+// more. A worker begins a request with its last byte, so this is asked before every part: a client may leave while the worker's
+// machine takes nothing. Close comes before or after a part, never between the asking and the write.
+func (x *Exchange) write(c *conn, request []byte, limit time.Time) (n int, kept bool, err error) {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return 0, false, errors.ErrUnsupported
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return 0, false, err
+	}
+	var failed error
+	err = raw.Write(func(fd uintptr) bool {
 		x.mu.Lock()
-		if x.closed != ending.Unknown {
-			e.How = ending.Unwritten // this side closed it: nothing of that is the worker's doing
+		defer x.mu.Unlock()
+		for n < len(request) && x.closed == ending.Unknown {
+			if kept = !x.asked(limit); kept {
+				x.closed = ending.Unwritten
+				return true
+			}
+			k, err := syscall.Write(int(fd), request[n:])
+			switch {
+			case err == syscall.EAGAIN:
+				return false
+			case err != nil && err != syscall.EINTR:
+				failed = err
+				return true
+			}
+			n += max(k, 0)
+			x.written = n == len(request)
+		}
+		return true
+	})
+	return n, kept, errors.Join(err, failed)
+}
+
+// asked asks whether a push is wanted until the answer is young: this process may be kept from running for longer than a client that
+// has left may be pushed for. What stays is the way from reading the clock into the kernel.
+func (x *Exchange) asked(limit time.Time) bool {
+	for began := time.Now(); began.Before(limit); began = time.Now() {
+		if !x.wanted() {
+			return false
+		}
+		if time.Since(began) <= lookLasts {
+			return true
 		}
-		x.mu.Unlock()
-		return nil, e
 	}
-	return c, e
+	return false
 }
 
 // answer reads an answer's head; those that only say that one will come are none.
