Changes of settings have no bound on their number: the place of old terms is given back

Need: with three categories and one changed each time 340 settings were taken by SIGHUP and all further ones turned down until the process was replaced. Cause: Dispatcher.Categories appended each changed category for good, and Front.Reread (mostPlaces, 1,024) turned files down so that the list stayed bounded. By reading also: Reducer.retune gave every category that was ever dropped another while at each change, since they shared one end; a file held at most 256 categories, 256 had figures and those beyond none for good; rank walked all categories for each decision, and figures worked the median of all out anew after each op. Change: a place is that of the terms in force, of a dropped name for its own while (the reducer names it), and of ops until they are forgotten (the module counts them); any other is given to the next category. What was learned of runs goes along to the new terms of a name (it was lost, and all ranked as the dearest until an op had ended); the longest TTL seen starts anew where ttl changes. Dropped names are told from strangers' for the last 3,072 to 4,096. 2,048 categories a file, and as many figures: the first dropped becomes other, so that sums stay whole. Medians are worked out for the category that ran, the dearest one only when it can have changed. A reload is counted once it is in force, not before. TestADayOfChangesIsTakenAndHoldsNothing: 16,000 changes with 560 categories and 20 ops open all the while: all taken, 583 places at most.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -81,15 +81,6 @@
 	healthMax = 15 * second // a verdict on a worker older than this says nothing about now
 )
 
-type category struct {
-	name             string
-	target, window   Time
-	stretch, benefit float64
-	effect, scope    string
-	longest          Time // the longest time that a client was seen to give
-	served           bool // the terms in force name it
-}
-
 type reading struct {
 	load   Load
 	at     Time // when the probe was answered
@@ -159,7 +150,6 @@
 	misled        bool    // reports come late
 	scarce        bool    // ops that were given all looks find no place
 	truth         float64 // the share of pushes that started at once, of those that a report said would
-	middle, usual []Time  // run of each category: the median, the mean
 }
 
 // site is what is picked out of the terms, once: looked up by name at each use, they took half of the CPU.
@@ -177,7 +167,8 @@
 	site              site
 	other             *site // of another shape that is watched for
 	otherwise         [Spoken + 1]int
-	categories        []category
+	categories        []category // by place
+	entries           []int      // the places of those in force, in the order of the terms
 	now               Time
 	workers           []worker
 	ready             int
@@ -195,15 +186,14 @@
 	trips             []Time           // probe round trips, the last few
 	room              doubt.Test[Time] // do ops find a place?
 	starts            []start          // of jobs that were to start at once, the last few
-	runs              [][]Time
-	least             Time // the least target latency
+	least             Time             // the least target latency
+	dearest           dearest
 	kinds             []machines
 	asks, askedBefore map[uint64]float64 // of each key in this span of ageing, and in the last
 	placed            float64            // all workers' places and what they took
 	took              Time
 	fresh             bool // the digest holds
 	round             bool // late is worked out
-	ranAnew           bool // runs have come since it was worked out
 	digest            digest
 	takes             bool // workers say at once that they have taken a push
 	woken             Time
@@ -305,9 +295,9 @@
 	}
 }
 
-// Op is a new op. It returns false for a category that the terms do not name.
+// Op is a new op. It returns false for a category that the terms do not name and the host has not kept.
 func (d *Dispatcher) Op(i, cat int, ttl Time, slots, memory float64, work Time) bool {
-	if cat < 0 || cat >= len(d.categories) {
+	if cat < 0 || cat >= len(d.categories) || !d.categories[cat].named() {
 		return false
 	}
 	for len(d.ops) <= i {
@@ -315,7 +305,7 @@
 	}
 	// A client's TTL runs over all its tries: one that comes with less of it than others has come before.
 	c := &d.categories[cat]
-	c.longest = max(c.longest, ttl-d.now)
+	c.longest, c.open = max(c.longest, ttl-d.now), c.open+1
 	o := &op{index: i, cat: cat, ttl: ttl, came: ttl - c.longest, slots: slots, memory: memory, work: work,
 		most: d.site.maxPushes}
 	o.number, d.numbered = d.numbered, d.numbered+1
@@ -501,8 +491,8 @@
 		}
 		if o.started > 0 {
 			w.strides.Add(&d.kinds[w.kind].strides, float64(d.now-o.started)/float64(max(d.expected(o), 1)))
-			d.runs[o.cat] = sample.Keep(d.runs[o.cat], d.now-o.started)
-			d.fresh, d.ranAnew = false, true
+			d.ran(o.cat, d.now-o.started)
+			d.fresh = false
 		} else if !d.site.tellsStart {
 			d.taus = sample.Keep(d.taus, d.now-o.askedAt)
 		}
@@ -625,12 +615,7 @@
 		return g
 	}
 	d.fresh = true
-	for i, few := range d.runs {
-		if d.ranAnew && len(few) > 0 {
-			g.middle[i], g.usual[i] = sample.Quantile(few, 0.5), sample.Mean(few)
-		}
-	}
-	if d.ranAnew = false; len(d.trips) > 0 {
+	if len(d.trips) > 0 {
 		g.trip = sample.Quantile(d.trips, 0.5)
 	}
 	// Reports seconds late send all schedulers to the workers that look idle. They are taken for late while many
@@ -665,23 +650,12 @@
 
 // rank is an op's benefit for the work it takes, over that of the dearest category.
 func (d *Dispatcher) rank(o *op) float64 {
-	most, own := 0.0, 0.0
-	for i, c := range d.categories {
-		if !c.served && i != o.cat {
-			continue
-		}
-		b := c.benefit
-		if !d.site.perWork {
-			b /= float64(max(d.figures().usual[i], 1))
-			if len(d.runs[i]) == 0 {
-				return 1
-			}
-		}
-		if most = max(most, b); i == o.cat {
-			own = b
-		}
+	most, ok := d.most()
+	own, known := d.worth(&d.categories[o.cat])
+	if !ok || !known {
+		return 1
 	}
-	return own / most
+	return own / max(most, own)
 }
 
 // wait is how long an op would wait at a worker: its place in the queue, and how long a place took of late.
@@ -859,6 +833,7 @@
 			}
 			if do == Forget {
 				d.ops[o.index] = nil
+				d.categories[o.cat].open--
 			}
 			return do, o.index, worker, span
 		}
@@ -1116,10 +1091,10 @@
 	if o.work > 0 {
 		return o.work
 	}
-	if len(d.runs[o.cat]) > 0 {
-		return d.figures().middle[o.cat]
+	if c := &d.categories[o.cat]; len(c.runs) == 0 {
+		return c.target
 	}
-	return d.categories[o.cat].target
+	return d.categories[o.cat].middle
 }
 
 // slow is how much longer than expected jobs run on a worker; while samples are few, its kind's weigh in.
--- a/dispatch/learned.go
+++ b/dispatch/learned.go
@@ -49,9 +49,9 @@
 	for z := range d.zones {
 		l.Zones = append(l.Zones, d.zones[z].Verdicts())
 	}
-	for i, c := range d.categories {
+	for _, c := range d.categories {
 		if c.served {
-			l.Categories[c.name] = LearnedRuns{c.longest, d.runs[i]}
+			l.Categories[c.name] = LearnedRuns{c.longest, c.runs}
 		}
 	}
 	for i := range d.workers {
@@ -104,10 +104,13 @@
 		judge(&d.zones[z], l.Zones[z])
 	}
 	for i := range d.categories {
-		if r, ok := l.Categories[d.categories[i].name]; ok {
-			d.categories[i].longest, d.runs[i] = min(max(r.Longest, 0), never), spans(r.Runs)
+		c := &d.categories[i]
+		if r, ok := l.Categories[c.name]; ok {
+			c.longest, c.runs = min(max(r.Longest, 0), never), spans(r.Runs)
+			c.sum()
 		}
 	}
+	d.dearest.holds = false
 	for i := range d.workers {
 		w := &d.workers[i]
 		x := l.Workers[w.mark]
@@ -130,5 +133,5 @@
 		}
 		judge(&w.health, x.Health)
 	}
-	d.fresh, d.ranAnew = false, true
+	d.fresh = false
 }
--- a/dispatch/site.go
+++ b/dispatch/site.go
@@ -1,11 +1,85 @@
 package dispatch
 
 import (
-	"fmt"
 	"math"
 	"slices"
+	"strconv"
+
+	"woaddyke/internal/sample"
 )
 
+// rules are a category's terms.
+type rules struct {
+	name, effect, scope string
+	ttl, target, window Time
+	stretch, benefit    float64
+}
+
+// category is at a place that ops refer to.
+type category struct {
+	rules
+	longest       Time   // the longest time that a client was seen to give
+	runs          []Time // of its ops, the last few
+	middle, usual Time   // of those: the median, the mean
+	served        bool   // the terms in force name it
+	before        bool   // those before them did
+	kept          bool   // they do not, and the host still does
+	open          int    // its ops that are not forgotten
+}
+
+// named tells whether there may be new ops of it.
+func (c *category) named() bool { return c.served || c.kept }
+
+// free tells whether nothing refers to its place.
+func (c *category) free() bool { return !c.named() && c.open == 0 }
+
+// sum works out what is read of its runs for each decision.
+func (c *category) sum() {
+	if len(c.runs) > 0 {
+		c.middle, c.usual = sample.Quantile(c.runs, 0.5), sample.Mean(c.runs)
+	}
+}
+
+// dearest is the most that an op of any category that is served earns for its work; not ok while runs of one are unknown. It is
+// kept: a walk over hundreds of categories for each decision cost more than the decision.
+type dearest struct {
+	most               float64
+	ok, holds, perWork bool
+}
+
+// worth is what an op of a category earns for its work; false while its runs are unknown.
+func (d *Dispatcher) worth(c *category) (b float64, known bool) {
+	if d.site.perWork {
+		return c.benefit, true
+	}
+	return c.benefit / float64(max(c.usual, 1)), len(c.runs) > 0
+}
+
+func (d *Dispatcher) most() (most float64, ok bool) {
+	x := &d.dearest
+	if !x.holds || x.perWork != d.site.perWork {
+		*x = dearest{ok: true, holds: true, perWork: d.site.perWork}
+		for k := range d.categories {
+			if c := &d.categories[k]; c.served {
+				b, known := d.worth(c)
+				x.most, x.ok = max(x.most, b), x.ok && known
+			}
+		}
+	}
+	return x.most, x.ok
+}
+
+// ran adds a run of a category's op.
+func (d *Dispatcher) ran(k int, took Time) {
+	c := &d.categories[k]
+	was, knew := d.worth(c)
+	c.runs = sample.Keep(c.runs, took)
+	c.sum()
+	if is, _ := d.worth(c); c.served && (!knew || is != was && max(is, was) >= d.dearest.most) {
+		d.dearest.holds = false
+	}
+}
+
 func reader(terms map[string]any) (num func(string, float64) float64, span func(string, Time) Time) {
 	num = func(name string, otherwise float64) float64 {
 		if v, ok := terms[name].(float64); ok {
@@ -34,36 +108,122 @@
 }
 
 // Categories takes up the categories that the terms name, and their number of pushes. It returns each one's place, in the
-// order of the terms. One that was named before with the same terms keeps its place, and with it what was learned of it; the
-// others stand at the end. Ops keep the place and the number of pushes that they came with.
-func (d *Dispatcher) Categories(terms map[string]any) (places []int) {
-	num, span := reader(terms)
+// order of the terms. One whose place is known with the same terms keeps it, and with it what was learned of it; what was
+// learned of one of the same name goes along to its new place. Ops keep the place and the number of pushes that they came
+// with. The host names the places beside those of the terms that it goes on giving ops of; any other one without an open op
+// is given to the next category that needs one, so that places are as many as are in use at a time, however often terms change.
+func (d *Dispatcher) Categories(terms map[string]any, kept ...int) (places []int) {
+	num, _ := reader(terms)
 	d.site.maxPushes = int(num("bounds.maxPushes", 1))
 	for k := range d.categories {
-		d.categories[k].served = false
+		c := &d.categories[k]
+		c.before, c.served, c.kept = c.served, false, false
+	}
+	for _, k := range kept {
+		d.categories[k].kept = true
 	}
-	d.least, d.fresh = math.MaxInt64, false
+	d.least, d.fresh, d.dearest.holds = math.MaxInt64, false, false
+	var index *index       // wanted for what has changed: most is as it was
+	var without []category // a place so far
 	for i := 0; ; i++ {
-		at := fmt.Sprintf("categories.%d.", i)
-		if _, ok := terms[at+"ttl"]; !ok {
-			return places
+		c, ok := entry(terms, i)
+		if !ok {
+			break
 		}
-		c := category{target: span(at+"targetLatency", 0), window: span(at+"window", 0),
-			stretch: num(fmt.Sprintf("extra.classStretch.%d", i), 0), benefit: num(at+"benefit", 1)}
-		c.name, _ = terms[at+"name"].(string)
-		c.effect, _ = terms[at+"effect"].(string)
-		c.scope, _ = terms[at+"dedupScope"].(string)
 		d.least = min(d.least, c.target)
-		k := slices.IndexFunc(d.categories, func(x category) bool {
-			x.longest = 0
-			return x == c // which is not served yet
-		})
-		if k < 0 {
-			k = len(d.categories)
-			d.categories, d.runs = append(d.categories, c), append(d.runs, nil)
-			d.digest.middle, d.digest.usual = append(d.digest.middle, 0), append(d.digest.usual, 0)
+		if i < len(d.entries) && d.alike(d.entries[i], &c) {
+			d.categories[d.entries[i]].served = true
+			places = append(places, d.entries[i])
+			continue
+		}
+		if index == nil {
+			index = d.index()
+		}
+		k := index.find(c.name, func(k int) bool { return d.alike(k, &c) })
+		if places = append(places, k); k >= 0 {
+			d.categories[k].served = true
+			continue
+		}
+		if k = index.find(c.name, func(k int) bool { return d.categories[k].before }); k >= 0 && c.name != "" {
+			// How long its ops run is no matter of its terms. Without that all categories had the rank of the dearest until one of
+			// its ops had ended, at each change.
+			x := &d.categories[k]
+			if c.runs, c.middle, c.usual = slices.Clone(x.runs), x.middle, x.usual; x.ttl == c.ttl {
+				c.longest = x.longest
+			}
+		}
+		without = append(without, c)
+	}
+	k := 0
+	for i := range places {
+		if places[i] >= 0 {
+			continue
+		}
+		for k < len(d.categories) && !d.categories[k].free() {
+			k++
+		}
+		if k == len(d.categories) {
+			d.categories = append(d.categories, category{})
+		}
+		places[i], d.categories[k], without = k, without[0], without[1:]
+	}
+	d.entries = places
+	return slices.Clone(places)
+}
+
+// entry is the i-th category that the terms name, false beyond the last one.
+func entry(terms map[string]any, i int) (c category, ok bool) {
+	n := strconv.Itoa(i)
+	at := append(make([]byte, 0, 64), "categories."+n+"."...)
+	value := func(name string) any { return terms[string(append(at, name...))] }
+	num := func(name string, otherwise float64) float64 {
+		if v, ok := value(name).(float64); ok {
+			return v
+		}
+		return otherwise
+	}
+	if _, ok = terms[string(append(at, "ttl"...))]; !ok {
+		return c, false
+	}
+	c = category{served: true, rules: rules{ttl: Time(num("ttl", 0)), target: Time(num("targetLatency", 0)),
+		window: Time(num("window", 0)), benefit: num("benefit", 1)}}
+	c.stretch, _ = terms["extra.classStretch."+n].(float64)
+	c.name, _ = value("name").(string)
+	c.effect, _ = value("effect").(string)
+	c.scope, _ = value("dedupScope").(string)
+	return c, true
+}
+
+// alike tells whether the place k has the rules of c and is not taken by an entry of the new terms yet.
+func (d *Dispatcher) alike(k int, c *category) bool {
+	return !d.categories[k].served && d.categories[k].rules == c.rules
+}
+
+// index finds places by the name of their category.
+type index struct {
+	first map[string]int
+	next  []int // place of the same name, -1 behind the last
+}
+
+func (d *Dispatcher) index() *index {
+	n := len(d.categories)
+	x := &index{make(map[string]int, n), make([]int, n)}
+	for k := n - 1; k >= 0; k-- {
+		name := d.categories[k].name
+		if x.next[k] = -1; x.first[name] > 0 {
+			x.next[k] = x.first[name] - 1
+		}
+		x.first[name] = k + 1 // so that nothing reads as nowhere
+	}
+	return x
+}
+
+// find is the first place of a name that does, -1 if there is none.
+func (x *index) find(name string, does func(k int) bool) int {
+	for k := x.first[name] - 1; k >= 0; k = x.next[k] {
+		if does(k) {
+			return k
 		}
-		d.categories[k].served = true
-		places = append(places, k)
 	}
+	return -1
 }
--- /dev/null
+++ b/dispatch/site_test.go
@@ -0,0 +1,236 @@
+package dispatch
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// siteOfRules is the terms of some categories, in the order of their names here.
+func siteOfRules(all []rules, pushes float64) map[string]any {
+	t := map[string]any{"step": 10.0, "bounds.maxPushes": pushes}
+	for i, r := range all {
+		at := fmt.Sprintf("categories.%d.", i)
+		t[at+"name"], t[at+"effect"], t[at+"dedupScope"], t[at+"benefit"] = r.name, r.effect, r.scope, r.benefit
+		t[at+"ttl"], t[at+"targetLatency"], t[at+"window"] = float64(r.ttl), float64(r.target), float64(r.window)
+		t[fmt.Sprintf("extra.classStretch.%d", i)] = r.stretch
+	}
+	return t
+}
+
+// Places were given out for good, and after a thousand of them no change was taken until the process was replaced. Now that they are
+// given back, none may become another category's while an open op, a name that the host goes on serving, or the terms in force have it:
+// an at-most-once op at a place that became a redeliverable category's would be run twice.
+func TestAPlaceIsNobodyElsesWhileAnythingRefersToIt(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		anyRules := rapid.Custom(func(t *rapid.T) rules {
+			return rules{name: rapid.SampledFrom([]string{"a", "b", "c", "d", "e", ""}).Draw(t, "name"),
+				effect: rapid.SampledFrom([]string{"redeliverable", "deduplicated", "at-most-once"}).Draw(t, "effect"),
+				scope:  rapid.SampledFrom([]string{"all", "cell"}).Draw(t, "scope"), benefit: float64(rapid.IntRange(1, 3).Draw(t, "benefit")),
+				ttl: 50_000, target: Time(rapid.IntRange(1, 4).Draw(t, "target") * 1000), window: 20_000, stretch: 1}
+		})
+		inForce := rapid.SliceOfN(anyRules, 1, 6).Draw(t, "rules")
+		d := New(3, siteOfRules(inForce, 3))
+		places := d.Categories(siteOfRules(inForce, 3))
+		d.Clock(1)
+		d.ListWhole()
+		for i := range 3 {
+			d.Entry(i, 0, i, true, 0)
+		}
+		d.ListEnd()
+		type came struct {
+			rules
+			cat, most, legs int
+			out             bool
+		}
+		open, kept := map[int]*came{}, map[int]rules{} // ops by index; places by what the host has them for
+		pushes, peak := 3, len(d.categories)
+		check := func() {
+			for i, k := range places {
+				if got := d.categories[k].rules; got != inForce[i] {
+					t.Fatalf("entry %d has the place of %+v, not of %+v", i, got, inForce[i])
+				}
+			}
+			for k, want := range kept {
+				if got := d.categories[k].rules; got != want {
+					t.Fatalf("place %d that the host keeps for %+v is that of %+v", k, want, got)
+				}
+			}
+			for i, o := range open {
+				if got := d.ops[i]; d.categories[got.cat].rules != o.rules || got.most != o.most {
+					t.Fatalf("op %d came by %+v, %d pushes, and is under %+v, %d", i, o.rules, o.most, d.categories[got.cat].rules, got.most)
+				}
+			}
+		}
+		pull := func() {
+			for {
+				do, i, _, _ := d.Next()
+				switch do {
+				case Nothing:
+					return
+				case Push:
+					o := open[i]
+					if o.legs++; o.legs > o.most || o.legs > 1 && o.effect == "at-most-once" {
+						t.Fatalf("op %d is pushed %d times: %+v", i, o.legs, *o)
+					}
+					o.out = true
+				case Nack:
+					if o := open[i]; o.effect == "at-most-once" && o.legs > 0 {
+						t.Fatalf("op %d may have run and is nacked: %+v", i, *o)
+					}
+				case Forget:
+					delete(open, i)
+				}
+			}
+		}
+		some := func() (int, *came) {
+			i := rapid.SampledFrom(slices.Sorted(maps.Keys(open))).Draw(t, "op")
+			return i, open[i]
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"": func(*rapid.T) { check() },
+			"change": func(t *rapid.T) {
+				was := map[int]rules{}
+				maps.Copy(was, kept)
+				for i, k := range places {
+					was[k] = inForce[i]
+				}
+				if rapid.Bool().Draw(t, "one") {
+					inForce = slices.Clone(inForce)
+					inForce[rapid.IntRange(0, len(inForce)-1).Draw(t, "which")] = anyRules.Draw(t, "new")
+				} else {
+					inForce = rapid.SliceOfN(anyRules, 1, 6).Draw(t, "rules")
+				}
+				clear(kept)
+				for _, k := range slices.Sorted(maps.Keys(was)) {
+					if rapid.IntRange(0, 3).Draw(t, "keep") == 0 {
+						kept[k] = was[k]
+					}
+				}
+				pushes = rapid.IntRange(1, 4).Draw(t, "pushes")
+				places = d.Categories(siteOfRules(inForce, float64(pushes)), slices.Sorted(maps.Keys(kept))...)
+				used := map[int]bool{}
+				for _, k := range places {
+					if used[k] {
+						t.Fatalf("two entries have one place: %v", places)
+					}
+					used[k] = true
+				}
+				for k := range kept {
+					used[k] = true
+				}
+				for _, o := range open {
+					used[o.cat] = true
+				}
+				for k := range d.categories {
+					if !d.categories[k].served && !d.categories[k].kept && d.Op(99, k, d.now+1<<30, 1, 0, 0) {
+						t.Fatalf("an op is taken at place %d, which nobody has named", k)
+					}
+				}
+				if peak = max(peak, len(used)); len(d.categories) > peak {
+					t.Fatalf("%d places, and never more than %d in use at a time", len(d.categories), peak)
+				}
+			},
+			"op": func(t *rapid.T) {
+				i := 0
+				for open[i] != nil {
+					i++
+				}
+				from := slices.Concat(places, slices.Sorted(maps.Keys(kept)))
+				k := rapid.SampledFrom(from).Draw(t, "place")
+				if !d.Op(i, k, d.now+1<<30, 1, 0, 0) {
+					t.Fatalf("no op of place %d is taken", k)
+				}
+				open[i] = &came{rules: d.categories[k].rules, cat: k, most: pushes}
+				pull()
+			},
+			"end": func(t *rapid.T) {
+				if len(open) == 0 {
+					t.Skip()
+				}
+				i, o := some()
+				d.Clock(d.now + 10)
+				if o.out {
+					o.out = false
+					how := rapid.SampledFrom([]Outcome{Served, Broke, Broke}).Draw(t, "how")
+					d.Outcome(i, o.legs-1, how, 10, how == Served)
+				} else {
+					d.Left(i)
+				}
+				pull()
+			},
+		})
+	})
+}
+
+// What was learned of a category went with its terms: whatever of them changed, its ops' usual run was unknown again, and until one had
+// ended all categories had the rank of the dearest.
+func TestWhatIsLearnedOfACategoryGoesAlongToItsNewTerms(t *testing.T) {
+	of := []rules{{name: "look", effect: "redeliverable", ttl: 50_000, target: 5_000, benefit: 1, stretch: 1},
+		{name: "pay", effect: "redeliverable", ttl: 50_000, target: 5_000, benefit: 4, stretch: 1}}
+	d := New(3, siteOfRules(of, 3))
+	d.Clock(1)
+	for k := range of {
+		d.Op(k, k, d.now+40_000, 1, 0, 0)
+		for range 40 {
+			d.ran(k, 700)
+		}
+	}
+	if got := d.rank(d.ops[0]); got != 0.25 {
+		t.Fatalf("rank %v", got)
+	}
+	old := slices.Clone(d.categories[0].runs)
+	of[0].target = 6_000
+	place := d.Categories(siteOfRules(of, 3))[0]
+	d.Op(2, place, d.now+40_000, 1, 0, 0)
+	if c := d.categories[place]; place == 0 || c.middle != 700 || c.usual != 700 || c.longest != 40_000 || d.rank(d.ops[2]) != 0.25 {
+		t.Errorf("place %d: %+v, rank %v", place, c, d.rank(d.ops[2]))
+	}
+	d.ran(place, 9)
+	d.ran(0, 8)
+	if x, y := d.categories[0].runs, d.categories[place].runs; x[len(x)-1] != 8 || y[len(y)-1] != 9 || !slices.Equal(x[:len(x)-1], old[1:]) {
+		t.Errorf("the runs of open ops and of new ones are mixed: %v, %v", x, y)
+	}
+	of[0].ttl = 20_000 // clients give less now: an op by the longest time that was seen would count as late from the beginning
+	if place = d.Categories(siteOfRules(of, 3))[0]; d.categories[place].longest != 0 || d.categories[place].middle != 700 {
+		t.Errorf("with another ttl: %+v", d.categories[place])
+	}
+}
+
+// The walk over all categories that tells the dearest is made only when one that counts has changed. The rank must be as if it were
+// made each time.
+func TestTheDearestCategoryIsTheOneThatAWalkFinds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 8).Draw(t, "n")
+		var of []rules
+		for i := range n {
+			of = append(of, rules{name: fmt.Sprint(i), ttl: 50_000, target: 5_000, benefit: float64(rapid.IntRange(0, 9).Draw(t, "benefit"))})
+		}
+		d := New(3, siteOfRules(of, 3))
+		d.Clock(1)
+		for k := range of {
+			d.Op(k, k, d.now+40_000, 1, 0, 0)
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			case 0:
+				i := rapid.IntRange(0, n-1).Draw(t, "which")
+				of[i].benefit = float64(rapid.IntRange(0, 9).Draw(t, "benefit"))
+				d.Categories(siteOfRules(of, 3))
+			case 1:
+				d.site.perWork = !d.site.perWork
+			default:
+				d.ran(rapid.IntRange(0, len(d.categories)-1).Draw(t, "ran"), Time(rapid.IntRange(1, 50).Draw(t, "took")))
+			}
+			o := d.ops[rapid.IntRange(0, n-1).Draw(t, "op")]
+			got := d.rank(o)
+			d.dearest.holds = false
+			if want := d.rank(o); got != want && fmt.Sprint(got) != fmt.Sprint(want) {
+				t.Fatalf("rank %v, by a walk %v", got, want)
+			}
+		}
+	})
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -38,7 +38,6 @@
 	forWorkers = 0.45
 	stopSlack  = 600 * time.Millisecond // after the longest TTL a process that stops may be killed
 	listWait   = 3 * time.Second        // for discovery's first list, before the remembered one has to do
-	mostPlaces = 1024                   // categories taken up since the start: the module keeps them all
 	lookEvery  = 20 * time.Millisecond  // while the last connections end
 	newWaits   = 60 * time.Millisecond  // one that has just come up, or was answered, may have its request on the way
 	stays      = 0.6                    // of its last time it keeps connections: their clients may have no other
@@ -60,7 +59,6 @@
 	tally    *tally.Tally
 
 	inForce atomic.Pointer[terms.Sheet] // that was read last
-	places  int                         // categories that were taken up since the start
 	drain   *drainer
 	peersAt *net.UDPConn          // that of the process before, nil without one
 	others  func() *tally.Members // nil where this is no member
@@ -79,7 +77,6 @@
 	f := &Front{sheet: sheet, log: log, ready: make(chan struct{})}
 	f.clients = guests.New(0, 0) // limit sets both bounds
 	f.inForce.Store(sheet)
-	f.places = len(sheet.Categories())
 	f.drain = &drainer{clients: f.clients}
 	f.tally = tally.New(sheet.Categories())
 	dial := sheet.Span("bounds.connectTimeout", time.Second)
@@ -213,12 +210,9 @@
 	retunes, rest := false, false
 	if err == nil {
 		retunes, rest = sheet.Retunes(before)
-		if retunes && f.places+len(sheet.Categories()) > mostPlaces {
-			err = fmt.Errorf("over %d categories since the start: replace the process", mostPlaces)
-		}
 	}
-	f.tally.Reread(err == nil)
 	if err != nil {
+		f.tally.Reread(false)
 		f.log.Error().Err(err).Msg("configuration kept")
 		return
 	}
@@ -226,7 +220,6 @@
 		f.log.Warn().Msg("all but discovery, categories and pushes changes with a restart only")
 	}
 	if retunes {
-		f.places += len(sheet.Categories())
 		f.tally.Serves(sheet.Categories())
 		// What comes for a category that is served no more was sent before its client knew, or is its next try.
 		until := time.Now().Add(before.LongestTTL())
@@ -234,6 +227,7 @@
 	}
 	f.inForce.Store(sheet)
 	f.roster.Move(sheet.Discovery)
+	f.tally.Reread(true) // last: who reads of it goes by what is in force
 	f.log.Info().Str("discovery", sheet.Discovery).Bool("settings", retunes).Msg("configuration reread")
 }
 
--- /dev/null
+++ b/internal/ops/changes_test.go
@@ -0,0 +1,248 @@
+package ops
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+
+	"woaddyke/dispatch"
+	"woaddyke/internal/ending"
+	"woaddyke/internal/terms"
+)
+
+// entry is a category as these tests change it.
+type entry struct {
+	name, effect string
+	target       dispatch.Time
+}
+
+func (e entry) into(site map[string]any, i int) {
+	site[terms.Item("categories", i, "name")], site[terms.Item("categories", i, "effect")] = e.name, e.effect
+	site[terms.Item("categories", i, "ttl")], site[terms.Item("categories", i, "benefit")] = 50_000.0, 1.0
+	site[terms.Item("categories", i, "targetLatency")] = float64(e.target)
+}
+
+func siteOf(entries []entry, pushes int) map[string]any {
+	site := map[string]any{"bounds.maxPushes": float64(pushes), "bounds.probes": false, "step": 10.0}
+	for i, e := range entries {
+		e.into(site, i)
+	}
+	return site
+}
+
+func fleetOf(r *Reducer, now dispatch.Time) {
+	var l Listed
+	for i := range 6 {
+		l.Entries = append(l.Entries, Entry{Worker: fmt.Sprint("w", i), Addr: "a:1", Zone: "z", Ready: true})
+	}
+	l.Whole = true
+	r.Take(now, l)
+}
+
+// An op of a category whose place went to another one while it was open was pushed again, or dead-lettered, by that one's rules. Ops
+// that stay open across thousands of changes (terms, names, pushes, what is dropped and comes back) are pushed and answered by the rules
+// of the moment in which they came; those of a dropped category too, for its while, and are nacked after it. The seed is CHANGES_SEED.
+func TestOpsKeepTheirRulesAcrossThousandsOfChanges(t *testing.T) {
+	first, last := uint64(0), uint64(6)
+	if seed, err := strconv.ParseUint(os.Getenv("CHANGES_SEED"), 10, 64); err == nil {
+		first, last = seed, seed+1
+	}
+	for seed := first; seed < last; seed++ {
+		if fault := changes(seed, 2000); fault != "" {
+			t.Fatalf("CHANGES_SEED=%d: %s", seed, fault)
+		}
+	}
+}
+
+func changes(seed uint64, n int) (fault string) {
+	type open struct {
+		entry
+		pushes, legs int
+		out, ran     bool
+	}
+	chance := rand.New(rand.NewPCG(seed, 2))
+	say := func(format string, args ...any) {
+		if fault == "" {
+			fault = fmt.Sprintf(format, args...)
+		}
+	}
+	effects := []string{"redeliverable", "at-most-once"}
+	fresh := func(name string) entry {
+		return entry{name, effects[chance.IntN(2)], dispatch.Time(1+chance.IntN(3)) * 100 * second}
+	}
+	var inForce []entry
+	for i := range 5 {
+		inForce = append(inForce, fresh(fmt.Sprint("c", i)))
+	}
+	pushes := 3
+	r := New(seed, siteOf(inForce, pushes))
+	now := dispatch.Time(second)
+	fleetOf(r, now)
+	ops, last := map[uint64]*open{}, uint64(0)
+	type was struct {
+		entry
+		until dispatch.Time
+	}
+	dropped := map[string]was{}
+	served := map[string]entry{}
+	name := func() {
+		clear(served)
+		for _, e := range inForce {
+			served[e.name] = e
+			delete(dropped, e.name)
+		}
+	}
+	name()
+	var broken uint64
+	take := func(in Input) {
+		for _, e := range r.Take(now, in) {
+			switch e := e.(type) {
+			case Push:
+				o := ops[e.Op]
+				if o.legs++; o.out || o.legs > o.pushes || o.ran && o.effect == "at-most-once" {
+					say("op %d is pushed: %+v", e.Op, *o)
+				}
+				o.out = true
+			case Answer:
+				o := ops[e.Op]
+				switch {
+				case e.Verdict == DeadLettered && o.effect != "at-most-once", e.Verdict == Nacked && o.ran && o.effect == "at-most-once",
+					e.Verdict == UnknownCategory, e.Op == broken && e.Verdict == Nacked && o.legs < o.pushes:
+					say("op %d is answered %v: %+v", e.Op, e.Verdict, *o)
+				}
+				delete(ops, e.Op)
+			}
+		}
+	}
+	arrive := func(e entry) {
+		last++
+		ops[last] = &open{entry: e, pushes: pushes}
+		take(Arrived{Op: last, ID: fmt.Sprint(last), Category: e.name, TTL: now + 1<<40, Effect: e.effect})
+		if o := ops[last]; o == nil || !o.out {
+			say("an op of %+v is not pushed", e)
+		}
+	}
+	for range n {
+		now += dispatch.Time(chance.IntN(3000))
+		before := inForce
+		inForce = append([]entry(nil), inForce...)
+		switch k := chance.IntN(len(inForce)); chance.IntN(6) {
+		case 0: // a name goes, another comes
+			inForce[k] = fresh(fmt.Sprint("d", chance.IntN(8)))
+		case 1:
+			if len(inForce) > 2 {
+				inForce = append(inForce[:k], inForce[k+1:]...)
+			}
+		case 2:
+			inForce = append(inForce, fresh(fmt.Sprint("e", chance.IntN(4))))
+		case 3:
+			pushes = 1 + chance.IntN(4)
+		default:
+			inForce[k] = fresh(inForce[k].name)
+		}
+		names := map[string]bool{} // of two that have one name the last one is served, and the first one only stands there
+		for _, e := range inForce {
+			names[e.name] = true
+		}
+		for _, e := range before {
+			if !names[e.name] {
+				dropped[e.name] = was{served[e.name], now + second}
+			}
+		}
+		take(Retuned{Site: siteOf(inForce, pushes), Until: now + second})
+		name()
+		for range chance.IntN(3) {
+			arrive(served[inForce[chance.IntN(len(inForce))].name])
+		}
+		for _, c := range []string{"c0", "c1", "d0", "d1", "e0"} {
+			switch x, ok := dropped[c]; {
+			case ok && now <= x.until:
+				arrive(x.entry)
+			case ok:
+				last++
+				if a, _ := first[Answer](r.Take(now, Arrived{Op: last, ID: fmt.Sprint(last), Category: c, TTL: now + 1<<40})); a.Verdict != Nacked {
+					say("an op of %s, which was dropped, is answered %v", c, a.Verdict)
+				}
+			}
+		}
+		for i := last; i > 0 && i+60 > last; i-- { // some end, and some stay for hundreds of changes
+			o := ops[i]
+			if o == nil || !o.out || chance.IntN(10) > 0 {
+				continue
+			}
+			if o.out = false; chance.IntN(3) == 0 {
+				o.ran, broken = true, i
+				take(Ended{Op: i, How: ending.Reset})
+				broken = 0
+			} else {
+				take(Ended{Op: i, How: ending.Done})
+			}
+		}
+		if fault != "" {
+			return fault
+		}
+	}
+	return fault
+}
+
+var dayOfChanges = 16_000
+
+// After a thousand categories no change was taken any more, half an hour at the pace of a large site. All of a day's are, one each
+// 5.4 s, also with ops that are open all the while, and what is held after them is what was held at the beginning. CHANGES=100000 makes
+// as many of them.
+func TestADayOfChangesIsTakenAndHoldsNothing(t *testing.T) {
+	const entries, held = 560, 20
+	n := dayOfChanges
+	if most, err := strconv.Atoi(os.Getenv("CHANGES")); err == nil {
+		n = most
+	}
+	effects := []string{"redeliverable", "at-most-once"}
+	var inForce []entry
+	for i := range entries {
+		inForce = append(inForce, entry{fmt.Sprint("team-", i), effects[0], 10 * second})
+	}
+	site := siteOf(inForce, 3)
+	r, now, op := New(7, site), dispatch.Time(second), uint64(0)
+	fleetOf(r, now)
+	change := func(i int) {
+		now += 54_000
+		k, e := i%entries, &inForce[i%entries]
+		if e.effect, e.target = effects[i/entries%2], 10*second+dispatch.Time(i); i%3 == 0 {
+			e.name = fmt.Sprint("team-", k, "-", i)
+		}
+		e.into(site, k)
+		r.Take(now, Retuned{Site: site, Until: now + 20*second})
+	}
+	send := func(e entry) {
+		t.Helper()
+		op++
+		todo := r.Take(now, Arrived{Op: op, ID: fmt.Sprint(op), Category: e.name, TTL: now + 1<<40, Effect: e.effect})
+		if _, pushed := first[Push](todo); !pushed {
+			t.Fatalf("an op of %+v: %+v", e, todo)
+		}
+	}
+	for i := range held {
+		send(inForce[i])
+	}
+	highest := 0
+	for i := range n {
+		change(i)
+		send(inForce[i%entries])
+		r.Take(now, Ended{Op: op, How: ending.Done})
+		highest = max(highest, r.categories[inForce[i%entries].name])
+	}
+	if most := entries + held + 3; highest >= most { // at 5.4 s a change and 20 s for a dropped one, two such and a new one
+		t.Errorf("place %d is in use, of %d that are needed", highest, most)
+	}
+	if len(r.dropped) > mostDropped || len(r.live) != held {
+		t.Errorf("%d dropped categories and %d ops are held", len(r.dropped), len(r.live))
+	}
+	for i := range held { // they came as redeliverable, which their categories were not any more and then were again
+		todo := r.Take(now, Ended{Op: uint64(i + 1), How: ending.Reset})
+		if _, again := first[Push](todo); !again {
+			t.Errorf("op %d of the beginning, which broke, is not pushed again: %+v", i+1, todo)
+		}
+	}
+}
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -4,7 +4,10 @@
 package ops
 
 import (
+	"cmp"
 	"maps"
+	"slices"
+	"strings"
 
 	"woaddyke/dispatch"
 	"woaddyke/internal/ending"
@@ -12,7 +15,10 @@
 	"woaddyke/internal/terms"
 )
 
-const mostKinds = 256 // of machines told apart; the module keeps something for each
+const (
+	mostKinds   = 256  // of machines told apart; the module keeps something for each
+	mostDropped = 4096 // categories that are served no more and whose ops are not taken for strangers' yet
+)
 
 // Input is one of Listed, Arrived, Left, Noted, Ended, Probed, Told, Fell, Came, Woken, Retuned,
 // Inherited and Stopping.
@@ -213,15 +219,20 @@
 	sentAt dispatch.Time
 }
 
+// dropped is a category that is served until then.
+type dropped struct {
+	place int // at the module; -1 once it may be another's
+	until dispatch.Time
+}
+
 // Reducer holds a scheduler's ops. All its state changes in Take.
 type Reducer struct {
 	d          *dispatch.Dispatcher
 	report     terms.Report
 	inline     bool
 	cancel     bool
-	categories map[string]int // by name: the place of each at the module
-	dropped    map[string]int // those that are served no more but for a while; the host bounds how many there can be
-	until      dispatch.Time  // which ends then
+	categories map[string]int     // by name: the place of each at the module
+	dropped    map[string]dropped // those that are served no more but for a while
 	zones      map[string]int
 	byKind     bool // kinds are told apart
 	kinds      map[string]int
@@ -240,46 +251,83 @@
 
 // New starts a reducer from a scheduler's seed and its site's terms.
 func New(seed uint64, site map[string]any) *Reducer {
-	r := &Reducer{d: dispatch.New(seed, site), report: terms.ReportOf(site), dropped: map[string]int{},
+	r := &Reducer{d: dispatch.New(seed, site), report: terms.ReportOf(site), dropped: map[string]dropped{},
 		zones: map[string]int{}, kinds: map[string]int{}, tags: map[string]int{}, indices: map[string]int{},
 		live: map[uint64]int{}, probes: map[uint64]probe{}, ids: map[string]dispatch.Time{}}
 	r.byKind = site["kinds"] == true
 	r.inline = site["report.how"] == "inline"
 	r.cancel = site["bounds.cancel"] == true
-	r.categories = named(site, r.d.Categories(site))
+	r.categories = named(namesOf(site), r.d.Categories(site))
 	for i, z := range terms.Row(site, "failureDomains") {
 		r.zones[z] = i
 	}
 	return r
 }
 
-// named are the places of a site's categories by their names.
-func named(site map[string]any, places []int) map[string]int {
-	by := map[string]int{}
-	for i, place := range places {
-		if name, ok := site[terms.Item("categories", i, "name")].(string); ok {
-			by[name] = place
+// namesOf are the names of a site's categories, in their order; empty for one without.
+func namesOf(site map[string]any) (names []string) {
+	for i := 0; ; i++ {
+		if _, ok := site[terms.Item("categories", i, "ttl")]; !ok {
+			return names
+		}
+		name, _ := site[terms.Item("categories", i, "name")].(string)
+		names = append(names, name)
+	}
+}
+
+// named are the places of categories by their names.
+func named(names []string, places []int) map[string]int {
+	by := make(map[string]int, len(names))
+	for i, name := range names {
+		if by[name] = places[i]; name == "" {
+			delete(by, name)
 		}
 	}
 	return by
 }
 
-// retune takes up other categories.
-func (r *Reducer) retune(in Retuned) {
-	before := r.categories
-	r.categories = named(in.Site, r.d.Categories(in.Site))
-	r.until = in.Until
-	maps.Copy(r.dropped, before)
-	maps.DeleteFunc(r.dropped, func(name string, _ int) bool {
-		_, served := r.categories[name]
-		return served
+// retune takes up other categories. A place at the module is kept for those that are dropped for as long as each is served.
+func (r *Reducer) retune(now dispatch.Time, in Retuned) {
+	names := namesOf(in.Site)
+	served := named(names, make([]int, len(names))) // the places come after those that are kept are told
+	for name, place := range r.categories {
+		if _, ok := served[name]; !ok {
+			r.dropped[name] = dropped{place, in.Until}
+		}
+	}
+	for name := range served {
+		delete(r.dropped, name)
+	}
+	r.forgetDropped()
+	var kept []int
+	for name, x := range r.dropped {
+		if x.place >= 0 && now <= x.until {
+			kept = append(kept, x.place)
+		} else if x.place >= 0 {
+			r.dropped[name] = dropped{-1, x.until}
+		}
+	}
+	r.categories = named(names, r.d.Categories(in.Site, kept...))
+}
+
+// forgetDropped keeps the last of those that were dropped: names without end would fill the memory.
+func (r *Reducer) forgetDropped() {
+	if len(r.dropped) <= mostDropped {
+		return
+	}
+	names := slices.SortedFunc(maps.Keys(r.dropped), func(a, b string) int {
+		return cmp.Or(cmp.Compare(r.dropped[a].until, r.dropped[b].until), strings.Compare(a, b))
 	})
+	for _, name := range names[:len(names)-mostDropped*3/4] { // some more at once, so that few changes sort them
+		delete(r.dropped, name)
+	}
 }
 
 // place is where the module has a category; false where it is not served.
 func (r *Reducer) place(now dispatch.Time, category string) (place int, ok bool) {
-	if place, ok = r.categories[category]; !ok && now <= r.until {
-		place, ok = r.dropped[category]
+	if place, ok = r.categories[category]; !ok {
+		x, was := r.dropped[category]
+		place, ok = x.place, was && x.place >= 0 && now <= x.until
 	}
 	return place, ok
 }
@@ -332,7 +380,7 @@
 	case Came:
 		r.d.Came(in.Number)
 	case Retuned:
-		r.retune(in)
+		r.retune(now, in)
 	case Inherited:
 		r.inherit(in)
 	case Stopping:
--- a/internal/tally/tally.go
+++ b/internal/tally/tally.go
@@ -4,10 +4,12 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 )
 
-const mostCategories = 256 // that have figures of their own; an op of one beyond them is in the sums only
+// mostCategories have figures of their own, those that are served before those that were; ops of the others count as other.
+const mostCategories = 2048
 
 // Ops are the counts of one category's ops.
 type Ops struct {
@@ -55,8 +57,10 @@
 // Tally keeps the figures. Its methods may be called from any goroutine, and none of them waits for more than the
 // others' few instructions.
 type Tally struct {
-	mu sync.Mutex
-	f  Figures
+	mu      sync.Mutex
+	f       Figures
+	served  map[string]bool
+	dropped []string // that have figures and are served no more, the last one last
 }
 
 // New starts with the categories that are served now: one without an op yet has figures too.
@@ -66,15 +70,36 @@
 	return t
 }
 
-// Serves adds categories. One that is served no more keeps its counts, since they run from the start.
+// Serves has figures for these categories. One that is served no more keeps its counts, since they run from the start, until
+// others need the room: then those of the one that was dropped first become other.
 func (t *Tally) Serves(categories []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, c := range categories {
-		if _, known := t.f.Requests[c]; !known && len(t.f.Requests) < mostCategories {
+	before := t.served
+	t.served = make(map[string]bool, len(categories))
+	for _, c := range categories[:min(len(categories), mostCategories)] {
+		t.served[c] = true
+		if _, known := t.f.Requests[c]; !known {
 			t.f.Requests[c] = Ops{}
+		} else if !before[c] {
+			t.dropped = slices.DeleteFunc(t.dropped, func(x string) bool { return x == c })
 		}
 	}
+	for _, c := range slices.Sorted(maps.Keys(before)) {
+		if !t.served[c] {
+			t.dropped = append(t.dropped, c)
+		}
+	}
+	for len(t.f.Requests) > mostCategories {
+		t.f.Other.add(t.f.Requests[t.dropped[0]])
+		delete(t.f.Requests, t.dropped[0])
+		t.dropped = t.dropped[1:]
+	}
+}
+
+func (o *Ops) add(x Ops) {
+	o.Served, o.Refused, o.Failed, o.Gone = o.Served+x.Served, o.Refused+x.Refused, o.Failed+x.Failed, o.Gone+x.Gone
+	o.Attempts += x.Attempts
 }
 
 // Took counts an op as held until Ended.
--- a/internal/tally/tally_test.go
+++ b/internal/tally/tally_test.go
@@ -55,3 +55,58 @@
 		t.Error("a reader has changed the figures")
 	}
 }
+
+// Over a day of changes names came and went until there was no room, and new categories had no figures. Those that are served always
+// have, the ones that were dropped first make room, and no op is lost from the sums.
+func TestDroppedCategoriesMakeRoomAndNoOpIsLost(t *testing.T) {
+	const entries, changes = 560, 5000
+	name := func(i int) string { return fmt.Sprint("c", i) }
+	served := make([]string, entries)
+	for i := range served {
+		served[i] = name(i)
+	}
+	y := New(served)
+	n := 0
+	count := func(c string) {
+		n++
+		y.Took()
+		y.Pushed(c)
+		y.Ended(c, End(n%4))
+	}
+	for i := entries; i < changes; i++ {
+		served[i%entries] = name(i)
+		y.Serves(served)
+		count(name(i))
+		if i%5 == 0 {
+			count(name(i - entries)) // a client that does not know yet
+		}
+	}
+	f := y.Figures()
+	for _, c := range served {
+		if o, has := f.Requests[c]; !has || o.Attempts == 0 {
+			t.Errorf("%s is served and has %+v, %v", c, o, has)
+		}
+	}
+	for _, want := range []string{name(changes - entries - 1), name(changes - mostCategories)} {
+		if _, has := f.Requests[want]; !has {
+			t.Errorf("%s, one of the last that were dropped, has no figures", want)
+		}
+	}
+	if _, has := f.Requests[name(changes-mostCategories-1)]; has || len(f.Requests) != mostCategories || len(y.dropped) != mostCategories-entries {
+		t.Errorf("%d categories have figures, of them %d dropped", len(f.Requests), len(y.dropped))
+	}
+	sum, attempts := f.Other.Served+f.Other.Refused+f.Other.Failed+f.Other.Gone, f.Other.Attempts
+	for _, o := range f.Requests {
+		sum, attempts = sum+o.Served+o.Refused+o.Failed+o.Gone, attempts+o.Attempts
+	}
+	if sum != f.Taken || attempts != f.Attempts || f.Attempts != f.Taken || f.InFlight != 0 {
+		t.Errorf("%d in all places, %d taken; %d and %d attempts", sum, f.Taken, attempts, f.Attempts)
+	}
+	back := name(changes - entries - 1)
+	was := f.Requests[back]
+	served[0] = back
+	y.Serves(served)
+	if y.Figures().Requests[back] != was || len(y.dropped) != mostCategories-entries {
+		t.Errorf("back again, it has %+v, not %+v; %d dropped", y.Figures().Requests[back], was, len(y.dropped))
+	}
+}
--- a/internal/terms/reread.go
+++ b/internal/terms/reread.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	mostCategories = 256  // in one file
+	mostCategories = 2048 // in one file
 	mostPushes     = 1000 // of one op
 	longestTTL     = 24 * time.Hour
 )
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
+	"strconv"
 	"strings"
 
 	"woaddyke/dispatch"
@@ -71,7 +72,7 @@
 		}
 	case []any:
 		for i, e := range v {
-			flatten(terms, fmt.Sprintf("%s.%d", path, i), e)
+			flatten(terms, path+"."+strconv.Itoa(i), e)
 		}
 	case float64:
 		if name, isTime := strings.CutSuffix(path, "Ns"); isTime {
@@ -157,4 +158,4 @@
 }
 
 // Item is the name of a value in the i-th object of a list.
-func Item(list string, i int, name string) string { return fmt.Sprintf("%s.%d.%s", list, i, name) }
+func Item(list string, i int, name string) string { return list + "." + strconv.Itoa(i) + "." + name }
