--- a/internal/lab/links/conn.go
+++ b/internal/lab/links/conn.go
@@ -28,11 +28,14 @@
 	closed  bool
 	expires time.Time
 	timer   *time.Timer
+	alarm   *time.Timer // of the read deadline
 	onGone  func()
 
 	sending sync.Mutex
+	moved   *sync.Cond // something was queued or taken, or the connection is closed
+	queue   []sending
+	over    bool
 	pending atomic.Int64 // written, and not sent yet
-	queue   chan sending
 	once    sync.Once
 	done    chan struct{}
 }
@@ -61,8 +64,8 @@
 
 // Between puts a link before a socket whose two directions have weathers of their own.
 func Between(c net.Conn, in, out *Weather) *Conn {
-	x := &Conn{Conn: c, weather: in, away: out, out: out.Lane(), queue: make(chan sending, mostSending), done: make(chan struct{})}
-	x.came = sync.NewCond(&x.mu)
+	x := &Conn{Conn: c, weather: in, away: out, out: out.Lane(), done: make(chan struct{})}
+	x.came, x.moved = sync.NewCond(&x.mu), sync.NewCond(&x.sending)
 	go x.read(in.Lane())
 	go x.send()
 	return x
@@ -194,9 +197,16 @@
 	}
 }
 
+// look has a reader look anew. Without the lock it could come between a reader's look and its sleep, and be missed for good.
+func (x *Conn) look() {
+	x.mu.Lock()
+	x.came.Broadcast()
+	x.mu.Unlock()
+}
+
 func (x *Conn) wakeIn(in time.Duration) {
 	if x.timer == nil {
-		x.timer = time.AfterFunc(in, x.came.Broadcast)
+		x.timer = time.AfterFunc(in, x.look)
 		return
 	}
 	x.timer.Reset(in)
@@ -206,50 +216,65 @@
 func (x *Conn) Write(b []byte) (int, error) {
 	x.sending.Lock()
 	defer x.sending.Unlock()
-	f := x.out.Send(time.Now(), len(b), true)
-	s := sending{append([]byte(nil), b...), f}
-	x.pending.Add(1)
-	select {
-	case x.queue <- s:
-		return len(b), nil
-	case <-x.done:
+	for len(x.queue) >= mostSending && !x.over {
+		x.moved.Wait()
+	}
+	if x.over {
 		return 0, net.ErrClosed
 	}
+	x.queue = append(x.queue, sending{append([]byte(nil), b...), x.out.Send(time.Now(), len(b), true)})
+	x.pending.Add(1)
+	x.moved.Broadcast()
+	return len(b), nil
+}
+
+// next takes what is to be sent next; false once the connection is closed.
+func (x *Conn) next() (s sending, ok bool) {
+	x.sending.Lock()
+	defer x.sending.Unlock()
+	for len(x.queue) == 0 && !x.over {
+		x.moved.Wait()
+	}
+	if x.over {
+		return s, false
+	}
+	s, x.queue = x.queue[0], x.queue[1:]
+	if len(x.queue) == 0 {
+		x.queue = nil // thousands of connections are idle
+	}
+	x.moved.Broadcast()
+	return s, true
 }
 
 func (x *Conn) send() {
 	for {
-		select {
-		case <-x.done:
+		s, ok := x.next()
+		if !ok || !x.pause(time.Until(s.fate.At)) {
 			return
-		case s := <-x.queue:
-			if !x.pause(time.Until(s.fate.At)) {
+		}
+		if silent, over := x.away.Silent(); silent {
+			select {
+			case <-over:
+			case <-x.done:
 				return
 			}
-			if silent, over := x.away.Silent(); silent {
-				select {
-				case <-over:
-				case <-x.done:
-					return
-				}
+		}
+		switch {
+		case x.out.Mute():
+		case s.fate.Break:
+			x.Conn.Write(s.bytes[:len(s.bytes)/2])
+			x.breakOff(0)
+			return
+		default:
+			if _, err := x.Conn.Write(s.bytes); err != nil {
+				return
 			}
-			switch {
-			case x.out.Mute():
-			case s.fate.Break:
-				x.Conn.Write(s.bytes[:len(s.bytes)/2])
+			if s.fate.After {
 				x.breakOff(0)
 				return
-			default:
-				if _, err := x.Conn.Write(s.bytes); err != nil {
-					return
-				}
-				if s.fate.After {
-					x.breakOff(0)
-					return
-				}
 			}
-			x.pending.Add(-1)
 		}
+		x.pending.Add(-1)
 	}
 }
 
@@ -283,18 +308,29 @@
 	x.once.Do(func() { close(x.done) })
 	x.mu.Lock()
 	x.closed = true
+	if x.alarm != nil {
+		x.alarm.Stop()
+	}
 	x.came.Broadcast()
 	x.mu.Unlock()
+	x.sending.Lock()
+	x.over, x.queue = true, nil
+	x.moved.Broadcast()
+	x.sending.Unlock()
 	return x.Conn.Close()
 }
 
 // SetReadDeadline bounds how long Read waits.
 func (x *Conn) SetReadDeadline(t time.Time) error {
 	x.mu.Lock()
-	x.expires = t
-	x.mu.Unlock()
-	if !t.IsZero() {
-		time.AfterFunc(time.Until(t), x.came.Broadcast)
+	defer x.mu.Unlock()
+	// One timer for all deadlines: one for each would keep a closed connection for as long as its deadline.
+	switch x.expires = t; {
+	case t.IsZero() || x.closed:
+	case x.alarm == nil:
+		x.alarm = time.AfterFunc(time.Until(t), x.look)
+	default:
+		x.alarm.Reset(time.Until(t))
 	}
 	x.came.Broadcast()
 	return nil
