Lab: hollow workers by thousands, what each scheduler sends, and files beyond the machine

Need: the capacity page asks for 6,300 workers. The lab's workers had no process or thread each, but a listener for each worker and scheduler: 126,000 descriptors at that size with 20 schedulers, where a process has 20,000; and a file was bounded at 4,096 workers.

A worker that is 'hollow' has one listener, bound to the loopback device alone; each scheduler is told another address with its port, which tells who dialled. Before anything starts, descriptors and memory are estimated and held against the process's limit and half of the machine; check does so too. Every run prints, by scheduler, processor time, memory, bytes and messages for probes, list, members and work, starts a second, time to start by category, and readiness. The audit walked all pushes for each worker that ended; it walks that worker's.

--- a/cmd/lab/judge.go
+++ b/cmd/lab/judge.go
@@ -14,6 +14,7 @@
 	"woaddyke/internal/lab/ledger"
 	"woaddyke/internal/lab/page"
 	"woaddyke/internal/lab/plan"
+	"woaddyke/internal/lab/play"
 	"woaddyke/internal/lab/script"
 )
 
@@ -53,6 +54,9 @@
 				if err != nil {
 					return err
 				}
+				if err := play.Fits(e); err != nil {
+					return err
+				}
 				s, err := script.Of(e)
 				if err != nil {
 					return fmt.Errorf("%s: %w", path, err)
--- a/cmd/lab/run.go
+++ b/cmd/lab/run.go
@@ -119,6 +119,7 @@
 		fmt.Fprintf(out, "  %-20s %v service %.3f, p50 %.1f, p99 %.1f, p99.9 %.1f ms\n", c.Name, c.Counts, c.Service,
 			c.Latency["p50"], c.Latency["p99"], c.Latency["p99.9"])
 	}
+	r.Table(out)
 	for i, b := range r.Audit.Breaches {
 		if i == mostTold {
 			fmt.Fprintf(out, "  and %d more\n", len(r.Audit.Breaches)-mostTold)
--- a/internal/lab/audit/audit.go
+++ b/internal/lab/audit/audit.go
@@ -127,6 +127,7 @@
 	cores  float64
 	work   []load
 	fallen bool
+	pushes []*push // that have come to this process
 }
 
 type load struct {
@@ -245,7 +246,7 @@
 		}
 		p := &push{line: line, at: e.At, from: e.From, worker: e.Worker, scheduler: e.Scheduler,
 			zone: w.zone, cell: w.cell}
-		j.pushes[e.Push] = p
+		j.pushes[e.Push], w.pushes = p, append(w.pushes, p)
 		if o := j.ops[e.Op]; o != nil {
 			o.pushes = append(o.pushes, p)
 		} else {
@@ -310,18 +311,17 @@
 	}
 	switch e.Kind {
 	case ledger.Boot:
-		*w = worker{zone: e.Zone, cell: e.Cell, boot: e.At, cold: e.Cold, cores: e.Cores}
+		*w = worker{zone: e.Zone, cell: e.Cell, boot: e.At, cold: e.Cold, cores: e.Cores, pushes: w.pushes}
 	case ledger.Fell:
 		if !w.fallen {
 			w.fallen = true
 			j.breach(Cold, "", []int{line}, "%s fell over", e.Worker)
 		}
 	case ledger.Gone:
-		for _, p := range j.pushes {
-			if p.worker == e.Worker {
-				p.end(e.At)
-			}
+		for _, p := range w.pushes { // not all of the ledger: thousands of workers end
+			p.end(e.At)
 		}
+		w.pushes = nil
 	}
 }
 
--- a/internal/lab/between/net.go
+++ b/internal/lab/between/net.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"woaddyke/internal/lab/links"
+	"woaddyke/internal/lab/meter"
 )
 
 // Bounds of the rig's own memory and descriptors.
@@ -55,6 +56,25 @@
 	mu      sync.Mutex
 	open    map[net.Conn][2]int
 	done    chan struct{}
+	meter   atomic.Pointer[meter.Meter]
+}
+
+// Count has a meter count what schedulers send one another from here on; a datagram that the link loses is sent, and not received.
+func (x *Net) Count(m *meter.Meter) { x.meter.Store(m) }
+
+// counter writes a stream from one scheduler to another.
+type counter struct {
+	io.Writer
+	x        *Net
+	from, to int
+}
+
+func (c counter) Write(b []byte) (int, error) {
+	n, err := c.Writer.Write(b)
+	m := c.x.meter.Load()
+	m.Add(c.from, meter.Members, 0, n, 0)
+	m.Add(c.to, meter.Members, n, 0, 0)
+	return n, err
 }
 
 // mouth is where one scheduler is reached: the address that it tells the others.
@@ -209,10 +229,12 @@
 		if by < 0 || by >= len(x.mouths) || at == nil {
 			continue
 		}
+		x.meter.Load().Add(by, meter.Members, 0, n, 1)
 		for _, after := range x.lanes[by][to].Datagram(time.Now(), n) {
 			text := append([]byte(nil), room[:n]...)
 			if after <= 0 {
 				m.udp.WriteToUDPAddrPort(text, *at)
+				x.meter.Load().Add(to, meter.Members, n, 0, 0)
 				continue
 			}
 			if x.flying.Add(1) > mostFlying {
@@ -224,6 +246,7 @@
 				x.flying.Add(-1)
 				if x.lanes[by][to].isCut() == Open { // a cut takes what is on its way
 					m.udp.WriteToUDPAddrPort(text, *at)
+					x.meter.Load().Add(to, meter.Members, n, 0, 0)
 				}
 			})
 		}
@@ -288,10 +311,10 @@
 	back := make(chan struct{})
 	go func() {
 		defer close(back)
-		io.Copy(near, far)
+		io.Copy(counter{near, x, to, from}, far)
 		near.CloseSoon(10 * time.Second)
 	}()
-	if _, err := io.Copy(far, near); err != nil {
+	if _, err := io.Copy(counter{far, x, from, to}, near); err != nil {
 		reset(far)
 	} else if t, ok := far.(*net.TCPConn); ok {
 		t.CloseWrite()
--- a/internal/lab/figures/figures.go
+++ b/internal/lab/figures/figures.go
@@ -37,6 +37,9 @@
 	Slices      []Slice            `json:"slices,omitempty"`
 	Faults      []Fault            `json:"faults,omitempty"`
 	Spans       []views.Span       `json:"spans,omitempty"` // what schedulers held of one another
+	Span        float64            `json:"span,omitempty"`  // seconds that the figures of roles cover
+
+	readies []float64
 }
 
 // Category is what clients of one category saw.
--- /dev/null
+++ b/internal/lab/figures/roles.go
@@ -0,0 +1,152 @@
+package figures
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"woaddyke/internal/lab/ledger"
+	"woaddyke/internal/lab/meter"
+	"woaddyke/internal/lab/schedulers"
+)
+
+// Edge is what the schedulers have used and sent up to a moment.
+type Edge struct {
+	At   ledger.Time
+	Sent meter.Sheet
+	Uses []schedulers.Use
+}
+
+// Roles works out what each scheduler used and sent between two moments: start-up and the rest at the end are apart. Figures of one
+// scheduler are its mean over the span; they are told as the mean over all schedulers and as the busiest one's.
+func (r *Results) Roles(from, to Edge, events []ledger.Event) {
+	span := float64(to.At-from.At) / 10_000
+	if span <= 0 || len(to.Sent) == 0 {
+		return
+	}
+	r.Span = span
+	for k := range meter.Kinds {
+		var in, out, messages []float64
+		for _, row := range to.Sent.Since(from.Sent) {
+			in, out = append(in, float64(row[k].In)/span), append(out, float64(row[k].Out)/span)
+			messages = append(messages, float64(row[k].Messages)/span)
+		}
+		r.spread(k.String()+"_in_Bps", in)
+		r.spread(k.String()+"_out_Bps", out)
+		r.spread(k.String()+"_messages_ps", messages)
+	}
+	before, cpu, resident := map[int]schedulers.Use{}, []float64{}, []float64{}
+	for _, u := range from.Uses {
+		before[u.Scheduler] = u
+	}
+	for _, u := range to.Uses {
+		resident = append(resident, float64(u.Resident)/(1<<20))
+		// One that was started anew between the two has not used what its former process had.
+		if b, ok := before[u.Scheduler]; ok && u.CPU >= b.CPU && u.At > b.At {
+			cpu = append(cpu, (u.CPU-b.CPU)/(float64(u.At-b.At)/10_000))
+		}
+	}
+	r.spread("scheduler_cores", cpu)
+	r.spread("scheduler_mb", resident)
+	r.starts(from.At, to.At, events)
+}
+
+// spread tells a figure of all schedulers: their mean, and the highest.
+func (r *Results) spread(name string, v []float64) {
+	if len(v) == 0 {
+		return
+	}
+	sum := 0.0
+	for _, x := range v {
+		sum += x
+	}
+	r.Figures[name], r.Figures[name+".max"] = sum/float64(len(v)), slices.Max(v)
+}
+
+// starts tells how many jobs began a second, and by category how long after it was due an op began for the first time.
+func (r *Results) starts(from, to ledger.Time, events []ledger.Event) {
+	type wish struct {
+		category string
+		due      ledger.Time
+		began    bool
+	}
+	ops, wishes := map[string]*wish{}, map[string]*wish{}
+	took := map[string][]float64{}
+	n, running, most := 0, 0, 0
+	out := map[int]bool{}
+	for i := range events {
+		e := &events[i]
+		switch e.Kind {
+		case ledger.Due:
+			if wishes[e.Effect] == nil {
+				wishes[e.Effect] = &wish{category: e.Category, due: e.From}
+			}
+			ops[e.Op] = wishes[e.Effect]
+		case ledger.Ran:
+			if e.At >= from && e.At < to {
+				n++
+			}
+			if running++; running > most {
+				most = running
+			}
+			out[e.Push] = true
+			if w := ops[e.Op]; w != nil && !w.began {
+				w.began = true
+				took[w.category] = append(took[w.category], float64(e.At-w.due)/10)
+			}
+		case ledger.Said, ledger.Closed:
+			if out[e.Push] {
+				delete(out, e.Push)
+				running--
+			}
+		}
+	}
+	r.Figures["starts_ps"], r.Figures["running_most"] = float64(n)*10_000/float64(to-from), float64(most)
+	for name, v := range took {
+		slices.Sort(v)
+		for _, q := range []struct {
+			name string
+			of   float64
+		}{{"p50", 0.5}, {"p99", 0.99}, {"max", 1}} {
+			r.Figures["start_"+q.name+"_ms."+name] = v[int(q.of*float64(len(v)-1))]
+		}
+	}
+}
+
+// Ready takes what a scheduler's starts took.
+func (r *Results) Ready(took []time.Duration) {
+	for _, t := range took {
+		r.readies = append(r.readies, float64(t)/float64(time.Millisecond))
+	}
+	slices.Sort(r.readies)
+	if n := len(r.readies); n > 0 {
+		r.Figures["starts"] = float64(n)
+		r.Figures["ready_p50_ms"], r.Figures["ready_p90_ms"], r.Figures["ready_max_ms"] = r.readies[(n-1)/2], r.readies[(n-1)*9/10], r.readies[n-1]
+	}
+}
+
+// rows are the figures of each role, in the order in which they are printed.
+var rows = []string{"scheduler_cores", "scheduler_mb", "probes_messages_ps", "probes_in_Bps", "probes_out_Bps", "list_in_Bps", "list_out_Bps",
+	"members_messages_ps", "members_in_Bps", "members_out_Bps", "work_messages_ps", "work_in_Bps", "work_out_Bps"}
+
+// Table prints what each role used.
+func (r *Results) Table(out io.Writer) {
+	f := r.Figures
+	if _, ok := f["starts_ps"]; !ok {
+		return
+	}
+	fmt.Fprintf(out, "  over %.1f s of arrivals; a scheduler: mean, busiest\n", r.Span)
+	for _, name := range rows {
+		if v, ok := f[name]; ok {
+			fmt.Fprintf(out, "    %-20s %10.4g %10.4g\n", name, v, f[name+".max"])
+		}
+	}
+	fmt.Fprintf(out, "    starts a second %.1f, running at most %.0f\n", f["starts_ps"], f["running_most"])
+	for _, c := range r.Categories {
+		if v, ok := f["start_p50_ms."+c.Name]; ok {
+			fmt.Fprintf(out, "    %s: begun after p50 %.1f, p99 %.1f, at most %.1f ms\n", c.Name, v, f["start_p99_ms."+c.Name], f["start_max_ms."+c.Name])
+		}
+	}
+	fmt.Fprintf(out, "    ready after p50 %.0f, p90 %.0f, at most %.0f ms, of %.0f starts\n", f["ready_p50_ms"], f["ready_p90_ms"], f["ready_max_ms"], f["starts"])
+}
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -15,6 +15,7 @@
 	"woaddyke/internal/lab/box"
 	"woaddyke/internal/lab/ledger"
 	"woaddyke/internal/lab/links"
+	"woaddyke/internal/lab/meter"
 	"woaddyke/internal/lab/plan"
 	"woaddyke/internal/lab/script"
 )
@@ -48,13 +49,25 @@
 	mu      sync.Mutex
 	births  []int // by slot: how many successors it had
 	seed    uint64
+	ports   *ports // of hollow workers
+	meter   *meter.Meter
 	ending  sync.WaitGroup
 }
 
 // New makes a fleet and reserves its addresses; nothing listens yet. The list is told of each change of state.
-func New(e *plan.Experiment, s *script.Script, book *ledger.Book, desk *asks.Desk, list func(Entry)) (*Fleet, error) {
+func New(e *plan.Experiment, s *script.Script, book *ledger.Book, desk *asks.Desk, m *meter.Meter, list func(Entry)) (*Fleet, error) {
 	f := &Fleet{book: book, plan: e, script: s, desk: desk, list: list, rules: e.Judged(), zones: map[string]*box.Memory{},
-		cells: map[int]*box.Memory{}, all: box.NewMemory(), births: make([]int, len(s.Workers)), seed: e.Seed}
+		cells: map[int]*box.Memory{}, all: box.NewMemory(), births: make([]int, len(s.Workers)), seed: e.Seed, meter: m}
+	hollow := 0
+	for _, w := range s.Workers {
+		if e.Workers[w.Kind].Hollow {
+			hollow++
+		}
+	}
+	var err error
+	if f.ports, err = claimPorts(hollow); err != nil {
+		return nil, err
+	}
 	for i, w := range s.Workers {
 		if f.zones[w.Zone] == nil {
 			f.zones[w.Zone] = box.NewMemory()
@@ -128,21 +141,8 @@
 	b := box.Make{Cores: made.Cores, Speed: at.Speed, Slots: made.Slots, Memory: made.Memory, Queue: made.Queue,
 		ReportEvery: plan.MS(made.ReportEveryMS), Progress: plan.MS(made.ProgressMS), TellsStart: true, ConnWork: made.ConnWorkMS,
 		ProbeWork: made.ProbeWorkMS, Connections: made.Connections, ErrorRate: made.ErrorRate, CancelDrops: made.CancelDrops}
-	for n := range f.plan.Schedulers.Count {
-		addr := f.addrs[slot][n]
-		if addr == "" {
-			// Its own address, so that no connection from this machine can take its port while it is down.
-			addr = fmt.Sprintf("127.1.%d.%d:0", slot/250, slot%250+1)
-		}
-		l, err := net.Listen("tcp", addr)
-		if err != nil {
-			for _, l := range w.listeners {
-				l.Close()
-			}
-			return fmt.Errorf("worker %s: %w", name, err)
-		}
-		f.addrs[slot][n] = l.Addr().String()
-		w.listeners = append(w.listeners, l)
+	if err := w.listen(); err != nil {
+		return fmt.Errorf("worker %s: %w", name, err)
 	}
 	now := time.Now()
 	booted := f.book.Add(ledger.Event{Kind: ledger.Boot, Worker: name, Zone: at.Zone, Cell: at.Cell, Cold: cold, Cores: made.Cores * at.Speed})
@@ -158,6 +158,36 @@
 	return nil
 }
 
+// listen opens a worker's listeners: one for each scheduler, or one for all where it is hollow.
+func (w *worker) listen() error {
+	f := w.f
+	if w.made.Hollow {
+		l, err := f.ports.listen(f.addrs[w.slot])
+		if err != nil {
+			return err
+		}
+		w.listeners = []net.Listener{l}
+		return nil
+	}
+	for n := range f.plan.Schedulers.Count {
+		addr := f.addrs[w.slot][n]
+		if addr == "" {
+			// Its own address, so that no connection from this machine can take its port while it is down.
+			addr = fmt.Sprintf("127.1.%d.%d:0", w.slot/250, w.slot%250+1)
+		}
+		l, err := net.Listen("tcp", addr)
+		if err != nil {
+			for _, l := range w.listeners {
+				l.Close()
+			}
+			return err
+		}
+		f.addrs[w.slot][n] = l.Addr().String()
+		w.listeners = append(w.listeners, l)
+	}
+	return nil
+}
+
 // Addr is where a scheduler reaches the worker of a slot.
 func (f *Fleet) Addr(slot, scheduler int) string { return f.addrs[slot][scheduler] }
 
@@ -397,6 +427,7 @@
 			w.end()
 		}
 	}
+	f.ports.free()
 }
 
 func (w *worker) accept(l net.Listener, scheduler int) {
@@ -418,6 +449,12 @@
 			c.Close()
 			continue
 		}
+		if w.made.Hollow {
+			if scheduler = dialler(c); scheduler < 0 || scheduler >= w.f.plan.Schedulers.Count {
+				c.Close()
+				continue
+			}
+		}
 		w.mu.Lock()
 		w.f.book.Add(ledger.Event{Kind: ledger.Dialed, Worker: w.name, Scheduler: scheduler + 1})
 		w.admit = false
--- a/internal/lab/fleet/serve.go
+++ b/internal/lab/fleet/serve.go
@@ -13,6 +13,7 @@
 	"woaddyke/internal/lab/box"
 	"woaddyke/internal/lab/ledger"
 	"woaddyke/internal/lab/links"
+	"woaddyke/internal/lab/meter"
 )
 
 // link is one connection from a scheduler; it carries one request at a time.
@@ -24,6 +25,28 @@
 	mu  sync.Mutex
 	leg *leg        // the push that is on it
 	off ledger.Time // when the other side ended it, 0 before
+
+	came, counted int64 // bytes read, and those of them that stand in the meter
+}
+
+// Read counts what is read.
+func (k *link) Read(b []byte) (int, error) {
+	n, err := k.c.Read(b)
+	k.came += int64(n)
+	return n, err
+}
+
+// count puts what the scheduler has sent up to here into the meter; left are bytes that were read and belong to what follows.
+func (k *link) count(kind meter.Kind, left int) {
+	sent := k.came - int64(left) - k.counted
+	k.counted += sent
+	k.w.f.meter.Add(k.scheduler, kind, 0, int(sent), 1)
+}
+
+// write sends what the scheduler receives.
+func (k *link) write(kind meter.Kind, b []byte) {
+	k.c.Write(b)
+	k.w.f.meter.Add(k.scheduler, kind, len(b), 0, 0)
 }
 
 const (
@@ -76,7 +99,7 @@
 // serve reads requests one by one.
 func (k *link) serve() {
 	defer k.end()
-	in := bufio.NewReaderSize(k.c, 4096)
+	in := bufio.NewReaderSize(k, 4096)
 	idle := time.Duration(k.w.f.plan.Schedulers.KeepaliveMS * float64(time.Millisecond))
 	for {
 		k.c.SetReadDeadline(time.Now().Add(idle))
@@ -94,6 +117,7 @@
 			return // it never came whole
 		}
 		k.c.SetReadDeadline(time.Time{})
+		k.count(kindOf(r), in.Buffered())
 		if !k.answer(r, body, from) {
 			return
 		}
@@ -112,18 +136,30 @@
 	k.c.CloseSoon(time.Second)
 }
 
-func (k *link) plain(status int, extra, body string) {
-	fmt.Fprintf(k.c, "HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), extra, len(body), body)
+// isProbe tells whether a request asks for a load report.
+func isProbe(r *http.Request) bool {
+	return r.Method == http.MethodGet && (r.URL.Path == "/load" || r.URL.Path == "/healthz")
+}
+
+func kindOf(r *http.Request) meter.Kind {
+	if isProbe(r) {
+		return meter.Probes
+	}
+	return meter.Work
+}
+
+func (k *link) plain(kind meter.Kind, status int, extra, body string) {
+	k.write(kind, fmt.Appendf(nil, "HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), extra, len(body), body))
 }
 
 // answer answers one request, and tells whether another may follow.
 func (k *link) answer(r *http.Request, body []byte, from ledger.Time) bool {
-	if r.Method == http.MethodGet && (r.URL.Path == "/load" || r.URL.Path == "/healthz") {
+	if isProbe(r) {
 		return k.probe(r.URL.Path == "/load")
 	}
 	id := r.Header.Get("X-Correlation-Id")
 	if id == "" {
-		k.plain(http.StatusNotFound, "", "")
+		k.plain(meter.Work, http.StatusNotFound, "", "")
 		return true
 	}
 	w, f := k.w, k.w.f
@@ -133,7 +169,7 @@
 			what = "no client sent this id"
 		}
 		f.book.Add(ledger.Event{Kind: ledger.Strange, Op: id, Worker: w.name, Scheduler: k.scheduler + 1, Text: what})
-		k.plain(http.StatusBadRequest, "", what+"\n")
+		k.plain(meter.Work, http.StatusBadRequest, "", what+"\n")
 		return true
 	}
 	l := &leg{push: int(f.pushes.Add(1)), op: id, on: k, over: make(chan struct{})}
@@ -199,7 +235,7 @@
 		if load {
 			body = fmt.Sprintf(`{"pending":%d,"busy_reqs":%d,"x0":%g,"x1":%g}`, r.Load.Waiting, r.Load.Jobs, r.Load.Free, r.Load.Memory)
 		}
-		k.plain(status, "Content-Type: application/json\r\n", body)
+		k.plain(meter.Probes, status, "Content-Type: application/json\r\n", body)
 		return true
 	default: // the process has ended
 		return false
@@ -230,14 +266,14 @@
 	}
 	switch s.Word {
 	case box.Taken:
-		io.WriteString(l.on.c, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n")
+		l.on.write(meter.Work, []byte("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"))
 		return
 	case box.TurnedAway, box.Unfit:
 		w.f.book.Add(ledger.Event{Kind: ledger.Said, Op: l.op, Worker: w.name, Push: l.push, Verdict: string(s.Word)})
 		if s.Word == box.Unfit {
-			l.on.plain(http.StatusUnprocessableEntity, "", "")
+			l.on.plain(meter.Work, http.StatusUnprocessableEntity, "", "")
 		} else {
-			l.on.plain(http.StatusServiceUnavailable, "X-Unprocessed: 1\r\n", "")
+			l.on.plain(meter.Work, http.StatusServiceUnavailable, "X-Unprocessed: 1\r\n", "")
 		}
 		w.finish(l)
 		return
@@ -249,9 +285,9 @@
 	case box.Done, box.Failed, box.Returned:
 		chunk = append(chunk, "0\r\n\r\n"...)
 		w.f.book.Add(ledger.Event{Kind: ledger.Said, Op: l.op, Worker: w.name, Push: l.push, Verdict: string(s.Word), Text: s.Result})
-		l.on.c.Write(chunk)
+		l.on.write(meter.Work, chunk)
 		w.finish(l)
 	default:
-		l.on.c.Write(chunk)
+		l.on.write(meter.Work, chunk)
 	}
 }
--- a/internal/lab/herald/herald.go
+++ b/internal/lab/herald/herald.go
@@ -15,6 +15,7 @@
 	"woaddyke/internal/lab/fleet"
 	"woaddyke/internal/lab/ledger"
 	"woaddyke/internal/lab/links"
+	"woaddyke/internal/lab/meter"
 )
 
 // target is a line of the list in discovery's form.
@@ -51,6 +52,7 @@
 	rand *rand.Rand
 	late [2]time.Duration
 	sky  *links.Weather
+	sent *meter.Meter
 
 	mu       sync.Mutex
 	changes  []change
@@ -65,9 +67,9 @@
 }
 
 // New starts the agent of a scheduler on an address of its own.
-func New(n int, book *ledger.Book, addr func(slot, scheduler int) string, late [2]time.Duration, sky links.Sky, seed uint64) (*Agent, error) {
+func New(n int, book *ledger.Book, addr func(slot, scheduler int) string, late [2]time.Duration, sky links.Sky, seed uint64, m *meter.Meter) (*Agent, error) {
 	a := &Agent{n: n, book: book, addr: addr, late: late, rand: rand.New(rand.NewPCG(seed, uint64(n))), told: map[string]string{},
-		woken: make(chan struct{}), watches: map[int]func(){}, sky: links.New(sky, seed+uint64(n))}
+		woken: make(chan struct{}), watches: map[int]func(){}, sky: links.New(sky, seed+uint64(n)), sent: m}
 	return a, a.listen()
 }
 
@@ -82,22 +84,43 @@
 	a.mu.Lock()
 	a.listener, a.server = l, s
 	a.mu.Unlock()
-	go s.Serve(&through{l, a.sky})
+	go s.Serve(&through{l, a})
 	return nil
 }
 
-// through puts the agent's link before each connection.
+// through puts the agent's link before each connection, and counts what passes.
 type through struct {
 	net.Listener
-	sky *links.Weather
+	of *Agent
+}
+
+// counted is a connection from a scheduler.
+type counted struct {
+	net.Conn
+	of *Agent
+}
+
+func (c counted) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.of.sent.Add(c.of.n, meter.List, 0, n, 0)
+	return n, err
+}
+
+func (c counted) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.of.sent.Add(c.of.n, meter.List, n, 0, 1)
+	return n, err
 }
 
 func (t *through) Accept() (net.Conn, error) {
 	c, err := t.Listener.Accept()
-	if err != nil || t.sky.Free() {
-		return c, err
+	if err != nil {
+		return nil, err
+	}
+	if !t.of.sky.Free() {
+		c = links.Through(c, t.of.sky)
 	}
-	return links.Through(c, t.sky), nil
+	return counted{c, t.of}, nil
 }
 
 // Addr is where the agent listens now.
--- /dev/null
+++ b/internal/lab/needs/needs_test.go
@@ -0,0 +1,55 @@
+package needs
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"woaddyke/internal/lab/plan"
+)
+
+func sized(t *testing.T, workers, schedulers int, hollow bool) Needs {
+	t.Helper()
+	e, err := plan.Parse([]byte(fmt.Sprintf(`seconds = 60
+[schedulers]
+count = %d
+memory_mb = 128
+keepalive_ms = 1000
+[arrivals]
+rate = 1300
+[[workers]]
+count = %d
+hollow = %v
+[[categories]]
+name = "a"
+work_ms = 1500
+`, schedulers, workers, hollow)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return Of(e)
+}
+
+// A file beyond the machine must not be found out by a fleet that is half up: one line says what is short, and by how much.
+func TestAFileBeyondTheMachineIsTurnedDownWithTheFigure(t *testing.T) {
+	here := Limits{Descriptors: 20_000, MemoryMB: 24_000}
+	if n := sized(t, 6300, 20, true); n.Fit(here) != nil || n.Listeners != 6300 || n.Descriptors < 6300+1300*3/2 {
+		t.Errorf("the size that the page asks for: %+v, %v", n, n.Fit(here))
+	}
+	for name, c := range map[string]struct {
+		of    Needs
+		limit Limits
+		want  string
+	}{
+		"a listener for each pair": {sized(t, 6300, 20, false), here, "126000 of them workers' listeners"},
+		"twice the workers":        {sized(t, 12_600, 20, true), here, "and 20000 is the limit here"},
+		"hundreds of processes":    {sized(t, 6300, 400, true), Limits{Descriptors: 1 << 20, MemoryMB: 24_000}, "more than half of this machine's 24000 MB"},
+	} {
+		if err := c.of.Fit(c.limit); err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %+v: %v; want %q", name, c.of, err, c.want)
+		}
+	}
+	if l, err := Machine(); err != nil || l.Descriptors < 64 || l.MemoryMB < 64 {
+		t.Errorf("this machine: %+v, %v", l, err)
+	}
+}
--- a/internal/lab/plan/plan.go
+++ b/internal/lab/plan/plan.go
@@ -103,6 +103,8 @@
 	Connections   int     `toml:"connections"`
 	ErrorRate     float64 `toml:"error_rate"`
 	CancelDrops   bool    `toml:"cancel_drops"`
+	// Hollow has one listener for each worker, and not one for each worker and scheduler: fleets of thousands.
+	Hollow bool `toml:"hollow"`
 }
 
 // Category is one category of ops.
@@ -397,8 +399,8 @@
 
 // Bounds on what a file may ask of the machine.
 const (
-	mostWorkers    = 4096
-	mostSchedulers = 400
+	mostWorkers    = 16_384 // over twice of the 6,300 that docs/CAPACITY.md asks for
+	mostSchedulers = 400    // each is a process
 	mostRate       = 200_000
 	mostSeconds    = 3600
 	day            = 86_400_000 // ms
--- a/internal/lab/play/mesh.go
+++ b/internal/lab/play/mesh.go
@@ -55,6 +55,7 @@
 	if err != nil {
 		return err
 	}
+	r.mesh.Count(r.meter)
 	m := &r.plan.Members
 	ms := func(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
 	for i := range n {
--- a/internal/lab/play/play.go
+++ b/internal/lab/play/play.go
@@ -22,6 +22,8 @@
 	"woaddyke/internal/lab/fleet"
 	"woaddyke/internal/lab/herald"
 	"woaddyke/internal/lab/ledger"
+	"woaddyke/internal/lab/meter"
+	"woaddyke/internal/lab/needs"
 	"woaddyke/internal/lab/plan"
 	"woaddyke/internal/lab/schedulers"
 	"woaddyke/internal/lab/script"
@@ -63,7 +65,9 @@
 	lag        time.Duration // the longest by which the lab itself was late
 	stage      Stage
 	mesh       *between.Net // nil where schedulers are no members
-	spare      int          // the first place that is no scheduler's
+	meter      *meter.Meter
+	spans      [2]figures.Edge // the first op is due; the last one was
+	spare      int             // the first place that is no scheduler's
 	placed     int
 	changed    []time.Duration // what each change of keepers took
 	sets       int             // of keepers that were in use, at rest
@@ -80,13 +84,28 @@
 	lead        = 300 * time.Millisecond // between the last scheduler's start and the first op
 )
 
+// Fits says whether this machine can bear an experiment.
+func Fits(e *plan.Experiment) error {
+	l, err := needs.Machine()
+	if err != nil {
+		return err
+	}
+	if err := needs.Of(e).Fit(l); err != nil {
+		return fmt.Errorf("%s: %w", e.Name, err)
+	}
+	return nil
+}
+
 // Run plays an experiment from its seed.
 func Run(ctx context.Context, e *plan.Experiment, st Stage) (*figures.Results, error) {
+	if err := Fits(e); err != nil {
+		return nil, err
+	}
 	s, err := script.Of(e)
 	if err != nil {
 		return nil, err
 	}
-	r := &run{plan: e, script: s, dir: st.Out, stage: st}
+	r := &run{plan: e, script: s, dir: st.Out, stage: st, meter: meter.New(e.Schedulers.Count)}
 	if r.dir == "" {
 		if r.dir, err = os.MkdirTemp("", "lab-"); err != nil {
 			return nil, err
@@ -127,6 +146,10 @@
 			result.Void = fmt.Sprintf("the links between schedulers lost %d datagrams for want of room", n)
 		}
 	}
+	result.Roles(r.spans[0], r.spans[1], events)
+	for _, s := range r.schedulers {
+		result.Ready(s.Readies())
+	}
 	result.Expect(e)
 	result.Script = s.Hash()
 	result.Lagged(float64(r.lag)/float64(time.Millisecond), e.Rules.SlackMS)
@@ -151,7 +174,7 @@
 		time.Duration(e.Discovery.LateMS[1] * float64(time.Millisecond))}
 	for n := range e.Schedulers.Count {
 		a, err := herald.New(n, r.book, func(slot, scheduler int) string { return r.fleet.Addr(slot, scheduler) }, late,
-			fleet.Sky(e, "discovery", "", e.Zones[n%len(e.Zones)]), e.Seed)
+			fleet.Sky(e, "discovery", "", e.Zones[n%len(e.Zones)]), e.Seed, r.meter)
 		if err != nil {
 			return err
 		}
@@ -160,7 +183,7 @@
 	desk := asks.New()
 	var on bool
 	var err error
-	r.fleet, err = fleet.New(e, r.script, r.book, desk, func(entry fleet.Entry) {
+	r.fleet, err = fleet.New(e, r.script, r.book, desk, r.meter, func(entry fleet.Entry) {
 		for _, a := range r.agents {
 			a.Hear(entry, !on)
 		}
@@ -204,6 +227,8 @@
 	return nil
 }
 
+const turnsAtOnce = 32
+
 // startsAtOnce bounds how many processes start at a time: hundreds at once keep one another from being ready.
 const startsAtOnce = 32
 
@@ -262,6 +287,7 @@
 		defer side.Done()
 		r.sample(playing, start, st.Progress)
 	}()
+	r.spans[0] = r.edge()
 	r.crowd.Run(ctx, start)
 	if rest := time.Until(start.Add(time.Duration(r.plan.Seconds * float64(time.Second)))); rest > 0 {
 		select {
@@ -269,6 +295,7 @@
 		case <-ctx.Done():
 		}
 	}
+	r.spans[1] = r.edge()
 	settle := time.After(time.Duration(r.plan.Settle * float64(time.Second)))
 	r.crowd.Wait()
 	select {
@@ -288,6 +315,17 @@
 	return r.atRest()
 }
 
+// edge is what all have used up to now.
+func (r *run) edge() figures.Edge {
+	e := figures.Edge{At: r.book.Now(), Sent: r.meter.Now()}
+	for _, s := range r.schedulers {
+		if u, ok := s.Use(); ok {
+			e.Uses = append(e.Uses, u)
+		}
+	}
+	return e
+}
+
 // watchItself finds out by how much the lab is late: what it writes down later than it was counts against others.
 func (r *run) watchItself(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -349,9 +387,22 @@
 			}
 			continue
 		}
+		var all sync.WaitGroup
+		room := make(chan struct{}, turnsAtOnce)
 		for _, n := range t.Targets {
-			r.turn(t, n)
+			if t.Kind != "cut" && t.Kind != "vanish" {
+				r.turn(t, n)
+				continue
+			}
+			all.Add(1) // each takes a few ms, and a zone has hundreds
+			room <- struct{}{}
+			go func() {
+				defer all.Done()
+				r.turn(t, n)
+				<-room
+			}()
 		}
+		all.Wait()
 	}
 }
 
--- a/internal/lab/schedulers/schedulers.go
+++ b/internal/lab/schedulers/schedulers.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -94,6 +95,7 @@
 	label   string // of its files and its name; Name stays n's own
 	name    string
 	console string
+	readies []time.Duration
 	offers  string // the operator's file, empty for none
 }
 
@@ -249,7 +251,15 @@
 	return os.Rename(path+".new", path)
 }
 
+// Readies are what each of its starts took, from the process's start to its first answer to a health check.
+func (s *Scheduler) Readies() []time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.readies)
+}
+
 func (s *Scheduler) ready(ended chan struct{}) error {
+	began := time.Now()
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for limit := time.Now().Add(startTime); time.Now().Before(limit); {
 		select {
@@ -264,7 +274,7 @@
 		resp.Body.Close()
 		if resp.StatusCode == http.StatusOK {
 			s.mu.Lock()
-			s.up = true
+			s.up, s.readies = true, append(s.readies, time.Since(began))
 			s.book.Add(ledger.Event{Kind: ledger.Up, Scheduler: s.n + 1})
 			s.mu.Unlock()
 			return nil
