--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -171,3 +171,31 @@
 		}
 	}
 }
+
+// BenchmarkWaiting is any input to a scheduler among 6,300 workers while ops have no push out: their probes are not answered yet, or no
+// worker is ready.
+func BenchmarkWaiting(b *testing.B) {
+	for _, ready := range []bool{true, false} {
+		for _, held := range []int{1, 10, 100, 1_000} {
+			b.Run(fmt.Sprintf("ready=%v/held=%d", ready, held), func(b *testing.B) {
+				d, now := New(7, terms(map[string]any{"discovery": "pushed"})), Time(1_000_000)
+				d.Clock(now)
+				listed(d, 6_300)
+				for i := range 6_300 {
+					d.Entry(i, i%14, i%100, ready, 0)
+				}
+				d.ListEnd()
+				for i := range held {
+					d.Op(i, 0, now+1<<40, 1, 0, 0)
+				}
+				pull(d)
+				b.ReportAllocs()
+				b.ResetTimer()
+				for range b.N {
+					d.Clock(now)
+					pull(d)
+				}
+			})
+		}
+	}
+}
