--- a/internal/mesh/bench_test.go
+++ b/internal/mesh/bench_test.go
@@ -4,7 +4,9 @@
 	"encoding/json"
 	"fmt"
 	"net/netip"
+	"os"
 	"runtime"
+	"strconv"
 	"testing"
 	"time"
 
@@ -26,6 +28,14 @@
 	return int64(len(text) + heads)
 }
 
+// seed is what a cluster is drawn from: SEED, or 1.
+func seed() uint64 {
+	if v, err := strconv.ParseUint(os.Getenv("SEED"), 10, 64); err == nil {
+		return v
+	}
+	return 1
+}
+
 const realAddr = "10.101.102.103:7946"
 
 // lengthened is a message as of a real deployment, with names and addresses as long as they are there.
@@ -55,7 +65,7 @@
 	for _, n := range []int{5, 20, 100, 300, 1_000, 2_000} {
 		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
 			for range b.N {
-				s := swarm.New(n, 1)
+				s := swarm.New(n, seed())
 				for i := range n {
 					s.Start(i)
 				}
@@ -85,7 +95,7 @@
 	for _, n := range []int{100, 300, 1_000} {
 		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
 			for range b.N {
-				s := swarm.New(n, 1)
+				s := swarm.New(n, seed())
 				for i := range n {
 					s.Start(i)
 				}
@@ -122,7 +132,7 @@
 	for _, n := range []int{40, 100, 200} {
 		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
 			for range b.N {
-				s := swarm.New(n, 1)
+				s := swarm.New(n, seed())
 				for i := range n {
 					s.Start(i)
 				}
