Lab: several sizes in one command, regions, restarts at a pace, and slopes

Regions are groups of zones that links and troubles name; 'region-cut' parts one from the others, both ways; 'restarts' kills workers one after another.

--- a/cmd/lab/lab_test.go
+++ b/cmd/lab/lab_test.go
@@ -69,6 +69,7 @@
 // What lay in the kernel while a scheduler was stopped was pushed after its clients' TTL; one that is stopped for
 // longer than that must nack it. The lab and its exit codes are tried on the way, with the real program.
 func TestAStoppedSchedulerPushesNothingAfterTheTTL(t *testing.T) {
+	t.Parallel()
 	dir := programs(t)
 	write := func(name, text string) string {
 		path := filepath.Join(dir, name)
@@ -112,3 +113,37 @@
 		t.Errorf("a promise that does not hold: code %d, %s", code, out)
 	}
 }
+
+// The scale run's own code on two small sizes: hollow workers in regions, restarts, a rack, a zone and a region that part, a scheduler that
+// is killed. All sizes count in the verdict, and a size that this machine can't bear is found out before the first one is played.
+func TestASmallScaleRunJudgesAllItsSizes(t *testing.T) {
+	t.Parallel()
+	dir := programs(t)
+	file := filepath.Join("..", "..", "examples", "lab", "scale-small.toml")
+	out, errs, code := lab(t, dir, "run", file, "--out", filepath.Join(dir, "run"))
+	lines := strings.Split(strings.TrimSpace(out), "\n")
+	if code != 0 || !regexp.MustCompile(`^audit: ops=3\d\d answers=\d{3} broken=0 unmet=0 `).MatchString(lines[len(lines)-1]) {
+		t.Fatalf("code %d: %s\n%s", code, out, errs)
+	}
+	for _, want := range []string{"scale-small-0.5: 84 workers: audit: ops=", "scale-small-1: 168 workers: audit: ops=", "per 1,000",
+		"    scheduler_mb ", "    probes_in_Bps ", "    list_in_Bps ", "urgent: begun after p50 ", " of 6 starts"} {
+		if !strings.Contains(out, want) {
+			t.Errorf("%q is not said: %s", want, out)
+		}
+	}
+	whole, err := os.ReadFile(filepath.Join(dir, "run", "scale-small-1", "ledger.jsonl"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, trouble := range []string{"kill on", "vanish on", "vanish over", "cut on", "cut over", "region-cut on d", "region-cut over on d", "scheduler-kill on"} {
+		if !bytes.Contains(whole, []byte(`"text":"`+trouble)) {
+			t.Errorf("no %s in the ledger", trouble)
+		}
+	}
+	if out, errs, code = lab(t, dir, "run", file, "--sizes", "0.1,90"); code != 2 || out != "" || !strings.HasPrefix(errs, "lab: ") || strings.Count(errs, "\n") != 1 {
+		t.Errorf("a size that can't be: code %d, %s%s", code, out, errs)
+	}
+	if out, errs, code = lab(t, dir, "run", file, "--sizes", "0.1,9000"); code != 2 || out != "" || strings.Count(errs, "\n") != 1 {
+		t.Errorf("a size beyond all bounds: code %d, %s%s", code, out, errs)
+	}
+}
--- a/cmd/lab/run.go
+++ b/cmd/lab/run.go
@@ -74,6 +74,7 @@
 	var b build
 	var out string
 	var seed uint64
+	var sizes []float64
 	c := &cobra.Command{Use: "run FILE", Short: "Play an experiment and judge it", Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
 			e, err := plan.Read(args[0])
@@ -83,34 +84,83 @@
 			if c.Flags().Changed("seed") {
 				e.Seed = seed
 			}
+			if len(sizes) > 0 {
+				e.Sizes = sizes
+			}
 			m, err := b.maker(e)
 			if err != nil {
 				return err
 			}
-			tell, end := teller(os.Stderr)
-			r, err := play.Run(c.Context(), e, play.Stage{Out: out, Make: m, Progress: tell})
-			end()
+			if len(e.Sizes) > 0 {
+				return runSizes(c, e, m, out)
+			}
+			r, err := runOne(c, e, m, out)
 			if err != nil {
 				return err
 			}
-			if out != "" {
-				if err := page.Write(filepath.Join(out, "page.html"), r); err != nil {
-					return err
-				}
-			}
+			tell(c.OutOrStdout(), r)
 			return verdict(c.OutOrStdout(), r)
 		}}
 	b.flags(c)
 	c.Flags().StringVar(&out, "out", "", "folder for the ledger, results.json, page.html and the schedulers' logs")
 	c.Flags().Uint64Var(&seed, "seed", 0, "play with this seed in place of the file's")
+	c.Flags().Float64SliceVar(&sizes, "sizes", nil, "play these shares of the workers and arrivals one after another, in place of the file's sizes")
 	return c
 }
 
+// runOne plays one experiment.
+func runOne(c *cobra.Command, e *plan.Experiment, m schedulers.Maker, out string) (*figures.Results, error) {
+	say, end := teller(os.Stderr)
+	r, err := play.Run(c.Context(), e, play.Stage{Out: out, Make: m, Progress: say})
+	end()
+	if err == nil && out != "" {
+		err = page.Write(filepath.Join(out, "page.html"), r)
+	}
+	return r, err
+}
+
+// runSizes plays an experiment's sizes one after another. All are held against the machine before the first begins.
+func runSizes(c *cobra.Command, whole *plan.Experiment, m schedulers.Maker, out string) error {
+	var all []*plan.Experiment
+	for _, share := range whole.Sizes {
+		e, err := whole.Sized(share)
+		if err == nil {
+			err = play.Fits(e)
+		}
+		if err != nil {
+			return err
+		}
+		all = append(all, e)
+	}
+	var done []figures.Sized
+	for _, e := range all {
+		folder := ""
+		if out != "" {
+			folder = filepath.Join(out, e.Name)
+		}
+		r, err := runOne(c, e, m, folder)
+		if err != nil {
+			return err
+		}
+		tell(c.OutOrStdout(), r)
+		fmt.Fprintf(c.OutOrStdout(), "%s: %d workers: %s\n", e.Name, e.WorkerCount(), r.Line())
+		if r.Void != "" {
+			fmt.Fprintf(c.OutOrStdout(), "%s: void: %s\n", e.Name, r.Void)
+		}
+		done = append(done, figures.Sized{Workers: e.WorkerCount(), Results: r})
+		if r.Interrupted {
+			break
+		}
+	}
+	figures.Slopes(c.OutOrStdout(), done)
+	return verdict(c.OutOrStdout(), figures.Joint(done))
+}
+
 // mostTold bounds how many breaches are printed; the ledger has all.
 const mostTold = 20
 
-// verdict prints a run's categories, its breaches and the last line.
-func verdict(out io.Writer, r *figures.Results) error {
+// tell prints a run's categories, what its schedulers used, and its breaches.
+func tell(out io.Writer, r *figures.Results) {
 	fmt.Fprintf(out, "%s, seed %d, script %s\n", r.Name, r.Seed, r.Script)
 	if r.Interrupted {
 		fmt.Fprintln(out, "stopped before its time")
@@ -130,6 +180,10 @@
 	for _, u := range r.Unmet {
 		fmt.Fprintln(out, "  unmet:", u)
 	}
+}
+
+// verdict prints the last line.
+func verdict(out io.Writer, r *figures.Results) error {
 	fmt.Fprintln(out, r.Line())
 	switch {
 	case r.Void != "":
--- /dev/null
+++ b/internal/lab/figures/sizes_test.go
@@ -0,0 +1,36 @@
+package figures
+
+import (
+	"math"
+	"strings"
+	"testing"
+
+	"woaddyke/internal/lab/audit"
+)
+
+// A void run proves nothing, so it may not bend a slope; and what broke at one size must not be lost behind the others.
+func TestSlopesLeaveVoidRunsOutAndTheVerdictLeavesNothingOut(t *testing.T) {
+	at := func(workers int, mb float64, void string, breaches int, unmet ...string) Sized {
+		return Sized{workers, &Results{Name: "x", Void: void, Unmet: unmet, Figures: map[string]float64{"scheduler_mb": mb},
+			Audit: audit.Judgement{Ops: 10, Answers: 9, Breaches: make([]audit.Breach, breaches)}}}
+	}
+	of := []Sized{at(1000, 30, "", 1), at(2000, 900, "late", 0), at(4000, 45, "", 0, "y")}
+	if a, b, ok := slope(of, "scheduler_mb"); !ok || math.Abs(a-25) > 1e-9 || math.Abs(b-5) > 1e-9 {
+		t.Errorf("%g at none, %g for a thousand, %v", a, b, ok)
+	}
+	if _, _, ok := slope(of[:2], "scheduler_mb"); ok {
+		t.Error("a slope of one size")
+	}
+	j := Joint(of)
+	if j.Audit.Ops != 30 || j.Audit.Answers != 27 || len(j.Audit.Breaches) != 1 || len(j.Unmet) != 1 || j.Void != "x: late" || j.Held() {
+		t.Errorf("%+v", j)
+	}
+	if j := Joint(of[2:]); len(j.Audit.Breaches) != 0 || j.Void != "" || j.Held() {
+		t.Errorf("%+v", j)
+	}
+	var out strings.Builder
+	Slopes(&out, of)
+	if !strings.Contains(out.String(), "2000 void") || !strings.Contains(out.String(), "scheduler_mb") {
+		t.Error(out.String())
+	}
+}
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -94,7 +94,7 @@
 func Sky(e *plan.Experiment, between, from, to string) (sky links.Sky) {
 	ms := func(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
 	for _, l := range e.Links {
-		if l.Between == between && (l.From == "" || l.From == from) && (l.To == "" || l.To == to) {
+		if l.Between == between && e.In(l.From, from) && e.In(l.To, to) {
 			sky = links.Sky{Delay: ms(l.DelayMS), Jitter: ms(l.JitterMS), Rate: 1000 * l.RateKBps, Stall: l.Stall,
 				StallFor: ms(l.StallMS), ResetFirst: l.ResetFirst, ResetAfter: l.ResetAfter, Mute: l.Mute}
 		}
@@ -301,6 +301,10 @@
 	}
 }
 
+// CutFrom silences the link between a slot's worker and one scheduler, or lets it speak again. The worker's listener may be that of all
+// schedulers, so what this one dials comes up, and is silent.
+func (f *Fleet) CutFrom(slot, scheduler int, on bool) { f.weather[slot][scheduler].Cut(on) }
+
 // Kill ends the process of a slot's worker; the list is told.
 func (f *Fleet) Kill(slot int) {
 	w := f.at(slot)
--- a/internal/lab/plan/plan.go
+++ b/internal/lab/plan/plan.go
@@ -26,6 +26,10 @@
 	Seconds float64  `toml:"seconds"` // of arrivals
 	Settle  float64  `toml:"settle_s"`
 	Zones   []string `toml:"zones"`
+	// Regions are groups of zones; a link or a trouble may name one in place of a zone.
+	Regions []Region `toml:"regions"`
+	// Sizes are played one after another, each with that share of the workers and of the arrivals.
+	Sizes []float64 `toml:"sizes"`
 	// Expect are promises beyond the rules: a figure's name and what bounds it.
 	Expect     []Expect   `toml:"expect"`
 	Rules      Rules      `toml:"rules"`
@@ -44,6 +48,25 @@
 	Dir string `toml:"-"` // of the file: what it names is looked for there
 }
 
+// Region is some zones.
+type Region struct {
+	Name  string   `toml:"name"`
+	Zones []string `toml:"zones"`
+}
+
+// In tells whether a zone is the one named, or in the region of that name; no name is any.
+func (e *Experiment) In(name, zone string) bool {
+	if name == "" || name == zone {
+		return true
+	}
+	for _, r := range e.Regions {
+		if r.Name == name {
+			return slices.Contains(r.Zones, zone)
+		}
+	}
+	return false
+}
+
 // Expect bounds a figure of the results.
 type Expect struct {
 	Figure string   `toml:"figure"`
@@ -235,13 +258,16 @@
 	"lies":       {},
 	"stale":      {size: true, least: 0, most: 60_000}, // ms
 	"refuses":    {},
-	"kill":       {}, // the worker's process; it is back after for_s, cold
-	"drain":      {}, // told, drained and gone; a successor comes cold after for_s
-	"drain-told": {}, // discovery tells that they drain, and they know nothing of it; gone after for_s, with a cold successor
-	"vanish":     {}, // the machine says nothing more: connections stay open and silent
-	"replace":    {}, // a rolling deploy: each is drained and followed by a cold one within for_s
-	"shrink":     {}, // drained for good
-	"cut":        {}, // a zone's links are silent
+	"kill":       {},                                   // the worker's process; it is back after for_s, cold
+	"drain":      {},                                   // told, drained and gone; a successor comes cold after for_s
+	"drain-told": {},                                   // discovery tells that they drain, and they know nothing of it; gone after for_s, with a cold successor
+	"vanish":     {},                                   // the machine says nothing more: connections stay open and silent
+	"replace":    {},                                   // a rolling deploy: each is drained and followed by a cold one within for_s
+	"shrink":     {},                                   // drained for good
+	"cut":        {},                                   // a zone's links are silent
+	"restarts":   {size: true, least: 1, most: 60_000}, // killed one after another within for_s, each back after so many ms, cold
+
+	"region-cut": {}, // nothing passes between a region and the others
 
 	"discovery-silent": {}, "discovery-broken": {}, "discovery-moved": {},
 
@@ -443,6 +469,24 @@
 		number("members.jitter_ms", m.JitterMS, 0, day), number("members.rate_kbps", m.RateKBps, 0, 1e9)); err != nil {
 		return err
 	}
+	for i, r := range e.Regions {
+		for _, z := range r.Zones {
+			if !slices.Contains(e.Zones, z) {
+				return fmt.Errorf("regions[%d].zones: %q is no zone", i, z)
+			}
+		}
+		if r.Name == "" || slices.Contains(e.Zones, r.Name) || len(r.Zones) == 0 {
+			return fmt.Errorf("regions[%d].name = %q: a name that is no zone's is wanted, and zones", i, r.Name)
+		}
+	}
+	for i, f := range e.Sizes {
+		if err := number(fmt.Sprintf("sizes[%d]", i), f, 0.001, 10); err != nil {
+			return err
+		}
+		if e.Arrivals.Kind == "trace" {
+			return errors.New("sizes: a trace has its own rate")
+		}
+	}
 	if len(e.Zones) == 0 {
 		return errors.New("zones: there must be one")
 	}
@@ -571,7 +615,7 @@
 }
 
 func (e *Experiment) zone(name, z string) error {
-	if z == "" || slices.Contains(e.Zones, z) {
+	if z == "" || slices.Contains(e.Zones, z) || slices.ContainsFunc(e.Regions, func(r Region) bool { return r.Name == z }) {
 		return nil
 	}
 	return fmt.Errorf("%s = %q is no zone", name, z)
@@ -626,6 +670,9 @@
 		if f.Kind == "keepers-change" && (!e.Copies.Agreed || len(f.Indices)%2 == 0) {
 			return fmt.Errorf("%skind = %q: an odd number of indices is wanted, and copies.agreed", at, f.Kind)
 		}
+		if f.Kind == "region-cut" && !slices.ContainsFunc(e.Regions, func(r Region) bool { return r.Name == f.Zone }) {
+			return fmt.Errorf("%szone = %q: a region is wanted", at, f.Zone)
+		}
 		if f.Kind == "cut" && f.Zone == "" {
 			return fmt.Errorf("%szone is wanted", at)
 		}
@@ -676,6 +723,29 @@
 	return nil
 }
 
+// WorkerCount is how many workers there are.
+func (e *Experiment) WorkerCount() (n int) {
+	for _, w := range e.Workers {
+		n += w.Count
+	}
+	return n
+}
+
+// Sized is the same experiment with that share of its workers and arrivals.
+func (e *Experiment) Sized(share float64) (*Experiment, error) {
+	s := *e
+	s.Sizes, s.Workers, s.Faults = nil, slices.Clone(e.Workers), slices.Clone(e.Faults)
+	s.Name = fmt.Sprintf("%s-%g", e.Name, share)
+	s.Arrivals.Rate *= share
+	for i := range s.Workers {
+		s.Workers[i].Count = max(int(math.Round(float64(e.Workers[i].Count)*share)), 1)
+	}
+	if err := s.fill(); err != nil { // a trouble may name a worker that is not there
+		return nil, fmt.Errorf("%s: %w", s.Name, err)
+	}
+	return &s, nil
+}
+
 // MS is a number of milliseconds in the ledger's unit, rounded down.
 func MS(ms float64) ledger.Time { return ledger.Time(math.Floor(ms*10 + 1e-6)) }
 
--- a/internal/lab/plan/plan_test.go
+++ b/internal/lab/plan/plan_test.go
@@ -28,6 +28,11 @@
 		sound + "[arrivals]\nsteps = [[2, 1], [1, 1]]\n":                 "in order of time",
 		sound + "[arrivals]\nkind = \"trace\"\n":                         "a file is wanted",
 		sound + "[schedulers]\ncount = 2\nshares = [1]\n":                "1 for 2",
+		"sizes = [0]\n" + sound:                                          "sizes[0] = 0 lies outside",
+		"regions = [{ name = \"r\", zones = [\"moon\"] }]\n" + sound:     "is no zone",
+		"regions = [{ name = \"east\", zones = [\"west\"] }]\n" + sound:  "a name that is no zone's",
+		sound + "[[faults]]\nkind = \"region-cut\"\nzone = \"east\"\n":   "a region is wanted",
+		sound + "[[faults]]\nkind = \"restarts\"\n":                      "size = 0",
 		"expect = [{ figure = \"acked\" }]\n" + sound:                    "least or most",
 		sound + "[chaos]\nkinds = [\"slow\"]\nfor_s = [2, 1]\nevery_s=1": "least and most",
 	} {
@@ -40,6 +45,30 @@
 	}
 }
 
+// A share of an experiment must leave the whole as it was, and may not drop the worker that a trouble is about.
+func TestASizeIsAShareOfWorkersAndArrivals(t *testing.T) {
+	e, err := Parse([]byte("zones = [\"a\", \"b\"]\nregions = [{ name = \"r\", zones = [\"b\"] }]\n" + strings.Replace(sound, "count = 2", "count = 40", 1) +
+		"[arrivals]\nrate = 100\n[[faults]]\nkind = \"hang\"\nindices = [30]\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := e.Sized(0.9)
+	if err != nil || s.WorkerCount() != 36 || s.Arrivals.Rate != 90 || e.WorkerCount() != 40 || e.Arrivals.Rate != 100 {
+		t.Errorf("%+v, %v; the whole: %+v", s, err, e)
+	}
+	if _, err := e.Sized(0.5); err == nil || !strings.Contains(err.Error(), "30 is none of 0 to 19") {
+		t.Errorf("worker 30 of 20: %v", err)
+	}
+	for _, c := range []struct {
+		name, zone string
+		in         bool
+	}{{"", "a", true}, {"a", "a", true}, {"a", "b", false}, {"r", "b", true}, {"r", "a", false}} {
+		if e.In(c.name, c.zone) != c.in {
+			t.Errorf("zone %s in %q: %v", c.zone, c.name, !c.in)
+		}
+	}
+}
+
 // Lists of a file stand in place of its base's; a circle of bases ends.
 func TestAFileStandsOverItsBase(t *testing.T) {
 	dir := t.TempDir()
--- a/internal/lab/play/play.go
+++ b/internal/lab/play/play.go
@@ -90,8 +90,19 @@
 	if err != nil {
 		return err
 	}
-	if err := needs.Of(e).Fit(l); err != nil {
-		return fmt.Errorf("%s: %w", e.Name, err)
+	if len(e.Sizes) == 0 {
+		if err := needs.Of(e).Fit(l); err != nil {
+			return fmt.Errorf("%s: %w", e.Name, err)
+		}
+	}
+	for _, share := range e.Sizes {
+		s, err := e.Sized(share)
+		if err != nil {
+			return err
+		}
+		if err := Fits(s); err != nil {
+			return err
+		}
 	}
 	return nil
 }
@@ -373,14 +384,24 @@
 			return
 		case <-time.After(time.Until(start.Add(time.Duration(t.At) * ledger.Tenth))):
 		}
-		text := fmt.Sprintf("%s on %v", t.Kind, t.Targets)
+		text := " on "
 		if !t.On {
-			text = fmt.Sprintf("%s over on %v", t.Kind, t.Targets)
+			text = " over on "
+		}
+		text = t.Kind + text
+		if t.Kind == "region-cut" {
+			text += t.Zone
+		} else {
+			text += fmt.Sprint(t.Targets)
 		}
 		r.book.Add(ledger.Event{Kind: ledger.Fault, Text: text})
 		r.mu.Lock()
 		r.last = text
 		r.mu.Unlock()
+		if t.Kind == "region-cut" {
+			r.part(t)
+			continue
+		}
 		if t.Kind == "keepers-change" {
 			if t.On {
 				r.beside(func() error { return r.changeKeepers(t, time.Duration(t.For)*ledger.Tenth) })
@@ -406,6 +427,30 @@
 	}
 }
 
+// part cuts a region off from the others, or ends that: its schedulers and the others' workers, the other way round, and the links
+// between its schedulers and the others.
+func (r *run) part(t script.Turn) {
+	e := r.plan
+	inside := func(scheduler int) bool { return e.In(t.Zone, e.Zones[scheduler%len(e.Zones)]) }
+	for slot, w := range r.script.Workers {
+		for n := range e.Schedulers.Count {
+			if inside(n) != e.In(t.Zone, w.Zone) {
+				r.fleet.CutFrom(slot, n, t.On)
+			}
+		}
+	}
+	if r.mesh == nil {
+		return
+	}
+	for from := range e.Schedulers.Count {
+		for to := range e.Schedulers.Count {
+			if inside(from) != inside(to) {
+				r.cut(from, to, t)
+			}
+		}
+	}
+}
+
 // turn begins or ends a trouble at one worker or scheduler.
 func (r *run) turn(t script.Turn, n int) {
 	if plan.OfSchedulers(t.Kind) {
--- a/internal/lab/script/script.go
+++ b/internal/lab/script/script.go
@@ -293,7 +293,7 @@
 	}
 	var in []int
 	for i := range all {
-		if f.Zone == "" || plan.OfSchedulers(f.Kind) || s.Workers[i].Zone == f.Zone {
+		if f.Zone == "" || plan.OfSchedulers(f.Kind) || e.In(f.Zone, s.Workers[i].Zone) {
 			in = append(in, i)
 		}
 	}
@@ -357,6 +357,16 @@
 			s.Turns = append(s.Turns, one)
 		}
 		return
+	case "restarts":
+		for k, w := range t.Targets {
+			on := t
+			on.Targets, on.Kind = []int{w}, "kill"
+			on.At += ledger.Time(float64(t.For) * float64(k) / float64(len(t.Targets)))
+			off := on
+			off.At, off.On = on.At+plan.MS(f.Size), false
+			s.Turns = append(s.Turns, on, off)
+		}
+		return
 	case "shrink":
 		for k, w := range t.Targets {
 			one := t
--- a/internal/lab/script/script_test.go
+++ b/internal/lab/script/script_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 
+	"woaddyke/internal/lab/ledger"
 	"woaddyke/internal/lab/plan"
 )
 
@@ -92,3 +93,34 @@
 		}
 	}
 }
+
+// Restarts at a pace are one after another over the whole span, each back after its own time.
+func TestRestartsAreSpreadOverTheirSpan(t *testing.T) {
+	e, err := plan.Parse([]byte("seconds = 20\n[[workers]]\ncount = 40\n[[categories]]\nname = \"a\"\n[[faults]]\nkind = \"restarts\"\nat_s = 1\nfor_s = 10\npart = 0.5\nsize = 700\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := Of(e)
+	if err != nil {
+		t.Fatal(err)
+	}
+	down := map[int]ledger.Time{}
+	next := plan.S(1)
+	for _, turn := range s.Turns {
+		n := turn.Targets[0]
+		if len(turn.Targets) != 1 || turn.Kind != "kill" {
+			t.Fatalf("%+v", turn)
+		}
+		if turn.On {
+			if turn.At != next || down[n] != 0 {
+				t.Errorf("worker %d is killed at %d, not at %d, or twice", n, turn.At, next)
+			}
+			down[n], next = turn.At, next+5000
+		} else if turn.At != down[n]+7000 {
+			t.Errorf("worker %d is back at %d, was killed at %d", n, turn.At, down[n])
+		}
+	}
+	if len(down) != 20 || len(s.Turns) != 40 {
+		t.Errorf("%d workers, %d turns", len(down), len(s.Turns))
+	}
+}
