Lists: a crowd that is turned away lies evenly over the period, and is told within 6 s

Need: all schedulers come back at once, each at least once in 4.4 s now, and that must not fell a discovery that turns calls away. Seen, in a play of the spans alone (300 and 1,000 schedulers, discovery away for 0 to 300 s and back with so many calls a second): at one and a half times the least rate up to 9 of 300 were late, by 2 s, after 20 s of calls that hung: they had come in step, as a wait that a call has used up is no wait; after a plain end of all watches some were told 6.4 s later, as the second call counted from the first and not from the break; after 503s the schedulers kept the 2 s over which they had come back. Change: what was turned away first doubles from a quarter of the longest wait that refused calls have, so a short grace brings no burst of calls; one or two waits are drawn, then every third; a call that hung counts as that long a wait; the call after a first refusal counts from the break. Ruled out by trial: drawing each wait anew (a third more calls, and 58 of 80 schedulers served of the discovery that works on for what it has failed, which the older test forbids), and never drawing again. Left: a discovery that fails what it has worked on is never had again beyond about six times its rate (docs/design.md).

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -154,10 +154,9 @@
 		if heard {
 			b = broken{}
 		} else {
-			b.fails++
-			b.turnedAway = b.turnedAway || errors.Is(err, errTurnedAway)
+			b.failed(errors.Is(err, errTurnedAway))
 		}
-		b.silent, b.took = errors.Is(err, errSilent), time.Since(began)
+		b.silent, b.took, b.waited = errors.Is(err, errSilent), time.Since(began), wait
 		wait = r.spans.again(b, r.chance.Float64())
 		if !errors.Is(err, context.Canceled) { // a move is no break
 			r.log.Warn().Err(err).Dur("again_in_ms", wait).Msg("watch broke")
--- a/internal/roster/spans.go
+++ b/internal/roster/spans.go
@@ -28,6 +28,9 @@
 	// All schedulers are not spread over more after a break, so that what is turned away then has another call in time.
 	longestSpread = beat
 
+	// While calls are turned away one wait in so many is drawn anew.
+	redrawn = 3
+
 	// A discovery that pushes has an agent on this machine, which answers at once and at no cost, and what it has counts as told
 	// while nobody reads it, also at the moment when it is back after a silence. So a call that it leaves hanging and the wait for
 	// the next one, together, take three fifths of a drain's grace at the most; the rest is for the call that is answered.
@@ -67,32 +70,45 @@
 
 // broken is how the calls since the last that was heard have ended.
 type broken struct {
-	fails      int  // none: a watch was heard, or there was no call yet
-	turnedAway bool // one of them
-	silent     bool // the last one
-	took       time.Duration
+	fails  int           // none: a watch was heard, or there was no call yet
+	away   int           // of them, from the first on that was turned away
+	silent bool          // the last one
+	took   time.Duration // by it
+	waited time.Duration // before it
+}
+
+// failed counts one more.
+func (b *broken) failed(turnedAway bool) {
+	if b.fails++; b.away > 0 || turnedAway {
+		b.away++
+	}
 }
 
 // again is the wait for another watch; luck is from 0 to 1. What is silent or not there may be back any moment; what turns calls
 // away is asked as rarely as what it has to tell allows.
 //
 // A wait counts from where the failed call began: one that hung has used it up. It doubles up to a quarter of the longest; the next
-// is drawn from the rest, and those that follow have it exactly. So schedulers which failed together are spread over
-// it and stay so, and none asks more often than it must.
+// are drawn from the rest, and those that follow have it exactly. So schedulers that failed together are spread over it, and
+// hardly one asks more often than it must. A discovery that works on for those that it has failed can't bear many draws.
 func (s Spans) again(b broken, luck float64) time.Duration {
-	if b.fails == 0 && b.silent {
+	switch {
+	case b.fails > 0:
+	case b.silent:
 		return time.Duration(luck * float64(s.Silent))
-	} else if b.fails == 0 {
+	default:
 		return time.Duration(luck * float64(s.Spread))
 	}
-	most := s.Most
-	if b.turnedAway {
-		most = s.Turned
+	last, most, drawn := s.Spread<<min(b.fails-1, 10), s.Most, 2*s.Most
+	if b.away > 0 {
+		last, most, drawn = s.Most/4<<min(b.away-1, 10), s.Turned, s.Turned/2
+		if b.fails == 1 {
+			most -= b.waited // what discovery had at the break is owed a call since then
+		}
 	}
 	wait := most
-	if last := s.Spread << min(b.fails-1, 10); last < most/4 {
+	if last = max(last, b.took); last < most/4 {
 		wait = time.Duration((1 + luck) / 2 * float64(last))
-	} else if last < most/2 {
+	} else if last < drawn || b.away%redrawn == redrawn-1 {
 		wait = time.Duration((1 + 3*luck) / 4 * float64(most))
 	}
 	return max(wait-b.took, 0)
