SIGHUP at the size: no watch a change, no walk a op, dropped at-most-once ops are asked for

Seen by reading, then by test: each SIGHUP opened the watch anew, at every scheduler, also where only categories changed (Front.Reread called Roster.Move always): 396 watches in 400 changes. Sheet.Effect and Repeats walked all categories by made-up names for each op that the fates are asked for; SettingsHash sorted all settings each second. A category that was dropped is served by its old rules for a while, but Effect knew it no more, so the fates were not asked for its ops: an at-most-once op could run at two schedulers. The settings were held twice in a sheet, and Retunes built four maps. Change: settings.go in front holds what is in force: the sheet, each category's rule by name, those of dropped ones for their while (4,096 at most), and the hash, once. A watch stays where discovery is the same and categories or pushes changed; a SIGHUP that finds neither opens it anew, as staff may mean. Of two categories with one name the last is served and is now also the one whose rule is asked for. A wrong file still changes nothing and gives one line. Broken by hand and seen to fail: the watch's condition; a signal channel without room (3 of 3); dropped rules not carried, not ended, not bounded, the wrong ones forgotten.

--- /dev/null
+++ b/cmd/woaddyke/changes_test.go
@@ -0,0 +1,233 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// changeable is a real process whose configuration a test replaces.
+type changeable struct {
+	started
+	t       *testing.T
+	path    string
+	sheet   map[string]any
+	watches atomic.Int32
+}
+
+func newChangeable(t *testing.T, worker http.Handler, entries int) (*changeable, string) {
+	t.Helper()
+	w := httptest.NewServer(worker)
+	t.Cleanup(w.Close)
+	x := &changeable{t: t}
+	discovery := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		x.watches.Add(1)
+		fmt.Fprintf(rw, `{"rev":1,"all":true,"targets":[{"uid":"w","endpoint":%q,"state":"SERVING"}]}`+"\n", w.Listener.Addr())
+		rw.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}))
+	t.Cleanup(discovery.Close)
+	listen, dir := freeAddr(t), t.TempDir()
+	x.started = startProcess(t, dir, listen, discovery.Listener.Addr().String(), 0)
+	x.path = filepath.Join(dir, "0.json")
+	text, err := os.ReadFile(x.path)
+	if err == nil {
+		err = json.Unmarshal(text, &x.sheet)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	categories := make([]any, entries)
+	for i := range categories {
+		categories[i] = map[string]any{"name": fmt.Sprint("team-", i), "effect": "fragile", "ttlNs": 1e9, "targetLatencyNs": 1e9}
+	}
+	x.sheet["settings"].(map[string]any)["categories"] = categories
+	return x, listen
+}
+
+func (x *changeable) category(i int) map[string]any {
+	return x.sheet["settings"].(map[string]any)["categories"].([]any)[i].(map[string]any)
+}
+
+func (x *changeable) text() []byte {
+	x.t.Helper()
+	text, err := json.Marshal(x.sheet)
+	if err != nil {
+		x.t.Fatal(err)
+	}
+	return text
+}
+
+// change puts the configuration as it is now in the place of the one before, and says so.
+func (x *changeable) change() {
+	x.t.Helper()
+	x.replace(x.text())
+}
+
+func (x *changeable) replace(text []byte) {
+	x.t.Helper()
+	err := os.WriteFile(x.path+".new", text, 0o600)
+	if err == nil {
+		err = os.Rename(x.path+".new", x.path)
+	}
+	if err == nil {
+		err = x.cmd.Process.Signal(syscall.SIGHUP)
+	}
+	if err != nil {
+		x.t.Fatal(err)
+	}
+}
+
+type telemetry struct {
+	ReloadsOK     int                             `json:"reloads_ok"`
+	ReloadsFailed int                             `json:"reloads_failed"`
+	Requests      map[string]struct{ Served int } `json:"requests"`
+}
+
+// await reads the figures until they say what is waited for.
+func (x *changeable) await(what string, holds func(telemetry) bool) (f telemetry) {
+	x.t.Helper()
+	for until := time.Now().Add(20 * time.Second); ; time.Sleep(time.Millisecond) {
+		resp, err := http.Get("http://" + x.console + "/api/telemetry")
+		if err != nil {
+			x.t.Fatal(err)
+		}
+		f = telemetry{}
+		err = json.NewDecoder(resp.Body).Decode(&f)
+		if resp.Body.Close(); err != nil {
+			x.t.Fatal(err)
+		}
+		if holds(f) {
+			return f
+		}
+		if time.Now().After(until) {
+			x.t.Fatalf("%s: it never came about, %d taken, %d turned down: %s", what, f.ReloadsOK, f.ReloadsFailed, x.log)
+		}
+	}
+}
+
+// resident is the process's resident memory in KB, and its processor time in ms.
+func (x *changeable) resident() (kb, ms int) {
+	x.t.Helper()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", x.cmd.Process.Pid))
+	if err != nil {
+		x.t.Fatal(err)
+	}
+	for _, line := range strings.Split(string(status), "\n") {
+		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kb, _ = strconv.Atoi(strings.Fields(rest)[0])
+		}
+	}
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", x.cmd.Process.Pid))
+	if err != nil {
+		x.t.Fatal(err)
+	}
+	fields := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+1:]))
+	user, _ := strconv.Atoi(fields[11])
+	system, _ := strconv.Atoi(fields[12])
+	return kb, (user + system) * 10
+}
+
+// number reads one from the environment, for longer runs than CI's.
+func number(name string, otherwise int) int {
+	if n, err := strconv.Atoi(os.Getenv(name)); err == nil {
+		return n
+	}
+	return otherwise
+}
+
+// A process took 340 changes of one of three categories, and turned down all that came after them until it was replaced. The watch was
+// opened anew at each of them, at every scheduler. CHANGES and ENTRIES make it a day of a large site.
+func TestARealProcessTakesChangesWithoutEnd(t *testing.T) {
+	n, entries := number("CHANGES", 400), number("ENTRIES", 3)
+	runs := &record{runs: map[string]int{}}
+	x, listen := newChangeable(t, runs, entries)
+	x.change()
+	x.await("the first change is in force", func(f telemetry) bool { return f.ReloadsOK == 1 })
+	op := 0
+	serve := func(category string, want int) {
+		t.Helper()
+		op++
+		r, err := http.NewRequest(http.MethodPost, "http://"+listen, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Header.Set("X-Correlation-Id", fmt.Sprint(op))
+		r.Header.Set("X-Service-Class", category)
+		r.Header.Set("X-Time-Left-Ms", "5000")
+		resp, err := http.DefaultClient.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if resp.Body.Close(); resp.StatusCode != want {
+			t.Fatalf("an op of %s: %d, not %d: %s", category, resp.StatusCode, want, x.log)
+		}
+	}
+	x.await("the worker is listed", func(telemetry) bool { return x.watches.Load() > 0 })
+	watches := x.watches.Load()
+	began, before := x.resident()
+	for i := range n {
+		c := x.category(i % entries)
+		if c["targetLatencyNs"] = 1e9 + 1e5*float64(i); i%4 == 3 {
+			c["name"] = fmt.Sprint("team-", i%entries, "-", i)
+		}
+		x.change()
+		f := x.await("a change is in force", func(f telemetry) bool { return f.ReloadsOK == i+2 || f.ReloadsFailed > 0 })
+		if f.ReloadsFailed > 0 {
+			t.Fatalf("change %d is turned down: %s", i, x.log)
+		}
+		if i%20 == 3 {
+			serve(c["name"].(string), http.StatusOK)
+		}
+	}
+	rss, spent := x.resident()
+	t.Logf("%d changes of %d categories: %d KB resident, %d before; %.2f ms of processor a change, figures among it", n, entries, rss, began,
+		float64(spent-before)/float64(n))
+	if got := int(x.watches.Load() - watches); got > n/4 { // time opens it anew too, about once a second
+		t.Errorf("the watch was opened %d times in %d changes that do not move it", got, n)
+	}
+	// A file that is at fault changes nothing, says so in one line, and what comes after it is taken.
+	c := x.category(0)
+	name, ttl := c["name"].(string), c["ttlNs"]
+	c["name"], c["ttlNs"] = "wrong", -1
+	x.change()
+	f := x.await("the wrong file is turned down", func(f telemetry) bool { return f.ReloadsFailed == 1 })
+	if _, taken := f.Requests["wrong"]; taken || f.ReloadsOK != n+1 {
+		t.Errorf("%d taken, the wrong one among them: %v", f.ReloadsOK, taken)
+	}
+	serve("wrong", http.StatusBadRequest)
+	serve(name, http.StatusOK)
+	// Changes that come faster than they are taken up: the last one is in force in the end.
+	c["ttlNs"] = ttl
+	settings := x.sheet["settings"].(map[string]any)
+	for i := range 1900 { // so that taking one up takes longer than writing the next
+		settings["categories"] = append(settings["categories"].([]any), map[string]any{"name": fmt.Sprint("more-", i), "effect": "fragile",
+			"ttlNs": 1e9, "targetLatencyNs": 1e9})
+	}
+	var files [][]byte
+	for i := range 20 {
+		c["name"] = fmt.Sprint("at-once-", i)
+		files = append(files, x.text())
+	}
+	for _, text := range files {
+		x.replace(text)
+	}
+	x.await("the last of many at once is in force", func(f telemetry) bool { _, last := f.Requests["at-once-19"]; return last })
+	serve("at-once-19", http.StatusOK)
+	x.cmd.Process.Signal(syscall.SIGTERM)
+	if err := x.cmd.Wait(); err != nil {
+		t.Errorf("%v: %s", err, x.log)
+	}
+	if text := x.log.String(); strings.Count(text, "configuration kept") != 1 || !strings.Contains(text, "categories.0.ttlNs: -1 is no number above 0") {
+		t.Errorf("the wrong file is not told of in one line with its place: %s", text)
+	}
+}
--- a/internal/front/drain.go
+++ b/internal/front/drain.go
@@ -43,12 +43,6 @@
 // Evacuated tells whether clients are sent away.
 func (f *Front) Evacuated() bool { return f.drain.on() }
 
-// Discovery is where the list is read, by the configuration in force.
-func (f *Front) Discovery() string { return f.inForce.Load().Discovery }
-
-// SettingsHash names the settings in force, but for what is each scheduler's own.
-func (f *Front) SettingsHash() uint64 { return f.inForce.Load().Hash() }
-
 // Rejoin takes clients again.
 func (f *Front) Rejoin() {
 	f.drain.mu.Lock()
--- a/internal/front/fates.go
+++ b/internal/front/fates.go
@@ -36,13 +36,13 @@
 // guard asks for an op. It sets the ticket to end it with, or returns the answer in place of taking it.
 func (f *Front) guard(r *http.Request, h *held) (no *http.Response) {
 	left := time.Duration(int64(h.TTL)*int64(time.Second/10_000) - f.loop.clock.nanos(time.Now()))
-	window, scope := f.inForce.Load().Repeats(h.Category)
+	rule := f.inForce.Load().rule(h.Category)
 	request := append(append([]byte(h.target), 0), h.request.Body...)
-	d := f.fates.Ask(r.Context(), h.Category, h.ID, request, left, window)
+	d := f.fates.Ask(r.Context(), h.Category, h.ID, request, left, rule.Window)
 	f.log.Debug().Str("id", h.ID).Stringer("outcome", d.Outcome).Stringer("why", d.Why).Msg("asked for")
 	switch d.Outcome {
 	case copies.Mine:
-		h.ticket, h.scope = d.Ticket, scope
+		h.ticket, h.scope = d.Ticket, rule.Scope
 		if d.Fate.Where != "" {
 			at := terms.Down(f.loop.clock.nanos(time.Now())) - dispatch.Time(d.Fate.Age)
 			h.Ran, h.placed = &ops.Ran{Group: groupOf(d.Fate.Where), At: at}, true
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -58,7 +58,7 @@
 	clients  *guests.Guests
 	tally    *tally.Tally
 
-	inForce atomic.Pointer[terms.Sheet] // that was read last
+	inForce atomic.Pointer[settings]
 	drain   *drainer
 	peersAt *net.UDPConn          // that of the process before, nil without one
 	others  func() *tally.Members // nil where this is no member
@@ -76,7 +76,7 @@
 func New(sheet *terms.Sheet, log zerolog.Logger) (*Front, error) {
 	f := &Front{sheet: sheet, log: log, ready: make(chan struct{})}
 	f.clients = guests.New(0, 0) // limit sets both bounds
-	f.inForce.Store(sheet)
+	f.inForce.Store(settingsOf(sheet, nil, time.Time{}, time.Time{}))
 	f.drain = &drainer{clients: f.clients}
 	f.tally = tally.New(sheet.Categories())
 	dial := sheet.Span("bounds.connectTimeout", time.Second)
@@ -192,45 +192,10 @@
 // Count has the figures tell of the other schedulers. It is called before Serve.
 func (f *Front) Count(others func() *tally.Members) { f.others = others }
 
-// Effect is how often an op of a category may run, by the settings in force.
-func (f *Front) Effect(category string) string { return f.inForce.Load().Effect(category) }
-
 // Ready is closed when this process can serve: it takes clients, and discovery has told it of the workers. One whose
 // discovery says nothing serves by the list that it remembers.
 func (f *Front) Ready() <-chan struct{} { return f.ready }
 
-// Reread takes up a configuration that was replaced: where discovery is now, the categories and how often an op is pushed.
-// Workers, ops and connections stay as they are, and so does all else until a restart. A file that is at fault changes nothing.
-func (f *Front) Reread(path string) {
-	before := f.inForce.Load()
-	sheet, err := terms.ReadSheet(path)
-	if err == nil {
-		err = sheet.Follows(before)
-	}
-	retunes, rest := false, false
-	if err == nil {
-		retunes, rest = sheet.Retunes(before)
-	}
-	if err != nil {
-		f.tally.Reread(false)
-		f.log.Error().Err(err).Msg("configuration kept")
-		return
-	}
-	if rest {
-		f.log.Warn().Msg("all but discovery, categories and pushes changes with a restart only")
-	}
-	if retunes {
-		f.tally.Serves(sheet.Categories())
-		// What comes for a category that is served no more was sent before its client knew, or is its next try.
-		until := time.Now().Add(before.LongestTTL())
-		f.loop.tell(ops.Retuned{Site: sheet.Site, Until: terms.Down(f.loop.clock.nanos(until))})
-	}
-	f.inForce.Store(sheet)
-	f.roster.Move(sheet.Discovery)
-	f.tally.Reread(true) // last: who reads of it goes by what is in force
-	f.log.Info().Str("discovery", sheet.Discovery).Bool("settings", retunes).Msg("configuration reread")
-}
-
 // stop answers all that was taken. Connections go on being accepted and used for a while: what a client wrote to
 // one that the machine had accepted counts as taken, and the scheduler that it would turn to may be down still. With an
 // heir, that one accepts from the same socket, so this process does no more, and no client need be sent away.
--- /dev/null
+++ b/internal/front/settings.go
@@ -0,0 +1,104 @@
+package front
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"woaddyke/internal/ops"
+	"woaddyke/internal/terms"
+)
+
+const mostDropped = 4096 // categories that are served no more but for a while
+
+// settings are those in force.
+type settings struct {
+	*terms.Sheet
+	rules map[string]rule // by category; of hundreds, a walk over the sheet for each op cost more than the op
+	hash  func() uint64
+}
+
+// rule is a category's, until then if it was dropped.
+type rule struct {
+	terms.Rule
+	until time.Time
+}
+
+// settingsOf takes over what a category that is dropped goes on by for a while.
+func settingsOf(sheet *terms.Sheet, before *settings, now, until time.Time) *settings {
+	s := &settings{Sheet: sheet, rules: map[string]rule{}, hash: sync.OnceValue(sheet.Hash)}
+	for name, r := range sheet.Rules() {
+		s.rules[name] = rule{Rule: r}
+	}
+	if before == nil {
+		return s
+	}
+	var dropped []string
+	for name, r := range before.rules {
+		if _, served := s.rules[name]; served || !r.until.IsZero() && now.After(r.until) {
+			continue
+		}
+		if r.until.IsZero() {
+			r.until = until
+		}
+		s.rules[name] = r
+		dropped = append(dropped, name)
+	}
+	if len(dropped) > mostDropped { // the reducer has forgotten the first ones too
+		slices.SortFunc(dropped, func(a, b string) int { return s.rules[a].until.Compare(s.rules[b].until) })
+		for _, name := range dropped[:len(dropped)-mostDropped] {
+			delete(s.rules, name)
+		}
+	}
+	return s
+}
+
+// rule is a category's, empty for one that is not served any more.
+func (s *settings) rule(category string) terms.Rule {
+	r := s.rules[category]
+	if !r.until.IsZero() && time.Now().After(r.until) {
+		return terms.Rule{}
+	}
+	return r.Rule
+}
+
+// Effect is how often an op of a category may run, by the settings in force.
+func (f *Front) Effect(category string) string { return f.inForce.Load().rule(category).Effect }
+
+// Discovery is where the list is read, by the configuration in force.
+func (f *Front) Discovery() string { return f.inForce.Load().Discovery }
+
+// SettingsHash names the settings in force, but for what is each scheduler's own.
+func (f *Front) SettingsHash() uint64 { return f.inForce.Load().hash() }
+
+// Reread takes up a configuration that was replaced: where discovery is now, the categories and how often an op is pushed.
+// Workers, ops and connections stay as they are, and so does all else until a restart. A file that is at fault changes nothing.
+func (f *Front) Reread(path string) {
+	before := f.inForce.Load()
+	sheet, err := terms.ReadSheet(path)
+	if err == nil {
+		err = sheet.Follows(before.Sheet)
+	}
+	if err != nil {
+		f.tally.Reread(false)
+		f.log.Error().Err(err).Msg("configuration kept")
+		return
+	}
+	retunes, rest := sheet.Retunes(before.Sheet)
+	if rest {
+		f.log.Warn().Msg("all but discovery, categories and pushes changes with a restart only")
+	}
+	now := time.Now()
+	// What comes for a category that is served no more was sent before its client knew, or is its next try.
+	until := now.Add(before.LongestTTL())
+	if retunes {
+		f.tally.Serves(sheet.Categories())
+		f.loop.tell(ops.Retuned{Site: sheet.Site, Until: terms.Down(f.loop.clock.nanos(until))})
+	}
+	f.inForce.Store(settingsOf(sheet, before, now, until))
+	if sheet.Discovery != before.Discovery || !retunes { // a watch that is opened anew at each of a site's changes is a call each for nothing
+		f.roster.Move(sheet.Discovery)
+	}
+	f.tally.Reread(true) // last: who reads of it goes by what is in force
+	f.log.Info().Str("discovery", sheet.Discovery).Bool("settings", retunes).Msg("configuration reread")
+}
--- /dev/null
+++ b/internal/front/settings_test.go
@@ -0,0 +1,123 @@
+package front
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"woaddyke/internal/copies"
+	"woaddyke/internal/terms"
+)
+
+// asking are fates that grant all and remember of which categories they were asked, and with which window.
+type asking struct{ of chan string }
+
+func (a *asking) Ask(_ context.Context, category, _ string, _ []byte, _, window time.Duration) copies.Decided {
+	a.of <- fmt.Sprint(category, " ", window)
+	return copies.Decided{Outcome: copies.Mine, Ticket: 7}
+}
+func (*asking) Ran(uint64, string)            {}
+func (*asking) End(uint64, bool, int, []byte) {}
+func (*asking) GiveUp(uint64)                 {}
+
+// An op of a category that was dropped is served by its old rules for a while, but the fates were not asked for it any more: an
+// at-most-once op could run at two schedulers.
+func TestAnOpOfADroppedCategoryIsAskedForStill(t *testing.T) {
+	worker := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		done(w, r.Header.Get(idHeader))
+	}))
+	t.Cleanup(worker.Close)
+	stand := sheetOf(t, fmt.Sprintf(`{"rev":1,"all":true,"targets":[{"uid":"w","endpoint":%q,"state":"SERVING"}]}`, worker.Listener.Addr()))
+	path := filepath.Join(t.TempDir(), "sheet")
+	write := func(categories string) {
+		t.Helper()
+		text := fmt.Sprintf(`{"listen":"a:1","discovery":%q,"seed":"1","known":%s,"settings":{"categories":[%s]}}`, stand.Discovery,
+			stand.Known, categories)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	const look, pay, note = `{"name":"look","effect":"retryable","ttlNs":6e10,"targetLatencyNs":6e10}`,
+		`{"name":"pay","effect":"fragile","ttlNs":6e10,"targetLatencyNs":6e10}`,
+		`{"name":"note","effect":"dedup","windowNs":5e9,"dedupScope":"all","ttlNs":6e10,"targetLatencyNs":6e10}`
+	write(look + "," + pay + "," + note)
+	sheet, err := terms.ReadSheet(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := New(sheet, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	by := &asking{make(chan string, 9)}
+	f.Guard(by, func(category string) bool {
+		return f.Effect(category) == "at-most-once" || f.Effect(category) == "deduplicated"
+	})
+	addr, _ := serveUntil(t, f)
+	sent := 0
+	ask := func(category string) string {
+		t.Helper()
+		sent++
+		if resp, text := post(t, addr, "", fmt.Sprintf("%s: %d", idHeader, sent), categoryHeader+": "+category); resp.StatusCode != http.StatusOK {
+			t.Fatalf("an op of %s: %d %s", category, resp.StatusCode, text)
+		}
+		select {
+		case of := <-by.of:
+			return of
+		default:
+			return ""
+		}
+	}
+	for step, settings := range []string{"", look, look + "," + strings.Replace(pay, "pay", "pay-2", 1)} {
+		if settings != "" {
+			write(settings)
+			if f.Reread(path); f.Figures().ReloadsOK != step {
+				t.Fatalf("step %d is not taken", step)
+			}
+		}
+		for category, want := range map[string]string{"look": "", "pay": "pay 0s", "note": "note 5s"} {
+			if got := ask(category); got != want {
+				t.Errorf("step %d, an op of %s: the fates are asked for %q, not %q", step, category, got, want)
+			}
+		}
+	}
+}
+
+// Names that come and go must not be held for good.
+func TestTheRulesOfDroppedCategoriesAreGivenBack(t *testing.T) {
+	const each, steps = 1000, 8
+	now := time.Now()
+	of := func(step int) *terms.Sheet {
+		var categories []any
+		for i := range each {
+			categories = append(categories, map[string]any{"name": fmt.Sprint(step, "-", i), "effect": "fragile", "ttlNs": 1e9})
+		}
+		return &terms.Sheet{Site: terms.Flat(map[string]any{"categories": categories})}
+	}
+	s := settingsOf(of(0), nil, now, now)
+	for i := 1; i < steps; i++ {
+		s = settingsOf(of(i), s, now, now.Add(time.Hour+time.Duration(i)))
+	}
+	for step, want := range map[int]bool{steps - 2: true, steps - 3: true, 0: false, 1: false} {
+		if _, holds := s.rules[fmt.Sprint(step, "-", each-1)]; holds != want {
+			t.Errorf("a rule that was dropped at step %d is held: %v", step, holds)
+		}
+	}
+	if len(s.rules) != mostDropped+each {
+		t.Errorf("%d rules", len(s.rules))
+	}
+	later := now.Add(2 * time.Hour)
+	if s = settingsOf(of(0), s, later, later.Add(time.Second)); len(s.rules) != 2*each {
+		t.Errorf("%d rules after their while", len(s.rules))
+	}
+}
--- /dev/null
+++ b/internal/terms/bench_test.go
@@ -0,0 +1,55 @@
+package terms
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+)
+
+// BenchmarkReread reads a file in which one of so many categories has changed, and checks it against the one in force.
+func BenchmarkReread(b *testing.B) {
+	for _, entries := range []int{3, 560, mostCategories} {
+		b.Run(fmt.Sprintf("entries=%d", entries), func(b *testing.B) {
+			var categories []any
+			for i := range entries {
+				categories = append(categories, map[string]any{"name": fmt.Sprint("team-", i), "effect": "dedup", "dedupScope": "zone",
+					"windowNs": 5e9, "ttlNs": 5e9, "targetLatencyNs": 1e9, "benefit": 2.0})
+			}
+			path := filepath.Join(b.TempDir(), "sheet")
+			write := func() *Sheet {
+				text, err := json.Marshal(map[string]any{"listen": "a:1", "discovery": "a:2", "seed": "ff", "settings": map[string]any{
+					"bounds": map[string]any{"maxPushes": 3}, "categories": categories}})
+				if err == nil {
+					err = os.WriteFile(path, text, 0o600)
+				}
+				var s *Sheet
+				if err == nil {
+					s, err = ReadSheet(path)
+				}
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.ReportMetric(float64(len(text)), "B/file")
+				return s
+			}
+			before := write()
+			categories[entries/2].(map[string]any)["windowNs"] = 6e9
+			write()
+			b.ReportAllocs()
+			for b.Loop() {
+				s, err := ReadSheet(path)
+				if err == nil {
+					err = s.Follows(before)
+				}
+				if err != nil {
+					b.Fatal(err)
+				}
+				if retunes, _ := s.Retunes(before); !retunes {
+					b.Fatal("no change")
+				}
+			}
+		})
+	}
+}
--- a/internal/terms/reread.go
+++ b/internal/terms/reread.go
@@ -124,19 +124,18 @@
 // Retunes tells whether this sheet's categories or pushes differ from another's, and whether any of the rest of what only a
 // restart takes up does.
 func (s *Sheet) Retunes(before *Sheet) (retunes, rest bool) {
-	parts := func(site map[string]any) (now, later map[string]any) {
-		now, later = map[string]any{}, map[string]any{}
-		for k, v := range site {
-			if strings.HasPrefix(k, "categories.") || strings.HasPrefix(k, "extra.class") || k == "bounds.maxPushes" {
-				now[k] = v
-			} else {
-				later[k] = v
+	now := func(k string) bool {
+		return strings.HasPrefix(k, "categories.") || strings.HasPrefix(k, "extra.class") || k == "bounds.maxPushes"
+	}
+	rest = s.Listen != before.Listen || s.Limits != before.Limits || s.Console != before.Console
+	lacks := func(a, b map[string]any) {
+		for k, v := range a {
+			if w, there := b[k]; !there || v != w {
+				retunes, rest = retunes || now(k), rest || !now(k)
 			}
 		}
-		return now, later
 	}
-	n, l := parts(s.Site)
-	m, r := parts(before.Site)
-	return !maps.Equal(n, m), !maps.Equal(l, r) || s.Listen != before.Listen || s.Limits != before.Limits ||
-		s.Console != before.Console
+	lacks(s.Site, before.Site)
+	lacks(before.Site, s.Site)
+	return retunes, rest
 }
--- a/internal/terms/sheet.go
+++ b/internal/terms/sheet.go
@@ -200,6 +200,9 @@
 	if err := errors.Join(json.Unmarshal(text, &s.raw), own(text, s)); err != nil {
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
 	}
+	if one, ok := s.raw["settings"].(map[string]any); ok {
+		s.Settings = one // and not two of hundreds of categories
+	}
 	if s.Chance, err = strconv.ParseUint(s.Seed, 16, 64); err != nil {
 		return nil, fmt.Errorf("configuration %s: seed: %w", path, err)
 	}
@@ -234,27 +237,26 @@
 	}
 }
 
-// Effect is how often an op of a category may run, in the platform's word; empty for a category that is not served.
-func (s *Sheet) Effect(category string) string {
-	for i, name := range s.Categories() {
-		if name == category {
-			effect, _ := s.Site[Item("categories", i, "effect")].(string)
-			return effect
-		}
-	}
-	return ""
+// Rule is how often an op of a category may run. A group drops repeats for a window after the first push: "all" workers, a "zone" or a
+// "cell"; 0 where nobody drops them.
+type Rule struct {
+	Effect string // in the platform's word
+	Window time.Duration
+	Scope  string
 }
 
-// Repeats tells for how long after its first push a group drops repeats of a category's ops, and what such a group is: "all" workers, a
-// "zone" or a "cell". 0 for a category whose repeats nobody drops.
-func (s *Sheet) Repeats(category string) (window time.Duration, scope string) {
+// Rules are those of the categories that are served, by their names. Of two with one name the last one is served.
+func (s *Sheet) Rules() map[string]Rule {
+	rules := map[string]Rule{}
 	for i, name := range s.Categories() {
-		if name == category && s.Effect(category) == "deduplicated" {
-			scope, _ = s.Site[Item("categories", i, "dedupScope")].(string)
-			return s.Span(Item("categories", i, "window"), 0), scope
+		var r Rule
+		if r.Effect, _ = s.Site[Item("categories", i, "effect")].(string); r.Effect == "deduplicated" {
+			r.Window = s.Span(Item("categories", i, "window"), 0)
+			r.Scope, _ = s.Site[Item("categories", i, "dedupScope")].(string)
 		}
+		rules[name] = r
 	}
-	return 0, ""
+	return rules
 }
 
 // Hash is the same for two sheets whose settings are, but for which of the schedulers each is for.
