Lab: hollow schedulers beside real ones, and a lab that notices what it reads late

Need: what a member costs among hundreds, without a process for each; and a scale run whose verdict holds on a busy machine.

The program 'hollow' runs members (mesh and words of staff, the scheduler's own code, sockets of their own) in one process; members.hollow adds so many to a run.

--- /dev/null
+++ b/cmd/hollow/staff.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"woaddyke/internal/members"
+	"woaddyke/internal/mesh"
+	"woaddyke/internal/staff"
+)
+
+// staffEvery is the program's own span between two words of staff to somebody by chance.
+const staffEvery = time.Second
+
+// board is what one member knows of what staff decided. Its own settings are those that it heard of first: it has none.
+type board struct {
+	mu    sync.Mutex
+	staff *staff.Board
+	knows bool
+	news  bool
+}
+
+func newBoard() *board { return &board{staff: staff.New(uint64(time.Now().UnixNano()))} }
+
+func (b *board) host() mesh.Host {
+	return mesh.Host{Staff: func(from string, life uint64, w staff.Word) {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		if b.staff.Heard(from, life, w); !b.knows {
+			b.knows, b.news = true, b.staff.Mine(w.Settings, false)
+		}
+	}, Changed: func(c members.Changed) {
+		if c.State.Ended() {
+			b.mu.Lock()
+			b.staff.Lost(c.Name)
+			b.mu.Unlock()
+		}
+	}}
+}
+
+// tellStaff has each member tell its word as a scheduler does: all others what is new, and one by chance each second.
+func tellStaff(all []*mesh.Mesh, boards []*board, quit chan struct{}) {
+	tick := time.NewTicker(staffEvery)
+	defer tick.Stop()
+	for {
+		for n, m := range all {
+			b := boards[n]
+			b.mu.Lock()
+			word, knows, news := b.staff.Own(), b.knows, b.news
+			b.news = false
+			b.mu.Unlock()
+			names := m.Names()
+			if !knows || len(names) == 0 {
+				continue
+			}
+			if !news {
+				names = []string{names[rand.IntN(len(names))]}
+			}
+			for _, name := range names {
+				m.TellStaff(name, word)
+			}
+		}
+		select {
+		case <-tick.C:
+		case <-quit:
+			return
+		}
+	}
+}
--- a/cmd/lab/compare.go
+++ b/cmd/lab/compare.go
@@ -40,7 +40,7 @@
 					if err != nil {
 						return err
 					}
-					r, err := play.Run(c.Context(), &one, play.Stage{Make: m, Quiet: true})
+					r, err := play.Run(c.Context(), &one, play.Stage{Make: m, Quiet: true, Hollow: beside("hollow")})
 					if err != nil {
 						return err
 					}
--- a/cmd/lab/lab_test.go
+++ b/cmd/lab/lab_test.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"context"
 	"errors"
+	"math"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -147,3 +149,55 @@
 		t.Errorf("a size beyond all bounds: code %d, %s%s", code, out, errs)
 	}
 }
+
+// What thousands of hollow schedulers cost is told from them, so they must do what a process does: in one cluster, without clients to
+// speak of, both send as many messages and bytes, and all hold the same of one another.
+func TestAHollowSchedulerIsAMemberAsAProcessIs(t *testing.T) {
+	t.Parallel()
+	dir := programs(t)
+	path := filepath.Join(dir, "members.toml")
+	if err := os.WriteFile(path, []byte(`
+seconds = 8
+settle_s = 0.5
+expect = [{ figure = "views_at_rest", most = 1 }]
+[rules]
+slack_ms = 2000
+[schedulers]
+count = 3
+[members]
+on = true
+hollow = 3
+pause_ms = 20000
+[[workers]]
+count = 4
+hollow = true
+[[categories]]
+name = "a"
+work_ms = 5
+[arrivals]
+rate = 1
+`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	out, errs, code := lab(t, dir, "run", path)
+	if code != 0 {
+		t.Fatalf("code %d: %s\n%s", code, out, errs)
+	}
+	figure := func(name string) float64 {
+		row := regexp.MustCompile(`(?m)^ +` + name + ` +([0-9.e+]+) `).FindStringSubmatch(out)
+		if row == nil {
+			t.Fatalf("no %s: %s", name, out)
+		}
+		v, err := strconv.ParseFloat(row[1], 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return v
+	}
+	for _, name := range []string{"members_messages_ps", "members_in_Bps", "members_out_Bps"} {
+		// Ten pings a second and as many answers; what is told by chance differs from member to member.
+		if real, hollow := figure(name), figure("hollow_"+name); real < 15 || math.Abs(real-hollow) > 0.2*real {
+			t.Errorf("%s: a process has %g, a hollow scheduler %g", name, real, hollow)
+		}
+	}
+}
--- a/cmd/lab/run.go
+++ b/cmd/lab/run.go
@@ -31,6 +31,15 @@
 	c.Flags().StringVar(&b.operator, "operator", "", "the operator's own file, handed to the scheduler")
 }
 
+// beside is the path of a program in this one's folder.
+func beside(name string) string {
+	own, err := os.Executable()
+	if err != nil {
+		return name
+	}
+	return filepath.Join(filepath.Dir(own), name)
+}
+
 // maker starts schedulers of the build.
 func (b *build) maker(e *plan.Experiment) (schedulers.Maker, error) {
 	path := b.path
@@ -38,11 +47,7 @@
 		return baseline.Maker(policy, baseline.Wrongs{})
 	}
 	if path == "" {
-		own, err := os.Executable()
-		if err != nil {
-			return nil, err
-		}
-		path = filepath.Join(filepath.Dir(own), "woaddyke")
+		path = beside("woaddyke")
 	}
 	if _, err := os.Stat(path); err != nil {
 		return nil, fmt.Errorf("the scheduler's program: %w", err)
@@ -111,7 +116,7 @@
 // runOne plays one experiment.
 func runOne(c *cobra.Command, e *plan.Experiment, m schedulers.Maker, out string) (*figures.Results, error) {
 	say, end := teller(os.Stderr)
-	r, err := play.Run(c.Context(), e, play.Stage{Out: out, Make: m, Progress: say})
+	r, err := play.Run(c.Context(), e, play.Stage{Out: out, Make: m, Progress: say, Hollow: beside("hollow")})
 	end()
 	if err == nil && out != "" {
 		err = page.Write(filepath.Join(out, "page.html"), r)
--- a/internal/lab/figures/roles.go
+++ b/internal/lab/figures/roles.go
@@ -16,19 +16,25 @@
 	At   ledger.Time
 	Sent meter.Sheet
 	Uses []schedulers.Use
+
+	Hollow schedulers.Use // of the process of hollow schedulers
 }
 
 // Roles works out what each scheduler used and sent between two moments: start-up and the rest at the end are apart. Figures of one
 // scheduler are its mean over the span; they are told as the mean over all schedulers and as the busiest one's.
-func (r *Results) Roles(from, to Edge, events []ledger.Event) {
+func (r *Results) Roles(from, to Edge, events []ledger.Event, count, hollow int) {
 	span := float64(to.At-from.At) / 10_000
 	if span <= 0 || len(to.Sent) == 0 {
 		return
 	}
 	r.Span = span
+	sent := to.Sent.Since(from.Sent)
+	if hollow > 0 {
+		r.hollow(sent[len(sent)-hollow:], from.Hollow, to.Hollow, span)
+	}
 	for k := range meter.Kinds {
 		var in, out, messages []float64
-		for _, row := range to.Sent.Since(from.Sent) {
+		for _, row := range sent[:count] {
 			in, out = append(in, float64(row[k].In)/span), append(out, float64(row[k].Out)/span)
 			messages = append(messages, float64(row[k].Messages)/span)
 		}
@@ -52,6 +58,28 @@
 	r.starts(from.At, to.At, events)
 }
 
+// hollow tells what a hollow scheduler used: its share of their process, and what it sent the others.
+func (r *Results) hollow(sent meter.Sheet, from, to schedulers.Use, span float64) {
+	n := float64(len(sent))
+	r.Figures["hollow_cores"], r.Figures["hollow_mb"] = (to.CPU-from.CPU)/span/n, float64(to.Resident)/(1<<20)/n
+	var in, out, messages []float64
+	for _, row := range sent {
+		m := row[meter.Members]
+		in, out, messages = append(in, float64(m.In)/span), append(out, float64(m.Out)/span), append(messages, float64(m.Messages)/span)
+	}
+	r.spread("hollow_members_in_Bps", in)
+	r.spread("hollow_members_out_Bps", out)
+	r.spread("hollow_members_messages_ps", messages)
+}
+
+// HeldViews takes how many different views all members together held at rest.
+func (r *Results) HeldViews(n int) {
+	r.Figures["views_at_rest"] = float64(n)
+	if n > 1 {
+		r.Unmet = append(r.Unmet, fmt.Sprintf("at rest the members, hollow ones among them, hold %d different views", n))
+	}
+}
+
 // spread tells a figure of all schedulers: their mean, and the highest.
 func (r *Results) spread(name string, v []float64) {
 	if len(v) == 0 {
@@ -128,7 +156,8 @@
 
 // rows are the figures of each role, in the order in which they are printed.
 var rows = []string{"scheduler_cores", "scheduler_mb", "probes_messages_ps", "probes_in_Bps", "probes_out_Bps", "list_in_Bps", "list_out_Bps",
-	"members_messages_ps", "members_in_Bps", "members_out_Bps", "work_messages_ps", "work_in_Bps", "work_out_Bps"}
+	"members_messages_ps", "members_in_Bps", "members_out_Bps", "work_messages_ps", "work_in_Bps", "work_out_Bps",
+	"hollow_cores", "hollow_mb", "hollow_members_messages_ps", "hollow_members_in_Bps", "hollow_members_out_Bps"}
 
 // Table prints what each role used.
 func (r *Results) Table(out io.Writer) {
--- a/internal/lab/needs/needs.go
+++ b/internal/lab/needs/needs.go
@@ -35,6 +35,7 @@
 	opKB       = 7   // its lines of the ledger
 	connKB     = 24  // both its ends' buffers in the lab
 	processKB  = 24 << 10
+	memberKB   = 2 // a member as another holds it, both links between them included
 	listedKB   = 4 // a worker in a scheduler's list
 	triesPerOp = 3 // exchanges with workers: two probes and a push
 )
@@ -63,12 +64,13 @@
 	// An exchange's connection stays for the keepalive; there are no more of them than pairs, beside those that carry pushes.
 	kept := min(n*float64(workers), triesPerOp*rate*e.Schedulers.KeepaliveMS/1000)
 	conns := min(2*open+kept, n*float64(e.Schedulers.Sockets))
-	mesh := 0.0
+	mesh, hollow := 0.0, float64(e.Members.Hollow)
 	if e.Members.On {
-		mesh = 4 * n
+		mesh = 4 * (n + hollow)
 	}
 	process := min(processKB+listedKB*float64(workers), float64(e.Schedulers.MemoryMB)*1024)
-	kb := labKB + workerKB*float64(workers) + pairKB*n*float64(workers) + opKB*rate*e.Seconds + connKB*conns + process*n
+	kb := labKB + workerKB*float64(workers) + pairKB*n*float64(workers) + opKB*rate*e.Seconds + connKB*conns + process*n +
+		memberKB*hollow*(hollow+n)
 	return Needs{Listeners: listeners, Descriptors: int(float64(listeners) + conns + 3*n + mesh + spare), MemoryMB: int(kb / 1024)}
 }
 
--- a/internal/lab/plan/plan.go
+++ b/internal/lab/plan/plan.go
@@ -209,6 +209,7 @@
 	DelayMS  float64 `toml:"delay_ms"`
 	JitterMS float64 `toml:"jitter_ms"`
 	RateKBps float64 `toml:"rate_kbps"`
+	Hollow   int     `toml:"hollow"` // further members, which share one process and have no clients
 }
 
 // Copies has the fates of at-most-once ops stand at some of the schedulers, the first ones.
@@ -427,6 +428,7 @@
 const (
 	mostWorkers    = 16_384 // over twice of the 6,300 that docs/CAPACITY.md asks for
 	mostSchedulers = 400    // each is a process
+	mostMembers    = 480    // real and hollow ones: the addresses of a play
 	mostRate       = 200_000
 	mostSeconds    = 3600
 	day            = 86_400_000 // ms
@@ -487,6 +489,9 @@
 			return errors.New("sizes: a trace has its own rate")
 		}
 	}
+	if m.Hollow != 0 && (!m.On || m.Hollow < 0 || m.Hollow+s.Count > mostMembers) {
+		return fmt.Errorf("members.hollow = %d: members.on is wanted, and %d members at most with the schedulers", m.Hollow, mostMembers)
+	}
 	if len(e.Zones) == 0 {
 		return errors.New("zones: there must be one")
 	}
--- a/internal/lab/play/mesh.go
+++ b/internal/lab/play/mesh.go
@@ -13,6 +13,7 @@
 
 	"woaddyke/internal/lab/between"
 	"woaddyke/internal/lab/doubles"
+	"woaddyke/internal/lab/hollow"
 	"woaddyke/internal/lab/ledger"
 	"woaddyke/internal/lab/plan"
 	"woaddyke/internal/lab/schedulers"
@@ -33,18 +34,24 @@
 	return t.On && (t.Kind == "scheduler-twin" || t.Kind == "scheduler-stranger")
 }
 
+// places counts the places in the mesh: schedulers, those that stand beside them for a while, hollow ones.
+func (r *run) places() int {
+	r.hollowAt = r.plan.Schedulers.Count
+	for _, t := range r.script.Turns {
+		if extra(t) {
+			r.hollowAt += len(t.Targets)
+		}
+	}
+	return r.hollowAt + r.plan.Members.Hollow
+}
+
 // setUpMesh opens the links between schedulers.
 func (r *run) setUpMesh() error {
 	if !r.plan.Members.On {
 		return nil
 	}
-	n := r.plan.Schedulers.Count
-	r.spare, r.cuts = n, map[[2]int]map[int]between.Cut{}
-	for _, t := range r.script.Turns {
-		if extra(t) {
-			n += len(t.Targets)
-		}
-	}
+	r.spare, r.cuts = r.plan.Schedulers.Count, map[[2]int]map[int]between.Cut{}
+	n := r.places()
 	var err error
 	r.mesh, err = between.New(n, r.plan.Seed, func(from, to int, cut between.Cut) {
 		if from < r.spare && to < r.spare {
@@ -80,8 +87,8 @@
 	}
 	r.mesh.Listens(n, at)
 	var seeds []string
-	for i := range min(mostSeeds, r.spare) {
-		seeds = append(seeds, fmt.Sprintf("%q", r.mesh.Told(i)))
+	for _, at := range r.seeds() {
+		seeds = append(seeds, fmt.Sprintf("%q", at))
 	}
 	copies := ""
 	if c := &r.plan.Copies; c.On {
@@ -103,6 +110,82 @@
 	return nil
 }
 
+// seeds are whom a scheduler that starts asks first.
+func (r *run) seeds() (all []string) {
+	for i := range min(mostSeeds, r.spare) {
+		all = append(all, r.mesh.Told(i))
+	}
+	return all
+}
+
+// zoneOf is the zone of a place in the mesh.
+func (r *run) zoneOf(place int) string {
+	if place >= r.hollowAt {
+		place -= r.hollowAt
+	}
+	return r.plan.Zones[place%len(r.plan.Zones)]
+}
+
+// startHollow starts the hollow schedulers.
+func (r *run) startHollow() error {
+	if r.plan.Members.Hollow == 0 {
+		return nil
+	}
+	t := hollow.Told{Cluster: "lab", Seeds: r.seeds(), Lines: r.plan.Members.Operator, Chance: r.plan.Seed << 16}
+	for i := range r.plan.Members.Hollow {
+		n := r.hollowAt + i
+		at, err := between.Free(r.mesh.Bound(n))
+		if err != nil {
+			return err
+		}
+		r.mesh.Listens(n, at)
+		t.Members = append(t.Members, hollow.Member{Name: fmt.Sprintf("h%d", i+1), Listen: at.String(), Advertise: r.mesh.Told(n)})
+	}
+	p, err := hollow.Start(r.stage.Hollow, t)
+	if err != nil {
+		return err
+	}
+	r.hollow = p
+	return r.hold() // what joining costs is apart from the figures
+}
+
+// view is what a member holds, in the program's published form.
+type view struct {
+	Digest string
+	Self   struct{ Live int }
+}
+
+// hold asks all members what they hold, until all hold one another and the same, or their time is over.
+func (r *run) hold() error {
+	if r.hollow == nil {
+		return nil
+	}
+	for limit := time.Now().Add(restTime); ; time.Sleep(changeEvery) {
+		states, err := r.hollow.States()
+		if err != nil {
+			return err
+		}
+		held, whole := map[string]int{}, true
+		note := func(digest string, live int) {
+			held[digest]++
+			whole = whole && live == len(states)+len(r.schedulers)-1
+		}
+		for _, s := range states {
+			note(s.Digest, s.Live)
+		}
+		for _, s := range r.schedulers {
+			var of view
+			if err := s.Ask("/api/members", &of); err != nil {
+				return err
+			}
+			note(of.Digest, of.Self.Live)
+		}
+		if r.views = len(held); len(held) == 1 && whole || time.Now().After(limit) {
+			return nil
+		}
+	}
+}
+
 // links are the ordered pairs that a trouble of the mesh hits at one scheduler.
 func (r *run) links(t script.Turn, n int, do func(from, to int)) {
 	for k := range r.spare {
@@ -266,6 +349,11 @@
 	for _, s := range r.twins {
 		s.Kill()
 	}
+	if r.hollow != nil {
+		if err := r.hollow.End(); err != nil {
+			r.fail(err)
+		}
+	}
 }
 
 // heldLine is a line of a scheduler's log.
--- a/internal/lab/play/play.go
+++ b/internal/lab/play/play.go
@@ -21,6 +21,7 @@
 	"woaddyke/internal/lab/figures"
 	"woaddyke/internal/lab/fleet"
 	"woaddyke/internal/lab/herald"
+	"woaddyke/internal/lab/hollow"
 	"woaddyke/internal/lab/ledger"
 	"woaddyke/internal/lab/meter"
 	"woaddyke/internal/lab/needs"
@@ -36,6 +37,7 @@
 	Make     schedulers.Maker
 	Progress func(Progress) // now and then; may be nil
 	Quiet    bool           // write no page and no results
+	Hollow   string         // the program of hollow schedulers
 }
 
 // Progress is how far a run is.
@@ -67,6 +69,9 @@
 	mesh       *between.Net // nil where schedulers are no members
 	meter      *meter.Meter
 	spans      [2]figures.Edge // the first op is due; the last one was
+	hollow     *hollow.Process // nil for none
+	hollowAt   int             // the place of the first of them
+	views      int             // that members held at rest
 	spare      int             // the first place that is no scheduler's
 	placed     int
 	changed    []time.Duration // what each change of keepers took
@@ -79,7 +84,6 @@
 }
 
 const (
-	lagEvery    = 5 * time.Millisecond
 	sampleEvery = 250 * time.Millisecond
 	lead        = 300 * time.Millisecond // between the last scheduler's start and the first op
 )
@@ -116,7 +120,8 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &run{plan: e, script: s, dir: st.Out, stage: st, meter: meter.New(e.Schedulers.Count)}
+	r := &run{plan: e, script: s, dir: st.Out, stage: st}
+	r.meter = meter.New(r.places())
 	if r.dir == "" {
 		if r.dir, err = os.MkdirTemp("", "lab-"); err != nil {
 			return nil, err
@@ -157,7 +162,10 @@
 			result.Void = fmt.Sprintf("the links between schedulers lost %d datagrams for want of room", n)
 		}
 	}
-	result.Roles(r.spans[0], r.spans[1], events)
+	result.Roles(r.spans[0], r.spans[1], events, e.Schedulers.Count, e.Members.Hollow)
+	if r.hollow != nil {
+		result.HeldViews(r.views)
+	}
 	for _, s := range r.schedulers {
 		result.Ready(s.Readies())
 	}
@@ -234,6 +242,9 @@
 	if err != nil {
 		return err
 	}
+	if err := r.startHollow(); err != nil {
+		return err
+	}
 	r.crowd = clients.New(e, r.script, r.book, desk, servers, addrs)
 	return nil
 }
@@ -288,7 +299,10 @@
 	side.Add(3)
 	go func() {
 		defer side.Done()
-		r.watchItself(playing)
+		lag, err := watch(playing)
+		if r.lag = lag; err != nil {
+			r.fail(err)
+		}
 	}()
 	go func() {
 		defer side.Done()
@@ -323,7 +337,7 @@
 	for slot := range r.script.Workers {
 		r.fleet.Cut(slot, false)
 	}
-	return r.atRest()
+	return errors.Join(r.atRest(), r.hold())
 }
 
 // edge is what all have used up to now.
@@ -334,16 +348,10 @@
 			e.Uses = append(e.Uses, u)
 		}
 	}
-	return e
-}
-
-// watchItself finds out by how much the lab is late: what it writes down later than it was counts against others.
-func (r *run) watchItself(ctx context.Context) {
-	for ctx.Err() == nil {
-		from := time.Now()
-		time.Sleep(lagEvery)
-		r.lag = max(r.lag, time.Since(from)-lagEvery)
+	if r.hollow != nil {
+		e.Hollow, _ = schedulers.UseOf(r.hollow.PID(), e.At, 0)
 	}
+	return e
 }
 
 // sample notes now and then what is used and held.
@@ -442,9 +450,16 @@
 	if r.mesh == nil {
 		return
 	}
-	for from := range e.Schedulers.Count {
-		for to := range e.Schedulers.Count {
-			if inside(from) != inside(to) {
+	var places []int
+	for n := range e.Schedulers.Count {
+		places = append(places, n)
+	}
+	for i := range e.Members.Hollow {
+		places = append(places, r.hollowAt+i)
+	}
+	for _, from := range places {
+		for _, to := range places {
+			if e.In(t.Zone, r.zoneOf(from)) != e.In(t.Zone, r.zoneOf(to)) {
 				r.cut(from, to, t)
 			}
 		}
--- a/internal/lab/schedulers/schedulers.go
+++ b/internal/lab/schedulers/schedulers.go
@@ -404,7 +404,12 @@
 	if r == nil || r.PID() == 0 {
 		return Use{}, false
 	}
-	proc := fmt.Sprintf("/proc/%d/", r.PID())
+	return UseOf(r.PID(), s.book.Now(), s.n+1)
+}
+
+// UseOf reads what a process uses.
+func UseOf(pid int, now ledger.Time, scheduler int) (Use, bool) {
+	proc := fmt.Sprintf("/proc/%d/", pid)
 	stat, err := os.ReadFile(proc + "stat")
 	if err != nil {
 		return Use{}, false
@@ -417,7 +422,7 @@
 	user, _ := strconv.ParseFloat(fields[11], 64)
 	system, _ := strconv.ParseFloat(fields[12], 64)
 	pages, _ := strconv.ParseInt(fields[21], 10, 64)
-	u := Use{At: s.book.Now(), Scheduler: s.n + 1, CPU: (user + system) / 100, Resident: pages * int64(os.Getpagesize())}
+	u := Use{At: now, Scheduler: scheduler, CPU: (user + system) / 100, Resident: pages * int64(os.Getpagesize())}
 	if files, err := os.ReadDir(proc + "fd"); err == nil {
 		u.Files = len(files)
 	}
--- a/internal/lab/views/views.go
+++ b/internal/lab/views/views.go
@@ -171,6 +171,9 @@
 	if !ok || i == j {
 		return
 	}
+	if !w.reaches(i, j, now) { // a cut that lasts is noted at its beginning and its end alone
+		w.bad[i][j], w.bad[j][i] = now, now
+	}
 	h := &w.holds[i][j]
 	if h.state != "" {
 		w.j.Spans = append(w.j.Spans, Span{i + 1, j + 1, h.state, h.since, now})
--- a/internal/lab/views/views_test.go
+++ b/internal/lab/views/views_test.go
@@ -105,3 +105,21 @@
 		s.judge(t, fmt.Sprint("a pause of ", long), want, 0, false)
 	}
 }
+
+// Nothing happens in the middle of a long cut. A word that comes late in it is true; the same word as long after its end is not.
+func TestAWordLateInALongCutIsTrue(t *testing.T) {
+	for _, at := range []ledger.Time{195_000, 285_001} {
+		s := begin()
+		for j := 1; j <= 2; j++ {
+			s.cut(100_000, j, 3, "silent")
+			s.cut(200_000+4_000, j, 3, "open")
+		}
+		s.holds(at, 1, 3, "gone")
+		s.holds(at+1_000, 1, 3, "here")
+		want := 0
+		if at > 204_000+terms.Grace {
+			want = 1
+		}
+		s.judge(t, fmt.Sprintf("a word at %d of a cut from 100000 to 204000", at), want, 0, false)
+	}
+}
