Lab: changes of settings at a pace, and when they are in force

'settings-change' writes a new sheet for each scheduler every so often and sends SIGHUP; the run asks each for the hash of the settings that it runs by until that is another, and tells the worst change at the 50th and 99th of a hundred schedulers and at the last one, and how often one was not in force within 15 s (a promise that does not hold). The hash is shown up to 1 s late, so the figures are too. 'check' says what a file needs.

--- a/cmd/lab/judge.go
+++ b/cmd/lab/judge.go
@@ -12,6 +12,7 @@
 	"woaddyke/internal/lab/audit"
 	"woaddyke/internal/lab/figures"
 	"woaddyke/internal/lab/ledger"
+	"woaddyke/internal/lab/needs"
 	"woaddyke/internal/lab/page"
 	"woaddyke/internal/lab/plan"
 	"woaddyke/internal/lab/play"
@@ -63,6 +64,8 @@
 				}
 				fmt.Fprintf(c.OutOrStdout(), "%s: %d workers, %d schedulers, %d ops in %g s, %d turns of trouble, script %s\n", path,
 					len(s.Workers), e.Schedulers.Count, len(s.Wishes), e.Seconds, len(s.Turns), s.Hash())
+				n := needs.Of(e)
+				fmt.Fprintf(c.OutOrStdout(), "  needs about %d descriptors in the lab's process and %d MB\n", n.Descriptors, n.MemoryMB)
 			}
 			return nil
 		}}
--- a/cmd/lab/lab_test.go
+++ b/cmd/lab/lab_test.go
@@ -128,7 +128,7 @@
 		t.Fatalf("code %d: %s\n%s", code, out, errs)
 	}
 	for _, want := range []string{"scale-small-0.5: 84 workers: audit: ops=", "scale-small-1: 168 workers: audit: ops=", "per 1,000",
-		"    scheduler_mb ", "    probes_in_Bps ", "    list_in_Bps ", "urgent: begun after p50 ", " of 6 starts"} {
+		"    scheduler_mb ", "    probes_in_Bps ", "    list_in_Bps ", "urgent: begun after p50 ", " of 6 starts", "    3 changes of settings in force after p50 "} {
 		if !strings.Contains(out, want) {
 			t.Errorf("%q is not said: %s", want, out)
 		}
--- a/internal/lab/figures/roles.go
+++ b/internal/lab/figures/roles.go
@@ -80,6 +80,34 @@
 	}
 }
 
+// InForce is what became of one change of settings.
+type InForce struct {
+	At      ledger.Time
+	Took    []time.Duration // at each scheduler where it came into force
+	Missing int             // schedulers where it did not in its time
+}
+
+// InForce takes what became of all changes of settings: the worst of them at the 50th and 99th of a hundred schedulers, and at the last.
+func (r *Results) InForce(all []InForce) {
+	if len(all) == 0 {
+		return
+	}
+	f := r.Figures
+	f["settings_changes"] = float64(len(all))
+	for _, c := range all {
+		f["settings_missing"] += float64(c.Missing)
+		slices.Sort(c.Took)
+		for name, q := range map[string]int{"in_force_p50_ms": 50, "in_force_p99_ms": 99, "in_force_last_ms": 100} {
+			if n := len(c.Took); n > 0 {
+				f[name] = max(f[name], float64(c.Took[(n*q+99)/100-1])/float64(time.Millisecond))
+			}
+		}
+	}
+	if n := f["settings_missing"]; n > 0 {
+		r.Unmet = append(r.Unmet, fmt.Sprintf("%.0f times a change of settings was not in force in its time", n))
+	}
+}
+
 // spread tells a figure of all schedulers: their mean, and the highest.
 func (r *Results) spread(name string, v []float64) {
 	if len(v) == 0 {
@@ -177,5 +205,9 @@
 			fmt.Fprintf(out, "    %s: begun after p50 %.1f, p99 %.1f, at most %.1f ms\n", c.Name, v, f["start_p99_ms."+c.Name], f["start_max_ms."+c.Name])
 		}
 	}
+	if n, ok := f["settings_changes"]; ok {
+		fmt.Fprintf(out, "    %.0f changes of settings in force after p50 %.0f, p99 %.0f, last %.0f ms at worst, %.0f times missing\n", n,
+			f["in_force_p50_ms"], f["in_force_p99_ms"], f["in_force_last_ms"], f["settings_missing"])
+	}
 	fmt.Fprintf(out, "    ready after p50 %.0f, p90 %.0f, at most %.0f ms, of %.0f starts\n", f["ready_p50_ms"], f["ready_p90_ms"], f["ready_max_ms"], f["starts"])
 }
--- a/internal/lab/figures/sizes_test.go
+++ b/internal/lab/figures/sizes_test.go
@@ -4,6 +4,7 @@
 	"math"
 	"strings"
 	"testing"
+	"time"
 
 	"woaddyke/internal/lab/audit"
 )
@@ -34,3 +35,17 @@
 		t.Error(out.String())
 	}
 }
+
+// The worst change counts, at the last scheduler too; one that never came into force must not vanish behind those that did.
+func TestTheSlowestChangeOfSettingsIsTold(t *testing.T) {
+	var ten []time.Duration
+	for k := 10; k > 0; k-- {
+		ten = append(ten, time.Duration(k)*time.Millisecond)
+	}
+	r := &Results{Figures: map[string]float64{}}
+	r.InForce([]InForce{{Took: ten}, {Took: []time.Duration{7 * time.Millisecond}, Missing: 2}, {}})
+	f := r.Figures
+	if f["settings_changes"] != 3 || f["in_force_p50_ms"] != 7 || f["in_force_p99_ms"] != 10 || f["in_force_last_ms"] != 10 || f["settings_missing"] != 2 || len(r.Unmet) != 1 {
+		t.Errorf("%v, %v", f, r.Unmet)
+	}
+}
--- a/internal/lab/plan/plan.go
+++ b/internal/lab/plan/plan.go
@@ -287,6 +287,8 @@
 	"scheduler-twin":     {schedulers: true},                                     // it is stopped, and a second process has its name elsewhere; after for_s it wakes up
 	"scheduler-stranger": {schedulers: true},                                     // a member of another cluster knocks at it
 
+	"settings-change": {schedulers: true}, // every every_s, until for_s is over, one value of their settings is another
+
 	"keepers-change": {schedulers: true}, // staff ask for those hit as keepers, at those of `to` or at any, until they stand or for_s is over
 
 	"burst": {size: true, least: 0, most: 1000},
@@ -672,6 +674,9 @@
 		if !e.Members.On && (strings.HasPrefix(f.Kind, "mesh-") || f.Kind == "scheduler-takeover" || f.Kind == "scheduler-twin" || f.Kind == "scheduler-stranger") {
 			return fmt.Errorf("%skind = %q: members.on is not set", at, f.Kind)
 		}
+		if f.Kind == "settings-change" && (!e.Members.On || f.EveryS <= 0) {
+			return fmt.Errorf("%skind = %q: members.on is wanted, and every_s", at, f.Kind)
+		}
 		if f.Kind == "keepers-change" && (!e.Copies.Agreed || len(f.Indices)%2 == 0) {
 			return fmt.Errorf("%skind = %q: an odd number of indices is wanted, and copies.agreed", at, f.Kind)
 		}
--- a/internal/lab/plan/plan_test.go
+++ b/internal/lab/plan/plan_test.go
@@ -33,6 +33,9 @@
 		"regions = [{ name = \"east\", zones = [\"west\"] }]\n" + sound:  "a name that is no zone's",
 		sound + "[[faults]]\nkind = \"region-cut\"\nzone = \"east\"\n":   "a region is wanted",
 		sound + "[[faults]]\nkind = \"restarts\"\n":                      "size = 0",
+		sound + "[[faults]]\nkind = \"settings-change\"\nevery_s = 1\n":  "members.on is wanted",
+		"[members]\nhollow = 3\n" + sound:                                "members.hollow = 3",
+		"[members]\non = true\nhollow = 479\n" + sound:                   "480 members at most",
 		"expect = [{ figure = \"acked\" }]\n" + sound:                    "least or most",
 		sound + "[chaos]\nkinds = [\"slow\"]\nfor_s = [2, 1]\nevery_s=1": "least and most",
 	} {
--- a/internal/lab/play/play.go
+++ b/internal/lab/play/play.go
@@ -72,7 +72,8 @@
 	hollow     *hollow.Process // nil for none
 	hollowAt   int             // the place of the first of them
 	views      int             // that members held at rest
-	spare      int             // the first place that is no scheduler's
+	forced     []figures.InForce
+	spare      int // the first place that is no scheduler's
 	placed     int
 	changed    []time.Duration // what each change of keepers took
 	sets       int             // of keepers that were in use, at rest
@@ -169,6 +170,7 @@
 	for _, s := range r.schedulers {
 		result.Ready(s.Readies())
 	}
+	result.InForce(r.forced)
 	result.Expect(e)
 	result.Script = s.Hash()
 	result.Lagged(float64(r.lag)/float64(time.Millisecond), e.Rules.SlackMS)
@@ -410,6 +412,10 @@
 			r.part(t)
 			continue
 		}
+		if t.Kind == "settings-change" {
+			r.changeSettings(t)
+			continue
+		}
 		if t.Kind == "keepers-change" {
 			if t.On {
 				r.beside(func() error { return r.changeKeepers(t, time.Duration(t.For)*ledger.Tenth) })
--- a/internal/lab/schedulers/schedulers.go
+++ b/internal/lab/schedulers/schedulers.go
@@ -96,6 +96,7 @@
 	name    string
 	console string
 	readies []time.Duration
+	change  int    // which of the changes of settings stands in its sheet, 0 for none
 	offers  string // the operator's file, empty for none
 }
 
@@ -241,6 +242,7 @@
 func (s *Scheduler) write(path string, known json.RawMessage) error {
 	sheet := SheetOf(s.plan, s.n, s.starts, s.Listen, s.known.Addr(), known)
 	sheet.Name, sheet.Console = s.name, s.console
+	sheet.Change(s.change)
 	text, err := json.Marshal(sheet)
 	if err != nil {
 		return err
@@ -334,6 +336,14 @@
 var kinds = map[syscall.Signal]ledger.Kind{syscall.SIGKILL: ledger.Killed, syscall.SIGTERM: ledger.Term,
 	syscall.SIGHUP: ledger.Hup, syscall.SIGSTOP: ledger.Stopped, syscall.SIGCONT: ledger.Resumed}
 
+// Change has it take a numbered change of its settings: a new sheet, and a SIGHUP.
+func (s *Scheduler) Change(number int) error {
+	s.mu.Lock()
+	s.change = number
+	s.mu.Unlock()
+	return s.Signal(syscall.SIGHUP)
+}
+
 // Signal sends a signal, and writes it down just before.
 func (s *Scheduler) Signal(sig syscall.Signal) error {
 	s.mu.Lock()
--- a/internal/lab/schedulers/sheet.go
+++ b/internal/lab/schedulers/sheet.go
@@ -31,6 +31,13 @@
 // published are the platform's words for effects.
 var published = map[string]string{ledger.Redeliverable: "retryable", ledger.Deduplicated: "dedup", ledger.AtMostOnce: "fragile"}
 
+// Change makes the settings those of a numbered change: one value of the first category is another, by so little that it decides nothing.
+func (s *Sheet) Change(number int) {
+	if first, ok := s.Settings["categories"].([]any)[0].(map[string]any); ok {
+		first["benefit"] = first["benefit"].(float64) * (1 + float64(number)*1e-9)
+	}
+}
+
 // SheetOf is what the n-th scheduler of an experiment is told.
 func SheetOf(e *plan.Experiment, n int, start uint64, listen, discovery string, known json.RawMessage) *Sheet {
 	s, r := &e.Schedulers, &e.Rules
--- a/internal/lab/script/script.go
+++ b/internal/lab/script/script.go
@@ -357,6 +357,13 @@
 			s.Turns = append(s.Turns, one)
 		}
 		return
+	case "settings-change":
+		for k := 0; float64(k)*f.EveryS < max(f.For, f.EveryS); k++ {
+			one := t
+			one.At, one.Size = plan.S(f.At+float64(k)*f.EveryS), float64(k+1)
+			s.Turns = append(s.Turns, one)
+		}
+		return
 	case "restarts":
 		for k, w := range t.Targets {
 			on := t
