--- a/internal/lab/plan/plan.go
+++ b/internal/lab/plan/plan.go
@@ -209,6 +209,7 @@
 	DelayMS  float64 `toml:"delay_ms"`
 	JitterMS float64 `toml:"jitter_ms"`
 	RateKBps float64 `toml:"rate_kbps"`
+	Hollow   int     `toml:"hollow"` // further members, which share one process and have no clients
 }
 
 // Copies has the fates of at-most-once ops stand at some of the schedulers, the first ones.
@@ -286,6 +287,8 @@
 	"scheduler-twin":     {schedulers: true},                                     // it is stopped, and a second process has its name elsewhere; after for_s it wakes up
 	"scheduler-stranger": {schedulers: true},                                     // a member of another cluster knocks at it
 
+	"settings-change": {schedulers: true}, // every every_s, until for_s is over, one value of their settings is another
+
 	"keepers-change": {schedulers: true}, // staff ask for those hit as keepers, at those of `to` or at any, until they stand or for_s is over
 
 	"burst": {size: true, least: 0, most: 1000},
@@ -427,6 +430,7 @@
 const (
 	mostWorkers    = 16_384 // over twice of the 6,300 that docs/CAPACITY.md asks for
 	mostSchedulers = 400    // each is a process
+	mostMembers    = 480    // real and hollow ones: the addresses of a play
 	mostRate       = 200_000
 	mostSeconds    = 3600
 	day            = 86_400_000 // ms
@@ -487,6 +491,9 @@
 			return errors.New("sizes: a trace has its own rate")
 		}
 	}
+	if m.Hollow != 0 && (!m.On || m.Hollow < 0 || m.Hollow+s.Count > mostMembers) {
+		return fmt.Errorf("members.hollow = %d: members.on is wanted, and %d members at most with the schedulers", m.Hollow, mostMembers)
+	}
 	if len(e.Zones) == 0 {
 		return errors.New("zones: there must be one")
 	}
@@ -667,6 +674,9 @@
 		if !e.Members.On && (strings.HasPrefix(f.Kind, "mesh-") || f.Kind == "scheduler-takeover" || f.Kind == "scheduler-twin" || f.Kind == "scheduler-stranger") {
 			return fmt.Errorf("%skind = %q: members.on is not set", at, f.Kind)
 		}
+		if f.Kind == "settings-change" && (!e.Members.On || f.EveryS <= 0) {
+			return fmt.Errorf("%skind = %q: members.on is wanted, and every_s", at, f.Kind)
+		}
 		if f.Kind == "keepers-change" && (!e.Copies.Agreed || len(f.Indices)%2 == 0) {
 			return fmt.Errorf("%skind = %q: an odd number of indices is wanted, and copies.agreed", at, f.Kind)
 		}
