A crowd of silent clients leaves descriptors for the watch, staff and ops

Need: idle and half-spoken clients may fill the descriptors while discovery is down; what comes at its return must find some.

Seen, with a real process, 384 such clients and 96 descriptors: where the machine allows fewer than the configuration says, accepting failed for want of a descriptor, so nobody was admitted and nobody gave way any more: no op and no call of staff was answered again, in all three kinds of outage. Where the two agree the process held 48 of 96, but a flood of half requests, which wait for nothing, had the clients give way that were served before: their connections ended within 2 to 6 ops.

By reading and by unit tests: a connection whose wait was ended counted as gone before it was closed, so accepting could run ahead of the readers without bound (guests.admit); an offer to take over ended for good at the first accept that failed (pass.Offer); a member's 35 sockets and its file of copies had no descriptors but the 32 for all else, which by count are 34 at worst with a full console.

Change: the process's own limit counts where it is lower than the configuration's. One that gives way counts until it is closed. Accepting without a descriptor has one that waits give way. Those that were served keep half of the first bound. 36 are kept, and 36 more for members and copies, which are turned down at the start with fewer than 100. A takeover gives each process first what it needs beside its connections.

Two tests of the operator's file state the limit that each configuration has.

--- a/cmd/woaddyke/operator.go
+++ b/cmd/woaddyke/operator.go
@@ -8,9 +8,12 @@
 	"woaddyke/internal/fates"
 	"woaddyke/internal/mesh"
 	"woaddyke/internal/operator"
+	"woaddyke/internal/shelf"
 	"woaddyke/internal/terms"
 )
 
+const leastSockets = 64 // descriptors of a scheduler by itself, as terms has it
+
 // offers are the tables of the operator's file. What is nil is off: no socket, no goroutine and no timer.
 type offers struct {
 	Members *mesh.Table  `toml:"members"`
@@ -40,6 +43,17 @@
 	return o, operator.Read(path, o, func() error { return o.check(sheet) })
 }
 
+// descriptors is how many the tables that are on may take.
+func (o *offers) descriptors() (n int) {
+	if o.Members != nil {
+		n += mesh.Descriptors
+	}
+	if o.Copies != nil {
+		n += shelf.Descriptors
+	}
+	return n
+}
+
 func (o *offers) check(sheet *terms.Sheet) error {
 	t := o.Members
 	if t == nil {
@@ -54,6 +68,10 @@
 	if sheet.Name == "" {
 		return &operator.Fault{Table: "members", Key: "cluster", Err: errors.New("the configuration gives this scheduler no name")}
 	}
+	if least := leastSockets + o.descriptors(); sheet.Limits.Sockets < least {
+		return &operator.Fault{Table: "members", Key: "listen",
+			Err: fmt.Errorf("%d descriptors are too few for a scheduler that is a member, %d at least", sheet.Limits.Sockets, least)}
+	}
 	if t.Words {
 		if err := sheet.Speak(); err != nil {
 			return &operator.Fault{Table: "members", Key: "words", Err: fmt.Errorf("words: %w", err)}
--- a/cmd/woaddyke/operator_test.go
+++ b/cmd/woaddyke/operator_test.go
@@ -15,7 +15,7 @@
 
 // The example in deploy/ must be a file that the program takes, with all its defaults as stated.
 func TestTheExampleOfTheOperatorsFileIsFit(t *testing.T) {
-	sheet := &terms.Sheet{Name: "n1", Site: map[string]any{}}
+	sheet := &terms.Sheet{Name: "n1", Limits: terms.Limits{Sockets: 1024}, Site: map[string]any{}}
 	o, err := readOffers("../../deploy/operator.toml", sheet)
 	if err != nil {
 		t.Fatal(err)
@@ -95,10 +95,25 @@
 	}
 	path := filepath.Join(t.TempDir(), "on.toml")
 	os.WriteFile(path, []byte("[members]\ncluster=\"a\"\nlisten=\"127.0.0.1:0\"\n"), 0o600)
-	if o, err = readOffers(path, &terms.Sheet{Name: "n1", Site: map[string]any{}}); err != nil {
+	if o, err = readOffers(path, &terms.Sheet{Name: "n1", Limits: terms.Limits{Sockets: 1024}, Site: map[string]any{}}); err != nil {
 		t.Fatal(err)
 	}
 	if !runs(*o) {
 		t.Error("this test would not see the mesh")
 	}
 }
+
+// A member's streams and its file of copies come beside the connections: with the fewest descriptors that a scheduler may have they
+// took those of the watch and of staff.
+func TestAMemberNeedsDescriptorsOfItsOwn(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "on.toml")
+	if err := os.WriteFile(path, []byte("[members]\ncluster = \"c\"\nlisten = \"127.0.0.1:7\"\n[copies]\nkeepers = [\"a\", \"b\", \"c\"]\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, sockets := range []int{64, 99, 100} {
+		_, err := readOffers(path, &terms.Sheet{Name: "n1", Limits: terms.Limits{Sockets: sockets}, Site: map[string]any{}})
+		if enough := sockets == 100; (err == nil) != enough || !enough && !strings.Contains(err.Error(), "100 at least") {
+			t.Errorf("%d: %v", sockets, err)
+		}
+	}
+}
--- a/cmd/woaddyke/process.go
+++ b/cmd/woaddyke/process.go
@@ -44,6 +44,27 @@
 	debug.SetMemoryLimit(int64(p.sheet.Limits.MemoryMB) << 20 * 3 / 4 / processes)
 }
 
+// fewer takes the machine's own bound on descriptors for the configuration's where it is lower: what lies beyond is not there.
+func fewer(sheet *terms.Sheet, log zerolog.Logger) {
+	var r unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &r); err != nil || r.Cur >= uint64(sheet.Limits.Sockets) {
+		return
+	}
+	log.Warn().Int("sockets", sheet.Limits.Sockets).Uint64("allowed", r.Cur).Msg("the machine allows fewer descriptors than the configuration")
+	sheet.Limits.Sockets = int(r.Cur)
+}
+
+// make makes the scheduler, and has it leave descriptors for what the operator's file has run beside it.
+func (p *process) make() (err error) {
+	if p.front, err = front.New(p.sheet, p.log); err != nil {
+		return err
+	}
+	if n := p.offers.descriptors(); n > 0 {
+		p.front.Reserve(n)
+	}
+	return nil
+}
+
 // begin makes the scheduler and its listening socket, from those of a process that is to be replaced if there is one.
 func (p *process) begin() (at net.Listener, err error) {
 	var legacy *pass.Legacy
@@ -66,7 +87,7 @@
 		legacy.Close()
 		p.log.Warn().Err(err).Msg("nothing taken over")
 	}
-	if p.front, err = front.New(p.sheet, p.log); err != nil {
+	if err = p.make(); err != nil {
 		return nil, err
 	}
 	var how net.ListenConfig
@@ -118,7 +139,7 @@
 		peers, _ = conn.(*net.UDPConn)
 	}
 	p.sheet.Known = state.Known
-	if p.front, err = front.New(p.sheet, p.log); err != nil {
+	if err = p.make(); err != nil {
 		return nil, err
 	}
 	if err = p.join(legacy, state); err != nil {
--- a/cmd/woaddyke/serve.go
+++ b/cmd/woaddyke/serve.go
@@ -40,6 +40,7 @@
 			if sheet.Console == "" {
 				sheet.Console = staff
 			}
+			fewer(sheet, log)
 			offers, err := readOffers(operators, sheet)
 			if err != nil {
 				return err
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -29,7 +29,7 @@
 )
 
 const (
-	spare      = 32                      // descriptors kept for the listener, discovery and the runtime
+	spare      = 36                      // descriptors kept for the runtime, the listener, discovery, a file, staff and a takeover
 	headTime   = 1500 * time.Millisecond // for a head, and for a connection to say anything at all
 	bodyTime   = time.Second             // for a body after that: on a whole request nobody waits for 3 s
 	patience   = 10 * time.Second        // with a client that does not read its answer
@@ -59,15 +59,16 @@
 	clients  *guests.Guests
 	tally    *tally.Tally
 
-	inForce atomic.Pointer[terms.Sheet] // that was read last
-	places  int                         // categories that were taken up since the start
-	drain   *drainer
-	peersAt *net.UDPConn          // that of the process before, nil without one
-	others  func() *tally.Members // nil where this is no member
-	shared  *sharing              // nil: only the own discovery counts
-	known   ops.Listed            // as remembered at the start
-	fates   Fates                 // nil: this scheduler alone knows its ops
-	guarded func(category string) bool
+	inForce  atomic.Pointer[terms.Sheet] // that was read last
+	places   int                         // categories that were taken up since the start
+	reserved int                         // descriptors for what runs beside it in this process
+	drain    *drainer
+	peersAt  *net.UDPConn          // that of the process before, nil without one
+	others   func() *tally.Members // nil where this is no member
+	shared   *sharing              // nil: only the own discovery counts
+	known    ops.Listed            // as remembered at the start
+	fates    Fates                 // nil: this scheduler alone knows its ops
+	guarded  func(category string) bool
 }
 
 type heldKey struct{}
@@ -134,9 +135,6 @@
 	return f, nil
 }
 
-// share is a part of so many descriptors, less those that are kept.
-func share(part float64, sockets int) int { return max(int(part*float64(sockets-spare)), 1) }
-
 // Serve takes ops until the context ends, and then answers what it has taken within the time given.
 func (f *Front) Serve(ctx context.Context, l net.Listener, within time.Duration) error {
 	watching, unwatch := context.WithCancel(context.Background())
--- a/internal/front/handover.go
+++ b/internal/front/handover.go
@@ -27,7 +27,7 @@
 		return nil, nil, err
 	}
 	workers, _ := f.loop.pool.Counts()
-	giver, heir := handover.Split(f.sheet.Limits.Sockets, f.clients.Sockets()+workers+spare)
+	giver, heir := handover.Split(f.sheet.Limits.Sockets, f.clients.Sockets()+workers, spare+f.reserved)
 	state := handover.State{Sockets: heir, Known: known, Drained: f.drain.on()}
 	if learned, ok := f.loop.learned(); ok {
 		if state.Learned, err = json.Marshal(learned); err != nil {
@@ -72,13 +72,25 @@
 	}
 }
 
+// Reserve keeps so many descriptors for what runs beside the scheduler in its process. It is called before Serve.
+func (f *Front) Reserve(descriptors int) {
+	f.reserved += descriptors
+	f.Limit(f.sheet.Limits.Sockets)
+}
+
 // Limit sets how many descriptors this process may use.
 func (f *Front) Limit(sockets int) { f.limit(sockets, 0) }
 
 // limit leaves room for so many connections to workers at the least, of clients' room: ops that can't be pushed only wait.
 func (f *Front) limit(sockets, workers int) {
-	all := sockets - spare
-	workers = max(share(forWorkers, sockets), min(workers, all-share(forSome, sockets)))
-	f.clients.Limit(min(share(forSome, sockets), all-workers), max(min(share(forClients, sockets), all-workers), 1))
+	some, most, workers := parts(sockets-spare-f.reserved, workers)
+	f.clients.Limit(some, most)
 	f.loop.pool.Limit(workers)
 }
+
+// parts parts so many descriptors between clients, of whom from the first bound on some give way, and connections to workers.
+func parts(all, keep int) (some, most, workers int) {
+	share := func(part float64) int { return max(int(part*float64(all)), 1) }
+	workers = max(share(forWorkers), min(keep, all-share(forSome)))
+	return max(min(share(forSome), all-workers), 1), max(min(share(forClients), all-workers), 1), workers
+}
--- a/internal/guests/guests.go
+++ b/internal/guests/guests.go
@@ -19,8 +19,9 @@
 )
 
 const (
-	look      = 2 * time.Millisecond // between two looks for room
-	mostLooks = 8                    // at connections that wait, for one on which nothing has come
+	look      = 2 * time.Millisecond  // between two looks for room
+	mostLooks = 8                     // at connections that wait, for one on which nothing has come
+	closeTime = 50 * time.Millisecond // for connections whose wait was ended to be closed, before a newcomer is
 )
 
 // Guests are the connections at one address. They share the descriptors with those to workers: too many of
@@ -35,6 +36,7 @@
 	open       map[*conn]*guest
 	paused     chan struct{}  // nil while connections are accepted; closed when they are again
 	parted     map[*conn]bool // told that their wait is over, and not closed yet
+	closed     chan struct{}  // has one when a connection has been closed since it was emptied
 }
 
 type guest struct {
@@ -199,7 +201,7 @@
 // New makes room for so many connections: from the first bound on others give way to a newcomer, at the second it
 // is closed unread.
 func New(most, full int) *Guests {
-	return &Guests{most: most, full: full, open: map[*conn]*guest{}, parted: map[*conn]bool{}}
+	return &Guests{most: most, full: full, open: map[*conn]*guest{}, parted: map[*conn]bool{}, closed: make(chan struct{}, 1)}
 }
 
 // Most is the first bound.
@@ -209,11 +211,13 @@
 	return g.most
 }
 
-// Limit sets other bounds. Those that are open may stay.
+// Limit sets other bounds. Of those that are open as many give way as wait and lie beyond the second one.
 func (g *Guests) Limit(most, full int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.most, g.full = most, full
+	for len(g.open) > full && g.giveWay() {
+	}
 }
 
 // Count is how many are open.
@@ -275,22 +279,54 @@
 			<-paused
 			continue
 		}
+		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+			// Whoever holds them, here or elsewhere on the machine: while nobody can be accepted nobody would give way either.
+			g.mu.Lock()
+			g.giveWay()
+			g.mu.Unlock()
+			g.awaitClose(look)
+			continue
+		}
 		if err != nil {
 			return nil, err
 		}
-		c, until := &conn{Conn: nc, of: g}, time.Now().Add(g.Patience)
-		let := g.admit(c)
-		for !let && time.Now().Before(until) {
-			time.Sleep(look)
-			let = g.admit(c)
-		}
-		if let {
+		if c := (&conn{Conn: nc, of: g}); g.admitSoon(c) {
 			return c, nil
 		}
 		nc.Close()
 	}
 }
 
+// admitSoon admits a connection once there is room. Those that give way to it hold their descriptors until their readers have seen that
+// their wait is over: accepting faster than that took the descriptors of all else, where the readers had to wait for the processor.
+func (g *Guests) admitSoon(c *conn) bool {
+	began := time.Now()
+	for {
+		let, closing := g.admit(c)
+		waited := time.Since(began)
+		switch {
+		case let:
+			return true
+		case closing && waited < max(closeTime, g.Patience):
+			g.awaitClose(closeTime)
+		case waited < g.Patience:
+			time.Sleep(look)
+		default:
+			return false
+		}
+	}
+}
+
+// awaitClose returns when a connection has been closed, or after so long.
+func (g *Guests) awaitClose(most time.Duration) {
+	late := time.NewTimer(most)
+	defer late.Stop()
+	select {
+	case <-g.closed:
+	case <-late.C:
+	}
+}
+
 func (g *Guests) pausing() chan struct{} {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -324,32 +360,45 @@
 	return err
 }
 
-func (g *Guests) admit(nc *conn) bool {
+// admit lets a connection in where there is room, of descriptors too: those of connections whose wait was ended are closing.
+func (g *Guests) admit(nc *conn) (let, closing bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for len(g.open) >= g.most {
-		if old := g.oldest(); old != nil {
-			g.part(old)
-			continue
-		}
-		if len(g.open) >= g.full {
-			return false
-		}
-		break
+	for len(g.open) >= g.most && g.giveWay() {
+	}
+	if len(g.open) >= g.full || len(g.parted) > 0 && len(g.open)+len(g.parted) >= g.full {
+		return false, len(g.parted) > 0
 	}
 	g.open[nc] = &guest{since: time.Now(), state: http.StateNew}
-	return true
+	return true, false
+}
+
+// giveWay ends the wait of the connection that is to give way, with the lock held; false where none waits.
+func (g *Guests) giveWay() bool {
+	old := g.oldest()
+	if old != nil {
+		g.part(old)
+	}
+	return old != nil
 }
 
 // oldest is the connection that gives way: that which has waited longest among those never served, else among
-// all that wait for a request. One whose request has come but is not read yet is none of them.
+// all that wait for a request. One whose request has come but is not read yet is none of them. Those that were served have half of the
+// first bound for themselves: half requests wait for nothing, and a flood of them took the place of one client after another.
 func (g *Guests) oldest() *conn {
 	var unread []*conn
+	served := 0
+	for _, x := range g.open {
+		if x.served {
+			served++
+		}
+	}
+	keep := served <= g.most/2
 	for range mostLooks {
 		var old *conn
 		var o *guest
 		for nc, x := range g.open {
-			waits := x.waits() && !slices.Contains(unread, nc)
+			waits := x.waits() && !(x.served && keep) && !slices.Contains(unread, nc)
 			if waits && (o == nil || !x.served && o.served || x.served == o.served && x.since.Before(o.since)) {
 				old, o = nc, x
 			}
@@ -400,6 +449,10 @@
 	x := g.open[c]
 	if state == http.StateClosed || state == http.StateHijacked {
 		delete(g.parted, c)
+		select {
+		case g.closed <- struct{}{}:
+		default:
+		}
 	}
 	switch {
 	case x == nil || state == http.StateNew:
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -97,9 +97,12 @@
 	return s, nil
 }
 
-// Split parts a scheduler's descriptors between a giver that holds so many and its heir: half each, as both serve for a while;
-// the giver keeps what it holds, as closing that would lose ops, up to three quarters.
-func Split(all, held int) (giver, heir int) {
-	giver = min(max(held, all/2), all*3/4)
+// Split parts a scheduler's descriptors between a giver whose connections are so many and its heir. Each first gets what a process
+// needs beside its connections; of the rest half each, as both serve for a while, but the giver keeps what it holds, as closing that
+// would lose ops, up to three quarters.
+func Split(all, held, needs int) (giver, heir int) {
+	needs = min(needs, all/2)
+	rest := all - 2*needs
+	giver = needs + min(max(held, rest/2), rest*3/4)
 	return giver, all - giver
 }
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -20,10 +20,11 @@
 
 // Both processes together may hold no more than one scheduler.
 func TestDescriptorsAreParted(t *testing.T) {
-	for _, c := range [][3]int{{384, 70, 192}, {384, 250, 250}, {384, 380, 288}, {64, 0, 32}} {
-		giver, heir := Split(c[0], c[1])
-		if giver != c[2] || giver+heir != c[0] {
-			t.Errorf("%d with %d held: %d and %d", c[0], c[1], giver, heir)
+	for _, c := range [][4]int{{384, 70 - 32, 32, 192}, {384, 250 - 32, 32, 250}, {384, 380 - 32, 32, 272}, {64, 0, 32, 32}, {128, 90, 36, 78},
+		{128, 90, 73, 64}, {129, 0, 73, 64}} {
+		giver, heir := Split(c[0], c[1], c[2])
+		if giver != c[3] || giver+heir != c[0] || heir < min(c[2], c[0]/2) || giver < min(c[2], c[0]/2) {
+			t.Errorf("%d with %d held, %d needed: %d and %d", c[0], c[1], c[2], giver, heir)
 		}
 	}
 }
--- a/internal/handover/pass/pass.go
+++ b/internal/handover/pass/pass.go
@@ -23,6 +23,7 @@
 	longest      = 16 << 20    // bytes of one
 	longestAsker = 64 << 10
 	mostSockets  = 4 // that come with one
+	acceptRetry  = 10 * time.Millisecond
 )
 
 // Path is where a scheduler of this name with this address for clients hands over. The same address may be another one's in another
@@ -171,29 +172,36 @@
 		l.Close()
 		return nil, fmt.Errorf("handover: %w", err)
 	}
-	go func() {
-		for {
-			line, err := l.AcceptUnix()
-			if err != nil {
-				return
-			}
-			given, err := send(line, g)
-			if err != nil {
-				log.Warn().Err(err).Msg("not handed over")
-			} else {
-				log.Info().Msg("handed over")
-				awaitEnd(line)
-				log.Info().Msg("the process that took over has ended")
-			}
-			line.Close()
-			if given {
-				g.Heir(false)
-			}
-		}
-	}()
+	go offer(l.AcceptUnix, g, log)
 	return l, nil
 }
 
+// offer hands over to one after another until nobody can come any more.
+func offer(accept func() (*net.UnixConn, error), g Giver, log zerolog.Logger) {
+	for {
+		line, err := accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil { // no descriptor, now: who asks waits in the queue
+			time.Sleep(acceptRetry)
+			continue
+		}
+		given, err := send(line, g)
+		if err != nil {
+			log.Warn().Err(err).Msg("not handed over")
+		} else {
+			log.Info().Msg("handed over")
+			awaitEnd(line)
+			log.Info().Msg("the process that took over has ended")
+		}
+		line.Close()
+		if given {
+			g.Heir(false)
+		}
+	}
+}
+
 // send hands over. The giver is told of its heir before that one can know of it: it may be told to end at once.
 func send(line *net.UnixConn, g Giver) (given bool, err error) {
 	if err := sameUser(line); err != nil {
--- a/internal/handover/pass/pass_test.go
+++ b/internal/handover/pass/pass_test.go
@@ -204,3 +204,34 @@
 		t.Error("a scheduler does not find its own")
 	}
 }
+
+// A process that had no descriptor for the one that asked was never asked again: it could not be replaced any more.
+func TestAMomentWithoutDescriptorsDoesNotEndTheOffer(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	path := filepath.Join(t.TempDir(), "h")
+	at, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	g, none, ended := &giver{l: l.(*net.TCPListener), heirs: make(chan bool, 9)}, 3, make(chan bool)
+	go func() {
+		offer(func() (*net.UnixConn, error) {
+			if none--; none >= 0 {
+				return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+			}
+			return at.AcceptUnix()
+		}, g, zerolog.Nop())
+		close(ended)
+	}()
+	got, err := Ask(path, []byte(`me`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	got.Close()
+	at.Close()
+	<-ended
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -38,6 +38,9 @@
 	receiveRoom  = 1 << 20     // bytes that the kernel keeps for a process that stands still
 )
 
+// Descriptors is how many a member holds at the most: its two sockets, its streams, and one that is turned away.
+const Descriptors = 2 + mostAnswered + mostOpened + 1
+
 // Host is told what the mesh finds out. Its methods are called from the mesh's one loop and must not wait for it.
 type Host struct {
 	Changed func(members.Changed)
--- a/internal/shelf/shelf.go
+++ b/internal/shelf/shelf.go
@@ -20,6 +20,9 @@
 	version  = 2
 )
 
+// Descriptors is how many an open shelf holds.
+const Descriptors = 1
+
 var (
 	recordsName = []byte("records")
 	metaName    = []byte("meta")
