--- a/cmd/woaddyke/descriptors_test.go
+++ b/cmd/woaddyke/descriptors_test.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"woaddyke/internal/lab/between"
+	"woaddyke/internal/lab/several"
 	"woaddyke/internal/tally"
 )
 
@@ -370,3 +371,71 @@
 		}
 	}
 }
+
+// A keeper in a crowd, with its streams to other members and its file of copies, and replaced in the middle of it: its journal goes over to
+// the heir, it has its vote, ops of which each needs a majority are served, and the drain that discovery comes back with is kept.
+func TestACrowdLeavesAKeeperAndItsHeirTheirDescriptors(t *testing.T) {
+	t.Parallel()
+	const limit = 160
+	pushed, list := two(t)
+	o := newOutage(t, list(1, "SERVING"))
+	c := several.New(t, 3, quick+"[copies]\nkeepers = [\"n1\", \"n2\", \"n3\"]\npull = \"50ms\"\nhold_off = \"5s\"\nwait = \"500ms\"\npath = \"{dir}/copies.db\"\n",
+		noWorkers, within(limit))
+	for _, p := range c.Places {
+		p.Discovery = o.addr
+		c.Start(p)
+	}
+	c.AwaitWhole(c.Places...)
+	votes := func() bool {
+		for _, p := range c.Places {
+			if !p.Get("/api/ready", nil) || !votes(p) {
+				return false
+			}
+		}
+		return true
+	}
+	c.Await("all are ready and have their votes", votes)
+	client := newKept(t, c.Places[0].Listen)
+	client.served("pay")
+	o.down("hangs")
+	first := c.Places[0]
+	crowd := newCrowd(t, first.Listen, 3*limit)
+	await(t, "as many were shut as there are descriptors", o, func() bool { return crowd.shut.Load() >= limit })
+	began, acked := time.Now(), 0
+	c.Await("ops are served in the crowd", func() bool { // a majority may be late once, and then none is pushed
+		switch status := client.asks("pay"); status {
+		case http.StatusOK:
+			acked++
+		case http.StatusServiceUnavailable:
+		default:
+			t.Fatalf("op %d: status %d", client.n, status)
+		}
+		return acked >= 20 && time.Since(began) > downFor()
+	})
+	c.Takeover(first)
+	c.Await("the heir has the vote", votes)
+	running, _ := first.Running()
+	if n := descriptorsOf(running.Process.Pid); n > limit {
+		t.Errorf("%d descriptors", n)
+	}
+	o.back(list(2, "DRAINING"))
+	c.Await("the drain is told", func() bool {
+		f := figures(t, first.Console)
+		return f.WorkersKnown == 3 && f.WorkersExcluded == 2
+	})
+	from := pushed[0].Load()
+	acked = 0
+	c.Await("ops are served by the heir", func() bool { // a newcomer may be shut unread
+		if status, _ := post(first, "pay", fmt.Sprint("after", acked), "x"); status == http.StatusOK {
+			acked++
+		}
+		return acked == 5
+	})
+	if n := pushed[0].Load() - from; n > 0 {
+		t.Errorf("%d ops went to the worker that drains", n)
+	}
+	c.AwaitWhole(c.Places...)
+}
+
+// String is for logs.
+func (o *outage) String() string { return "discovery at " + o.addr }
