A test's discovery listens at once, not at an address that was free a moment ago

Seen: one of six cases ended at its start with an address in use, in one run of all tests beside much other load. The stand-in asked for a free port, closed it and listened there anew; what took it between was not found, the gap is gone.

--- a/cmd/woaddyke/descriptors_test.go
+++ b/cmd/woaddyke/descriptors_test.go
@@ -46,11 +46,15 @@
 
 var addrs atomic.Int64
 
-// ownAddr is a free address on a machine of its own, so to say: at 127.0.0.1 one of the crowd may have the port in the next moment.
+// ownIP is a machine of its own, so to say: at 127.0.0.1 one of the crowd may have a free port in the next moment.
+func ownIP() netip.Addr {
+	return netip.AddrFrom4([4]byte{127, 11, byte(os.Getpid() % 250), byte(addrs.Add(1)%250 + 1)})
+}
+
+// ownAddr is a free address there.
 func ownAddr(t *testing.T) string {
 	t.Helper()
-	n := addrs.Add(1)
-	at, err := between.Free(netip.AddrFrom4([4]byte{127, 11, byte(os.Getpid() % 250), byte(n%250 + 1)}))
+	at, err := between.Free(ownIP())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -73,7 +77,7 @@
 
 func newOutage(t *testing.T, list string) *outage {
 	o := &outage{t: t, list: list, fresh: make(chan struct{})}
-	o.listen(ownAddr(t))
+	o.listen(netip.AddrPortFrom(ownIP(), 0).String()) // not at one that was free a moment ago
 	o.addr = o.l.Addr().String()
 	t.Cleanup(func() { o.s.Close() })
 	return o
