Lists: a move that is turned away is called again by its own wait, not at once

Change: a move has waited for nothing. Test: one call in the second after a move, for eight seeds; with the line taken out it fails.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -140,7 +140,7 @@
 		case <-ctx.Done():
 			return
 		case <-r.moved:
-			b = broken{}
+			b, wait = broken{}, 0
 		case <-time.After(wait):
 		}
 		r.mu.Lock()
--- a/internal/roster/told_test.go
+++ b/internal/roster/told_test.go
@@ -31,6 +31,7 @@
 	slow      time.Duration // an answer takes so long after that
 	then      string        // the entries of its list by then
 	calls     int
+	last      time.Duration // of them
 }
 
 const (
@@ -77,6 +78,7 @@
 		}
 		if down {
 			o.calls++
+			o.last = time.Since(o.from)
 		}
 		switch how {
 		case answers:
@@ -262,6 +264,30 @@
 	}
 }
 
+// A move calls at once, and once: what it broke off was no wait that the new address has to make up for.
+func TestAnAddressThatTurnsAwayIsCalledOnceAtAMove(t *testing.T) {
+	for seed := range uint64(8) {
+		synctest.Test(t, func(t *testing.T) {
+			o := outage{pipes: pipes{make(chan net.Conn), make(chan struct{})}, from: time.Now(), how: []way{turned}, back: time.Hour}
+			go o.serve()
+			r := New("discovery", Message{}, SpansOf(false, 300, 2500*time.Millisecond), seed, func(ops.Input) {}, zerolog.Nop())
+			r.client.Transport.(*http.Transport).DialContext = o.dial
+			ctx, stop := context.WithCancel(context.Background())
+			go r.Keep(ctx)
+			time.Sleep(time.Minute)
+			before, now := o.calls, time.Since(o.from)
+			r.Move("another")
+			time.Sleep(time.Second)
+			if o.calls != before+1 || o.last != now {
+				t.Errorf("seed %d: %d calls in the second after the move, the last %v after it", seed, o.calls-before, o.last-now)
+			}
+			stop()
+			close(o.ended)
+			time.Sleep(time.Minute) // all ends
+		})
+	}
+}
+
 // The same as sums, for every number of schedulers and every grace, with the worst draws of chance.
 func TestTheSpansOfAWatchFitIntoSixSeconds(t *testing.T) {
 	for _, pushes := range []bool{true, false} {
