A look at the socket alone keeps back each attempt for a client that left: a test of each way

Which guard held back an op of a client that had left was not told apart by the tests: the watch for its end had nearly always spoken before the look at its socket was asked. In a starved process the watch gets its turn last.

New tests serve behind connections whose watches hear nothing while the sockets can be looked at. Each way in which an attempt can begin is held in its last moment, the client leaves (the machine knows of its end, by the connection's state), and the way is opened: probes waited for, a further look, another try after an ending, a dial, an op before a busy loop and before a full one, a grant at the fates' door, a connection that is not accepted yet, a body that is not read yet; each where the client closes, ends its sending, resets, or closes behind a further op that lies unread. The op has to be decided on and to be at its end with nothing written. A thousand clients that leave at once while the loop is held are a test of their own.

--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -33,7 +33,10 @@
 		w.(http.Flusher).Flush()
 		<-r.Context().Done()
 	}))
-	t.Cleanup(discovery.Close)
+	t.Cleanup(func() {
+		discovery.CloseClientConnections() // Close would wait for the scheduler's end
+		discovery.Close()
+	})
 	return &terms.Sheet{Discovery: discovery.Listener.Addr().String(), Known: json.RawMessage(known),
 		Limits: terms.Limits{Cores: 1, MemoryMB: 64, Sockets: 256}}
 }
--- /dev/null
+++ b/internal/front/gone_test.go
@@ -0,0 +1,369 @@
+package front
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"woaddyke/internal/copies"
+)
+
+// deaf are the accepted connections of a scheduler whose watches for its clients' ends never hear of one, as where the goroutines that
+// watch get no turn: what a look at the socket does not keep back is sent on.
+type deaf struct {
+	net.Listener
+	accepts <-chan bool // nil: at once
+	reads   <-chan bool // waited for before each read but a connection's first; nil: at once
+
+	mu   sync.Mutex
+	came []*net.TCPConn
+}
+
+func (d *deaf) Accept() (net.Conn, error) {
+	if d.accepts != nil {
+		<-d.accepts
+	}
+	nc, err := d.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.came = append(d.came, nc.(*net.TCPConn))
+	return &unheard{TCPConn: nc.(*net.TCPConn), of: d}, nil
+}
+
+// ended is how many of the connections that came this machine knows the end of.
+func (d *deaf) ended(t *testing.T) (n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, c := range d.came {
+		if raw, err := c.SyscallConn(); err != nil {
+			t.Fatal(err)
+		} else if err := raw.Control(func(fd uintptr) {
+			info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+			if err == nil && (info.State == unix.BPF_TCP_CLOSE_WAIT || info.State == unix.BPF_TCP_CLOSE) {
+				n++
+			}
+		}); err != nil {
+			n++ // closed here
+		}
+	}
+	return n
+}
+
+func (d *deaf) close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, c := range d.came {
+		c.Close()
+	}
+}
+
+type unheard struct {
+	*net.TCPConn
+	of   *deaf
+	read bool
+}
+
+func (u *unheard) Read(b []byte) (int, error) {
+	if u.read && u.of.reads != nil {
+		<-u.of.reads
+	}
+	u.read = true
+	return u.TCPConn.Read(b)
+}
+
+func (u *unheard) SyscallConn() (syscall.RawConn, error) {
+	raw, err := u.TCPConn.SyscallConn()
+	return noWatch{raw}, err
+}
+
+// noWatch is a connection that can be looked at, but that nobody hears from who waits for something to come.
+type noWatch struct{ syscall.RawConn }
+
+func (n noWatch) Read(func(uintptr) bool) error {
+	return n.RawConn.Read(func(uintptr) bool { return false })
+}
+
+// granting are fates that let an op wait until they are let grant it.
+type granting struct{ asks, grant chan bool }
+
+func (g *granting) Ask(context.Context, string, string, []byte, time.Duration, time.Duration) copies.Decided {
+	g.asks <- true
+	<-g.grant
+	return copies.Decided{Outcome: copies.Mine, Ticket: 7}
+}
+func (*granting) Ran(uint64, string)            {}
+func (*granting) End(uint64, bool, int, []byte) {}
+func (*granting) GiveUp(uint64)                 {}
+
+// In a process whose goroutines get their turns late, the watches among them, a client's close is known to the machine and to nobody in
+// the process. Each way in which an attempt can begin is held in its last moment, the client leaves, and the way is opened: the attempt
+// is decided on and kept back by the look at the socket alone, and that look is where the op ends.
+func TestALookAloneKeepsBackEachAttempt(t *testing.T) {
+	const empty = "Content-Length: 0\r\n\r\n"
+	type way struct {
+		name     string
+		probes   bool
+		category string
+		id, text string
+		pushes   int // attempts before the client leaves
+		// hold has the op wait in the moment before an attempt, and tells how to let it go on.
+		before func(d *deaf) (open func())
+		prime  func(t *testing.T, g *gate)
+		stay   int   // ops of clients that stay, before
+		more   []any // categories
+		alone  bool  // beside no other test
+		hold   func(t *testing.T, g *gate) (open func())
+	}
+	ways := []way{{
+		name: "it waits for probes", probes: true,
+		hold: func(_ *testing.T, g *gate) func() {
+			<-g.probed
+			return func() { g.let <- true }
+		},
+	}, {
+		name: "it looks again", probes: true, category: "soon",
+		stay: 2, alone: true, // it has a second from one look to the next, and half of one for the first
+		more: []any{map[string]any{"name": "soon", "effect": "fragile", "ttlNs": 300e9, "targetLatencyNs": 4e9}},
+		prime: func(t *testing.T, g *gate) {
+			g.busy.Store(1)
+			g.stays(t, "slow", 300*time.Millisecond) // by which other probes are waited for
+			g.busy.Store(10000)                      // a queue that outlasts any op
+		},
+		hold: func(t *testing.T, g *gate) func() {
+			<-g.probed
+			g.let <- true
+			g.await(t, "its look is over", func() bool {
+				g.front.loop.pool.Sweep(time.Now().Add(time.Hour))
+				open, _ := g.front.loop.pool.Counts()
+				return open == 0
+			})
+			ofLoop(g) // has taken in what it saw
+			g.busy.Store(0)
+			g.stays(t, "stays", 0) // what is seen for it makes the worker worth another look
+			free := busyLoop(g, 0)
+			return func() {
+				close(free)
+				await(t, "it looks again", g.probed)
+				g.let <- true
+			}
+		},
+	}, {
+		name: "it is tried again after an ending", id: "refused", pushes: 1,
+		hold: func(_ *testing.T, g *gate) func() {
+			<-g.pushed
+			return func() { close(g.turned) }
+		},
+	}, {
+		name: "its push dials",
+		hold: func(_ *testing.T, g *gate) func() {
+			up := make(chan bool)
+			g.front.loop.pool.Connect = func(_ context.Context, network, addr string) (net.Conn, error) {
+				<-up
+				return net.Dial(network, addr)
+			}
+			return func() { close(up) }
+		},
+	}, {
+		name: "it lies before a busy loop",
+		hold: func(t *testing.T, g *gate) func() {
+			free := busyLoop(g, 0)
+			return func() {
+				g.await(t, "the op lies before the loop", func() bool { return len(g.front.loop.in) == 1 })
+				close(free)
+			}
+		},
+	}, {
+		name: "the loop has a full backlog",
+		hold: func(_ *testing.T, g *gate) func() {
+			free := busyLoop(g, backlog)
+			return func() { close(free) }
+		},
+	}, {
+		name: "it is granted", category: "asked",
+		hold: func(_ *testing.T, g *gate) func() {
+			by := &granting{make(chan bool, 1), make(chan bool)}
+			g.front.Guard(by, func(category string) bool { return category == "asked" })
+			return func() { <-by.asks; close(by.grant) }
+		},
+	}, {
+		name: "its connection is not accepted yet",
+		before: func(d *deaf) func() {
+			accepts := make(chan bool)
+			d.accepts = accepts
+			return func() { close(accepts) }
+		},
+	}, {
+		name: "its body is not read yet", text: "Content-Length: 9000\r\n\r\n" + string(make([]byte, 9000)),
+		before: func(d *deaf) func() {
+			reads := make(chan bool)
+			d.reads = reads
+			return func() { close(reads) }
+		},
+	}}
+	for _, x := range ways {
+		for how, leave := range map[string]func(*net.TCPConn){
+			"closes":                     func(c *net.TCPConn) { c.Close() },
+			"ends its sending":           func(c *net.TCPConn) { c.CloseWrite() },
+			"resets":                     func(c *net.TCPConn) { c.SetLinger(0); c.Close() },
+			"closes behind a further op": func(c *net.TCPConn) { io.WriteString(c, opText("next", empty)); c.Close() },
+		} {
+			if x.alone && how != "closes" {
+				continue
+			}
+			t.Run(x.name+", and its client "+how, func(t *testing.T) {
+				if !x.alone {
+					t.Parallel()
+				}
+				d := &deaf{}
+				open := func() {}
+				if x.before != nil {
+					open = x.before(d)
+				}
+				g := gatedBehind(t, false, x.probes, func(l net.Listener) net.Listener {
+					d.Listener = l
+					return d
+				}, x.more...)
+				t.Cleanup(d.close)
+				await(t, "ready", g.front.Ready())
+				if x.prime != nil {
+					x.prime(t, g)
+				}
+				held := x.hold != nil && (x.probes || x.pushes > 0) // only once the op is there
+				if x.hold != nil && !held {
+					open = x.hold(t, g)
+				}
+				nc, err := net.Dial("tcp", g.addr)
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer nc.Close()
+				text, id := x.text, x.id
+				if text == "" {
+					text = empty
+				}
+				if id == "" {
+					id = "left"
+				}
+				category := "look"
+				if x.category != "" {
+					category = x.category
+				}
+				fmt.Fprintf(nc, "POST / HTTP/1.1\r\nHost: x\r\n%s: %s\r\n%s: %s\r\n%s: 250000\r\n%s", idHeader, id, categoryHeader, category,
+					timeLeftHeader, text)
+				if held {
+					open = x.hold(t, g)
+				}
+				leave(nc.(*net.TCPConn))
+				if d.accepts == nil {
+					g.await(t, "the machine knows", func() bool { return d.ended(t) > 0 })
+				}
+				open()
+				g.await(t, "decided on, and at its end", func() bool {
+					taken, waits := ofLoop(g)
+					return taken == uint64(x.stay+1) && waits == 0
+				})
+				if n := len(g.pushed); n != 0 {
+					t.Errorf("it was sent on: %q", <-g.pushed)
+				}
+				if f := g.front.Figures(); f.Attempts != x.stay+x.pushes {
+					t.Errorf("%d attempts, not %d", f.Attempts, x.stay+x.pushes)
+				}
+			})
+		}
+	}
+}
+
+// stays has an op of a client that stays probe and go; the probe is answered after a while.
+func (g *gate) stays(t *testing.T, id string, answers time.Duration) {
+	t.Helper()
+	go func() {
+		<-g.probed
+		time.Sleep(answers)
+		g.let <- true
+	}()
+	if resp, _ := post(t, g.addr, "", idHeader+": "+id); resp.StatusCode != http.StatusOK || <-g.pushed != id {
+		t.Errorf("%s: %s", id, resp.Status)
+	}
+}
+
+func await[T any](t *testing.T, what string, comes <-chan T) {
+	t.Helper()
+	select {
+	case <-comes:
+	case <-time.After(10 * time.Second):
+		t.Fatalf("%s: never", what)
+	}
+}
+
+// busyLoop keeps a scheduler's loop from working until it is freed, with so many inputs before it.
+func busyLoop(g *gate, inputs int) (free chan bool) {
+	busy, free := make(chan bool), make(chan bool)
+	g.front.loop.in <- message{call: func() { busy <- true; <-free }}
+	<-busy
+	for range inputs {
+		g.front.loop.in <- message{call: func() {}}
+	}
+	return free
+}
+
+// ofLoop asks a scheduler's loop how many ops it has taken, and how many of these wait still.
+func ofLoop(g *gate) (taken uint64, waits int) {
+	done := make(chan bool)
+	g.front.loop.in <- message{call: func() {
+		taken, waits = g.front.loop.taken, len(g.front.loop.held)
+		close(done)
+	}}
+	<-done
+	return taken, waits
+}
+
+// A thousand clients whose ops wait before a loop that is held, for one reason or another, and that leave all at once: the watches for
+// their ends are slower than the loop, which has 256 ops before it and as many again behind each that it takes.
+func TestAThousandClientsThatLeaveAtOnce(t *testing.T) {
+	const clients = 1000
+	d := &deaf{}
+	g := gatedBehind(t, false, false, func(l net.Listener) net.Listener {
+		d.Listener = l
+		return d
+	})
+	defer d.close()
+	await(t, "ready", g.front.Ready())
+	g.front.Limit(4 * clients)
+	free := busyLoop(g, 0)
+	var open []net.Conn
+	for k := range clients {
+		c, err := net.Dial("tcp", g.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.WriteString(c, opText(fmt.Sprint("left", k), "Content-Length: 0\r\n\r\n"))
+		open = append(open, c)
+	}
+	g.await(t, "all are there", func() bool { return g.front.Figures().InFlight == clients })
+	for _, c := range open {
+		c.Close()
+	}
+	g.await(t, "the machine knows", func() bool { return d.ended(t) == clients })
+	close(free)
+	g.await(t, "all are at their end", func() bool {
+		taken, waits := ofLoop(g)
+		return taken == clients && waits == 0
+	})
+	if f := g.front.Figures(); f.Attempts != 0 || len(g.pushed) != 0 {
+		t.Errorf("%d attempts, %d came", f.Attempts, len(g.pushed))
+	}
+	if resp, _ := post(t, g.addr, "", idHeader+": stays"); resp.StatusCode != http.StatusOK || <-g.pushed != "stays" {
+		t.Errorf("an op of a client that stays: %s", resp.Status)
+	}
+}
--- a/internal/front/leave_test.go
+++ b/internal/front/leave_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,42 +22,70 @@
 type gate struct {
 	front  *Front
 	addr   string
-	probed chan bool   // a probe has come
-	let    chan bool   // answers one
-	pushed chan string // the ids of ops that came
+	probed chan bool    // a probe has come
+	let    chan bool    // answers one
+	busy   atomic.Int64 // what the answers say to be waiting and to run, as of the question
+	pushed chan string  // the ids of ops that came
+	turned chan bool    // lets the worker turn away an op of the name "refused"; one of the name "slow" takes 20 ms to start
 }
 
 // gated starts one. Nothing is decided on an op before its worker has been let answer: probes may take a minute.
 func gated(t *testing.T, cancel, probes bool) *gate {
-	g := &gate{probed: make(chan bool, 99), let: make(chan bool), pushed: make(chan string, 99)}
+	return gatedBehind(t, cancel, probes, func(l net.Listener) net.Listener { return l })
+}
+
+// gatedBehind puts something before its listener, and may have it serve more categories. Probes may take a quarter of the least target.
+func gatedBehind(t *testing.T, cancel, probes bool, before func(net.Listener) net.Listener, more ...any) *gate {
+	g := &gate{probed: make(chan bool, 99), let: make(chan bool), pushed: make(chan string, 9999), turned: make(chan bool)}
 	worker := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodGet {
+			busy := g.busy.Load()
 			g.probed <- true
 			select {
 			case <-g.let:
 			case <-r.Context().Done():
 			}
-			fmt.Fprintln(w, `{"waiting":0,"running":0}`)
+			fmt.Fprintf(w, `{"pending":%d,"busy_reqs":%[1]d}`+"\n", busy)
 			return
 		}
 		io.Copy(io.Discard, r.Body)
 		g.pushed <- r.Header.Get(idHeader)
+		if r.Header.Get(idHeader) == "refused" {
+			select {
+			case <-g.turned:
+			case <-r.Context().Done():
+			}
+			w.Header().Set("X-Unprocessed", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if r.Header.Get(idHeader) == "slow" {
+			time.Sleep(20 * time.Millisecond) // a start takes its time, by which a queue is judged
+			fmt.Fprintln(w, `{"id":"slow","state":"started"}`)
+		}
 		done(w, r.Header.Get(idHeader))
 	}))
 	t.Cleanup(worker.Close)
 	sheet := sheetOf(t, fmt.Sprintf(`{"rev":1,"all":true,"targets":[{"uid":"w","endpoint":%q,"state":"SERVING"}]}`,
 		worker.Listener.Addr()))
 	sheet.Site = terms.Flat(map[string]any{
-		"bounds": map[string]any{"maxPushes": 1.0, "cancel": cancel, "probes": probes, "connectTimeoutNs": 60e9},
-		"report": map[string]any{"fields": []any{"waiting", "running"}, "how": "on_probe"},
-		"categories": []any{map[string]any{"name": "look", "effect": "fragile", "ttlNs": 300e9, "targetLatencyNs": 240e9},
-			map[string]any{"name": "asked", "effect": "fragile", "ttlNs": 300e9, "targetLatencyNs": 240e9}}})
+		"bounds": map[string]any{"maxPushes": 3.0, "cancel": cancel, "probes": probes, "connectTimeoutNs": 60e9},
+		"report": map[string]any{"fields": []any{"pending", "busy_reqs"}, "how": "on_probe"},
+		"categories": append([]any{map[string]any{"name": "look", "effect": "fragile", "ttlNs": 300e9, "targetLatencyNs": 240e9},
+			map[string]any{"name": "asked", "effect": "fragile", "ttlNs": 300e9, "targetLatencyNs": 240e9}}, more...)})
 	f, err := New(sheet, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
 	}
 	g.front = f
-	g.addr, _ = serveUntil(t, f)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	g.addr = l.Addr().String()
+	go f.Serve(ctx, before(l), time.Second)
 	return g
 }
 
