--- a/cmd/lab/lab_test.go
+++ b/cmd/lab/lab_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"math"
 	"os"
 	"os/exec"
@@ -11,17 +12,52 @@
 	"regexp"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
 
-// programs builds lab and the scheduler once, side by side.
+// built is where all programs are, side by side; they are built once.
+var built = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "lab-programs-")
+	if err != nil {
+		return "", err
+	}
+	out, err := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "woaddyke/cmd/...").CombinedOutput()
+	if err != nil {
+		os.RemoveAll(dir)
+		return "", fmt.Errorf("%w\n%s", err, out)
+	}
+	builtAt = dir
+	return dir, nil
+})
+
+var builtAt string // empty where no test wanted them
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if builtAt != "" {
+		os.RemoveAll(builtAt)
+	}
+	os.Exit(code)
+}
+
+// programs is a folder of the test's own that holds all programs.
 func programs(t *testing.T) string {
 	t.Helper()
+	from, err := built()
+	if err != nil {
+		t.Fatal(err)
+	}
 	dir := t.TempDir()
-	out, err := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "woaddyke/cmd/...").CombinedOutput()
+	all, err := os.ReadDir(from)
 	if err != nil {
-		t.Fatalf("%v\n%s", err, out)
+		t.Fatal(err)
+	}
+	for _, f := range all {
+		if err := os.Link(filepath.Join(from, f.Name()), filepath.Join(dir, f.Name())); err != nil {
+			t.Fatal(err)
+		}
 	}
 	return dir
 }
