A cold worker's lot leaves chance its part of the budget, whoever sends the sum

Cause: a cold worker falls under N + 2 sqrt(N) + 2 ops in the settings' time, from all schedulers together. The lot's mean came to half of N at full load, and to all of N where reports proved true; bursts, later pairs, further pushes and clients' repeats raised it, and nothing in it knew of them. To blame: `quarter * (1 + truth)` in `spared`, and its divisor, which counted looks and no further pushes. Ruled out: no path reaches a cold worker but by the lot; `choose` with no answer draws among warm ones, or those that the lot let through.

Change: the lot keeps the mean below N / (1 + 1/sqrt(N))^2, which chance passes in at most 1 span of 30,000; over 1.5, for arrivals that rise by half before anything shows; over the demand, ops that ask for each that is served, as this scheduler sees it; with each further push as with each look. To all of N only while 19 of 20 pushes that were to start at once do. N comes from the settings (`tipAfter` is read now), the slots that the kind has shown, and the op's expected run. docs/design.md has the formula and the tables.

--- /dev/null
+++ b/dispatch/cold.go
@@ -0,0 +1,54 @@
+package dispatch
+
+import (
+	"math"
+
+	"woaddyke/internal/sample"
+)
+
+// What a scheduler can tell by itself of how much a cold worker bears and of how much all of them ask. The lot is drawn in
+// dispatch.go; docs/design.md has the sum of what all send, and how far it is spread.
+
+// warmth is the share of its capacity that a worker has reached for sure.
+func (d *Dispatcher) warmth(w *worker) float64 {
+	if !d.cold(w) {
+		return 1
+	}
+	return d.site.coldFrom + (1-d.site.coldFrom)*float64(d.now-w.since)/float64(d.site.warmAfter)
+}
+
+// budget is how many ops like this one the terms let all schedulers together send to a worker in the span after which it
+// falls: the stated multiple of what it can do by now. Nobody tells its capacity: that is the most slots that its kind has
+// shown, each busy with one such op after the other.
+func (d *Dispatcher) budget(o *op, w *worker) float64 {
+	slots := max(d.kinds[w.kind].slots, 1)
+	return d.site.overload * d.warmth(w) * slots * float64(d.site.tipAfter) / float64(max(d.expected(o), 1))
+}
+
+// share is how much of a budget of n the mean may be, so that chance does not pass n + 2 sqrt(n) + 2, at which a worker falls.
+// That is about (sqrt(n) + 1)^2, and a Poisson sum's spread is a half on the scale of square roots, whatever its mean.
+func share(n float64) float64 {
+	root := math.Sqrt(n)
+	return root / (root + 1) * root / (root + 1)
+}
+
+// met counts ops that have asked some worker, and such that were served. Only the last few dozen tell of now.
+func (d *Dispatcher) met(asked, served int) {
+	if d.asked += float64(asked); d.asked > 2*sample.Few {
+		d.asked, d.served = d.asked/2, d.served/2
+	}
+	d.served += float64(served)
+}
+
+// demand is the ops that come over what the fleet can do, 1 at least. Who sees a part of them sees their ratio: ops for each
+// that is served, times the share of their capacity that the ready workers have reached. Ops that the lot kept from asking
+// anybody don't count: a fleet that was all cold would have seen ever more demand, and been asked ever less.
+func (d *Dispatcher) demand() float64 {
+	able := 0.0
+	for i := range d.workers {
+		if w := &d.workers[i]; w.ready {
+			able += d.warmth(w)
+		}
+	}
+	return max((d.asked+1)/(d.served+1)*able/float64(max(d.ready, 1)), 1)
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -78,6 +78,7 @@
 	recent    = 10 * second // word from another scheduler older than this says nothing about now
 	allKeys   = 0           // under which all are counted
 	maxKeys   = 4096        // keys counted; of one beyond them nothing says that it is asked for often
+	rise      = 1.5         // arrivals may grow by so much before it shows in what is served
 	healthMax = 15 * second // a verdict on a worker older than this says nothing about now
 )
 
@@ -164,11 +165,11 @@
 
 // site is what is picked out of the terms, once: looked up by name at each use, they took half of the CPU.
 type site struct {
-	step, dial, call, warmAfter, progress, longestPause Time
-	coldFrom, overload, crossZone, connections          float64
-	me, all                                             int
-	maxPushes, myZone                                   int
-	probes, cancel, tellsStart, perWork, peers, keys    bool
+	step, dial, call, warmAfter, tipAfter, progress, longestPause Time
+	coldFrom, overload, crossZone, connections                    float64
+	me, all                                                       int
+	maxPushes, myZone                                             int
+	probes, cancel, tellsStart, perWork, peers, keys              bool
 }
 
 // Dispatcher is one scheduler's decisions and what they rest on.
@@ -205,7 +206,8 @@
 	round             bool // late is worked out
 	ranAnew           bool // runs have come since it was worked out
 	digest            digest
-	takes             bool // workers say at once that they have taken a push
+	asked, served     float64 // ops, of late
+	takes             bool    // workers say at once that they have taken a push
 	woken             Time
 }
 
@@ -507,6 +509,7 @@
 			d.taus = sample.Keep(d.taus, d.now-o.askedAt)
 		}
 		d.judge(o.worker, true)
+		d.met(0, 1)
 	case Refused, Unsent, Unreached:
 	default:
 		if !o.ran { // the first push that may have run fixes group and window for every further one
@@ -599,17 +602,17 @@
 // spared draws whether a cold worker is kept out of an op's pair. An equal share of the budget was under one
 // op a span among hundreds of schedulers, most of them quiet: new workers lay idle. But all ops ask a worker
 // for twice what a fleet at full load can do there, whoever sends them: a lot for each op keeps their sum to
-// half the stated multiple; to all of it where reports prove true, as most that ask are then told of no room:
-// at half a zone that was back lay idle, and the few warm workers had its ops. Later pairs of an op, and
-// fewer workers to draw from, ask more.
+// the part of the budget that leaves room for chance, and for half as many again; to all of it where reports
+// prove true, as most that ask are then told of no room: at half a zone that was back lay idle. Later pairs of
+// an op, more ops than the fleet can do, and fewer workers to draw from, ask more.
 func (d *Dispatcher) spared(o *op, w *worker, from int) bool {
 	if !d.cold(w) {
 		return false
 	}
-	least := d.site.coldFrom
-	warmth := least + (1-least)*(float64(d.now-w.since)/float64(d.site.warmAfter))
-	quarter := d.site.overload / 4 * warmth
-	return d.chance.Uniform() >= quarter*(1+d.figures().truth)*float64(from)/float64(max(d.ready, 1)*(1+o.looks))
+	proven := min(4*d.figures().truth-2.8, 1) // 1 from 19 starts in 20 on, and nothing below 14
+	part := max(share(d.budget(o, w))/(rise*d.demand()), proven)
+	lot := d.site.overload / 2 * d.warmth(w) * part * float64(from) / float64(max(d.ready, 1)*(1+o.looks+o.legs))
+	return d.chance.Uniform() >= lot
 }
 
 // spare is how long the op may still wait and end in time, if it runs like the middle one of its category.
@@ -967,6 +970,7 @@
 		o.pair = d.both(Asked, func() []int { return d.pair(o, d.homes(o, slices.Clone(from)), len(from)) })
 		o.got = make([]bool, len(o.pair))
 		o.askedAt = d.now
+		d.met(sample.Bit(len(o.pair) > 0 && o.looks+o.legs == 0), 0)
 	}
 	if d.site.probes && o.asked < len(o.pair) {
 		o.asked++
--- a/dispatch/site.go
+++ b/dispatch/site.go
@@ -19,7 +19,7 @@
 func siteOf(terms map[string]any) site {
 	num, span := reader(terms)
 	s := site{step: span("step", 0), dial: span("bounds.connectTimeout", 0),
-		call: span("bounds.connectTimeout", second), warmAfter: span("safety.warmAfter", 0),
+		call: span("bounds.connectTimeout", second), warmAfter: span("safety.warmAfter", 0), tipAfter: span("safety.tipAfter", 0),
 		progress: span("extra.progress", 0), coldFrom: num("safety.coldFrom", 1),
 		overload: num("safety.overloadFactor", 1), crossZone: num("prices.crossZone", 0),
 		connections: num("prices.connection", 0), me: int(num("myNumber", 0)), all: int(num("instances", 1)),
