Lists: what a late timer waits for stays within a drain's grace; stand-ins of tests without races

Cause: three waits of 0.5 s for what lies unread are more than a short grace where lists are pushed (a call is given 0.1 s for one of 0.25 s). Change: each is a quarter of the span that has passed at most, so all three are 0.3 of the grace. Seen under -race: the stand-ins of TestWhatIsToldIsAppliedWithinADrainsGrace (since it was written) and of the new tests counted calls without a lock. Test: a list over real sockets after a 503, a 429, a reset, half a list and a 503.

--- a/internal/roster/ends_test.go
+++ b/internal/roster/ends_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,6 +31,7 @@
 type agent struct {
 	pipes
 	from  time.Time
+	mu    sync.Mutex
 	calls []time.Time
 	how   func(call int, since time.Duration) way
 }
@@ -50,12 +52,15 @@
 func (a *agent) serve() {
 	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		since := time.Since(a.from)
+		a.mu.Lock()
 		a.calls = append(a.calls, time.Now())
+		call := len(a.calls)
+		a.mu.Unlock()
 		say := func(text string) {
 			io.WriteString(w, text)
 			w.(http.Flusher).Flush()
 		}
-		switch a.how(len(a.calls), since) {
+		switch a.how(call, since) {
 		case answers:
 			say(`{"rev":9,"all":true,"targets":[]}` + "\n")
 			for r.Context().Err() == nil {
@@ -140,9 +145,11 @@
 		r.client.Transport.(*http.Transport).DialContext = a.dial
 		go r.Keep(ctx)
 		got := <-at
+		a.mu.Lock()
 		if after = got.Sub(a.from); len(a.calls) > 1 && how(1, 0) != hangs && how(1, 0) != reset && how(1, 0) != turned {
 			after = got.Sub(a.calls[0])
 		}
+		a.mu.Unlock()
 		stop()
 		close(a.ended)
 		time.Sleep(time.Minute) // all ends
--- a/internal/roster/told_test.go
+++ b/internal/roster/told_test.go
@@ -6,9 +6,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"log"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,8 +34,26 @@
 	how       []way         // of the calls in between, in turn
 	slow      time.Duration // an answer takes so long after that
 	then      string        // the entries of its list by then
-	calls     int
-	last      time.Duration // of them
+	*tally
+}
+
+// tally is the calls while discovery can't be reached.
+type tally struct {
+	mu    sync.Mutex
+	calls int
+	last  time.Duration // of them
+}
+
+func (c *tally) add(at time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls, c.last = c.calls+1, at
+}
+
+func (c *tally) sum() (calls int, last time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.calls, c.last
 }
 
 const (
@@ -45,16 +67,17 @@
 	if since < o.cut || since >= o.back {
 		return answers, false
 	}
-	return o.how[o.calls%len(o.how)], true
+	calls, _ := o.sum()
+	return o.how[calls%len(o.how)], true
 }
 
 func (o *outage) dial(ctx context.Context, network, addr string) (net.Conn, error) {
 	switch w, _ := o.is(); w {
 	case refused:
-		o.calls++
+		o.add(time.Since(o.from))
 		return nil, errors.New("refused")
 	case dialing:
-		o.calls++
+		o.add(time.Since(o.from))
 		ctx, stop := context.WithTimeout(ctx, dialed)
 		defer stop()
 		<-ctx.Done()
@@ -77,8 +100,7 @@
 			}
 		}
 		if down {
-			o.calls++
-			o.last = time.Since(o.from)
+			o.add(time.Since(o.from))
 		}
 		switch how {
 		case answers:
@@ -116,7 +138,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(context.Background())
-		o.pipes, o.from, o.calls = pipes{make(chan net.Conn), make(chan struct{})}, time.Now(), 0
+		o.pipes, o.from, o.tally = pipes{make(chan net.Conn), make(chan struct{})}, time.Now(), &tally{}
 		go o.serve()
 		at := make(chan time.Time, 99)
 		r := New("discovery", Message{}, spans, seed, func(in ops.Input) {
@@ -215,7 +237,7 @@
 			for _, how := range [][]way{{turned}, {turned, hangs, refused}} {
 				for seed := range uint64(8) {
 					synctest.Test(t, func(t *testing.T) {
-						o := outage{pipes: pipes{make(chan net.Conn), make(chan struct{})}, from: time.Now(), how: how, slow: usual,
+						o := outage{tally: &tally{}, pipes: pipes{make(chan net.Conn), make(chan struct{})}, from: time.Now(), how: how, slow: usual,
 							back: 20*time.Second + time.Duration(seed)*1100*time.Millisecond, then: strings.Replace(old, "SERVING", "DRAINING", 1) + "," + other}
 						go o.serve()
 						var known Message
@@ -268,18 +290,19 @@
 func TestAnAddressThatTurnsAwayIsCalledOnceAtAMove(t *testing.T) {
 	for seed := range uint64(8) {
 		synctest.Test(t, func(t *testing.T) {
-			o := outage{pipes: pipes{make(chan net.Conn), make(chan struct{})}, from: time.Now(), how: []way{turned}, back: time.Hour}
+			o := outage{tally: &tally{}, pipes: pipes{make(chan net.Conn), make(chan struct{})}, from: time.Now(), how: []way{turned}, back: time.Hour}
 			go o.serve()
 			r := New("discovery", Message{}, SpansOf(false, 300, 2500*time.Millisecond), seed, func(ops.Input) {}, zerolog.Nop())
 			r.client.Transport.(*http.Transport).DialContext = o.dial
 			ctx, stop := context.WithCancel(context.Background())
 			go r.Keep(ctx)
 			time.Sleep(time.Minute)
-			before, now := o.calls, time.Since(o.from)
+			before, _ := o.sum()
+			now := time.Since(o.from)
 			r.Move("another")
 			time.Sleep(time.Second)
-			if o.calls != before+1 || o.last != now {
-				t.Errorf("seed %d: %d calls in the second after the move, the last %v after it", seed, o.calls-before, o.last-now)
+			if calls, last := o.sum(); calls != before+1 || last != now {
+				t.Errorf("seed %d: %d calls in the second after the move, the last %v after it", seed, calls-before, last-now)
 			}
 			stop()
 			close(o.ended)
@@ -288,6 +311,43 @@
 	}
 }
 
+// The same over real sockets, for a scheduler that asks alone: it is turned away, refused a head, cut in an object, and then told.
+func TestAListComesThroughRealSocketsAfterFailedCalls(t *testing.T) {
+	t.Parallel()
+	ways := []way{turned, enough, reset, halved, turned, answers}
+	var asked atomic.Int64
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch ways[min(int(asked.Add(1)), len(ways))-1] {
+		case turned:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case enough:
+			w.WriteHeader(http.StatusTooManyRequests)
+		case reset:
+			panic(http.ErrAbortHandler)
+		case halved:
+			io.WriteString(w, `{"rev":8,"all":true,`)
+		case answers:
+			io.WriteString(w, `{"rev":9,"all":true,"targets":[]}`+"\n")
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+		}
+	}))
+	s.Config.ErrorLog = log.New(io.Discard, "", 0)
+	defer s.Close()
+	heard := make(chan int64, 9)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go New(s.Listener.Addr().String(), Message{Rev: 7}, lone, 7, func(in ops.Input) { heard <- in.(ops.Listed).Rev }, zerolog.Nop()).Keep(ctx)
+	select {
+	case rev := <-heard:
+		if rev != 9 || asked.Load() != int64(len(ways)) {
+			t.Errorf("told version %d by call %d of %d", rev, asked.Load(), len(ways))
+		}
+	case <-time.After(time.Minute):
+		t.Errorf("not told after %d calls", asked.Load())
+	}
+}
+
 // The same as sums, for every number of schedulers and every grace, with the worst draws of chance.
 func TestTheSpansOfAWatchFitIntoSixSeconds(t *testing.T) {
 	for _, pushes := range []bool{true, false} {
--- a/internal/roster/watch.go
+++ b/internal/roster/watch.go
@@ -89,8 +89,9 @@
 
 const (
 	starved = 100 * time.Millisecond // a timer that is later than that tells of this process, not of the other side
-	unread  = 500 * time.Millisecond // for what came meanwhile to be read
-	// So often a late timer is waited for, and not once more: a process that is starved for good has to call anew some time.
+	unread  = 500 * time.Millisecond // for what came meanwhile to be read, or a quarter of the span that has passed
+	// So often a late timer is waited for, and not once more: a process that is starved for good has to call anew some time. In
+	// all it is under a third of a drain's grace where lists are pushed, as a call there is given two fifths.
 	mostLate = 3
 )
 
@@ -101,13 +102,14 @@
 
 	mu    sync.Mutex
 	timer *time.Timer
+	span  time.Duration // within which something has to come
 	due   time.Time
 	late  int // how often it was, since something came
 }
 
 // listenFor begins a silence that is to be broken within a span.
 func listenFor(within time.Duration, end func()) *silence {
-	s := &silence{end: end, due: time.Now().Add(within)}
+	s := &silence{end: end, span: within, due: time.Now().Add(within)}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.timer = time.AfterFunc(within, s.over)
@@ -118,7 +120,7 @@
 func (s *silence) broken(within time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.due, s.late = time.Now().Add(within), 0
+	s.span, s.due, s.late = within, time.Now().Add(within), 0
 	s.timer.Reset(within)
 }
 
@@ -138,7 +140,7 @@
 		return
 	}
 	if left <= 0 {
-		left = unread
+		left = min(unread, s.span/4)
 		s.late++
 	} // else it was broken in this instant
 	s.due = time.Now().Add(left)
