--- a/cmd/woaddyke/starved_test.go
+++ b/cmd/woaddyke/starved_test.go
@@ -21,11 +21,11 @@
 
 // How late attempts for clients that had left come to a worker, from a process that has a tenth of a core: it shares one with nine loops
 // that do nothing else. These are figures and no verdict, as nothing but the machine's scheduler decides on them; the seed is of the
-// clients' patience. It runs for STARVED seconds, and not at all without.
+// clients' patience. It runs for STARVED seconds, one without.
 func TestFiguresOfAStarvedProcess(t *testing.T) {
 	seconds, err := strconv.Atoi(os.Getenv("STARVED"))
 	if err != nil {
-		t.Skip("a measurement: STARVED=20 go test -run FiguresOfAStarved -v ./cmd/woaddyke")
+		seconds = 1
 	}
 	var mu sync.Mutex
 	left, came := map[string]time.Time{}, map[string][]time.Time{}
@@ -93,8 +93,9 @@
 		})
 	}
 	clients.Wait()
-	time.Sleep(2 * time.Second)
+	time.Sleep(time.Duration(min(seconds, 2)) * time.Second / 2) // for what may come still
 	p.cmd.Process.Kill()
+	p.cmd.Wait()
 	mu.Lock()
 	defer mu.Unlock()
 	var late []time.Duration
@@ -107,6 +108,9 @@
 			}
 		}
 	}
+	if attempts == 0 {
+		t.Errorf("nothing was measured: %s", p.log)
+	}
 	slices.Sort(late)
 	over := func(d time.Duration) (n int) {
 		for _, l := range late {
