--- a/cmd/woaddyke/descriptors_test.go
+++ b/cmd/woaddyke/descriptors_test.go
@@ -57,7 +57,7 @@
 	return at.String()
 }
 
-// outage is a discovery that goes down in one of three ways and comes back at the same address with another list.
+// outage is a discovery that goes down in one of four ways and comes back at the same address with another list.
 type outage struct {
 	t    *testing.T
 	addr string
@@ -92,9 +92,13 @@
 	o.mu.Lock()
 	how, list, fresh := o.how, o.list, o.fresh
 	o.mu.Unlock()
-	if how == "hangs" {
+	switch how {
+	case "hangs":
 		<-r.Context().Done()
 		return
+	case "turned away":
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
 	}
 	for {
 		if how == "" {
@@ -125,7 +129,7 @@
 	}
 }
 
-// down has it refuse calls, leave them hanging, or say nothing more on those that are on, and to nobody who comes.
+// down has it refuse calls, turn them away, leave them hanging, or say nothing more on those that are on, and to nobody who comes.
 func (o *outage) down(how string) {
 	o.mu.Lock()
 	o.how = how
@@ -135,7 +139,7 @@
 	if how != "silent" {
 		o.s.Close() // the watches that are on end too
 	}
-	if how == "hangs" {
+	if how == "hangs" || how == "turned away" {
 		o.listen(o.addr)
 	}
 }
--- a/internal/lab/several/several.go
+++ b/internal/lab/several/several.go
@@ -36,6 +36,7 @@
 // Place is where one process runs; another may take its place.
 type Place struct {
 	Categories            string // of its sheet, in JSON; empty for pay, note and look
+	Settings              string // further ones, in JSON with a comma behind; empty: discovery is pushed
 	Name, Listen, Console string
 	Discovery             string // where its own is; empty: the cluster's
 	at                    netip.AddrPort
@@ -80,9 +81,15 @@
 var blocks atomic.Int64
 
 // block is the number of the first of some addresses that no other cluster uses, in this process or in the tests beside it.
-func block() int {
-	const size, each, processes = 12, 720, 80 // sixty clusters to a process
-	return 1000 + os.Getpid()%processes*each + int(blocks.Add(1)-1)*size%each
+func block(n int) int {
+	const size, each, processes = 12, 720, 80 // sixty clusters to a process, of a dozen processes at most
+	wanted := int64(n+size-1) / size
+	for {
+		first := int(blocks.Add(wanted)-wanted) * size % each
+		if first+n <= each {
+			return 1000 + os.Getpid()%processes*each + first
+		}
+	}
 }
 
 // Bound is the address at which the k-th place listens.
@@ -93,7 +100,7 @@
 // list of workers is given in discovery's form.
 func New(t testing.TB, n int, operator, workers string, program func(args ...string) *exec.Cmd) *Cluster {
 	t.Helper()
-	c := &Cluster{t: t, make: program, operator: operator, base: block()}
+	c := &Cluster{t: t, make: program, operator: operator, base: block(n)}
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		fmt.Fprintln(w, workers)
 		w.(http.Flusher).Flush()
@@ -161,9 +168,13 @@
 	if categories == "" {
 		categories = usual
 	}
-	text := fmt.Sprintf(`{"name":%q,"listen":%q,"console":%q,"discovery":%q,"seed":"1","settings":{"discovery":"pushed",`+
+	settings := p.Settings
+	if settings == "" {
+		settings = `"discovery":"pushed",`
+	}
+	text := fmt.Sprintf(`{"name":%q,"listen":%q,"console":%q,"discovery":%q,"seed":"1","settings":{%s`+
 		`"bounds":{"maxPushes":3,"probes":true,"cancel":true,"connectTimeoutNs":2e8},"report":{"fields":["waiting","running"],"how":"on_probe"},"categories":[%s]}}`,
-		p.Name, p.Listen, p.Console, discovery, categories)
+		p.Name, p.Listen, p.Console, discovery, settings, categories)
 	var seeds []string
 	for i := range min(2, len(c.Places)) {
 		seeds = append(seeds, fmt.Sprintf("%q", c.Places[i].told))
