A member that is replaced before it is one hands over as soon as it is

Seen in trials of three processes: a takeover in the first second after the start, with discovery hanging, was never ready. The process before said "not a member just now" and handed over no membership; the heir then wanted the member's address for itself, which the other still held, and ended with "address already in use": three of three, twice.

Change: an heir that is a member asks again, each 0.1 s for 5 s, while the process before is not a member yet (process.ask).

--- a/cmd/woaddyke/process.go
+++ b/cmd/woaddyke/process.go
@@ -10,6 +10,7 @@
 	"runtime/debug"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/rs/zerolog"
 	"golang.org/x/sys/unix"
@@ -74,7 +75,7 @@
 		if err != nil {
 			return nil, err
 		}
-		legacy, err = pass.Ask(pass.Path(p.sheet.Listen, p.sheet.Name), asker)
+		legacy, err = p.ask(asker)
 		if err != nil && !errors.Is(err, os.ErrNotExist) && !errors.Is(err, syscall.ECONNREFUSED) {
 			p.log.Warn().Err(err).Msg("nothing taken over")
 		}
@@ -104,6 +105,30 @@
 	return at, nil
 }
 
+const (
+	joinTime = 5 * time.Second // for the process before to become a member, so that it can hand that over
+	askEvery = 100 * time.Millisecond
+)
+
+// ask takes over from the process before. One that is not a member yet, or not just now, is asked again: its member's address can only be
+// had from it, and without that this process could not start.
+func (p *process) ask(asker []byte) (*pass.Legacy, error) {
+	path, there := pass.Path(p.sheet.Listen, p.sheet.Name), false
+	for until := time.Now().Add(joinTime); ; time.Sleep(askEvery) {
+		legacy, err := pass.Ask(path, asker)
+		if p.offers.Members == nil || errors.Is(err, pass.ErrRefused) || err != nil && !there || time.Now().After(until) {
+			return legacy, err
+		}
+		if there = true; err != nil {
+			continue // between two offers of its own
+		}
+		if state, err := handover.Read(legacy.Text); err != nil || len(state.Members) > 0 {
+			return legacy, nil
+		}
+		legacy.Close()
+	}
+}
+
 // shared lets the process that takes this one's place listen beside it, where it could not take the socket over.
 func shared(_, _ string, c syscall.RawConn) error {
 	var no error
--- a/cmd/woaddyke/ready_test.go
+++ b/cmd/woaddyke/ready_test.go
@@ -77,7 +77,7 @@
 		name, keeps, how, list, settings string
 		records                          int // on each keeper's disk
 		takeover, ci                     bool
-		stopped                          bool // the process before stands still, and hands nothing over
+		stopped                          bool // the process before stands still: a member can't be started beside it, and says so
 	}{
 		{name: "discovery is there", keeps: alone, list: few},
 		{name: "6,300 workers", keeps: alone, list: many},
@@ -96,7 +96,7 @@
 		{name: "100,000 records, discovery is silent", keeps: disk, how: "silent", list: few, records: 100_000},
 		{name: "taken over, discovery is there", keeps: disk, list: few, takeover: true},
 		{name: "taken over, discovery is silent", keeps: disk, how: "silent", list: few, takeover: true, ci: true},
-		{name: "taken over, 6,300 workers, discovery hangs", keeps: alone, how: "hangs", list: many, takeover: true},
+		{name: "taken over, 6,300 workers, discovery hangs", keeps: alone, how: "hangs", list: many, takeover: true, ci: true}, // before they are members
 		{name: "beside one that stands still, discovery is silent", keeps: alone, how: "silent", list: few, takeover: true, stopped: true},
 	} {
 		if !all && !x.ci {
@@ -158,6 +158,22 @@
 				since = append(since, time.Now())
 				c.Start(p)
 			}
+			if x.stopped {
+				for _, p := range c.Places {
+					_, end := p.Running()
+					select {
+					case err := <-end:
+						if err == nil {
+							t.Error("it ended as if all were well")
+						}
+					case <-time.After(readyTime):
+						t.Error("it neither ends nor gets ready")
+					}
+				}
+				l := &later{spans: []time.Duration{time.Since(since[0])}}
+				t.Logf("all have ended by themselves: %v", l)
+				return
+			}
 			l := soonest(c, c.Places, since, ready)
 			t.Logf("ready: %v", l)
 			if l.at(0.9) > readyTime {
