--- a/cmd/lab/judge.go
+++ b/cmd/lab/judge.go
@@ -12,8 +12,10 @@
 	"woaddyke/internal/lab/audit"
 	"woaddyke/internal/lab/figures"
 	"woaddyke/internal/lab/ledger"
+	"woaddyke/internal/lab/needs"
 	"woaddyke/internal/lab/page"
 	"woaddyke/internal/lab/plan"
+	"woaddyke/internal/lab/play"
 	"woaddyke/internal/lab/script"
 )
 
@@ -53,12 +55,17 @@
 				if err != nil {
 					return err
 				}
+				if err := play.Fits(e); err != nil {
+					return err
+				}
 				s, err := script.Of(e)
 				if err != nil {
 					return fmt.Errorf("%s: %w", path, err)
 				}
 				fmt.Fprintf(c.OutOrStdout(), "%s: %d workers, %d schedulers, %d ops in %g s, %d turns of trouble, script %s\n", path,
 					len(s.Workers), e.Schedulers.Count, len(s.Wishes), e.Seconds, len(s.Turns), s.Hash())
+				n := needs.Of(e)
+				fmt.Fprintf(c.OutOrStdout(), "  needs about %d descriptors in the lab's process and %d MB\n", n.Descriptors, n.MemoryMB)
 			}
 			return nil
 		}}
--- a/cmd/woaddyke/descriptors_test.go
+++ b/cmd/woaddyke/descriptors_test.go
@@ -200,9 +200,9 @@
 }
 
 // await fails the test if something does not come about in a time that is no measure of it.
-func await(t *testing.T, what string, log fmt.Stringer, true_ func() bool) {
+func await(t *testing.T, what string, log fmt.Stringer, holds func() bool) {
 	t.Helper()
-	for until := time.Now().Add(20 * time.Second); !true_(); time.Sleep(5 * time.Millisecond) {
+	for until := time.Now().Add(20 * time.Second); !holds(); time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(until) {
 			t.Fatalf("never: %s\n%s", what, log)
 		}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -38,7 +38,6 @@
 	forWorkers = 0.45
 	stopSlack  = 600 * time.Millisecond // after the longest TTL a process that stops may be killed
 	listWait   = 3 * time.Second        // for discovery's first list, before the remembered one has to do
-	mostPlaces = 1024                   // categories taken up since the start: the module keeps them all
 	lookEvery  = 20 * time.Millisecond  // while the last connections end
 	newWaits   = 60 * time.Millisecond  // one that has just come up, or was answered, may have its request on the way
 	stays      = 0.6                    // of its last time it keeps connections: their clients may have no other
@@ -59,9 +58,8 @@
 	clients  *guests.Guests
 	tally    *tally.Tally
 
-	inForce  atomic.Pointer[terms.Sheet] // that was read last
-	places   int                         // categories that were taken up since the start
-	reserved int                         // descriptors for what runs beside it in this process
+	inForce  atomic.Pointer[settings]
+	reserved int // descriptors for what runs beside it in this process
 	drain    *drainer
 	peersAt  *net.UDPConn          // that of the process before, nil without one
 	others   func() *tally.Members // nil where this is no member
@@ -79,8 +77,7 @@
 func New(sheet *terms.Sheet, log zerolog.Logger) (*Front, error) {
 	f := &Front{sheet: sheet, log: log, ready: make(chan struct{})}
 	f.clients = guests.New(0, 0) // limit sets both bounds
-	f.inForce.Store(sheet)
-	f.places = len(sheet.Categories())
+	f.inForce.Store(settingsOf(sheet, nil, time.Time{}, time.Time{}))
 	f.drain = &drainer{clients: f.clients}
 	f.tally = tally.New(sheet.Categories())
 	dial := sheet.Span("bounds.connectTimeout", time.Second)
@@ -193,48 +190,10 @@
 // Count has the figures tell of the other schedulers. It is called before Serve.
 func (f *Front) Count(others func() *tally.Members) { f.others = others }
 
-// Effect is how often an op of a category may run, by the settings in force.
-func (f *Front) Effect(category string) string { return f.inForce.Load().Effect(category) }
-
 // Ready is closed when this process can serve: it takes clients, and discovery has told it of the workers. One whose
 // discovery says nothing serves by the list that it remembers.
 func (f *Front) Ready() <-chan struct{} { return f.ready }
 
-// Reread takes up a configuration that was replaced: where discovery is now, the categories and how often an op is pushed.
-// Workers, ops and connections stay as they are, and so does all else until a restart. A file that is at fault changes nothing.
-func (f *Front) Reread(path string) {
-	before := f.inForce.Load()
-	sheet, err := terms.ReadSheet(path)
-	if err == nil {
-		err = sheet.Follows(before)
-	}
-	retunes, rest := false, false
-	if err == nil {
-		retunes, rest = sheet.Retunes(before)
-		if retunes && f.places+len(sheet.Categories()) > mostPlaces {
-			err = fmt.Errorf("over %d categories since the start: replace the process", mostPlaces)
-		}
-	}
-	f.tally.Reread(err == nil)
-	if err != nil {
-		f.log.Error().Err(err).Msg("configuration kept")
-		return
-	}
-	if rest {
-		f.log.Warn().Msg("all but discovery, categories and pushes changes with a restart only")
-	}
-	if retunes {
-		f.places += len(sheet.Categories())
-		f.tally.Serves(sheet.Categories())
-		// What comes for a category that is served no more was sent before its client knew, or is its next try.
-		until := time.Now().Add(before.LongestTTL())
-		f.loop.tell(ops.Retuned{Site: sheet.Site, Until: terms.Down(f.loop.clock.nanos(until))})
-	}
-	f.inForce.Store(sheet)
-	f.roster.Move(sheet.Discovery)
-	f.log.Info().Str("discovery", sheet.Discovery).Bool("settings", retunes).Msg("configuration reread")
-}
-
 // stop answers all that was taken. Connections go on being accepted and used for a while: what a client wrote to
 // one that the machine had accepted counts as taken, and the scheduler that it would turn to may be down still. With an
 // heir, that one accepts from the same socket, so this process does no more, and no client need be sent away.
--- a/internal/lab/play/play.go
+++ b/internal/lab/play/play.go
@@ -21,7 +21,10 @@
 	"woaddyke/internal/lab/figures"
 	"woaddyke/internal/lab/fleet"
 	"woaddyke/internal/lab/herald"
+	"woaddyke/internal/lab/hollow"
 	"woaddyke/internal/lab/ledger"
+	"woaddyke/internal/lab/meter"
+	"woaddyke/internal/lab/needs"
 	"woaddyke/internal/lab/plan"
 	"woaddyke/internal/lab/schedulers"
 	"woaddyke/internal/lab/script"
@@ -34,6 +37,7 @@
 	Make     schedulers.Maker
 	Progress func(Progress) // now and then; may be nil
 	Quiet    bool           // write no page and no results
+	Hollow   string         // the program of hollow schedulers
 }
 
 // Progress is how far a run is.
@@ -63,7 +67,13 @@
 	lag        time.Duration // the longest by which the lab itself was late
 	stage      Stage
 	mesh       *between.Net // nil where schedulers are no members
-	spare      int          // the first place that is no scheduler's
+	meter      *meter.Meter
+	spans      [2]figures.Edge // the first op is due; the last one was
+	hollow     *hollow.Process // nil for none
+	hollowAt   int             // the place of the first of them
+	views      int             // that members held at rest
+	forced     []figures.InForce
+	spare      int // the first place that is no scheduler's
 	placed     int
 	changed    []time.Duration // what each change of keepers took
 	sets       int             // of keepers that were in use, at rest
@@ -75,18 +85,44 @@
 }
 
 const (
-	lagEvery    = 5 * time.Millisecond
 	sampleEvery = 250 * time.Millisecond
 	lead        = 300 * time.Millisecond // between the last scheduler's start and the first op
 )
 
+// Fits says whether this machine can bear an experiment.
+func Fits(e *plan.Experiment) error {
+	l, err := needs.Machine()
+	if err != nil {
+		return err
+	}
+	if len(e.Sizes) == 0 {
+		if err := needs.Of(e).Fit(l); err != nil {
+			return fmt.Errorf("%s: %w", e.Name, err)
+		}
+	}
+	for _, share := range e.Sizes {
+		s, err := e.Sized(share)
+		if err != nil {
+			return err
+		}
+		if err := Fits(s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Run plays an experiment from its seed.
 func Run(ctx context.Context, e *plan.Experiment, st Stage) (*figures.Results, error) {
+	if err := Fits(e); err != nil {
+		return nil, err
+	}
 	s, err := script.Of(e)
 	if err != nil {
 		return nil, err
 	}
 	r := &run{plan: e, script: s, dir: st.Out, stage: st}
+	r.meter = meter.New(r.places())
 	if r.dir == "" {
 		if r.dir, err = os.MkdirTemp("", "lab-"); err != nil {
 			return nil, err
@@ -127,6 +163,14 @@
 			result.Void = fmt.Sprintf("the links between schedulers lost %d datagrams for want of room", n)
 		}
 	}
+	result.Roles(r.spans[0], r.spans[1], events, e.Schedulers.Count, e.Members.Hollow)
+	if r.hollow != nil {
+		result.HeldViews(r.views)
+	}
+	for _, s := range r.schedulers {
+		result.Ready(s.Readies())
+	}
+	result.InForce(r.forced)
 	result.Expect(e)
 	result.Script = s.Hash()
 	result.Lagged(float64(r.lag)/float64(time.Millisecond), e.Rules.SlackMS)
@@ -151,7 +195,7 @@
 		time.Duration(e.Discovery.LateMS[1] * float64(time.Millisecond))}
 	for n := range e.Schedulers.Count {
 		a, err := herald.New(n, r.book, func(slot, scheduler int) string { return r.fleet.Addr(slot, scheduler) }, late,
-			fleet.Sky(e, "discovery", "", e.Zones[n%len(e.Zones)]), e.Seed)
+			fleet.Sky(e, "discovery", "", e.Zones[n%len(e.Zones)]), e.Seed, r.meter)
 		if err != nil {
 			return err
 		}
@@ -160,7 +204,7 @@
 	desk := asks.New()
 	var on bool
 	var err error
-	r.fleet, err = fleet.New(e, r.script, r.book, desk, func(entry fleet.Entry) {
+	r.fleet, err = fleet.New(e, r.script, r.book, desk, r.meter, func(entry fleet.Entry) {
 		for _, a := range r.agents {
 			a.Hear(entry, !on)
 		}
@@ -200,10 +244,15 @@
 	if err != nil {
 		return err
 	}
+	if err := r.startHollow(); err != nil {
+		return err
+	}
 	r.crowd = clients.New(e, r.script, r.book, desk, servers, addrs)
 	return nil
 }
 
+const turnsAtOnce = 32
+
 // startsAtOnce bounds how many processes start at a time: hundreds at once keep one another from being ready.
 const startsAtOnce = 32
 
@@ -252,7 +301,10 @@
 	side.Add(3)
 	go func() {
 		defer side.Done()
-		r.watchItself(playing)
+		lag, err := watch(playing)
+		if r.lag = lag; err != nil {
+			r.fail(err)
+		}
 	}()
 	go func() {
 		defer side.Done()
@@ -262,6 +314,7 @@
 		defer side.Done()
 		r.sample(playing, start, st.Progress)
 	}()
+	r.spans[0] = r.edge()
 	r.crowd.Run(ctx, start)
 	if rest := time.Until(start.Add(time.Duration(r.plan.Seconds * float64(time.Second)))); rest > 0 {
 		select {
@@ -269,6 +322,7 @@
 		case <-ctx.Done():
 		}
 	}
+	r.spans[1] = r.edge()
 	settle := time.After(time.Duration(r.plan.Settle * float64(time.Second)))
 	r.crowd.Wait()
 	select {
@@ -285,16 +339,21 @@
 	for slot := range r.script.Workers {
 		r.fleet.Cut(slot, false)
 	}
-	return r.atRest()
+	return errors.Join(r.atRest(), r.hold())
 }
 
-// watchItself finds out by how much the lab is late: what it writes down later than it was counts against others.
-func (r *run) watchItself(ctx context.Context) {
-	for ctx.Err() == nil {
-		from := time.Now()
-		time.Sleep(lagEvery)
-		r.lag = max(r.lag, time.Since(from)-lagEvery)
+// edge is what all have used up to now.
+func (r *run) edge() figures.Edge {
+	e := figures.Edge{At: r.book.Now(), Sent: r.meter.Now()}
+	for _, s := range r.schedulers {
+		if u, ok := s.Use(); ok {
+			e.Uses = append(e.Uses, u)
+		}
+	}
+	if r.hollow != nil {
+		e.Hollow, _ = schedulers.UseOf(r.hollow.PID(), e.At, 0)
 	}
+	return e
 }
 
 // sample notes now and then what is used and held.
@@ -335,22 +394,80 @@
 			return
 		case <-time.After(time.Until(start.Add(time.Duration(t.At) * ledger.Tenth))):
 		}
-		text := fmt.Sprintf("%s on %v", t.Kind, t.Targets)
+		text := " on "
 		if !t.On {
-			text = fmt.Sprintf("%s over on %v", t.Kind, t.Targets)
+			text = " over on "
+		}
+		text = t.Kind + text
+		if t.Kind == "region-cut" {
+			text += t.Zone
+		} else {
+			text += fmt.Sprint(t.Targets)
 		}
 		r.book.Add(ledger.Event{Kind: ledger.Fault, Text: text})
 		r.mu.Lock()
 		r.last = text
 		r.mu.Unlock()
+		if t.Kind == "region-cut" {
+			r.part(t)
+			continue
+		}
+		if t.Kind == "settings-change" {
+			r.changeSettings(t)
+			continue
+		}
 		if t.Kind == "keepers-change" {
 			if t.On {
 				r.beside(func() error { return r.changeKeepers(t, time.Duration(t.For)*ledger.Tenth) })
 			}
 			continue
 		}
+		var all sync.WaitGroup
+		room := make(chan struct{}, turnsAtOnce)
 		for _, n := range t.Targets {
-			r.turn(t, n)
+			if t.Kind != "cut" && t.Kind != "vanish" {
+				r.turn(t, n)
+				continue
+			}
+			all.Add(1) // each takes a few ms, and a zone has hundreds
+			room <- struct{}{}
+			go func() {
+				defer all.Done()
+				r.turn(t, n)
+				<-room
+			}()
+		}
+		all.Wait()
+	}
+}
+
+// part cuts a region off from the others, or ends that: its schedulers and the others' workers, the other way round, and the links
+// between its schedulers and the others.
+func (r *run) part(t script.Turn) {
+	e := r.plan
+	inside := func(scheduler int) bool { return e.In(t.Zone, e.Zones[scheduler%len(e.Zones)]) }
+	for slot, w := range r.script.Workers {
+		for n := range e.Schedulers.Count {
+			if inside(n) != e.In(t.Zone, w.Zone) {
+				r.fleet.CutFrom(slot, n, t.On)
+			}
+		}
+	}
+	if r.mesh == nil {
+		return
+	}
+	var places []int
+	for n := range e.Schedulers.Count {
+		places = append(places, n)
+	}
+	for i := range e.Members.Hollow {
+		places = append(places, r.hollowAt+i)
+	}
+	for _, from := range places {
+		for _, to := range places {
+			if e.In(t.Zone, r.zoneOf(from)) != e.In(t.Zone, r.zoneOf(to)) {
+				r.cut(from, to, t)
+			}
 		}
 	}
 }
