An heir knows what was dropped; what an op and a change cost among 560 categories

Cause: Learned named no dropped categories, so a process that took over within their while, or later, answered clients that did not know yet as if the category had never been: 400 (failed), where the process before would have said 503. Change: the names go along, bounded as here; the heir has not their rules, so it only nacks. Benchmarks of an op among 3 and 560 categories, and of a change as the loop takes it. Broken by hand and seen to fail: the names not taken, the names not bounded.

--- a/dispatch/site_bench_test.go
+++ b/dispatch/site_bench_test.go
@@ -45,3 +45,42 @@
 		}
 	}
 }
+
+// BenchmarkOpAmong is an op from its arrival to its end, with runs known of so many categories whose ops come by turns.
+func BenchmarkOpAmong(b *testing.B) {
+	for _, entries := range []int{3, 560} {
+		b.Run(fmt.Sprintf("entries=%d", entries), func(b *testing.B) {
+			d := New(7, siteTerms(entries))
+			d.site.probes, d.site.tellsStart = false, true
+			now := Time(1_000_000)
+			d.Clock(now)
+			d.ListWhole()
+			for i := range 20 {
+				d.Entry(i, 0, 0, true, 0)
+			}
+			d.ListEnd()
+			op := func(n int) {
+				now++
+				d.Clock(now)
+				d.Op(0, n%entries, now+50_000, 1, 0, 0)
+				pull(d)
+				d.Clock(now)
+				d.Note(0, 0, true, 0)
+				pull(d)
+				now += Time(5 + n%7)
+				d.Clock(now)
+				d.Outcome(0, 0, Served, 5, true)
+				pull(d)
+			}
+			n := 0
+			for ; n < 20*entries; n++ {
+				op(n)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				op(n)
+				n++
+			}
+		})
+	}
+}
--- a/internal/ops/changes_test.go
+++ b/internal/ops/changes_test.go
@@ -246,3 +246,69 @@
 		}
 	}
 }
+
+// The process that took over answered clients that did not know yet of a dropped category as if it had never been one: 400, for good.
+func TestAnHeirKnowsWhatWasDropped(t *testing.T) {
+	of := func(names ...string) map[string]any {
+		var entries []entry
+		for _, name := range names {
+			entries = append(entries, entry{name, "redeliverable", second})
+		}
+		return siteOf(entries, 3)
+	}
+	r := New(1, of("look", "pay", "note"))
+	fleetOf(r, 1)
+	r.Take(2, Retuned{Site: of("look", "note"), Until: 2 + second})
+	r.Take(3, Retuned{Site: of("look"), Until: 3 + second})
+	heir := New(1, of("look", "note"))
+	fleetOf(heir, 4)
+	heir.Take(4, Inherited{r.Learned()})
+	for n, c := range []struct {
+		category string
+		want     Verdict // -1: it is pushed
+	}{{"look", -1}, {"pay", Nacked}, {"note", -1}, {"never", UnknownCategory}} {
+		todo := heir.Take(5, Arrived{Op: uint64(n), ID: fmt.Sprint(n), Category: c.category, TTL: 5 + second})
+		a, answered := first[Answer](todo)
+		if _, pushed := first[Push](todo); pushed != (c.want < 0) || answered && a.Verdict != c.want {
+			t.Errorf("%s: %+v", c.category, todo)
+		}
+	}
+	many := Learned{Dropped: map[string]dispatch.Time{}}
+	for i := range 2 * mostDropped {
+		many.Dropped[fmt.Sprint(i)] = 5
+	}
+	if heir.Take(6, Inherited{many}); len(heir.dropped) > mostDropped {
+		t.Errorf("%d dropped names are taken over", len(heir.dropped))
+	}
+}
+
+// BenchmarkRetuned is one category's change among so many, after so many before it, as the loop has it to take.
+func BenchmarkRetuned(b *testing.B) {
+	for _, entries := range []int{3, 560} {
+		for _, before := range []int{0, 16_000, 100_000} {
+			b.Run(fmt.Sprintf("entries=%d/before=%d", entries, before), func(b *testing.B) {
+				var inForce []entry
+				for i := range entries {
+					inForce = append(inForce, entry{fmt.Sprint("team-", i), "redeliverable", 10 * second})
+				}
+				site := siteOf(inForce, 3)
+				r, now, n := New(7, site), dispatch.Time(second), 0
+				change := func() {
+					now += 54_000
+					e := &inForce[n%entries]
+					e.target = 10*second + dispatch.Time(n)
+					e.into(site, n%entries)
+					r.Take(now, Retuned{Site: site, Until: now + 20*second})
+					n++
+				}
+				for n < before {
+					change()
+				}
+				b.ReportAllocs()
+				for b.Loop() {
+					change()
+				}
+			})
+		}
+	}
+}
--- a/internal/ops/learned.go
+++ b/internal/ops/learned.go
@@ -8,14 +8,19 @@
 
 // Learned is what a reducer hands on to that of the process that takes its place.
 type Learned struct {
-	Module dispatch.Learned         `json:"module"`
-	Zones  []string                 `json:"zones"` // whose verdicts the module's are, in their order
-	IDs    map[string]dispatch.Time `json:"ids"`   // taken until then
+	Module  dispatch.Learned         `json:"module"`
+	Zones   []string                 `json:"zones"`   // whose verdicts the module's are, in their order
+	IDs     map[string]dispatch.Time `json:"ids"`     // taken until then
+	Dropped map[string]dispatch.Time `json:"dropped"` // categories that were served until then
 }
 
 // Learned tells what is known now that the next process can't read anywhere.
 func (r *Reducer) Learned() Learned {
-	l := Learned{Module: r.d.Learned(), Zones: make([]string, len(r.zones)), IDs: maps.Clone(r.ids)}
+	l := Learned{Module: r.d.Learned(), Zones: make([]string, len(r.zones)), IDs: maps.Clone(r.ids),
+		Dropped: make(map[string]dispatch.Time, len(r.dropped))}
+	for name, x := range r.dropped {
+		l.Dropped[name] = x.until
+	}
 	for name, z := range r.zones {
 		l.Zones[z] = name
 	}
@@ -50,4 +55,11 @@
 		}
 	}
 	r.sweepAt = 2 * len(r.ids)
+	for name, until := range in.Dropped { // their rules are not in this process's configuration, so their ops are only nacked
+		_, served := r.categories[name]
+		if _, known := r.dropped[name]; !served && !known {
+			r.dropped[name] = dropped{-1, until}
+		}
+	}
+	r.forgetDropped()
 }
