--- a/internal/terms/reread_test.go
+++ b/internal/terms/reread_test.go
@@ -107,3 +107,43 @@
 		}
 	})
 }
+
+// A site of two years' size has 560 categories, and twice as many must be taken; a file without end must not.
+func TestAsManyCategoriesAsALargeSiteHasAreRead(t *testing.T) {
+	for n, fits := range map[int]bool{1120: true, mostCategories: true, mostCategories + 1: false} {
+		path := filepath.Join(t.TempDir(), "sheet")
+		text := `{"listen":"a:1","discovery":"a:2","seed":"ff","settings":{"categories":[` +
+			strings.TrimSuffix(strings.Repeat(`{"name":"c","ttlNs":5},`, n), ",") + `]}}`
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		s, err := ReadSheet(path)
+		if fits && (err != nil || len(s.Categories()) != n) || !fits && (err == nil || !strings.HasSuffix(err.Error(), "2049 categories, at most 2048 are served")) {
+			t.Errorf("%d categories: %v", n, err)
+		}
+	}
+}
+
+// Which of the terms change at once and which wait for a restart is told apart for each, whatever else stays.
+func TestWhatChangesAtOnceIsToldFromWhatWaits(t *testing.T) {
+	sheet := func(site map[string]any) *Sheet { return &Sheet{Site: site} }
+	of := func(more ...any) map[string]any {
+		site := map[string]any{"categories.0.name": "a", "extra.classStretch.0": 2.0, "bounds.maxPushes": 3.0, "step": 5.0}
+		for i := 0; i < len(more); i += 2 {
+			if site[more[i].(string)] = more[i+1]; more[i+1] == nil {
+				delete(site, more[i].(string))
+			}
+		}
+		return site
+	}
+	for _, c := range []struct {
+		site          map[string]any
+		retunes, rest bool
+	}{{of(), false, false}, {of("categories.0.name", "b"), true, false}, {of("categories.1.name", "b"), true, false},
+		{of("categories.0.name", nil), true, false}, {of("extra.classStretch.0", 3.0), true, false}, {of("bounds.maxPushes", 4.0), true, false},
+		{of("step", 6.0), false, true}, {of("step", nil), false, true}, {of("more", 1.0), false, true}, {of("step", 6.0, "bounds.maxPushes", nil), true, true}} {
+		if retunes, rest := sheet(c.site).Retunes(sheet(of())); retunes != c.retunes || rest != c.rest {
+			t.Errorf("%v: %v, %v", c.site, retunes, rest)
+		}
+	}
+}
