The test of changes without end fits 560 categories too

Cause: its part with many changes at once added 1,900 categories to those that it was started with; with ENTRIES=560 these were over the 2,048 that a file may have, and the process rightly turned them down. Change: 1,900 in all.

--- a/cmd/woaddyke/changes_test.go
+++ b/cmd/woaddyke/changes_test.go
@@ -209,7 +209,7 @@
 	// Changes that come faster than they are taken up: the last one is in force in the end.
 	c["ttlNs"] = ttl
 	settings := x.sheet["settings"].(map[string]any)
-	for i := range 1900 { // so that taking one up takes longer than writing the next
+	for i := range 1900 - entries { // so that taking one up takes longer than writing the next
 		settings["categories"] = append(settings["categories"].([]any), map[string]any{"name": fmt.Sprint("more-", i), "effect": "fragile",
 			"ttlNs": 1e9, "targetLatencyNs": 1e9})
 	}
