Lab: whether all members had joined when the figures begin

The run now waits for members.settle_ms, as its file promises, and says how many views there are at first and at rest.

--- a/internal/lab/figures/roles.go
+++ b/internal/lab/figures/roles.go
@@ -72,9 +72,10 @@
 	r.spread("hollow_members_messages_ps", messages)
 }
 
-// HeldViews takes how many different views all members together held at rest.
-func (r *Results) HeldViews(n int) {
-	r.Figures["views_at_rest"] = float64(n)
+// HeldViews takes how many different views all members together held when the first op was due, and at rest. Where it was more than one
+// at first, what joining costs is in the figures.
+func (r *Results) HeldViews(first, n int) {
+	r.Figures["views_at_start"], r.Figures["views_at_rest"] = float64(first), float64(n)
 	if n > 1 {
 		r.Unmet = append(r.Unmet, fmt.Sprintf("at rest the members, hollow ones among them, hold %d different views", n))
 	}
@@ -199,6 +200,9 @@
 			fmt.Fprintf(out, "    %-20s %10.4g %10.4g\n", name, v, f[name+".max"])
 		}
 	}
+	if n, ok := f["views_at_start"]; ok {
+		fmt.Fprintf(out, "    different views of members: %.0f when the first op was due, %.0f at rest\n", n, f["views_at_rest"])
+	}
 	fmt.Fprintf(out, "    starts a second %.1f, running at most %.0f\n", f["starts_ps"], f["running_most"])
 	for _, c := range r.Categories {
 		if v, ok := f["start_p50_ms."+c.Name]; ok {
--- a/internal/lab/play/mesh.go
+++ b/internal/lab/play/mesh.go
@@ -146,7 +146,9 @@
 		return err
 	}
 	r.hollow = p
-	return r.hold() // what joining costs is apart from the figures
+	err = r.hold() // what joining costs is apart from the figures
+	r.viewsFirst = r.views
+	return err
 }
 
 // view is what a member holds, in the program's published form.
@@ -155,12 +157,13 @@
 	Self   struct{ Live int }
 }
 
-// hold asks all members what they hold, until all hold one another and the same, or their time is over.
+// hold asks all members what they hold, until all hold one another and the same, or the time is over in which views have to be the same.
 func (r *run) hold() error {
 	if r.hollow == nil {
 		return nil
 	}
-	for limit := time.Now().Add(restTime); ; time.Sleep(changeEvery) {
+	settle := time.Duration(r.plan.Members.SettleMS * float64(time.Millisecond))
+	for limit := time.Now().Add(settle); ; time.Sleep(changeEvery) {
 		states, err := r.hollow.States()
 		if err != nil {
 			return err
