--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -9,6 +9,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"woaddyke/internal/lab/asks"
@@ -50,6 +51,7 @@
 	births  []int // by slot: how many successors it had
 	seed    uint64
 	ports   *ports // of hollow workers
+	starved atomic.Int64
 	meter   *meter.Meter
 	ending  sync.WaitGroup
 }
@@ -434,6 +436,11 @@
 	f.ports.free()
 }
 
+const starvedPause = 100 * time.Millisecond
+
+// Starved is how often a worker could not take a connection for want of descriptors: a run with any proves nothing.
+func (f *Fleet) Starved() int64 { return f.starved.Load() }
+
 func (w *worker) accept(l net.Listener, scheduler int) {
 	for {
 		c, err := l.Accept()
@@ -442,6 +449,11 @@
 			continue
 		}
 		if err != nil {
+			if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+				w.f.starved.Add(1) // no line for each: thousands of workers meet it at once, again and again
+				time.Sleep(starvedPause)
+				continue
+			}
 			if !errors.Is(err, net.ErrClosed) {
 				w.f.book.Add(ledger.Event{Kind: ledger.Fault, Worker: w.name, Text: err.Error()})
 				time.Sleep(10 * time.Millisecond)
--- a/internal/lab/fleet/hollow_test.go
+++ b/internal/lab/fleet/hollow_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"reflect"
 	"syscall"
 	"testing"
@@ -254,3 +255,26 @@
 	again.free()
 	a.free()
 }
+
+// poor is a listener without descriptors, until it is closed.
+type poor struct {
+	net.Listener
+	times int
+}
+
+func (p *poor) Accept() (net.Conn, error) {
+	if p.times--; p.times < 0 {
+		return nil, net.ErrClosed
+	}
+	return nil, &net.OpError{Op: "accept", Net: "tcp4", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+}
+
+// A lab without descriptors was once at its busiest writing that down, a quarter of a million times, and called what came of it a result.
+func TestALabWithoutDescriptorsSaysSoOnce(t *testing.T) {
+	f, book, _ := stand(t, true, nil)
+	before := len(book.Events())
+	f.at(0).accept(&poor{times: 3}, 0)
+	if n := f.Starved(); n != 3 || len(book.Events()) != before {
+		t.Errorf("%d times, %d lines", n, len(book.Events())-before)
+	}
+}
--- a/internal/lab/play/play.go
+++ b/internal/lab/play/play.go
@@ -174,6 +174,9 @@
 	}
 	result.InForce(r.forced)
 	result.Expect(e)
+	if n := r.fleet.Starved(); n > 0 {
+		result.Void = fmt.Sprintf("the lab had no descriptor for %d connections to workers", n)
+	}
 	result.Script = s.Hash()
 	result.Lagged(float64(r.lag)/float64(time.Millisecond), e.Rules.SlackMS)
 	if st.Out != "" && !st.Quiet {
