Lab: connections that end late count among a file's descriptors

The estimate took the schedulers' sockets for a bound of the lab's own; what a scheduler has closed is open in the lab for up to a second more. It counts now, and the bound is twice the sockets.

--- a/internal/lab/needs/needs.go
+++ b/internal/lab/needs/needs.go
@@ -37,6 +37,7 @@
 	processKB  = 24 << 10
 	memberKB   = 2 // a member as another holds it, both links between them included
 	listedKB   = 4 // a worker in a scheduler's list
+	linger     = 1 // seconds that a connection may take to end in the lab
 	triesPerOp = 3 // exchanges with workers: two probes and a push
 )
 
@@ -61,9 +62,11 @@
 		rate = 0 // it is not read yet
 	}
 	open := rate * work / shares / slowest
-	// An exchange's connection stays for the keepalive; there are no more of them than pairs, beside those that carry pushes.
-	kept := min(n*float64(workers), triesPerOp*rate*e.Schedulers.KeepaliveMS/1000)
-	conns := min(2*open+kept, n*float64(e.Schedulers.Sockets))
+	// An exchange's connection stays for the keepalive, and for linger after its other end is closed; there are no more of them than pairs,
+	// beside those that carry pushes. So a scheduler's bound of sockets is none for the lab.
+	pairs, alive := n*float64(workers), e.Schedulers.KeepaliveMS/1000
+	dials := min(pairs/alive, triesPerOp*rate)
+	conns := min(2*open+dials*(alive+linger), 2*n*float64(e.Schedulers.Sockets))
 	mesh, hollow := 0.0, float64(e.Members.Hollow)
 	if e.Members.On {
 		mesh = 4 * (n + hollow)
--- a/internal/lab/needs/needs_test.go
+++ b/internal/lab/needs/needs_test.go
@@ -43,6 +43,7 @@
 	}{
 		"a listener for each pair": {sized(t, 6300, 20, false), here, "126000 of them workers' listeners"},
 		"twice the workers":        {sized(t, 12_600, 20, true), here, "and 20000 is the limit here"},
+		"what ends late":           {sized(t, 11_700, 4, true), here, "(11700 of them workers' listeners) and 20000"},
 		"hundreds of processes":    {sized(t, 6300, 400, true), Limits{Descriptors: 1 << 20, MemoryMB: 24_000}, "more than half of this machine's 24000 MB"},
 	} {
 		if err := c.of.Fit(c.limit); err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
