--- a/internal/lab/ledger/ledger.go
+++ b/internal/lab/ledger/ledger.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"os"
 	"sync"
 	"time"
@@ -73,6 +74,7 @@
 	ColdFrom       float64             `json:"cold_from"`
 	WarmAfter      Time                `json:"warm_after"`
 	KillAfter      Time                `json:"kill_after"` // after SIGTERM a scheduler has at least so long
+	MeanWork       float64             `json:"mean_work"`  // of all ops in the mean, core time on the yardstick, ms
 	Categories     map[string]Category `json:"categories"`
 }
 
@@ -84,6 +86,13 @@
 	return r.ColdFrom + (1-r.ColdFrom)*float64(max(age, 0))/float64(r.WarmAfter)
 }
 
+// Bears is how much work a cold worker may be sent in TipAfter before it falls, ms: the stated multiple of what it can do by
+// then and, counted in ops of mean work, twice the root of that and two, which are chance. Cores is cores times speed.
+func (r *Rules) Bears(cores float64, age Time) float64 {
+	budget := r.OverloadFactor * cores * r.Warmth(age) * float64(r.TipAfter) / 10
+	return budget + 2*math.Sqrt(budget*r.MeanWork) + 2*r.MeanWork
+}
+
 // Effects of categories.
 const (
 	Redeliverable = "redeliverable"
--- a/internal/lab/plan/plan_test.go
+++ b/internal/lab/plan/plan_test.go
@@ -59,3 +59,15 @@
 		t.Errorf("a circle: %v", err)
 	}
 }
+
+// A cold worker's bound counts in ops of mean work: by the shares of the categories, and by how wide their ops are.
+func TestMeanWorkIsThatOfAllOps(t *testing.T) {
+	e, err := Parse([]byte("[[workers]]\ncount = 1\n[[categories]]\nname = \"a\"\nshare = 3\nwork_ms = 100\n" +
+		"[[categories]]\nname = \"b\"\nwork_ms = 200\nslots = [0.5, 0.25, 0.25]\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if m := e.Judged().MeanWork; m != (3*100+200*2)/4.0 {
+		t.Errorf("%.1f ms", m)
+	}
+}
