Without probes a cold worker is drawn as often as its lot says, not a tenth of that

Cause: where nothing is probed, the lot decided which cold worker was in an op's pair, and the worker was then drawn from all candidates, the pair's cold one among them: its share was the lot's over the number of warm workers. To blame: `let` in `choose`.

Change: one candidate is drawn, and if it is cold the lot decides; else one of the warm ones is. Where all are cold it is asked as often as in a pair.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -1072,12 +1072,15 @@
 	}
 	switch len(may) {
 	case 0:
-		from := slices.DeleteFunc(d.candidates(o), func(i int) bool {
-			let := !d.site.probes && slices.Contains(o.pair, i) // the lot let it through
-			return d.cold(&d.workers[i]) && !let
-		})
-		if len(from) > 0 {
-			return from[d.chance.Below(len(from))]
+		from := d.candidates(o)
+		warm := slices.DeleteFunc(slices.Clone(from), func(i int) bool { return d.cold(&d.workers[i]) })
+		if n := len(from); n > 0 && !d.site.probes { // asked once, or twice as in a pair where all are cold
+			if i := from[d.chance.Below(n)]; !d.spared(o, &d.workers[i], n*(1+sample.Bit(len(warm) == 0))) {
+				return i
+			}
+		}
+		if len(warm) > 0 {
+			return warm[d.chance.Below(len(warm))]
 		}
 		return -1
 	case 1:
