--- a/cmd/lab/lab_test.go
+++ b/cmd/lab/lab_test.go
@@ -4,22 +4,60 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
+	"math"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
 
-// programs builds lab and the scheduler once, side by side.
+// built is where all programs are, side by side; they are built once.
+var built = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "lab-programs-")
+	if err != nil {
+		return "", err
+	}
+	out, err := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "woaddyke/cmd/...").CombinedOutput()
+	if err != nil {
+		os.RemoveAll(dir)
+		return "", fmt.Errorf("%w\n%s", err, out)
+	}
+	builtAt = dir
+	return dir, nil
+})
+
+var builtAt string // empty where no test wanted them
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if builtAt != "" {
+		os.RemoveAll(builtAt)
+	}
+	os.Exit(code)
+}
+
+// programs is a folder of the test's own that holds all programs.
 func programs(t *testing.T) string {
 	t.Helper()
+	from, err := built()
+	if err != nil {
+		t.Fatal(err)
+	}
 	dir := t.TempDir()
-	out, err := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "woaddyke/cmd/...").CombinedOutput()
+	all, err := os.ReadDir(from)
 	if err != nil {
-		t.Fatalf("%v\n%s", err, out)
+		t.Fatal(err)
+	}
+	for _, f := range all {
+		if err := os.Link(filepath.Join(from, f.Name()), filepath.Join(dir, f.Name())); err != nil {
+			t.Fatal(err)
+		}
 	}
 	return dir
 }
@@ -69,6 +107,7 @@
 // What lay in the kernel while a scheduler was stopped was pushed after its clients' TTL; one that is stopped for
 // longer than that must nack it. The lab and its exit codes are tried on the way, with the real program.
 func TestAStoppedSchedulerPushesNothingAfterTheTTL(t *testing.T) {
+	t.Parallel()
 	dir := programs(t)
 	write := func(name, text string) string {
 		path := filepath.Join(dir, name)
@@ -112,3 +151,89 @@
 		t.Errorf("a promise that does not hold: code %d, %s", code, out)
 	}
 }
+
+// The scale run's own code on two small sizes: hollow workers in regions, restarts, a rack, a zone and a region that part, a scheduler that
+// is killed. All sizes count in the verdict, and a size that this machine can't bear is found out before the first one is played.
+func TestASmallScaleRunJudgesAllItsSizes(t *testing.T) {
+	t.Parallel()
+	dir := programs(t)
+	file := filepath.Join("..", "..", "examples", "lab", "scale-small.toml")
+	out, errs, code := lab(t, dir, "run", file, "--out", filepath.Join(dir, "run"))
+	lines := strings.Split(strings.TrimSpace(out), "\n")
+	if code != 0 || !regexp.MustCompile(`^audit: ops=3\d\d answers=\d{3} broken=0 unmet=0 `).MatchString(lines[len(lines)-1]) {
+		t.Fatalf("code %d: %s\n%s", code, out, errs)
+	}
+	for _, want := range []string{"scale-small-0.5: 84 workers: audit: ops=", "scale-small-1: 168 workers: audit: ops=", "per 1,000",
+		"    scheduler_mb ", "    probes_in_Bps ", "    list_in_Bps ", "urgent: begun after p50 ", " of 6 starts", "    3 changes of settings in force after p50 "} {
+		if !strings.Contains(out, want) {
+			t.Errorf("%q is not said: %s", want, out)
+		}
+	}
+	whole, err := os.ReadFile(filepath.Join(dir, "run", "scale-small-1", "ledger.jsonl"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, trouble := range []string{"kill on", "vanish on", "vanish over", "cut on", "cut over", "region-cut on d", "region-cut over on d", "scheduler-kill on"} {
+		if !bytes.Contains(whole, []byte(`"text":"`+trouble)) {
+			t.Errorf("no %s in the ledger", trouble)
+		}
+	}
+	if out, errs, code = lab(t, dir, "run", file, "--sizes", "0.1,90"); code != 2 || out != "" || !strings.HasPrefix(errs, "lab: ") || strings.Count(errs, "\n") != 1 {
+		t.Errorf("a size that can't be: code %d, %s%s", code, out, errs)
+	}
+	if out, errs, code = lab(t, dir, "run", file, "--sizes", "0.1,9000"); code != 2 || out != "" || strings.Count(errs, "\n") != 1 {
+		t.Errorf("a size beyond all bounds: code %d, %s%s", code, out, errs)
+	}
+}
+
+// What thousands of hollow schedulers cost is told from them, so they must do what a process does: in one cluster, without clients to
+// speak of, both send as many messages and bytes, and all hold the same of one another.
+func TestAHollowSchedulerIsAMemberAsAProcessIs(t *testing.T) {
+	t.Parallel()
+	dir := programs(t)
+	path := filepath.Join(dir, "members.toml")
+	if err := os.WriteFile(path, []byte(`
+seconds = 8
+settle_s = 0.5
+expect = [{ figure = "views_at_rest", most = 1 }]
+[rules]
+slack_ms = 2000
+[schedulers]
+count = 3
+[members]
+on = true
+hollow = 3
+pause_ms = 20000
+[[workers]]
+count = 4
+hollow = true
+[[categories]]
+name = "a"
+work_ms = 5
+[arrivals]
+rate = 1
+`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	out, errs, code := lab(t, dir, "run", path)
+	if code != 0 {
+		t.Fatalf("code %d: %s\n%s", code, out, errs)
+	}
+	figure := func(name string) float64 {
+		row := regexp.MustCompile(`(?m)^ +` + name + ` +([0-9.e+]+) `).FindStringSubmatch(out)
+		if row == nil {
+			t.Fatalf("no %s: %s", name, out)
+		}
+		v, err := strconv.ParseFloat(row[1], 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return v
+	}
+	for _, name := range []string{"members_messages_ps", "members_in_Bps", "members_out_Bps"} {
+		// Ten pings a second and as many answers; what is told by chance differs from member to member.
+		if real, hollow := figure(name), figure("hollow_"+name); real < 15 || math.Abs(real-hollow) > 0.2*real {
+			t.Errorf("%s: a process has %g, a hollow scheduler %g", name, real, hollow)
+		}
+	}
+}
--- a/internal/lab/plan/plan.go
+++ b/internal/lab/plan/plan.go
@@ -26,6 +26,10 @@
 	Seconds float64  `toml:"seconds"` // of arrivals
 	Settle  float64  `toml:"settle_s"`
 	Zones   []string `toml:"zones"`
+	// Regions are groups of zones; a link or a trouble may name one in place of a zone.
+	Regions []Region `toml:"regions"`
+	// Sizes are played one after another, each with that share of the workers and of the arrivals.
+	Sizes []float64 `toml:"sizes"`
 	// Expect are promises beyond the rules: a figure's name and what bounds it.
 	Expect     []Expect   `toml:"expect"`
 	Rules      Rules      `toml:"rules"`
@@ -44,6 +48,25 @@
 	Dir string `toml:"-"` // of the file: what it names is looked for there
 }
 
+// Region is some zones.
+type Region struct {
+	Name  string   `toml:"name"`
+	Zones []string `toml:"zones"`
+}
+
+// In tells whether a zone is the one named, or in the region of that name; no name is any.
+func (e *Experiment) In(name, zone string) bool {
+	if name == "" || name == zone {
+		return true
+	}
+	for _, r := range e.Regions {
+		if r.Name == name {
+			return slices.Contains(r.Zones, zone)
+		}
+	}
+	return false
+}
+
 // Expect bounds a figure of the results.
 type Expect struct {
 	Figure string   `toml:"figure"`
@@ -103,6 +126,8 @@
 	Connections   int     `toml:"connections"`
 	ErrorRate     float64 `toml:"error_rate"`
 	CancelDrops   bool    `toml:"cancel_drops"`
+	// Hollow has one listener for each worker, and not one for each worker and scheduler: fleets of thousands.
+	Hollow bool `toml:"hollow"`
 }
 
 // Category is one category of ops.
@@ -184,6 +209,7 @@
 	DelayMS  float64 `toml:"delay_ms"`
 	JitterMS float64 `toml:"jitter_ms"`
 	RateKBps float64 `toml:"rate_kbps"`
+	Hollow   int     `toml:"hollow"` // further members, which share one process and have no clients
 }
 
 // Copies has the fates of at-most-once ops stand at some of the schedulers, the first ones.
@@ -233,13 +259,16 @@
 	"lies":       {},
 	"stale":      {size: true, least: 0, most: 60_000}, // ms
 	"refuses":    {},
-	"kill":       {}, // the worker's process; it is back after for_s, cold
-	"drain":      {}, // told, drained and gone; a successor comes cold after for_s
-	"drain-told": {}, // discovery tells that they drain, and they know nothing of it; gone after for_s, with a cold successor
-	"vanish":     {}, // the machine says nothing more: connections stay open and silent
-	"replace":    {}, // a rolling deploy: each is drained and followed by a cold one within for_s
-	"shrink":     {}, // drained for good
-	"cut":        {}, // a zone's links are silent
+	"kill":       {},                                   // the worker's process; it is back after for_s, cold
+	"drain":      {},                                   // told, drained and gone; a successor comes cold after for_s
+	"drain-told": {},                                   // discovery tells that they drain, and they know nothing of it; gone after for_s, with a cold successor
+	"vanish":     {},                                   // the machine says nothing more: connections stay open and silent
+	"replace":    {},                                   // a rolling deploy: each is drained and followed by a cold one within for_s
+	"shrink":     {},                                   // drained for good
+	"cut":        {},                                   // a zone's links are silent
+	"restarts":   {size: true, least: 1, most: 60_000}, // killed one after another within for_s, each back after so many ms, cold
+
+	"region-cut": {}, // nothing passes between a region and the others
 
 	"discovery-silent": {}, "discovery-broken": {}, "discovery-moved": {},
 
@@ -258,6 +287,8 @@
 	"scheduler-twin":     {schedulers: true},                                     // it is stopped, and a second process has its name elsewhere; after for_s it wakes up
 	"scheduler-stranger": {schedulers: true},                                     // a member of another cluster knocks at it
 
+	"settings-change": {schedulers: true}, // every every_s, until for_s is over, one value of their settings is another
+
 	"keepers-change": {schedulers: true}, // staff ask for those hit as keepers, at those of `to` or at any, until they stand or for_s is over
 
 	"burst": {size: true, least: 0, most: 1000},
@@ -397,8 +428,9 @@
 
 // Bounds on what a file may ask of the machine.
 const (
-	mostWorkers    = 4096
-	mostSchedulers = 400
+	mostWorkers    = 16_384 // over twice of the 6,300 that docs/CAPACITY.md asks for
+	mostSchedulers = 400    // each is a process
+	mostMembers    = 480    // real and hollow ones: the addresses of a play
 	mostRate       = 200_000
 	mostSeconds    = 3600
 	day            = 86_400_000 // ms
@@ -441,6 +473,27 @@
 		number("members.jitter_ms", m.JitterMS, 0, day), number("members.rate_kbps", m.RateKBps, 0, 1e9)); err != nil {
 		return err
 	}
+	for i, r := range e.Regions {
+		for _, z := range r.Zones {
+			if !slices.Contains(e.Zones, z) {
+				return fmt.Errorf("regions[%d].zones: %q is no zone", i, z)
+			}
+		}
+		if r.Name == "" || slices.Contains(e.Zones, r.Name) || len(r.Zones) == 0 {
+			return fmt.Errorf("regions[%d].name = %q: a name that is no zone's is wanted, and zones", i, r.Name)
+		}
+	}
+	for i, f := range e.Sizes {
+		if err := number(fmt.Sprintf("sizes[%d]", i), f, 0.001, 10); err != nil {
+			return err
+		}
+		if e.Arrivals.Kind == "trace" {
+			return errors.New("sizes: a trace has its own rate")
+		}
+	}
+	if m.Hollow != 0 && (!m.On || m.Hollow < 0 || m.Hollow+s.Count > mostMembers) {
+		return fmt.Errorf("members.hollow = %d: members.on is wanted, and %d members at most with the schedulers", m.Hollow, mostMembers)
+	}
 	if len(e.Zones) == 0 {
 		return errors.New("zones: there must be one")
 	}
@@ -569,7 +622,7 @@
 }
 
 func (e *Experiment) zone(name, z string) error {
-	if z == "" || slices.Contains(e.Zones, z) {
+	if z == "" || slices.Contains(e.Zones, z) || slices.ContainsFunc(e.Regions, func(r Region) bool { return r.Name == z }) {
 		return nil
 	}
 	return fmt.Errorf("%s = %q is no zone", name, z)
@@ -621,9 +674,15 @@
 		if !e.Members.On && (strings.HasPrefix(f.Kind, "mesh-") || f.Kind == "scheduler-takeover" || f.Kind == "scheduler-twin" || f.Kind == "scheduler-stranger") {
 			return fmt.Errorf("%skind = %q: members.on is not set", at, f.Kind)
 		}
+		if f.Kind == "settings-change" && (!e.Members.On || f.EveryS <= 0) {
+			return fmt.Errorf("%skind = %q: members.on is wanted, and every_s", at, f.Kind)
+		}
 		if f.Kind == "keepers-change" && (!e.Copies.Agreed || len(f.Indices)%2 == 0) {
 			return fmt.Errorf("%skind = %q: an odd number of indices is wanted, and copies.agreed", at, f.Kind)
 		}
+		if f.Kind == "region-cut" && !slices.ContainsFunc(e.Regions, func(r Region) bool { return r.Name == f.Zone }) {
+			return fmt.Errorf("%szone = %q: a region is wanted", at, f.Zone)
+		}
 		if f.Kind == "cut" && f.Zone == "" {
 			return fmt.Errorf("%szone is wanted", at)
 		}
@@ -674,6 +733,29 @@
 	return nil
 }
 
+// WorkerCount is how many workers there are.
+func (e *Experiment) WorkerCount() (n int) {
+	for _, w := range e.Workers {
+		n += w.Count
+	}
+	return n
+}
+
+// Sized is the same experiment with that share of its workers and arrivals.
+func (e *Experiment) Sized(share float64) (*Experiment, error) {
+	s := *e
+	s.Sizes, s.Workers, s.Faults = nil, slices.Clone(e.Workers), slices.Clone(e.Faults)
+	s.Name = fmt.Sprintf("%s-%g", e.Name, share)
+	s.Arrivals.Rate *= share
+	for i := range s.Workers {
+		s.Workers[i].Count = max(int(math.Round(float64(e.Workers[i].Count)*share)), 1)
+	}
+	if err := s.fill(); err != nil { // a trouble may name a worker that is not there
+		return nil, fmt.Errorf("%s: %w", s.Name, err)
+	}
+	return &s, nil
+}
+
 // MS is a number of milliseconds in the ledger's unit, rounded down.
 func MS(ms float64) ledger.Time { return ledger.Time(math.Floor(ms*10 + 1e-6)) }
 
--- a/internal/lab/schedulers/schedulers.go
+++ b/internal/lab/schedulers/schedulers.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -94,6 +95,8 @@
 	label   string // of its files and its name; Name stays n's own
 	name    string
 	console string
+	readies []time.Duration
+	change  int    // which of the changes of settings stands in its sheet, 0 for none
 	offers  string // the operator's file, empty for none
 }
 
@@ -239,6 +242,7 @@
 func (s *Scheduler) write(path string, known json.RawMessage) error {
 	sheet := SheetOf(s.plan, s.n, s.starts, s.Listen, s.known.Addr(), known)
 	sheet.Name, sheet.Console = s.name, s.console
+	sheet.Change(s.change)
 	text, err := json.Marshal(sheet)
 	if err != nil {
 		return err
@@ -249,7 +253,15 @@
 	return os.Rename(path+".new", path)
 }
 
+// Readies are what each of its starts took, from the process's start to its first answer to a health check.
+func (s *Scheduler) Readies() []time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.readies)
+}
+
 func (s *Scheduler) ready(ended chan struct{}) error {
+	began := time.Now()
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for limit := time.Now().Add(startTime); time.Now().Before(limit); {
 		select {
@@ -264,7 +276,7 @@
 		resp.Body.Close()
 		if resp.StatusCode == http.StatusOK {
 			s.mu.Lock()
-			s.up = true
+			s.up, s.readies = true, append(s.readies, time.Since(began))
 			s.book.Add(ledger.Event{Kind: ledger.Up, Scheduler: s.n + 1})
 			s.mu.Unlock()
 			return nil
@@ -324,6 +336,14 @@
 var kinds = map[syscall.Signal]ledger.Kind{syscall.SIGKILL: ledger.Killed, syscall.SIGTERM: ledger.Term,
 	syscall.SIGHUP: ledger.Hup, syscall.SIGSTOP: ledger.Stopped, syscall.SIGCONT: ledger.Resumed}
 
+// Change has it take a numbered change of its settings: a new sheet, and a SIGHUP.
+func (s *Scheduler) Change(number int) error {
+	s.mu.Lock()
+	s.change = number
+	s.mu.Unlock()
+	return s.Signal(syscall.SIGHUP)
+}
+
 // Signal sends a signal, and writes it down just before.
 func (s *Scheduler) Signal(sig syscall.Signal) error {
 	s.mu.Lock()
@@ -394,7 +414,12 @@
 	if r == nil || r.PID() == 0 {
 		return Use{}, false
 	}
-	proc := fmt.Sprintf("/proc/%d/", r.PID())
+	return UseOf(r.PID(), s.book.Now(), s.n+1)
+}
+
+// UseOf reads what a process uses.
+func UseOf(pid int, now ledger.Time, scheduler int) (Use, bool) {
+	proc := fmt.Sprintf("/proc/%d/", pid)
 	stat, err := os.ReadFile(proc + "stat")
 	if err != nil {
 		return Use{}, false
@@ -407,7 +432,7 @@
 	user, _ := strconv.ParseFloat(fields[11], 64)
 	system, _ := strconv.ParseFloat(fields[12], 64)
 	pages, _ := strconv.ParseInt(fields[21], 10, 64)
-	u := Use{At: s.book.Now(), Scheduler: s.n + 1, CPU: (user + system) / 100, Resident: pages * int64(os.Getpagesize())}
+	u := Use{At: now, Scheduler: scheduler, CPU: (user + system) / 100, Resident: pages * int64(os.Getpagesize())}
 	if files, err := os.ReadDir(proc + "fd"); err == nil {
 		u.Files = len(files)
 	}
