--- a/internal/ops/bench_test.go
+++ b/internal/ops/bench_test.go
@@ -86,39 +86,6 @@
 	}
 }
 
-// BenchmarkRetune is a change of one category's target latency, after so many such changes.
-func BenchmarkRetune(b *testing.B) {
-	for _, categories := range []int{3, 256} {
-		for _, before := range []int{0, 340, 16_000} {
-			if categories*before > 1_000_000 {
-				continue // setting it up takes longer than what it shows
-			}
-			b.Run(fmt.Sprintf("categories=%d/before=%d", categories, before), func(b *testing.B) {
-				b.ReportAllocs()
-				r := New(7, settings(categories, 0))
-				r.Take(1, workersOf(100))
-				empty := heap()
-				for v := range before {
-					r.Take(dispatch.Time(v+2), Retuned{Site: settings(categories, v+1), Until: dispatch.Time(v + 3)})
-				}
-				if before > 0 {
-					defer func(kept float64) { b.ReportMetric(kept, "kept-B/change") }((heap() - empty) / float64(before))
-				}
-				next := make([]map[string]any, min(b.N, 64)) // settings that differ, each from the last
-				for k := range next {
-					next[k] = settings(categories, before+1+k)
-				}
-				b.ResetTimer()
-				for n := range b.N {
-					r.Take(dispatch.Time(before+n+2), Retuned{Site: next[n%len(next)], Until: dispatch.Time(before + n + 3)})
-				}
-				b.StopTimer()
-				runtime.KeepAlive(r)
-			})
-		}
-	}
-}
-
 // BenchmarkLearned is what one process hands the next, once each worker has served as many ops as are remembered of it: bytes a worker,
 // and the time in which the loop does nothing else.
 func BenchmarkLearned(b *testing.B) {
