--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -593,8 +593,8 @@
 // op a span among hundreds of schedulers, most of them quiet: new workers lay idle. But all ops ask a worker
 // for twice what a fleet at full load can do there, whoever sends them: a lot for each op keeps their sum to
 // the part of the budget that leaves room for chance, and for half as many again; to all of it where reports
-// prove true, as most that ask are then told of no room: at half a zone that was back lay idle. Later pairs of
-// an op, more ops than the fleet can do, and fewer workers to draw from, ask more.
+// prove true, as most that ask are then told of no room: at half a zone that was back lay idle. Later pairs
+// of an op, more ops than the fleet can do, and fewer workers to draw from, ask more.
 func (d *Dispatcher) spared(o *op, w *worker, from int) bool {
 	if !d.cold(w) {
 		return false
--- a/dispatch/site_test.go
+++ b/dispatch/site_test.go
@@ -149,7 +149,7 @@
 			},
 			"end": func(t *rapid.T) {
 				if len(open) == 0 {
-					t.Skip()
+					return
 				}
 				i, o := some()
 				d.Clock(d.now + 10)
