One stand-in's accept loop, one settled swarm, one figure of the least descriptors

Read again: a benchmark's worker repeated pieces.Serve, three benchmarks of members began their swarm alike, and the operator's file had the least number of descriptors beside the terms.

--- a/cmd/woaddyke/operator.go
+++ b/cmd/woaddyke/operator.go
@@ -12,8 +12,6 @@
 	"woaddyke/internal/terms"
 )
 
-const leastSockets = 64 // descriptors of a scheduler by itself, as terms has it
-
 // offers are the tables of the operator's file. What is nil is off: no socket, no goroutine and no timer.
 type offers struct {
 	Members *mesh.Table  `toml:"members"`
@@ -68,7 +66,7 @@
 	if sheet.Name == "" {
 		return &operator.Fault{Table: "members", Key: "cluster", Err: errors.New("the configuration gives this scheduler no name")}
 	}
-	if least := leastSockets + o.descriptors(); sheet.Limits.Sockets < least {
+	if least := terms.LeastSockets + o.descriptors(); sheet.Limits.Sockets < least {
 		return &operator.Fault{Table: "members", Key: "listen",
 			Err: fmt.Errorf("%d descriptors are too few for a scheduler that is a member, %d at least", sheet.Limits.Sockets, least)}
 	}
--- a/internal/front/bench_test.go
+++ b/internal/front/bench_test.go
@@ -18,6 +18,7 @@
 
 	"woaddyke/internal/conns"
 	"woaddyke/internal/ending"
+	"woaddyke/internal/pieces"
 	"woaddyke/internal/terms"
 )
 
@@ -61,40 +62,25 @@
 
 // answering is a worker that answers each probe with a load report and each push with two job lines, in the form of the lab's.
 func answering(b *testing.B) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		b.Fatal(err)
-	}
-	b.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
+	return pieces.Serve(b, func(c *net.TCPConn) {
+		for in := bufio.NewReader(c); ; {
+			r, err := http.ReadRequest(in)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer c.Close()
-				for in := bufio.NewReader(c); ; {
-					r, err := http.ReadRequest(in)
-					if err != nil {
-						return
-					}
-					io.Copy(io.Discard, r.Body)
-					if r.URL.Path == "/load" {
-						fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(load), load)
-						continue
-					}
-					io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n")
-					for _, state := range []string{"started", "done"} {
-						text := fmt.Sprintf(`{"id":%q,"from":"worker-00001","state":%q}`+"\n", r.Header.Get(idHeader), state)
-						fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text)
-					}
-					io.WriteString(c, "0\r\n\r\n")
-				}
-			}()
+			io.Copy(io.Discard, r.Body)
+			if r.URL.Path == "/load" {
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(load), load)
+				continue
+			}
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n")
+			for _, state := range []string{"started", "done"} {
+				text := fmt.Sprintf(`{"id":%q,"from":"worker-00001","state":%q}`+"\n", r.Header.Get(idHeader), state)
+				fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text)
+			}
+			io.WriteString(c, "0\r\n\r\n")
 		}
-	}()
-	return l.Addr().String()
+	})
 }
 
 // counted is a pool that counts.
--- a/internal/mesh/bench_test.go
+++ b/internal/mesh/bench_test.go
@@ -65,11 +65,7 @@
 	for _, n := range []int{5, 20, 100, 300, 1_000, 2_000} {
 		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
 			for range b.N {
-				s := swarm.New(n, seed())
-				for i := range n {
-					s.Start(i)
-				}
-				s.Run(20 * swarm.Second)
+				s := settled(n)
 				var bytes, messages int64
 				var core time.Duration
 				s.Weigh = func(x members.Message) { bytes, messages = bytes+wire(b, x), messages+1 }
@@ -90,16 +86,22 @@
 	}
 }
 
+// settled is a swarm of so many members that have been here for a while.
+func settled(n int) *swarm.Swarm {
+	s := swarm.New(n, seed())
+	for i := range n {
+		s.Start(i)
+	}
+	s.Run(20 * swarm.Second)
+	return s
+}
+
 // BenchmarkRestart is what the restart of a part of the members costs those that stay: bytes sent by one of them, by each restart.
 func BenchmarkRestart(b *testing.B) {
 	for _, n := range []int{100, 300, 1_000} {
 		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
 			for range b.N {
-				s := swarm.New(n, seed())
-				for i := range n {
-					s.Start(i)
-				}
-				s.Run(20 * swarm.Second)
+				s := settled(n)
 				var bytes int64
 				s.Weigh = func(x members.Message) { bytes += wire(b, x) }
 				const span = 20
@@ -132,11 +134,7 @@
 	for _, n := range []int{40, 100, 200} {
 		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
 			for range b.N {
-				s := swarm.New(n, seed())
-				for i := range n {
-					s.Start(i)
-				}
-				s.Run(20 * swarm.Second)
+				s := settled(n)
 				var bytes int64
 				s.Weigh = func(x members.Message) { bytes += wire(b, x) }
 				s.Run(s.Now() + 20*swarm.Second)
--- a/internal/pieces/pieces.go
+++ b/internal/pieces/pieces.go
@@ -65,7 +65,7 @@
 }
 
 // Serve hands each connection that it accepts to a function, and closes it after that.
-func Serve(t *testing.T, with func(*net.TCPConn)) (addr string) {
+func Serve(t testing.TB, with func(*net.TCPConn)) (addr string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/terms/sheet.go
+++ b/internal/terms/sheet.go
@@ -177,6 +177,9 @@
 	return -1
 }
 
+// LeastSockets is how many descriptors a scheduler by itself needs.
+const LeastSockets = 64
+
 // Limits are what the machine gives a scheduler.
 type Limits struct {
 	Cores    float64 `json:"cores"`
@@ -214,7 +217,7 @@
 		err = errors.New("no discovery address")
 	case s.Site[Item("categories", 0, "ttl")] == nil:
 		err = errors.New("the settings name no category")
-	case s.Limits.Cores <= 0 || s.Limits.MemoryMB < 32 || s.Limits.Sockets < 64:
+	case s.Limits.Cores <= 0 || s.Limits.MemoryMB < 32 || s.Limits.Sockets < LeastSockets:
 		err = fmt.Errorf("limits of %g cores, %d MB and %d sockets are too small", s.Limits.Cores,
 			s.Limits.MemoryMB, s.Limits.Sockets)
 	default:
