The last input of a full round of a replica is handled

Callers saw: under a backlog one of 65 inputs of a scheduler's replica vanished. A lost claim kept its client waiting until the timeout and a nack; the lost end of an op left its id at 503 or 502 for as long as it is retained.

Cause: handleInputs took the next input at the end of each pass of a bounded loop, and the loop ended with the last one in hand.

An input is now taken only in the pass that handles it, so none can be left over.

--- a/internal/cluster/replica/replica.go
+++ b/internal/cluster/replica/replica.go
@@ -155,23 +155,27 @@
 }
 
 // handleInputs handles an input, and those that wait already behind it in the same round: their records
-// share one write to the disk.
+// share one write to the disk. An input is taken from the queue only where the round has space for it.
 func (r *Replica) handleInputs(in input) {
-	var effects []replication.Effect
+	effects := r.handleInput(in, nil)
 	for range maxInputsPerRound {
-		if in.replicaSet != nil {
-			r.carryOut(effects)
-			effects = nil
-			r.stepReplicaSet(in.replicaSet)
-		} else {
-			effects = append(effects, r.core.Step(r.transport.Now(), in.replication)...)
-		}
 		select {
-		case in = <-r.queue.inputs:
-			continue
+		case in := <-r.queue.inputs:
+			effects = r.handleInput(in, effects)
 		default:
+			r.carryOut(effects)
+			return
 		}
-		break
 	}
 	r.carryOut(effects)
 }
+
+// handleInput feeds an input, and returns the effects of the round that are still to be carried out.
+func (r *Replica) handleInput(in input, effects []replication.Effect) []replication.Effect {
+	if in.replicaSet != nil {
+		r.carryOut(effects)
+		r.stepReplicaSet(in.replicaSet)
+		return nil
+	}
+	return append(effects, r.core.Step(r.transport.Now(), in.replication)...)
+}
