A refused claim is released wherever it may have been recorded

Callers saw: after a repeat at a second scheduler was refused, its claim could stay behind as one that stands. Where the first scheduler then died, repeats of the id got 503 for as long as ids are retained, as the second scheduler lives.

Cause: a replica whose latest answer was a refusal was told of no release, though an earlier request, whose answer was lost, may have been granted there, by it or by the process before it.

A replica is now left out only where it refused the one request that it was sent and its refusal does not show the claim.

--- a/internal/cluster/replication/claims.go
+++ b/internal/cluster/replication/claims.go
@@ -25,6 +25,7 @@
 	deadline    Time
 	nextRetry   Time
 	answers     map[string]claimAnswer
+	requests    map[string]int // that were sent, by replica
 }
 
 // newActiveClaim makes a claim that no replica has answered.
@@ -35,9 +36,19 @@
 		requestedAt:  now,
 		deadline:     now + min(in.Timeout, quorumTimeout),
 		answers:      map[string]claimAnswer{},
+		requests:     map[string]int{},
 	}
 }
 
+// certainlyUnknownTo reports whether a replica has certainly not recorded the claim: it refused the one
+// request that it was sent, and does not know the claim from other replicas. Of two requests it, or the
+// process before it, may have granted the first one.
+func (a *activeClaim) certainlyUnknownTo(replica string) bool {
+	answer, answered := a.answers[replica]
+	_, known := answer.record.find(a.claim)
+	return answered && !answer.granted && a.requests[replica] == 1 && !known
+}
+
 // wireID is the request ID on the wire: an answer to a claim is none to the bound one in its place.
 func (a *activeClaim) wireID() uint64 {
 	if a.group != "" {
@@ -131,6 +142,7 @@
 	for _, name := range c.active.members {
 		answer, answered := claim.answers[name]
 		if !answered || !answer.granted && answer.reason != AlreadyClaimed {
+			claim.requests[name]++
 			record := claim.record(claim.outcome(Claimed, c.now))
 			c.send(name, Message{Kind: ClaimRequested, RequestID: claim.wireID(), Record: record})
 		}
@@ -307,6 +319,7 @@
 	claim.claim = newClaim(c.config.Name, c.random)
 	claim.group, claim.firstRun = other.Group, firstRun
 	clear(claim.answers)
+	clear(claim.requests)
 	c.count(countBound)
 	c.requestGrants(claim)
 	return true
--- a/internal/cluster/replication/outcome_reports.go
+++ b/internal/cluster/replication/outcome_reports.go
@@ -66,18 +66,18 @@
 	})
 }
 
-// releaseClaim reports that a claim is not used. A replica that refused it has nothing to release.
+// releaseClaim reports that a claim is not used, to all replicas that may have recorded it.
 func (c *Core) releaseClaim(claim *activeClaim, requestID uint64) {
-	refused := map[string]bool{}
-	for name, answer := range claim.answers {
-		if !answer.granted {
-			refused[name] = true
+	nothingToRelease := map[string]bool{}
+	for _, name := range c.active.members {
+		if claim.certainlyUnknownTo(name) {
+			nothingToRelease[name] = true
 		}
 	}
 	c.report(&outcomeReport{
 		requestID:    requestID,
 		record:       claim.record(Outcome{Claim: claim.claim, Stage: Released}),
-		acknowledged: refused,
+		acknowledged: nothingToRelease,
 	})
 }
 
--- a/internal/cluster/replication/outcome_reports_test.go
+++ b/internal/cluster/replication/outcome_reports_test.go
@@ -52,3 +52,44 @@
 		})
 	}
 }
+
+// A replica may have granted a request whose answer was lost, and refuse the next one. The claim stands there, and blocks the id, until it is
+// told of the release.
+func TestAReplicaThatWasAskedTwiceLearnsOfTheRelease(t *testing.T) {
+	ownClaim := func(c *Core) Record {
+		return c.claims.pending[1].record(Outcome{Claim: c.claims.pending[1].claim, Stage: Claimed})
+	}
+	other := Record{Key: "k", Outcomes: []Outcome{{Claim: Claim{"y", 1}, Stage: Claimed}}}
+	for _, x := range []struct {
+		name  string
+		again bool                 // the replica is asked a second time before it refuses
+		knows func(c *Core) Record // its refusal has this
+		want  int
+	}{
+		{"asked once", false, func(*Core) Record { return other }, 0},
+		{"asked twice", true, func(*Core) Record { return other }, 1},
+		{"asked once, knows the claim from another replica", false, func(c *Core) Record {
+			known, _ := Join(other, ownClaim(c))
+			return known
+		}, 1},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			c := newCore("x", "a", "b", "c")
+			c.Step(1, Membership{Serving: true, Generation: 1})
+			c.Step(2, ClaimRequest{RequestID: 1, Key: "k", Timeout: second})
+			known := x.knows(c)
+			if x.again {
+				c.Step(2+c.config.RetryInterval, Tick{})
+			}
+			c.Step(c.now+1, refusalFrom(c, "a", known))
+			effects := c.Step(c.now+1, refusalFrom(c, "b", known))
+			if decision(effects) == 0 {
+				t.Fatal("two refusals of three decide nothing")
+			}
+			sent := reportsOn(effects)
+			if sent["a"] != x.want || sent["b"] != x.want || sent["c"] != 1 {
+				t.Errorf("releases were sent to %v", sent)
+			}
+		})
+	}
+}
