A claim states its process: one that ended holds nothing as in progress

Callers saw: a scheduler killed with at-most-once ops out and started again under its name at once, or the old process of a hot restart killed: every repeat of those ids got 503, at any scheduler, for as long as ids are retained, though nobody runs them.

Cause: a claim named its scheduler and was held for abandoned only once that name was dead; the new process under the name vouched for the claims of the former one.

A claim now states generation, nonce and hot restarts of its process, and whoever is asked compares that with what the members know of the name. A stopped process that goes on keeps its ops (503), and so does a predecessor until its successor, which alone sees its end, reports it. Nothing is granted again in any of them. The process stands in the field of the result, which older builds keep and relay; messages, stored records and the handover of older builds read as before (golden files unchanged).

--- a/cmd/woaddyke/cluster.go
+++ b/cmd/woaddyke/cluster.go
@@ -34,7 +34,7 @@
 	}
 	p.operatorBoard = newOperatorBoard()
 	host := p.meshHost()
-	if err := p.createReplica(state.Successions, &host); err != nil {
+	if err := p.createReplica(state, &host); err != nil {
 		return err
 	}
 	if handover != nil && len(state.Membership) > 0 && len(handover.Files) > meshSockets {
@@ -119,16 +119,19 @@
 }
 
 // createReplica creates the replica where the features file says so, and lets the mesh call it.
-func (p *process) createReplica(successions uint64, host *mesh.Host) (err error) {
+func (p *process) createReplica(state hotrestart.State, host *mesh.Host) (err error) {
 	table := p.features.Copies
 	if table == nil {
 		return nil
 	}
 	name, seed := p.bootstrap.Name, p.bootstrap.SeedValue
-	p.replica, err = replica.New(table, name, seed, successions, mesh.Now(), p.log)
+	p.replica, err = replica.New(table, name, seed, state.Successions, mesh.Now(), p.log)
 	if err != nil {
 		return err
 	}
+	if err := p.replica.RestoreProcesses(state.EndedProcesses); err != nil {
+		return err
+	}
 	host.Replication = p.replica.Receive
 	host.Serving = p.replica.SetMembership
 	if table.DynamicReplicas {
@@ -136,6 +139,7 @@
 	}
 	memberChanged := host.MemberChanged
 	host.MemberChanged = func(c membership.MemberChanged) {
+		p.replica.SetPeerIncarnation(c.Name, c.Incarnation)
 		p.replica.SetPeerDead(c.Name, c.State.Ended())
 		memberChanged(c)
 	}
@@ -182,6 +186,9 @@
 	state.Membership = record
 	if p.replica != nil {
 		state.Successions = p.replica.Successions()
+		if state.EndedProcesses, err = p.replica.HandOverProcesses(); err != nil {
+			p.log.Warn().Err(err).Msg("processes that have ended not handed over")
+		}
 		p.replica.ReleaseStore()
 	}
 	return sockets
--- a/cmd/woaddyke/hot_restart.go
+++ b/cmd/woaddyke/hot_restart.go
@@ -89,6 +89,9 @@
 		<-handover.PredecessorEnded
 		p.server.Limit(p.bootstrap.Limits.Sockets)
 		p.setMemoryLimit(1)
+		if p.replica != nil {
+			p.replica.PredecessorEnded()
+		}
 		p.log.Info().Msg("predecessor has ended")
 	}()
 	return listener, nil
--- a/internal/cluster/mesh/golden_messages_test.go
+++ b/internal/cluster/mesh/golden_messages_test.go
@@ -149,6 +149,7 @@
 		"in_force":   replication.SetInForce,
 		"fetch":      replication.Fetch,
 		"fetched":    replication.Fetched,
+		"ended":      replication.ProcessEndReported,
 	} {
 		t.Run(name, func(t *testing.T) {
 			message := filled.Numbered[replication.Message](t)
--- a/internal/cluster/replication/claims.go
+++ b/internal/cluster/replication/claims.go
@@ -19,8 +19,9 @@
 type activeClaim struct {
 	ClaimRequest
 	claim       Claim
-	group       string // the worker group that it is bound to, where the op may have run
-	firstRun    Time   // beside group: the op did not run before
+	process     Incarnation // that made it
+	group       string      // the worker group that it is bound to, where the op may have run
+	firstRun    Time        // beside group: the op did not run before
 	requestedAt Time
 	deadline    Time
 	nextRetry   Time
@@ -29,10 +30,11 @@
 }
 
 // newActiveClaim makes a claim that no replica has answered.
-func newActiveClaim(in ClaimRequest, claim Claim, now, quorumTimeout Time) *activeClaim {
+func newActiveClaim(in ClaimRequest, claim Claim, process Incarnation, now, quorumTimeout Time) *activeClaim {
 	return &activeClaim{
 		ClaimRequest: in,
 		claim:        claim,
+		process:      process,
 		requestedAt:  now,
 		deadline:     now + min(in.Timeout, quorumTimeout),
 		answers:      map[string]claimAnswer{},
@@ -60,6 +62,9 @@
 // outcome is the claim in a stage, as it is sent.
 func (a *activeClaim) outcome(stage Stage, now Time) Outcome {
 	o := Outcome{Claim: a.claim, Stage: stage, Group: a.group}
+	if stage == Claimed {
+		o.Result = encodeProcess(a.process)
+	}
 	if a.group != "" {
 		o.Age = uint64(max(now-a.firstRun, 0))
 	}
@@ -121,7 +126,8 @@
 
 // handleClaimRequest begins a claim.
 func (c *Core) handleClaimRequest(in ClaimRequest) {
-	claim := newActiveClaim(in, newClaim(c.config.Name, c.random), c.now, c.config.QuorumTimeout)
+	drawn := newClaim(c.config.Name, c.random)
+	claim := newActiveClaim(in, drawn, c.registration.incarnation, c.now, c.config.QuorumTimeout)
 	switch {
 	case len(c.claims.pending) >= maxPendingClaims || len(in.Key) > maxNameBytes || in.Key == "":
 		c.count(countClaimsFull)
@@ -292,10 +298,10 @@
 	return decided
 }
 
-// inProgressElsewhere reports whether a scheduler that is not dead has another claim of the op.
+// inProgressElsewhere reports whether a process that has not ended has another claim of the op.
 func (c *Core) inProgressElsewhere(claim *activeClaim, record *Record) bool {
 	return slices.ContainsFunc(record.Outcomes, func(o Outcome) bool {
-		return o.Stage == Claimed && o.Claim != claim.claim && !c.members.dead[o.Scheduler]
+		return o.Stage == Claimed && o.Claim != claim.claim && !c.members.claimerEnded(&o)
 	})
 }
 
--- a/internal/cluster/replication/core.go
+++ b/internal/cluster/replication/core.go
@@ -81,14 +81,22 @@
 		c.handleStateReloaded(in)
 	case PeerStatus:
 		c.handlePeerStatus(in)
+	case PeerProcess:
+		c.members.learnProcess(in.Name, in.Process)
+	case ProcessEnded:
+		c.handleProcessEnded(in)
 	}
 }
 
 // handleMessage dispatches a message. The set that it names must be the one in force here.
 func (c *Core) handleMessage(in MessageReceived) {
-	if in.Kind == SetInForce {
+	switch in.Kind {
+	case SetInForce:
 		c.handleSetInForce(in)
 		return
+	case ProcessEndReported:
+		c.members.markProcessEnded(in.From, in.Incarnation)
+		return
 	}
 	if in.SetID != c.active.id {
 		c.handleOtherSet(in)
@@ -159,6 +167,7 @@
 	c.retryReports()
 	c.replicate()
 	c.gossipSet()
+	c.gossipEndedProcesses()
 	c.expireRecords()
 }
 
--- a/internal/cluster/replication/effects.go
+++ b/internal/cluster/replication/effects.go
@@ -20,8 +20,8 @@
 	Granted             ClaimResult = iota + 1 // the op may be pushed, by nobody else
 	AlreadyAnswered                            // it has ended, with a retained answer
 	AlreadyEnded                               // it has ended, and the answer was not retained
-	InProgress                                 // another scheduler has it
-	OutcomeUnknown                             // it may have run, and its scheduler is dead
+	InProgress                                 // another claim of it may run
+	OutcomeUnknown                             // it may have run, and its process has ended
 	FingerprintMismatch                        // another request came first under this id
 	NoQuorum                                   // no majority answered in time: nothing is claimed
 )
--- a/internal/cluster/replication/grants.go
+++ b/internal/cluster/replication/grants.go
@@ -17,10 +17,11 @@
 	}
 	granted := in.Record
 	granted.Outcomes = []Outcome{{
-		Claim: requested.Claim,
-		Stage: Claimed,
-		Voted: true,
-		Group: requested.Group,
+		Claim:  requested.Claim,
+		Stage:  Claimed,
+		Voted:  true,
+		Group:  requested.Group,
+		Result: encodeProcess(requested.process()),
 	}}
 	c.mergeRecord(granted, 0)
 	c.send(in.From, Message{
--- a/internal/cluster/replication/inputs.go
+++ b/internal/cluster/replication/inputs.go
@@ -2,8 +2,8 @@
 
 import "woaddyke/internal/cluster/replicaset"
 
-// Input is one of MessageReceived, Tick, ClaimRequest, MayHaveRun, OpEnded, Membership, PeerStatus, AdoptSet,
-// PersistFailed and StateReloaded.
+// Input is one of MessageReceived, Tick, ClaimRequest, MayHaveRun, OpEnded, Membership, PeerStatus, PeerProcess,
+// ProcessEnded, AdoptSet, PersistFailed and StateReloaded.
 type Input interface{ input() }
 
 // MessageReceived is a message of another member, or of this process itself.
@@ -54,6 +54,16 @@
 	Dead bool
 }
 
+// PeerProcess says as which process the members know another scheduler.
+type PeerProcess struct {
+	Name    string
+	Process Incarnation
+}
+
+// ProcessEnded says that another process of this scheduler has ended: the predecessor in a hot restart, or a
+// successor that failed.
+type ProcessEnded struct{ Process Incarnation }
+
 // AdoptSet says that a replica set has been agreed.
 type AdoptSet struct{ replicaset.Set }
 
@@ -77,6 +87,8 @@
 func (OpEnded) input()         {}
 func (Membership) input()      {}
 func (PeerStatus) input()      {}
+func (PeerProcess) input()     {}
+func (ProcessEnded) input()    {}
 func (AdoptSet) input()        {}
 func (PersistFailed) input()   {}
 func (StateReloaded) input()   {}
--- a/internal/cluster/replication/messages.go
+++ b/internal/cluster/replication/messages.go
@@ -27,18 +27,19 @@
 
 // The kinds of messages.
 const (
-	ClaimRequested  Kind = iota + 1 // scheduler to replica: may this claim have the op?
-	ClaimGranted                    // its answer: yes
-	ClaimRefused                    // its answer: no, with the reason and what is known
-	OutcomeReported                 // scheduler to replica: the outcome of a claim
-	OutcomeKnown                    // its answer: the outcome is stored
-	Register                        // replica to replica: this process will vote under its name
-	Registered                      // its answer: it is known as the voter
-	Pull                            // replica to replica: what has changed after a position?
-	DigestPage                      // its answer: digests of records that have
-	SetInForce                      // any to any: this replica set is in force
-	Fetch                           // replica to replica: send the records with these digests
-	Fetched                         // its answer
+	ClaimRequested     Kind = iota + 1 // scheduler to replica: may this claim have the op?
+	ClaimGranted                       // its answer: yes
+	ClaimRefused                       // its answer: no, with the reason and what is known
+	OutcomeReported                    // scheduler to replica: the outcome of a claim
+	OutcomeKnown                       // its answer: the outcome is stored
+	Register                           // replica to replica: this process will vote under its name
+	Registered                         // its answer: it is known as the voter
+	Pull                               // replica to replica: what has changed after a position?
+	DigestPage                         // its answer: digests of records that have
+	SetInForce                         // any to any: this replica set is in force
+	Fetch                              // replica to replica: send the records with these digests
+	Fetched                            // its answer
+	ProcessEndReported                 // any to any: this process of the sender's scheduler has ended
 )
 
 // RefusalReason is why a replica does not grant a claim. The numbers are fixed by the wire; of several
@@ -75,7 +76,7 @@
 	Kind              Kind           `cbor:"1,keyasint,omitzero"`
 	SetID             uint64         `cbor:"2,keyasint,omitzero"`
 	RequestID         uint64         `cbor:"3,keyasint,omitzero"` // returned in the answer
-	Incarnation       Incarnation    `cbor:"4,keyasint,omitzero"` // of the replica that sends the message
+	Incarnation       Incarnation    `cbor:"4,keyasint,omitzero"` // of the replica that sends the message; or of the process that ended
 	Voters            []Voter        `cbor:"5,keyasint,omitzero"`
 	Record            Record         `cbor:"6,keyasint,omitzero"` // with one outcome in a request or report
 	Reason            RefusalReason  `cbor:"7,keyasint,omitzero"`
--- a/internal/cluster/replication/record.go
+++ b/internal/cluster/replication/record.go
@@ -51,7 +51,7 @@
 	Claim
 	Stage          Stage  `cbor:"1,keyasint,omitzero"`
 	Verdict        uint16 `cbor:"2,keyasint,omitzero"` // Ended: the HTTP status of the answer
-	Result         []byte `cbor:"3,keyasint,omitzero"` // Ended: the answer; nil where it was not retained
+	Result         []byte `cbor:"3,keyasint,omitzero"` // Ended: the answer, nil where it was not retained; Claimed: see process
 	ResultRetained bool   `cbor:"4,keyasint,omitzero"` // Result is the complete answer
 	Voted          bool   `cbor:"5,keyasint,omitzero"` // this replica has granted the claim
 	Group          string `cbor:"8,keyasint,omitzero"` // in which it may have run; empty: unknown
--- a/internal/cluster/replication/registration.go
+++ b/internal/cluster/replication/registration.go
@@ -80,6 +80,7 @@
 		return
 	}
 	c.registration.restart(incarnation)
+	c.members.learnProcess(c.config.Name, incarnation)
 	c.resetPeers()
 	if c.active.isReplica {
 		c.registration.voters[c.config.Name] = incarnation
--- a/internal/cluster/replication/replica_set.go
+++ b/internal/cluster/replication/replica_set.go
@@ -8,8 +8,8 @@
 	"woaddyke/internal/cluster/replicaset"
 )
 
-// setGossipInterval is the time between two members that a replica tells which set is in force.
-const setGossipInterval = second
+// gossipInterval is the time between two random members that are sent what they may have missed.
+const gossipInterval = second
 
 // activeSet is the replica set in force at this process, and what follows from it.
 type activeSet struct {
@@ -19,14 +19,19 @@
 	isReplica bool // this process is one of them
 }
 
-// memberView is which other schedulers are alive and which are dead.
+// memberView is which other schedulers are alive and which are dead, and what is known of the processes of
+// all schedulers.
 type memberView struct {
-	dead          map[string]bool
-	alive         []string // in order
-	nextSetGossip Time
+	dead              map[string]bool
+	alive             []string // in order
+	processes         map[string]*processes
+	nextSetGossip     Time
+	nextProcessGossip Time
 }
 
-func newMemberView() memberView { return memberView{dead: map[string]bool{}} }
+func newMemberView() memberView {
+	return memberView{dead: map[string]bool{}, processes: map[string]*processes{}}
+}
 
 // update records the status of a member.
 func (v *memberView) update(in PeerStatus) {
@@ -70,7 +75,11 @@
 // handlePeerStatus records whether a member is alive. One that is back may use its configured set.
 func (c *Core) handlePeerStatus(in PeerStatus) {
 	c.members.update(in)
-	if !in.Dead && c.active.set.GroupID != 0 {
+	if in.Dead {
+		return
+	}
+	c.reportEndedProcesses(in.Name)
+	if c.active.set.GroupID != 0 {
 		c.sendSetInForce(in.Name)
 	}
 }
@@ -84,7 +93,7 @@
 	if len(c.members.alive) == 0 {
 		return
 	}
-	c.members.nextSetGossip = c.now + setGossipInterval
+	c.members.nextSetGossip = c.now + gossipInterval
 	c.sendSetInForce(c.members.alive[c.random.IntN(len(c.members.alive))])
 }
 
--- a/internal/cluster/replication/simulation/network.go
+++ b/internal/cluster/replication/simulation/network.go
@@ -1,6 +1,8 @@
 package simulation
 
 import (
+	"slices"
+
 	"woaddyke/internal/cluster/replicaset"
 	"woaddyke/internal/cluster/replication"
 )
@@ -16,6 +18,8 @@
 	DropIf      func(to string, x replication.Message) bool // drops further messages; nil: none
 	OnSend      func(replication.Send)                      // nil: not called
 
+	stripProcesses bool // claims do not state their processes, as those of older builds
+
 	SentRecords int
 	SentDigests int
 
@@ -35,6 +39,9 @@
 }
 
 func (c *Cluster) sendReplication(from *node, e replication.Send) {
+	if from.handedOver && e.Kind != replication.OutcomeReported {
+		return
+	}
 	c.SentRecords += len(e.Records)
 	c.SentDigests += len(e.Digests)
 	if c.OnSend != nil {
@@ -43,11 +50,25 @@
 	if c.DropIf != nil && c.DropIf(e.To, e.Message) {
 		return
 	}
+	if c.stripProcesses {
+		e.Message = withoutProcesses(e.Message)
+	}
 	c.send(from, e.To, func(to *node) {
 		c.step(to, to.core, replication.MessageReceived{From: from.name, Message: e.Message})
 	})
 }
 
+// withoutProcesses is a claim request as a build writes it that knows no processes.
+func withoutProcesses(x replication.Message) replication.Message {
+	if x.Kind == replication.ClaimRequested {
+		x.Record.Outcomes = slices.Clone(x.Record.Outcomes)
+		for i := range x.Record.Outcomes {
+			x.Record.Outcomes[i].Result = nil
+		}
+	}
+	return x
+}
+
 func (c *Cluster) sendReplicaSet(from *node, e replicaset.Send) {
 	c.send(from, e.To, func(to *node) {
 		if to.replicaSet != nil {
--- a/internal/cluster/replication/simulation/node.go
+++ b/internal/cluster/replication/simulation/node.go
@@ -9,17 +9,50 @@
 
 // node is where processes of one name run. A replaced process goes on in a node of its own.
 type node struct {
-	name       string
-	core       *replication.Core
-	running    bool
-	paused     bool
-	deferred   []func()
-	generation uint64
-	replicaSet *replicaset.Core // nil where the set does not change
-	disk       *disk            // nil: memory alone
+	name        string
+	core        *replication.Core
+	running     bool
+	paused      bool
+	deferred    []func()
+	handedOver  bool // a successor is the member
+	generation  uint64
+	nonce       uint64
+	successions uint64                    // hot restarts within the generation
+	ended       []replication.Incarnation // processes of its scheduler that it knows to have ended
+	learned     []replication.Input       // since the latest tick
+	replicaSet  *replicaset.Core          // nil where the set does not change
+	disk        *disk                     // nil: memory alone
 	diskFault
 }
 
+// process is the process that runs at a node.
+func (n *node) process() replication.Incarnation {
+	return replication.Incarnation{Generation: n.generation<<generationShift + n.successions, Nonce: n.nonce}
+}
+
+// memberProcess is the process as the members know it: they do not see hot restarts.
+func (n *node) memberProcess() replication.Incarnation {
+	return replication.Incarnation{Generation: n.generation << generationShift, Nonce: n.nonce}
+}
+
+// learn has a process learn at its next tick that another scheduler is alive, and as which process.
+func (c *Cluster) learn(n, of *node) {
+	n.learned = append(n.learned, replication.PeerProcess{Name: of.name, Process: of.memberProcess()})
+	if !c.DynamicReplicas { // else introduce has it see the others as alive
+		n.learned = append(n.learned, replication.PeerStatus{Name: of.name})
+	}
+}
+
+// takeLearned returns what the process learns now: nothing while it is paused.
+func (n *node) takeLearned() []replication.Input {
+	if n.paused {
+		return nil
+	}
+	learned := n.learned
+	n.learned = nil
+	return learned
+}
+
 // ready reports whether a process takes an input now. A paused one takes it when it goes on.
 func (n *node) ready(core *replication.Core, later func()) bool {
 	if !n.running || n.core != core {
--- a/internal/lifecycle/hotrestart/hotrestart.go
+++ b/internal/lifecycle/hotrestart/hotrestart.go
@@ -28,6 +28,9 @@
 	Successions uint64 `json:"heirs"`
 	// Membership is the state of the mesh, whose two sockets come last; empty where there is none.
 	Membership []byte `json:"members"`
+	// EndedProcesses is of replication: which processes before the predecessor have ended. Older builds do not
+	// send it.
+	EndedProcesses json.RawMessage `json:"ended,omitempty"`
 }
 
 // Encode returns the message with the state.
