Answers to a predecessor's claims count for none of its successor's

Callers could see: after a hot restart an at-most-once op is pushed with no record of it at a majority of replicas, and so possibly twice; or the end of an op is held for reported and its id stays at 503.

Cause: successor and predecessor number their claims from 1, and the successor reads the predecessor's sockets. A grant or acknowledgement was matched by number alone.

Each process now numbers from a random 60-bit number on, so numbers of two processes do not meet.

--- a/internal/cluster/replica/claims.go
+++ b/internal/cluster/replica/claims.go
@@ -12,6 +12,7 @@
 )
 
 const (
+	maxFirstClaimID = 1 << 60 // below the flags of IDs on the wire, with space to count
 	maxJoinedClaims = 1024
 	joinInterval    = 50 * time.Millisecond // between two claims of an op that another scheduler has
 	loopGrace       = time.Second           // beyond QuorumTimeout, for a loop that is late
@@ -28,6 +29,9 @@
 	return pendingClaims{waiters: newWaiters[replication.ClaimDecided]()}
 }
 
+// numberFrom has the claims numbered from a random ID on: answers to the process before may arrive here.
+func (p *pendingClaims) numberFrom(random uint64) { p.lastID.Store(random % maxFirstClaimID) }
+
 // claimOp is what a claim is for.
 type claimOp struct {
 	key         string
--- a/internal/cluster/replica/replica.go
+++ b/internal/cluster/replica/replica.go
@@ -60,6 +60,10 @@
 	if err != nil {
 		return nil, err
 	}
+	firstClaim, err := randomID()
+	if err != nil {
+		return nil, err
+	}
 	ended := make(chan struct{})
 	r := &Replica{
 		config:   config,
@@ -73,6 +77,7 @@
 		changes:  newWaiters[replicaset.ChangeResult](),
 		identity: identity{successions: successions},
 	}
+	r.claims.numberFrom(firstClaim)
 	isReplica := slices.Contains(config.Replicas, name)
 	if config.DynamicReplicas && isReplica && config.Path == "" {
 		return nil, errors.New("copies: agreed: a keeper has to have a path for what must last")
