A duration without a unit in the operator's file is an error

Operators saw: check called "join = 2" and "replace_after = 600" fit, as 2 and 600 ns: a replica would be replaced the moment it is dead. "wait = 300" was refused with "got 0s".

Cause: the duration's own reading is for texts; the decoder stores an integer into the number underneath without asking it.

Each key that goes into a duration is now looked up in the document before decoding. A number other than 0 is a mistake with file, line, key, value and an example, also in inline tables and dotted keys; hollow uses the same decoder.

--- a/cmd/hollow/main.go
+++ b/cmd/hollow/main.go
@@ -13,10 +13,10 @@
 	"os"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
 	"github.com/rs/zerolog"
 
 	"woaddyke/internal/cluster/mesh"
+	"woaddyke/internal/config/features"
 )
 
 // config configures the members of one process.
@@ -90,7 +90,7 @@
 func startMember(c *config, number int) (*member, error) {
 	who := c.Members[number]
 	table := mesh.Defaults()
-	if err := toml.Unmarshal([]byte(c.Lines), table); err != nil {
+	if err := features.Decode([]byte(c.Lines), table); err != nil {
 		return nil, fmt.Errorf("the operator's lines: %w", err)
 	}
 	table.Cluster = c.Cluster
--- /dev/null
+++ b/internal/config/features/duration_test.go
@@ -0,0 +1,49 @@
+package features
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// A whole number in place of a duration would be taken for nanoseconds: a replica is replaced the moment it is dead.
+func TestADurationWithoutAUnitIsAMistake(t *testing.T) {
+	for _, c := range []struct{ name, text, want string }{
+		{"a unit", "[members]\nprobe = \"100ms\"\n", ""},
+		{"0", "[members]\nprobe = 0\n", ""},
+		{"a whole number", "[members]\nname = \"a\"\nprobe = 100\n", `:3: members.probe: a duration needs a unit: got 100, write for example "100ms" or "100s"`},
+		{"in capitals", "[members]\nProbe = 100\n", `:2: members.Probe: a duration needs a unit: got 100`},
+		{"a negative one", "[members]\nprobe = -5\n", ":2: members.probe: a duration needs a unit: got -5"},
+		{"a fraction", "[members]\nprobe = 0.5\n", `:2: members.probe: a duration needs a unit: got 0.5, write for example "0.5ms" or "0.5s"`},
+		{"in a text", "[members]\nprobe = \"100\"\n", `:2:9: "100" is not a duration such as "250ms"`},
+		{"an inline table", "members = { probe = 100 }\n", ": members.probe: a duration needs a unit: got 100"},
+		{"a dotted key", "members.probe = 100\n", ": members.probe: a duration needs a unit: got 100"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "operator.toml")
+			if err := os.WriteFile(path, []byte(c.text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			err := Read(path, &tables{}, func() error { return nil })
+			if c.want == "" {
+				if err != nil {
+					t.Error(err)
+				}
+				return
+			}
+			if err == nil || !strings.Contains(err.Error(), path+c.want) && !strings.Contains(err.Error(), c.want) {
+				t.Fatalf("%v, want %q", err, c.want)
+			}
+			if !strings.Contains(err.Error(), path) || strings.Contains(err.Error(), "\n") {
+				t.Errorf("not one line with the file: %v", err)
+			}
+			var mistake *ConfigError
+			var place *ParseError
+			if !errors.As(err, &place) && (!errors.As(err, &mistake) || !errors.Is(err, ErrNoUnit) || mistake.Line == 0) {
+				t.Errorf("not typed, or without its line: %#v", err)
+			}
+		})
+	}
+}
--- a/internal/config/features/errors.go
+++ b/internal/config/features/errors.go
@@ -22,7 +22,9 @@
 }
 
 // Error has the form "table.key: cause". Read puts the file and the line before it.
-func (e *ConfigError) Error() string { return fmt.Sprintf("%s.%s: %v", e.Table, e.Key, e.Err) }
+func (e *ConfigError) Error() string {
+	return fmt.Sprintf("%s: %v", strings.TrimPrefix(e.Table+"."+e.Key, "."), e.Err)
+}
 
 // Unwrap returns the cause.
 func (e *ConfigError) Unwrap() error { return e.Err }
--- a/internal/config/features/features.go
+++ b/internal/config/features/features.go
@@ -10,27 +10,10 @@
 	"os"
 	"regexp"
 	"strings"
-	"time"
 
 	"github.com/pelletier/go-toml/v2"
 )
 
-// Duration is a duration as the file has it: "250ms", "2s", "24h".
-type Duration time.Duration
-
-// UnmarshalText reads a duration in the form of time.ParseDuration.
-func (d *Duration) UnmarshalText(text []byte) error {
-	parsed, err := time.ParseDuration(string(text))
-	if err != nil {
-		return fmt.Errorf("%q is not a duration such as \"250ms\"", text)
-	}
-	*d = Duration(parsed)
-	return nil
-}
-
-// MarshalText returns the form that UnmarshalText reads.
-func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
-
 // Read decodes the file into the tables, which have their defaults already, and calls check. A key that
 // no table has is an error, since it is a misspelled one. Its error is one line with the file, the place
 // and the reason, and wraps a *ParseError or what check returned.
@@ -39,7 +22,7 @@
 	if err != nil {
 		return fmt.Errorf("operator's file: %w", err)
 	}
-	err = decode(text, tables)
+	err = Decode(text, tables)
 	if err == nil {
 		err = check()
 	}
@@ -57,8 +40,12 @@
 	return fmt.Errorf("operator's file %s: %w", path, err)
 }
 
-// decode returns a *ParseError where the decoder knows the place.
-func decode(text []byte, tables any) error {
+// Decode decodes a text into tables, as Read does. It returns a *ParseError where the decoder knows the place,
+// and a *ConfigError for a duration without a unit.
+func Decode(text []byte, tables any) error {
+	if err := checkDurations(text, tables); err != nil {
+		return err
+	}
 	decoder := toml.NewDecoder(bytes.NewReader(text))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(tables); err != nil {
@@ -73,7 +60,7 @@
 // lineOf returns the line of a key of a table, the line of the table where the file leaves the key out,
 // and 1 where it has neither.
 func lineOf(text, table, key string) int {
-	assignment := regexp.MustCompile(`^\s*"?` + regexp.QuoteMeta(key) + `"?\s*=`)
+	assignment := regexp.MustCompile(`(?i)^\s*"?` + regexp.QuoteMeta(key) + `"?\s*=`)
 	current, found := "", 1
 	for i, line := range strings.Split(text, "\n") {
 		if header := tableHeader.FindStringSubmatch(line); header != nil {
