Requests on a connection that waited to be accepted are as old as they are

Cause, one of two: of requests behind one another only the newest bytes are dated by the kernel; the others counted as come when they were first read, also where their connection had waited to be accepted.

Evidence: TestRequestsThatWaitedToBeAcceptedAreAsOldAsTheyAre failed before this change: a request that had come 0.6 s ago was taken to be 0.5 ms old.

What lies on a connection when it is accepted is now dated by its handshake, once something comes behind a request; one alone is dated by the kernel as before.

--- a/internal/frontend/clientconn/arrivals.go
+++ b/internal/frontend/clientconn/arrivals.go
@@ -54,17 +54,43 @@
 	a.seen = append(a.seen[:0], a.seen[k:]...)
 }
 
+// noteQueued notes how many bytes came while the connection waited to be accepted. They may be as old as the connection: the kernel tells
+// the time since it last sent data, which counts from the handshake while it has sent none.
+func (c *conn) noteQueued() {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return
+	}
+	raw.Control(func(fd uintptr) {
+		unread := unreadBytes(fd)
+		if unread == 0 {
+			return
+		}
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			age := time.Duration(info.Last_data_sent) * time.Millisecond
+			c.queued = arrival{int64(unread), time.Now().Add(-age)}
+		}
+	})
+}
+
+// sawQueued dates what came before the connection was accepted, with the lock held. It is called once something has come behind
+// a request: one alone is dated by the kernel.
+func (c *conn) sawQueued() {
+	if c.queued.bytes > 0 {
+		c.arrived.saw(c.queued.bytes, c.queued.at)
+		c.queued = arrival{}
+	}
+}
+
 // sawUnread notes what lies in a socket while a request is served.
 func (c *conn) sawUnread(fd uintptr) {
-	unread, err := unix.IoctlGetInt(int(fd), unix.TIOCINQ)
-	if err != nil || unread < 1 {
-		unread = 1 // something lies there
-	}
+	unread := max(unreadBytes(fd), 1) // something lies there
 	now := time.Now()
 	since := c.of.stands.earliest(now)
 	c.of.stands.want(now)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.sawQueued()
 	c.arrived.saw(c.requests.offset+int64(unread), since)
 }
 
@@ -74,6 +100,7 @@
 	if c.requests.several() {
 		since = c.of.stands.earliest(now)
 		c.of.stands.want(now)
+		c.sawQueued()
 	}
 	c.arrived.saw(c.requests.offset, since)
 	c.arrived.forget(c.requests.answeredUpTo())
--- a/internal/frontend/clientconn/clientconn.go
+++ b/internal/frontend/clientconn/clientconn.go
@@ -82,6 +82,7 @@
 	mu       sync.Mutex
 	requests follower
 	arrived  arrivals
+	queued   arrival   // bytes that had come before the connection was accepted, and since when they may have
 	deadline time.Time // that the server has set for reading; zero for none
 	headBy   time.Time // by when the head that has begun has to be whole; zero while none has, or nobody reads it
 	parted   bool      // its wait is over
@@ -274,6 +275,15 @@
 	return n > 0, nil
 }
 
+// unreadBytes is how many bytes lie in a socket; 0 where that is not known.
+func unreadBytes(fd uintptr) int {
+	n, err := unix.IoctlGetInt(int(fd), unix.TIOCINQ)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
 // Left tells whether the client of a request has ended its connection or its sending, as far as this machine knows now.
 func Left(ctx context.Context) bool {
 	c, ok := Of(ctx).(*conn)
@@ -409,6 +419,7 @@
 		}
 		failures = 0
 		if c := (&conn{Conn: nc, of: g}); g.admitSoon(c) {
+			c.noteQueued()
 			return c, nil
 		}
 		g.ended(NoRoom, nc)
