A look at a client's connection that fails is not one that found nothing

Callers saw: a worker was told more time than its client had (up to the time between two of its ops), and an op whose client had left ran on.

Cause, the second of two: the poller reports each change of a connection once. A look by recvfrom that was interrupted, or short of buffers, passed for one that found nothing, so an op that came behind another was dated by the next one, and the end of a connection was never seen.

A failed look now asks for the number of unread bytes and the connection's state. The same in the looks that choose what gives way, what a drain closes and whether an answer closes its connection; the last look before a close is made again when interrupted.

--- a/internal/base/oserror/oserror_test.go
+++ b/internal/base/oserror/oserror_test.go
@@ -110,3 +110,19 @@
 		last = p
 	}
 }
+
+// A read that was interrupted, or that the machine lacked something for, has read nothing: it is made again. One that failed for good is not.
+func TestAReadThatPassesIsMadeAgain(t *testing.T) {
+	for errno, again := range map[syscall.Errno]bool{syscall.EINTR: true, syscall.ENOBUFS: true, syscall.ECONNRESET: false, syscall.EAGAIN: false} {
+		calls := 0
+		n, err := Read(func(b []byte) (int, error) {
+			if calls++; calls == 1 {
+				return 0, errno
+			}
+			return copy(b, "x"), nil
+		}, make([]byte, 1))
+		if made := calls == 2 && n == 1 && err == nil; made != again {
+			t.Errorf("%v: %d calls, %d bytes, %v", errno, calls, n, err)
+		}
+	}
+}
--- a/internal/base/oserror/retry.go
+++ b/internal/base/oserror/retry.go
@@ -1,6 +1,10 @@
 package oserror
 
-import "time"
+import (
+	"errors"
+	"syscall"
+	"time"
+)
 
 const (
 	// retryTimeout is how long a start waits for what the machine is short of.
@@ -34,11 +38,12 @@
 	}
 }
 
-// Read reads once, and again where the machine lacked something for a moment.
+// Read reads once, and again where the call was interrupted or the machine lacked something for a moment.
 func Read(read func([]byte) (int, error), b []byte) (int, error) {
 	for attempt := 1; ; attempt++ {
 		n, err := read(b)
-		if n > 0 || err == nil || !IsLocal(err) || attempt == maxAttempts {
+		passes := IsLocal(err) || errors.Is(err, syscall.EINTR)
+		if n > 0 || err == nil || !passes || attempt == maxAttempts {
 			return n, err
 		}
 		time.Sleep(Backoff(attempt))
--- a/internal/frontend/clientconn/clientconn.go
+++ b/internal/frontend/clientconn/clientconn.go
@@ -256,16 +256,19 @@
 	return true, ended
 }
 
-// end is how the other side has ended, nil where it has not, and whether something of it lies unread.
+// end is how the other side has ended, nil where it has not, and whether something of it lies unread. The poller reports each change once,
+// so a look that fails must not pass for one that found nothing.
 func end(fd uintptr) (unread bool, ended error) {
 	n, err := workerconn.PeekAt(fd)
 	switch {
-	case oserror.Classify(err) == oserror.Transient:
+	case errors.Is(err, syscall.EAGAIN):
 		return false, nil
-	case err != nil && !oserror.IsLocal(err):
+	case err != nil && !oserror.IsLocal(err) && !errors.Is(err, syscall.EINTR):
 		return false, err
 	case err == nil && n == 0:
 		return false, io.EOF
+	case err != nil:
+		n = unreadBytes(fd)
 	}
 	// Something lies before the end, if there is one, or this machine can't look: the state of the connection tells.
 	info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
@@ -275,6 +278,20 @@
 	return n > 0, nil
 }
 
+// hasUnread tells whether something of the other side lies unread.
+func (c *conn) hasUnread() bool {
+	n, err := workerconn.Peek(c.Conn)
+	if err == nil || errors.Is(err, syscall.EAGAIN) {
+		return n > 0
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	raw.Control(func(fd uintptr) { n = unreadBytes(fd) })
+	return n > 0
+}
+
 // unreadBytes is how many bytes lie in a socket; 0 where that is not known.
 func unreadBytes(fd uintptr) int {
 	n, err := unix.IoctlGetInt(int(fd), unix.TIOCINQ)
@@ -376,7 +393,7 @@
 		if most == 0 {
 			return
 		}
-		if n, _ := workerconn.Peek(nc); n == 0 && !nc.begun() {
+		if !nc.hasUnread() && !nc.begun() {
 			g.ended(ToLeave, nc)
 			g.part(nc)
 			most--
@@ -556,7 +573,7 @@
 		if old == nil {
 			return nil
 		}
-		if n, _ := workerconn.Peek(old); n == 0 {
+		if !old.hasUnread() {
 			return old
 		}
 		unread = append(unread, old)
@@ -629,8 +646,7 @@
 	if behind || !between {
 		return behind
 	}
-	n, _ := workerconn.Peek(c)
-	return n > 0
+	return c.hasUnread()
 }
 
 // Forfeit says that the connection of a request is closed though something may have come behind that.
