A process that ends reads no request that it can't answer any more

Cause: an answer does not close its connection while something is behind it. Where something always is, the process read on until it exited, and http.Server.Shutdown left such connections open.

Once each op has its answer no further request is read: the one that has begun is read to its end and no byte beyond. What is still open is closed before the last counts.

--- a/internal/frontend/clientconn/clientconn.go
+++ b/internal/frontend/clientconn/clientconn.go
@@ -10,6 +10,7 @@
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -44,6 +45,7 @@
 	stands     standstill
 	paused     chan struct{}  // nil while connections are accepted; closed when they are again
 	parted     map[*conn]bool // told that their wait is over, and not closed yet
+	stopped    atomic.Bool    // no further request is read
 	closed     chan struct{}  // has one when a connection has been closed since it was emptied
 }
 
@@ -102,6 +104,9 @@
 			return 0, err
 		}
 	}
+	if b = b[:c.readable(len(b))]; len(b) == 0 {
+		return 0, io.EOF
+	}
 	n, err := oserror.Read(c.Conn.Read, b)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
 		n, err = c.last(b, err)
@@ -213,7 +218,8 @@
 		}
 	}()
 	raw, err := c.SyscallConn()
-	if !looks || err != nil {
+	b = b[:c.readable(len(b))]
+	if !looks || err != nil || len(b) == 0 {
 		return 0, late
 	}
 	n, err = oserror.Read(func(b []byte) (n int, err error) {
@@ -630,6 +636,7 @@
 			c.next()
 		}
 		x.state, x.since = state, time.Now()
+		g.endIfIdle(c, state)
 	}
 }
 
@@ -640,8 +647,9 @@
 		return false
 	}
 	c.mu.Lock()
-	behind := len(c.requests.awaited) > 1 || c.requests.begun
-	between := c.requests.at == inHead
+	stopped := c.of.stopped.Load()
+	behind := len(c.requests.awaited) > 1 || c.requests.begun && !stopped
+	between := c.requests.at == inHead && !stopped
 	c.mu.Unlock()
 	if behind || !between {
 		return behind
--- a/internal/frontend/serve.go
+++ b/internal/frontend/serve.go
@@ -130,7 +130,7 @@
 		s.clients.Pause()
 		s.peers.stopReceiving()
 	}
-	s.drainConnections(closeFrom, deadline.Add(shutdownMargin))
+	s.drainConnections(closeFrom, deadline, deadline.Add(shutdownMargin))
 	// Only now: http.Server drops requests that it has just read, and closes connections on which one has
 	// begun.
 	s.shutDownHTTP(server, deadline.Add(shutdownMargin))
@@ -155,15 +155,19 @@
 }
 
 // drainConnections returns when no connection is open, or at the deadline. From closeFrom on each answer
-// ends its connection, and idle ones are closed. Without a successor this process accepts clients to the
-// end, as it must when a successor dies meanwhile.
-func (s *Server) drainConnections(closeFrom, deadline time.Time) {
+// ends its connection, and idle ones are closed; from answersBy on, when each op has its answer, no further
+// request is read: a client that always has one behind what is served would go on to the end. Without a
+// successor this process accepts clients to the end, as it must when a successor dies meanwhile.
+func (s *Server) drainConnections(closeFrom, answersBy, deadline time.Time) {
 	emptyPolls := 0 // in a row; a connection that was accepted between two polls is seen at the second
 	for emptyPolls < 2 && time.Now().Before(deadline) {
 		if time.Now().After(closeFrom) {
 			s.lifecycle.closing.Store(true)
 			s.clients.Part(s.clients.Count(), newConnectionGrace)
 		}
+		if time.Now().After(answersBy) {
+			s.clients.StopReading()
+		}
 		if (s.lifecycle.successor.Load() || time.Now().After(closeFrom)) && s.clients.Sockets() == 0 {
 			emptyPolls++
 		} else {
@@ -173,11 +177,15 @@
 	}
 }
 
+// shutDownHTTP ends the HTTP server. What is still open at the deadline is closed here, so that the last counts
+// of this process include it.
 func (s *Server) shutDownHTTP(server *http.Server, deadline time.Time) {
+	s.clients.StopReading()
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
 		s.log.Warn().Err(err).Msg("connections were left open")
+		server.Close()
 	}
 }
 
