A date of discovery shows that the wall clock is ahead at a start

Callers saw: a scheduler that starts with its wall clock an hour ahead takes a worker of its first list that has just started for an old one. Of 300 ops 76 went to it beside three warm workers, where at most 50 may.

Cause: the age of a worker was the difference of its start to this machine's clock; only on a live watch something else is known.

Evidence: TestAWorkerOfTheFirstListIsColdWhateverTheWallClockSays (real process) failed before this change with the clock an hour ahead, 76 of 300; with a right one and one an hour behind it passed.

An answer of discovery is dated after the call was made, so a clock that lies behind that date at the call is ahead by the difference at the least. That is taken off ages; a date only ever makes workers younger. All three cases pass. A discovery without dates, or with the same wrong clock, stays a limit.

--- a/cmd/woaddyke/start_test.go
+++ b/cmd/woaddyke/start_test.go
@@ -57,56 +57,80 @@
 	for _, step := range steps {
 		t.Run(step.String(), func(t *testing.T) {
 			t.Parallel()
-			const (
-				ops  = 300
-				most = ops / 6 // a warm one gets a quarter
-			)
-			program, clock := stepped(t)
-			clock.Set(step)
-			var fresh atomic.Int64
-			began := time.Now()
-			entry := func(k int, booted time.Time) string {
-				worker := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-					if r.Method == http.MethodGet {
-						fmt.Fprintln(w, `{"waiting":0,"running":0}`)
-						return
-					}
-					if k == 3 {
-						fresh.Add(1)
-					}
-					fmt.Fprintf(w, `{"id":%q,"state":"done","result":"x"}`+"\n", r.Header.Get("X-Correlation-Id"))
-				}))
-				t.Cleanup(worker.Close)
-				return fmt.Sprintf(`{"uid":"w%d","endpoint":%q,"state":"SERVING","boot_ms":%d}`, k, worker.Listener.Addr(), booted.UnixMilli())
-			}
-			var warm []string
-			for k := range 3 {
-				warm = append(warm, entry(k, began.Add(-2*time.Hour)))
-			}
-			discovery, more := growing(t, `{"rev":1,"all":true,"targets":[`+strings.Join(warm, ",")+`]}`)
-			listen := freeAddr(t)
-			p := startProgram(t, t.TempDir(), listen, discovery, 0, 256, map[string]any{
-				"discovery":  "pushed",
-				"bounds":     map[string]any{"maxPushes": 3, "probes": true, "cancel": true, "connectTimeoutNs": 2e8},
-				"safety":     map[string]any{"coldFrom": 0.05, "warmAfterNs": 600e9, "overloadFactor": 1.2, "tipAfterNs": 1.5e9},
-				"report":     map[string]any{"fields": []string{"waiting", "running"}, "how": "on_probe"},
-				"categories": []any{map[string]any{"name": "pay", "effect": "fragile", "ttlNs": 30e9, "targetLatencyNs": 5e9}},
-			}, program, (*exec.Cmd).Start)
-			more <- `{"rev":2,"all":false,"targets":[` + entry(3, time.Now()) + `]}`
-			await(t, "the new worker is known", p.log, func() bool {
-				var f struct {
-					Workers int `json:"workers_known"`
-				}
-				return get(p.console, "/api/telemetry", &f) && f.Workers == 4
-			})
-			for k := range ops {
-				if status := postAt(t, listen, fmt.Sprint("op", k), 5*time.Second); status != http.StatusOK {
-					t.Fatalf("op%d: %d", k, status)
-				}
+			requireColdWorkerSpared(t, step, false)
+		})
+	}
+}
+
+// The same where the worker stands in the first list that the scheduler reads. Of 300 ops it got about as many as a warm one.
+func TestAWorkerOfTheFirstListIsColdWhateverTheWallClockSays(t *testing.T) {
+	t.Parallel()
+	for _, step := range steps {
+		t.Run(step.String(), func(t *testing.T) {
+			t.Parallel()
+			requireColdWorkerSpared(t, step, true)
+		})
+	}
+}
+
+// requireColdWorkerSpared starts a scheduler with its wall clock stepped, beside three warm workers and one that has just started, and fails
+// the test where that one gets nearly as many ops as they.
+func requireColdWorkerSpared(t *testing.T, step time.Duration, inFirstList bool) {
+	t.Helper()
+	const (
+		ops  = 300
+		most = ops / 6 // a warm one gets a quarter
+	)
+	program, clock := stepped(t)
+	clock.Set(step)
+	var fresh atomic.Int64
+	began := time.Now()
+	entry := func(k int, booted time.Time) string {
+		worker := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodGet {
+				fmt.Fprintln(w, `{"waiting":0,"running":0}`)
+				return
 			}
-			if n := fresh.Load(); n > most {
-				t.Errorf("%d of %d ops went to the worker that has just started, at most %d may", n, ops, most)
+			if k == 3 {
+				fresh.Add(1)
 			}
-		})
+			fmt.Fprintf(w, `{"id":%q,"state":"done","result":"x"}`+"\n", r.Header.Get("X-Correlation-Id"))
+		}))
+		t.Cleanup(worker.Close)
+		return fmt.Sprintf(`{"uid":"w%d","endpoint":%q,"state":"SERVING","boot_ms":%d}`, k, worker.Listener.Addr(), booted.UnixMilli())
+	}
+	var warm []string
+	for k := range 3 {
+		warm = append(warm, entry(k, began.Add(-2*time.Hour)))
+	}
+	first, added := warm, entry(3, time.Now())
+	if inFirstList {
+		first = append(warm, added)
+	}
+	discovery, more := growing(t, `{"rev":1,"all":true,"targets":[`+strings.Join(first, ",")+`]}`)
+	listen := freeAddr(t)
+	p := startProgram(t, t.TempDir(), listen, discovery, 0, 256, map[string]any{
+		"discovery":  "pushed",
+		"bounds":     map[string]any{"maxPushes": 3, "probes": true, "cancel": true, "connectTimeoutNs": 2e8},
+		"safety":     map[string]any{"coldFrom": 0.05, "warmAfterNs": 600e9, "overloadFactor": 1.2, "tipAfterNs": 1.5e9},
+		"report":     map[string]any{"fields": []string{"waiting", "running"}, "how": "on_probe"},
+		"categories": []any{map[string]any{"name": "pay", "effect": "fragile", "ttlNs": 30e9, "targetLatencyNs": 5e9}},
+	}, program, (*exec.Cmd).Start)
+	if !inFirstList {
+		more <- `{"rev":2,"all":false,"targets":[` + added + `]}`
+	}
+	await(t, "the new worker is known", p.log, func() bool {
+		var f struct {
+			Workers int `json:"workers_known"`
+		}
+		return get(p.console, "/api/telemetry", &f) && f.Workers == 4
+	})
+	for k := range ops {
+		if status := postAt(t, listen, fmt.Sprint("op", k), 5*time.Second); status != http.StatusOK {
+			t.Fatalf("op%d: %d", k, status)
+		}
+	}
+	if n := fresh.Load(); n > most {
+		t.Errorf("%d of %d ops went to the worker that has just started, at most %d may", n, ops, most)
 	}
 }
--- a/internal/workers/discovery/start_times.go
+++ b/internal/workers/discovery/start_times.go
@@ -13,7 +13,8 @@
 // Discovery sends a worker's start in Unix time. This file alone compares it with this machine's wall
 // clock, which is read once, at the start of this process, and may be wrong by then. Two things are
 // certain: nothing has started in the future, and a worker that is new on a watch that was heard a moment
-// ago has not been there for long.
+// ago has not been there for long. Where discovery dates its answers, its clock is a second opinion: of the
+// two the one counts by which a worker is younger.
 
 const (
 	// maxListingDelay is the longest time from a worker's start until it is on a live watch: its entry is
@@ -35,6 +36,9 @@
 	// suggests more has a wrong start time.
 	maxClockSkew = 26 * time.Hour
 
+	// dateResolution is that of the Date of an HTTP answer (RFC 9110, 5.6.7).
+	dateResolution = time.Second
+
 	// maxRemovedWorkers is how many workers that have left the list are retained beside those in it: they
 	// may come back.
 	maxRemovedWorkers = 1024
@@ -94,6 +98,20 @@
 	s.lastHeard = s.clock.Elapsed()
 }
 
+// noteDate takes the date of an answer of discovery to a call that was made at a moment. The answer was dated
+// after the call, so where the call's moment lies behind the date by the wall clock, that one is ahead by
+// the difference at the least.
+func (s *StartTimes) noteDate(date, calledAt time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	calledMS := s.wallStartMS + (s.clock.Elapsed() - time.Since(calledAt)).Milliseconds()
+	ahead := time.Duration(calledMS-date.UnixMilli())*time.Millisecond - dateResolution
+	if ahead > s.clockSkew && ahead <= maxClockSkew {
+		s.clockSkew = ahead
+		s.samples = 0
+	}
+}
+
 // startedAt returns when a worker that is listed now started; 0 for long ago. It is the same for each
 // entry of one process.
 func (s *StartTimes) startedAt(t *target) dispatch.Time {
--- a/internal/workers/discovery/start_times_test.go
+++ b/internal/workers/discovery/start_times_test.go
@@ -166,3 +166,34 @@
 		}
 	}
 }
+
+// With the clock ahead at a start, a worker of the first list that has just started looks old. Discovery's own clock, where its answers are
+// dated, tells; a date that is late or coarse does not make a worker younger than it is by more than that, and one that is ahead says nothing.
+func TestTheDateOfAnAnswerShowsThatTheClockIsAhead(t *testing.T) {
+	for _, c := range []struct {
+		name             string
+		off              time.Duration // of this clock
+		dateLate         time.Duration // the answer is dated so long before it is read
+		least, most, ago time.Duration // of the age that counts
+	}{
+		{"right", 0, 0, 5 * time.Second, 5 * time.Second, 5 * time.Second},
+		{"right, answer read late", 0, 3 * time.Second, 5 * time.Second, 5 * time.Second, 5 * time.Second},
+		{"an hour ahead", time.Hour, 0, 5 * time.Second, 7 * time.Second, 5 * time.Second},
+		{"an hour ahead, answer read late", time.Hour, 3 * time.Second, 5 * time.Second, 7 * time.Second, 5 * time.Second},
+		{"an hour behind", -time.Hour, 0, 0, 0, 5 * time.Second},
+		{"a month ahead: not believed", 30 * 24 * time.Hour, 0, 30 * 24 * time.Hour, 31 * 24 * time.Hour, 5 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := unknown()
+				calledAt := time.Now()
+				date := time.Now().Add(-c.off).Truncate(time.Second)
+				time.Sleep(c.dateLate)
+				s.noteDate(date, calledAt)
+				if age := s.ageOf(seenAt("first", c.ago, c.off)); age < c.least-2*time.Millisecond || age > c.most+2*time.Millisecond {
+					t.Errorf("%v old, want from %v to %v", age, c.least, c.most)
+				}
+			})
+		})
+	}
+}
--- a/internal/workers/discovery/watch.go
+++ b/internal/workers/discovery/watch.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
 )
 
 // Errors that end a watch and that Run tells apart from others.
@@ -71,10 +72,14 @@
 	if err != nil {
 		return nil, err
 	}
+	calledAt := time.Now()
 	response, err := c.httpClient.Do(request)
 	if err != nil {
 		return nil, err
 	}
+	if date, err := http.ParseTime(response.Header.Get("Date")); err == nil {
+		c.startTimes.noteDate(date, calledAt)
+	}
 	switch response.StatusCode {
 	case http.StatusOK:
 		return response.Body, nil
