--- a/internal/lab/audit/audit.go
+++ b/internal/lab/audit/audit.go
@@ -101,6 +101,7 @@
 	last           ledger.Kind
 	lastLine       int
 	reused         bool
+	readCuts       []int // requests that were read and have no answer, wherever it was sent again
 	left           bool
 	leftAt         ledger.Time
 	pushes         []*push
@@ -154,6 +155,7 @@
 	pushes     map[int]*push
 	schedulers map[int]*scheduler
 	workers    map[string]*worker
+	readCuts   []int // requests of no op that were read and have no answer
 	j          Judgement
 }
 
@@ -176,6 +178,7 @@
 		j.judgeAnswers(o, last.At)
 		j.judgePushes(o)
 	}
+	j.judgeReadCuts("", j.readCuts)
 	slices.SortStableFunc(j.j.Breaches, func(a, b Breach) int { return a.Lines[len(a.Lines)-1] - b.Lines[len(b.Lines)-1] })
 	return j.j, nil
 }
@@ -219,8 +222,11 @@
 func (j *judge) client(line int, e *ledger.Event) {
 	o := j.ops[e.Op]
 	if o == nil {
-		if e.Kind == ledger.Stray {
+		switch {
+		case e.Kind == ledger.Stray:
 			j.breach(Lost, e.Op, []int{line}, "a client was sent what it had not asked for")
+		case e.Kind == ledger.Cut && e.Text == ledger.ReadUnanswered:
+			j.readCuts = append(j.readCuts, line)
 		}
 		return
 	}
@@ -236,6 +242,9 @@
 		o.left, o.leftAt = true, e.At
 	case ledger.Cut:
 		o.reused = e.State == "reused"
+		if e.Text == ledger.ReadUnanswered {
+			o.readCuts = append(o.readCuts, line)
+		}
 	case ledger.Stray:
 		j.breach(Lost, e.Op, []int{o.dueLine, line}, "its client was sent more than one answer")
 		return
@@ -391,12 +400,7 @@
 
 // excused tells whether an op's scheduler did not run at some moment of its time.
 func (j *judge) excused(o *op) bool {
-	for _, x := range j.scheduler(o.scheduler).off {
-		if x.from <= o.until+j.rules.Slack && (x.to < 0 || x.to >= o.sentAt-j.rules.Slack) {
-			return true
-		}
-	}
-	return false
+	return !j.ranThroughout(o.scheduler, o.sentAt-j.rules.Slack, o.until+j.rules.Slack)
 }
 
 func (j *judge) judgeAnswers(o *op, last ledger.Time) {
@@ -404,6 +408,9 @@
 		return // no scheduler has taken it
 	}
 	j.j.Ops++
+	if !o.left {
+		j.judgeReadCuts(o.id, o.readCuts)
+	}
 	lines := append([]int{o.dueLine}, o.answers...)
 	switch {
 	case len(o.answers) > 1:
@@ -429,6 +436,26 @@
 	}
 }
 
+// judgeReadCuts finds requests that a scheduler read and closed with no answer, though their client went elsewhere with them.
+func (j *judge) judgeReadCuts(op string, cuts []int) {
+	for _, line := range cuts {
+		e := j.events[line-1]
+		if j.ranThroughout(e.Scheduler, e.At-j.rules.Slack, e.At+j.rules.Slack) {
+			j.breach(Lost, op, []int{line}, "scheduler %d read a request, and ended its connection with no answer", e.Scheduler)
+		}
+	}
+}
+
+// ranThroughout tells whether a scheduler was neither killed nor stopped between two moments.
+func (j *judge) ranThroughout(scheduler int, from, to ledger.Time) bool {
+	for _, x := range j.scheduler(scheduler).off {
+		if x.from <= to && (x.to < 0 || x.to >= from) {
+			return false
+		}
+	}
+	return true
+}
+
 func (j *judge) judgeAnswer(o *op, line int, a ledger.Event) {
 	for _, p := range o.pushes {
 		if o.by(p) && p.from > a.At+j.rules.Slack {
--- a/internal/lab/audit/audit_test.go
+++ b/internal/lab/audit/audit_test.go
@@ -370,3 +370,38 @@
 		}
 	}
 }
+
+// A request that was read and closed with no answer is lost, also where its client had its answer elsewhere, or belongs to no op; not where its
+// scheduler was killed or stopped just then, nor where its client left, nor where it was closed unread.
+func TestARequestThatWasReadIsOwedItsAnswer(t *testing.T) {
+	cut := func(op, text string) events {
+		return events{{At: 2000, Kind: ledger.Cut, Op: op, Scheduler: 1, State: "reused", Text: text}}
+	}
+	elsewhere := events{{At: 2100, Kind: ledger.Sent, Op: "a", Scheduler: 2}, {At: 2200, Kind: ledger.Answer, Op: "a", Verdict: ledger.Nacked, Scheduler: 2}}
+	for name, c := range map[string]struct {
+		ledger []events
+		want   int
+	}{
+		"answered elsewhere":     {[]events{due("a", "again", 1000), cut("a", ledger.ReadUnanswered), elsewhere}, 1},
+		"of no op":               {[]events{cut("", ledger.ReadUnanswered)}, 1},
+		"closed unread":          {[]events{due("a", "again", 1000), cut("a", "reset"), elsewhere}, 0},
+		"its scheduler killed":   {[]events{due("a", "again", 1000), {{At: 1990, Kind: ledger.Killed, Scheduler: 1}}, cut("a", ledger.ReadUnanswered), elsewhere}, 0},
+		"no op, killed":          {[]events{{{At: 1990, Kind: ledger.Killed, Scheduler: 1}}, cut("", ledger.ReadUnanswered)}, 0},
+		"another one was killed": {[]events{{{At: 1990, Kind: ledger.Killed, Scheduler: 2}}, cut("", ledger.ReadUnanswered)}, 1},
+		"its client left":        {[]events{due("a", "again", 1000), {{At: 1500, Kind: ledger.Left, Op: "a"}}, cut("a", ledger.ReadUnanswered), elsewhere}, 0},
+	} {
+		j, err := Judge(world(c.ledger...))
+		if err != nil {
+			t.Fatal(err)
+		}
+		lost := 0
+		for _, b := range j.Breaches {
+			if b.Rule == Lost {
+				lost++
+			}
+		}
+		if lost != c.want {
+			t.Errorf("%s: %d lost, want %d: %v", name, lost, c.want, j.Breaches)
+		}
+	}
+}
--- a/internal/lab/clients/clients.go
+++ b/internal/lab/clients/clients.go
@@ -124,6 +124,7 @@
 	leaveAt    time.Duration
 	shared     bool // its id is that of all tries of its wish
 	repeat     bool // it is not the first of them
+	keptOnly   bool // it goes by a connection that is open, or not at all
 }
 
 // note writes an event of a try. In the ledger a wish whose tries share an id is one op, at the scheduler of its first try.
@@ -186,7 +187,7 @@
 		if k == 0 && w.LeaveAt > 0 {
 			t.leaveAt = time.Duration(w.LeaveAt) * ledger.Tenth
 		}
-		at = c.up(at)
+		at, t.keptOnly = c.serving(at, w.Client)
 		end := c.once(ctx, t, due, at)
 		if !c.again(t, end) || k >= c.plan.Clients.Retries || ctx.Err() != nil {
 			return
@@ -262,6 +263,24 @@
 	return at
 }
 
+// ender is a scheduler that may be about to end: it takes no new clients, and those with open connections go on.
+type ender interface{ Ending() bool }
+
+// serving is a scheduler that a client may send to: the one given, or the next one. Of one that is about to end only open connections
+// are used.
+func (c *Crowd) serving(at, client int) (scheduler int, keptOnly bool) {
+	for i := range c.servers {
+		k := (at + i) % len(c.servers)
+		if c.servers[k].Up() {
+			return k, false
+		}
+		if s, ok := c.servers[k].(ender); ok && s.Ending() && (c.pool(client, k).open() || c.pool(pipelining, k).open()) {
+			return k, true
+		}
+	}
+	return at, false
+}
+
 // again tells whether a client asks once more. A dead letter promises nothing, so only what may run twice is.
 func (c *Crowd) again(t *try, o outcome) bool {
 	switch o.kind {
@@ -354,6 +373,10 @@
 	if fresh {
 		p = &pool{addr: p.addr, weather: p.weather, book: p.book}
 	}
+	if t.keptOnly && (fresh || !p.open()) {
+		c.note(t, ledger.Event{Kind: ledger.Refused, Op: t.id, Scheduler: at + 1, Text: "it is about to end"})
+		return outcome{kind: ledger.Refused}, false
+	}
 	w, waits, reused, behind, err := p.connection(t, pipelines && !fresh)
 	if err != nil {
 		c.note(t, ledger.Event{Kind: ledger.Refused, Op: t.id, Scheduler: at + 1, Text: err.Error()})
@@ -396,8 +419,12 @@
 	select {
 	case r := <-waits:
 		if r.err != nil {
+			text := r.err.Error()
+			if r.read {
+				text = ledger.ReadUnanswered
+			}
 			w.Close()
-			c.note(t, ledger.Event{Kind: ledger.Cut, Op: t.id, Scheduler: at + 1, State: reusedText(reused && !r.some), Text: r.err.Error()})
+			c.note(t, ledger.Event{Kind: ledger.Cut, Op: t.id, Scheduler: at + 1, State: reusedText(reused && !r.some), Text: text})
 			return outcome{kind: ledger.Cut}, reused && !r.some
 		}
 		if r.header.Get("Connection") != "close" {
--- a/internal/lab/clients/conn.go
+++ b/internal/lab/clients/conn.go
@@ -2,12 +2,16 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"woaddyke/internal/lab/ledger"
 	"woaddyke/internal/lab/links"
 )
@@ -19,6 +23,7 @@
 	body   []byte
 	err    error
 	some   bool // bytes of an answer had come
+	read   bool // the other side had read all that was written, and closed in order
 }
 
 // wire is one connection to a scheduler. Its reader goes on between requests: an answer that nobody asked for is
@@ -69,7 +74,7 @@
 	for {
 		_, err := in.Peek(1)
 		if err != nil {
-			w.deliver(reply{err: err})
+			w.deliver(reply{err: err, read: errors.Is(err, io.EOF) && w.closedOverRead()})
 			return
 		}
 		resp, err := http.ReadResponse(in, nil)
@@ -94,6 +99,36 @@
 	}
 }
 
+// resetTime is for a reset to come that was under way when the end of a connection was seen.
+const resetTime = 20 * time.Millisecond
+
+// closedOverRead tells whether the other side has read all that was written before it closed. Linux acknowledges what it takes into a socket's
+// queue, and resets a connection that is closed over unread bytes or is written to after its close.
+func (w *wire) closedOverRead() bool {
+	w.order.Lock() // nothing is half written
+	defer w.order.Unlock()
+	return closedOverRead(w.Conn)
+}
+
+func closedOverRead(conn net.Conn) bool {
+	c, ok := conn.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	time.Sleep(resetTime)
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	closedInOrder := false
+	raw.Control(func(fd uintptr) {
+		unacknowledged, err := unix.IoctlGetInt(int(fd), unix.TIOCOUTQ)
+		info, infoErr := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		closedInOrder = err == nil && infoErr == nil && unacknowledged == 0 && info.State == unix.BPF_TCP_CLOSE_WAIT
+	})
+	return closedInOrder
+}
+
 // deliver hands a reply to the request that waits for it; the end of the connection to all that do.
 func (w *wire) deliver(r reply) {
 	w.mu.Lock()
@@ -230,6 +265,19 @@
 	return w, c, false, nil
 }
 
+// open tells whether a connection is open, idle or in use.
+func (p *pool) open() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.idle, (*wire).alive) || slices.ContainsFunc(p.busy, (*wire).alive)
+}
+
+func (w *wire) alive() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.dead
+}
+
 // put keeps a connection, once nothing is awaited on it any more.
 func (p *pool) put(w *wire) {
 	p.mu.Lock()
--- a/internal/lab/ledger/ledger.go
+++ b/internal/lab/ledger/ledger.go
@@ -28,6 +28,10 @@
 // Behind is the text of a request that was sent behind another one whose answer its client still awaited.
 const Behind = "behind"
 
+// ReadUnanswered is the text of a cut whose request had been read: the kernel of the other side had acknowledged all of it, and ended the
+// connection in order. One that is closed over unread bytes is reset.
+const ReadUnanswered = "read, and closed with no answer"
+
 // Kind says what an event is.
 type Kind string
 
--- a/internal/lab/plan/plan.go
+++ b/internal/lab/plan/plan.go
@@ -177,6 +177,7 @@
 	Impatient float64   `toml:"impatient_ms"` // those who leave do so after this
 	SameID    bool      `toml:"same_id"`      // an at-most-once op that got no final answer is asked for again under its id, elsewhere
 	AtOnce    float64   `toml:"at_once"`      // chance that it is asked for at two schedulers at one moment
+	GoOn      bool      `toml:"go_on"`        // after SIGTERM new connections come for a while, and open ones are used to the end
 }
 
 // Link is what lies between two parties.
@@ -285,6 +286,11 @@
 	"scheduler-blind":    {schedulers: true},                                     // its discovery says nothing
 	"scheduler-starve":   {schedulers: true, size: true, least: 0, most: 0.99},   // share of the time for which it stands still
 	"scheduler-takeover": {schedulers: true},                                     // a second process takes its place
+	"scheduler-hups":     {schedulers: true},                                     // several SIGHUPs within a few ms
+	"scheduler-hup-term": {schedulers: true},                                     // SIGTERM right behind a SIGHUP; it is back after for_s
+	"scheduler-terms":    {schedulers: true},                                     // SIGTERM again and again until it has ended; it is back after for_s
+	"takeover-hups":      {schedulers: true},                                     // SIGHUPs while a second process takes its place
+	"scheduler-crowd":    {schedulers: true},                                     // idle clients fill its descriptors, silent or with half a request, also at its console
 	"scheduler-twin":     {schedulers: true},                                     // it is stopped, and a second process has its name elsewhere; after for_s it wakes up
 	"scheduler-stranger": {schedulers: true},                                     // a member of another cluster knocks at it
 
@@ -678,7 +684,7 @@
 		if err := oneOf(at+"way", f.Way, "both", "out", "in"); err != nil {
 			return err
 		}
-		if !e.Members.On && (strings.HasPrefix(f.Kind, "mesh-") || f.Kind == "scheduler-takeover" || f.Kind == "scheduler-twin" || f.Kind == "scheduler-stranger") {
+		if !e.Members.On && (strings.HasPrefix(f.Kind, "mesh-") || f.Kind == "scheduler-takeover" || f.Kind == "takeover-hups" || f.Kind == "scheduler-twin" || f.Kind == "scheduler-stranger") {
 			return fmt.Errorf("%skind = %q: members.on is not set", at, f.Kind)
 		}
 		if f.Kind == "settings-change" && (!e.Members.On || f.EveryS <= 0) {
--- a/internal/lab/play/mesh.go
+++ b/internal/lab/play/mesh.go
@@ -255,7 +255,11 @@
 		}
 	case "scheduler-takeover":
 		if t.On {
-			r.beside(func() error { return r.schedulers[n].Takeover(r.plan.Longest() + 2*time.Second) })
+			r.beside(func() error { return r.takeover(n, false) })
+		}
+	case "takeover-hups":
+		if t.On {
+			r.beside(func() error { return r.takeover(n, true) })
 		}
 	case "scheduler-twin":
 		if t.On {
--- a/internal/lab/play/play.go
+++ b/internal/lab/play/play.go
@@ -593,25 +593,17 @@
 		if t.On {
 			r.move(n)
 		}
-	case "scheduler-kill", "scheduler-stale", "scheduler-term":
-		if !t.On {
-			return
+	case "scheduler-hups":
+		if t.On {
+			r.hups(n)
+		}
+	case "scheduler-crowd":
+		if t.On {
+			r.beside(func() error { return r.fill(s, span) })
+		}
+	case "scheduler-kill", "scheduler-stale", "scheduler-term", "scheduler-terms", "scheduler-hup-term":
+		if t.On {
+			r.beside(func() error { return r.endAndStart(s, t.Kind, n, span) })
 		}
-		r.work.Add(1)
-		go func() {
-			defer r.work.Done()
-			from := time.Now()
-			if t.Kind == "scheduler-term" {
-				if err := s.End(r.plan.Longest() + time.Second); err != nil {
-					r.fail(err)
-				}
-			} else {
-				s.Kill()
-			}
-			time.Sleep(max(span-time.Since(from), 0))
-			if err := s.Start(t.Kind == "scheduler-stale"); err != nil {
-				r.fail(err)
-			}
-		}()
 	}
 }
--- a/internal/lab/schedulers/schedulers.go
+++ b/internal/lab/schedulers/schedulers.go
@@ -101,7 +101,9 @@
 	starts  uint64
 	first   json.RawMessage // the list of the first start, for one that comes back with an old one
 	up      bool
-	label   string // of its files and its name; Name stays n's own
+	ending  bool      // told to end, and not ended
+	newTill time.Time // new clients come to one that is ending
+	label   string    // of its files and its name; Name stays n's own
 	name    string
 	console string
 	readies []time.Duration
@@ -193,9 +195,25 @@
 	return r, ended, nil
 }
 
-// Takeover has a second process take the place of the one that runs. In the ledger both are one: only an end that nobody asked for
-// is written down.
-func (s *Scheduler) Takeover(within time.Duration) error {
+// hupEvery is the time between two SIGHUPs of a series beside a takeover.
+const hupEvery = 25 * time.Millisecond
+
+// hup sends SIGHUP to a process again and again until a channel is closed.
+func (s *Scheduler) hup(to Running, until <-chan struct{}) {
+	for {
+		select {
+		case <-until:
+			return
+		case <-time.After(hupEvery):
+		}
+		s.book.Add(ledger.Event{Kind: ledger.Hup, Scheduler: s.n + 1})
+		to.Signal(syscall.SIGHUP)
+	}
+}
+
+// Takeover has a second process take the place of the one that runs, with SIGHUPs to that one meanwhile where they are wanted. In the
+// ledger both are one: only an end that nobody asked for is written down.
+func (s *Scheduler) Takeover(within time.Duration, hups bool) error {
 	s.mu.Lock()
 	before, old := s.running, s.ended
 	if before == nil {
@@ -209,6 +227,9 @@
 		return err
 	}
 	s.await(r, ended)
+	if hups {
+		go s.hup(before, old)
+	}
 	for limit := time.Now().Add(startTime); s.Ask("/api/ready", nil) != nil; time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(limit) {
 			return fmt.Errorf("scheduler %d: the process that takes over is not ready after %v", s.n+1, startTime)
@@ -237,7 +258,7 @@
 		s.mu.Lock()
 		own := s.running == r
 		if own {
-			s.running, s.up = nil, false
+			s.running, s.up, s.ending = nil, false, false
 		}
 		if own || err != nil { // one that was replaced, and ended as told, goes on in its heir
 			s.book.Add(ledger.Event{Kind: ledger.Exited, Scheduler: s.n + 1, Text: text})
@@ -335,11 +356,34 @@
 	return s.running.PID()
 }
 
-// Up tells whether it is known to serve.
+// Up tells whether it is known to serve. To one that was told to end new clients come for a while, where clients go on.
 func (s *Scheduler) Up() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.up
+	return s.up || s.ending && time.Now().Before(s.newTill)
+}
+
+// Ending tells whether it was told to end, and clients go on with the connections that they have.
+func (s *Scheduler) Ending() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ending
+}
+
+// New clients come to a scheduler that was told to end for so long, by its place.
+const (
+	leastNewClients = 200 * time.Millisecond
+	mostNewClients  = 400 * time.Millisecond
+)
+
+// beginEnd notes that it was told to end, with the lock held.
+func (s *Scheduler) beginEnd() {
+	s.up = false
+	if s.ending || !s.plan.Clients.GoOn {
+		return
+	}
+	spread := time.Duration(s.n) * 70 * time.Millisecond % (mostNewClients - leastNewClients)
+	s.ending, s.newTill = true, time.Now().Add(leastNewClients+spread)
 }
 
 var kinds = map[syscall.Signal]ledger.Kind{syscall.SIGKILL: ledger.Killed, syscall.SIGTERM: ledger.Term,
@@ -366,8 +410,11 @@
 		}
 	}
 	s.book.Add(ledger.Event{Kind: kinds[sig], Scheduler: s.n + 1})
-	if sig == syscall.SIGKILL || sig == syscall.SIGTERM {
-		s.up = false
+	switch sig {
+	case syscall.SIGKILL:
+		s.up, s.ending = false, false
+	case syscall.SIGTERM:
+		s.beginEnd()
 	}
 	if err := s.running.Signal(sig); err != nil && !errors.Is(err, os.ErrProcessDone) {
 		return fmt.Errorf("scheduler %d: %w", s.n+1, err)
@@ -386,6 +433,11 @@
 	if err := s.Signal(syscall.SIGTERM); err != nil {
 		return err
 	}
+	return s.awaitEnd(ended, within)
+}
+
+// awaitEnd waits until it has ended, and kills it where that takes too long.
+func (s *Scheduler) awaitEnd(ended <-chan struct{}, within time.Duration) error {
 	select {
 	case <-ended:
 		return nil
@@ -396,6 +448,37 @@
 	return err
 }
 
+// termEvery is the time between two SIGTERMs of a series.
+const termEvery = 150 * time.Millisecond
+
+// EndBySeries is End with SIGTERM again and again.
+func (s *Scheduler) EndBySeries(within time.Duration) error {
+	s.mu.Lock()
+	ended, running := s.ended, s.running
+	s.mu.Unlock()
+	if running == nil {
+		return nil
+	}
+	for began := time.Now(); time.Since(began) < within; {
+		if err := s.Signal(syscall.SIGTERM); err != nil {
+			return err
+		}
+		select {
+		case <-ended:
+			return nil
+		case <-time.After(termEvery):
+		}
+	}
+	return s.awaitEnd(ended, 0)
+}
+
+// Console is its second address, empty for none.
+func (s *Scheduler) Console() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.console
+}
+
 // Kill ends it at once and waits until it has.
 func (s *Scheduler) Kill() {
 	s.mu.Lock()
--- a/internal/lab/soak/draw.go
+++ b/internal/lab/soak/draw.go
@@ -52,6 +52,10 @@
 	{"scheduler-kill", 0.5, 2, true, none, 0},
 	{"scheduler-term", 4, 6, true, none, 0},
 	{"scheduler-takeover", 5, 6, true, none, 0},
+	{"scheduler-terms", 4, 6, true, none, 0},
+	{"scheduler-hup-term", 4, 6, true, none, 0},
+	{"takeover-hups", 5, 6, true, none, 0},
+	{"scheduler-hups", 0.5, 1, false, none, 0},
 	{"scheduler-stop", 0.15, 3, true, none, 0},
 	{"scheduler-starve", 1, 3, true, between(0.4, 0.8), 0},
 	{"scheduler-reload", 1, 2, false, none, 0},
@@ -82,6 +86,13 @@
 }
 
 // day is what all soaks share.
+// ofCrowds come in one of crowdedSeeds runs.
+var ofCrowds = []trouble{
+	{"scheduler-crowd", 1, 4, false, none, 0},
+}
+
+const crowdedSeeds = 3
+
 const day = `
 settle_s = 1
 [rules]
@@ -103,6 +114,7 @@
 stall = 0.04
 ask_again = 0.03
 pipeline = 0.3
+go_on = true
 [[workers]]
 kind = "quick"
 count = 5
@@ -175,6 +187,11 @@
 func drawFaults(e *plan.Experiment, r *rand.Rand) {
 	from, to := troubledFrom*e.Seconds, min(troubledTo*e.Seconds, e.Seconds-leastQuiet.Seconds())
 	kinds := slices.Concat(troubles, ofMembers)
+	if r.IntN(crowdedSeeds) == 0 {
+		for range 3 { // several of them in such a run
+			kinds = append(kinds, ofCrowds...)
+		}
+	}
 	busy := make([]float64, e.Schedulers.Count)
 	workers := map[string]bool{} // kinds that last to the end of their fault only once at a time
 	for at := from; at < to; at += 0.4 + 1.6*r.Float64() {
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -48,7 +49,7 @@
 			t.Errorf("seed %d: %d of %d troubles overlap", seed, overlap, len(e.Faults))
 		}
 	}
-	for _, k := range append(troubles, ofMembers...) {
+	for _, k := range slices.Concat(troubles, ofMembers, ofCrowds) {
 		if !kinds[k.kind] {
 			t.Errorf("%s is never drawn", k.kind)
 		}
