No repeat of a deduplicated op is written after its window

Callers could see: an op has its effect twice, as its repeat reaches the worker group after the window in which that drops it.

Cause: the window was judged at the decision, with one dial's time in hand; a list that is being read may hold the write for 0.3 s more, and a write in parts for 0.1 s.

The question before each part of a write also asks whether the window is open, counted from the first attempt that may have run here or at a scheduler before.

--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -39,6 +39,12 @@
 	return true
 }
 
+// wantedUntil returns the question that is asked before each write of an attempt: whether the client is there,
+// and a moment has not passed. The zero time is none.
+func (p *pendingOp) wantedUntil(end time.Time) func() bool {
+	return func() bool { return (end.IsZero() || time.Now().Before(end)) && p.clientWaiting() }
+}
+
 // logFields adds what an op has gone through to a log line.
 func (p *pendingOp) logFields(e *zerolog.Event) {
 	e.Uint64("op", p.Op.Op).Str("id", p.Op.ID).Str("category", p.Op.Category).Int("pushes", len(p.attempts))
@@ -100,6 +106,27 @@
 	return ""
 }
 
+// windowEnd is when the window ends in which a worker group drops a repeat of the op: nothing may be written
+// for it later. It is zero where no window binds it, as nothing may have run. Of several rules that
+// may apply the latest end counts.
+func (p *pendingOp) windowEnd(rules [2]config.CategoryRule, prior time.Time) (end time.Time) {
+	if first := p.attempts.firstMayHaveRun(); first != nil && (prior.IsZero() || first.decidedAt.Before(prior)) {
+		prior = first.decidedAt
+	}
+	if prior.IsZero() {
+		return time.Time{}
+	}
+	for _, rule := range rules {
+		if rule.Effect != deduplicated {
+			return time.Time{} // the other checks decide
+		}
+		if ruleEnd := prior.Add(rule.Window); ruleEnd.After(end) {
+			end = ruleEnd
+		}
+	}
+	return end
+}
+
 // nackIsHarmless tells whether a client may retry after a nack, as the nack promises.
 func (all attempts) nackIsHarmless(r config.CategoryRule, now time.Time) bool {
 	first := all.firstMayHaveRun()
--- a/internal/scheduler/loop.go
+++ b/internal/scheduler/loop.go
@@ -175,6 +175,7 @@
 func (l *Loop) push(now time.Time, e reducer.Push) {
 	p := l.pending[e.Op]
 	p.group = e.Group
+	wanted := p.wantedUntil(p.windowEnd(l.checks.rules(p), l.priorAttempt(now, p)))
 	l.checks.attemptStarting(now, p, e)
 	l.opts.Log.Debug().Uint64("op", e.Op).Str("id", p.Op.ID).Str("worker", e.Worker).
 		Int("attempt", e.Attempt).Stringer("previous_ending", p.attempts.previousEnding()).Msg("push")
@@ -184,7 +185,15 @@
 	progressed := func(line workerconn.Line) { l.attemptProgressed(e.Op, line) }
 	ended := func(end workerconn.End) { l.attemptEnded(now, p, e.Worker, end) }
 	l.inFlight[e.Op] = l.opts.Workers.Push(
-		e.Addr, p.Op.ID, request, deadline, p.clientWaiting, sent, progressed, ended)
+		e.Addr, p.Op.ID, request, deadline, wanted, sent, progressed, ended)
+}
+
+// priorAttempt is when the op may have run first for another scheduler; zero where it did not.
+func (l *Loop) priorAttempt(now time.Time, p *pendingOp) time.Time {
+	if p.Op.PriorAttempt == nil {
+		return time.Time{}
+	}
+	return now.Add(duration(p.Op.PriorAttempt.StartedAt - dispatch.Time(config.RoundUp(l.opts.Clock.Now()))))
 }
 
 // attemptRequest returns the bytes of an attempt just before its first write, or nil for a decision that
--- a/internal/scheduler/loop_test.go
+++ b/internal/scheduler/loop_test.go
@@ -60,19 +60,23 @@
 	return addr, attempts
 }
 
-// newLoop is a loop that knows one worker and serves the category "look".
+// newLoop is a loop that knows one worker and serves the category "look", with one attempt to an op.
 func newLoop(t *testing.T, worker string) *Loop {
 	t.Helper()
-	rule := config.CategoryRule{Effect: "fragile"}
+	category := map[string]any{"name": "look", "effect": "fragile", "ttlNs": 60e9, "targetLatencyNs": 60e9}
+	return newLoopOf(t, worker, 1, config.CategoryRule{Effect: "fragile"}, category)
+}
+
+// newLoopOf is a loop that knows one worker and serves one category, with so many attempts to an op.
+func newLoopOf(t *testing.T, worker string, maxAttempts int, rule config.CategoryRule, category map[string]any) *Loop {
+	t.Helper()
 	l := New(Options{
 		Reducer: reducer.New(1, config.Flatten(map[string]any{
-			"bounds": map[string]any{"maxPushes": 1.0},
-			"categories": []any{
-				map[string]any{"name": "look", "effect": "fragile", "ttlNs": 60e9, "targetLatencyNs": 60e9},
-			},
+			"bounds":     map[string]any{"maxPushes": float64(maxAttempts), "connectTimeoutNs": 50e6},
+			"categories": []any{category},
 		})),
 		Workers:        workerconn.New(workerconn.Bounds{Open: 9, Dial: time.Second, Idle: time.Second}),
-		Policy:         fixedPolicy{rule: rule, maxAttempts: 1},
+		Policy:         fixedPolicy{rule: rule, maxAttempts: maxAttempts},
 		Checker:        invariant.New(zerolog.Nop()),
 		Metrics:        metrics.New([]string{"look"}),
 		Clock:          clock.New(),
