A member's start that fails closes its sockets

Operators could see: a start that fails for its configuration keeps its address until the process ends; in a hot restart what came and is no member's socket stayed open.

Cause: mesh.start returned its errors without the sockets that it was given, and socketsFrom those of a wrong kind.

Evidence: TestAStartThatFailsClosesItsSockets ("address already in use") and TestSocketsThatAreNoMembersAreClosed (two descriptors more) failed before this change. Both paths close what they opened now.

--- a/internal/cluster/mesh/mesh.go
+++ b/internal/cluster/mesh/mesh.go
@@ -90,7 +90,7 @@
 	if err != nil {
 		return nil, startError(err)
 	}
-	return start(config, who, host, log, s, nil)
+	return startOrClose(config, who, host, log, s, nil)
 }
 
 // Restore goes on as the member that a predecessor was, with its state and its sockets: that of datagrams,
@@ -109,7 +109,20 @@
 	if err != nil {
 		return nil, startError(err)
 	}
-	return start(config, who, host, log, s, &predecessor)
+	return startOrClose(config, who, host, log, s, &predecessor)
+}
+
+// startOrClose is start, and closes the sockets where that fails.
+func startOrClose(
+	config *Config, who Identity, host Host, log zerolog.Logger,
+	s sockets, predecessor *membership.HandoverState,
+) (*Mesh, error) {
+	m, err := start(config, who, host, log, s, predecessor)
+	if err != nil {
+		s.close()
+		return nil, err
+	}
+	return m, nil
 }
 
 // start runs a node on sockets. The predecessor is nil for a process that joins.
--- a/internal/cluster/mesh/sockets.go
+++ b/internal/cluster/mesh/sockets.go
@@ -67,6 +67,8 @@
 	udp, isUDP := conn.(*net.UDPConn)
 	tcp, isTCP := listener.(*net.TCPListener)
 	if !isUDP || !isTCP {
+		conn.Close()
+		listener.Close()
 		return s, errors.New("what was handed over are no sockets of a member")
 	}
 	return sockets{udp, tcp}, nil
