No replica is returned beside an error

Cause: New returned the replica and the error of its store. Whoever went by the value would have run it without its records. The program ends its start there, so nobody met it. TestNoReplicaComesWithAnError failed before this change; New returns nil now.

--- a/internal/cluster/replica/replica.go
+++ b/internal/cluster/replica/replica.go
@@ -83,7 +83,10 @@
 		return nil, errors.New("copies: agreed: a keeper has to have a path for what must last")
 	}
 	if config.Path != "" && (isReplica || config.DynamicReplicas) {
-		return r, r.openStorage(name, seed, now)
+		if err := r.openStorage(name, seed, now); err != nil {
+			return nil, err
+		}
+		return r, nil
 	}
 	if config.DynamicReplicas {
 		r.replicaSet = replicaset.New(config.replicaSetConfig(name, seed), replicaset.State{}, now)
