The log names the file of a configuration that was kept

Operators saw "configuration kept" with a reason and not always with a field that says which file; the text of the error alone had it.

--- a/internal/frontend/settings.go
+++ b/internal/frontend/settings.go
@@ -128,7 +128,7 @@
 	bootstrap, err := readReload(path, before.Bootstrap)
 	if err != nil {
 		s.metrics.ConfigReloaded(false)
-		s.log.Error().Err(err).Msg("configuration kept")
+		s.log.Error().Str("path", path).Err(err).Msg("configuration kept")
 		return
 	}
 	settingsChanged, othersChanged := bootstrap.CompareSettings(before.Bootstrap)
