A job line's share below 0 is no acknowledgement

Cause: inside the program a share below 0 stands for the head of an answer. A worker's own line with one was taken for that too. By reading it changed nothing, as the head always comes first; TestAShareBelowZeroIsNoAcknowledgement holds the translation, which is a function of its own now.

--- a/internal/scheduler/loop.go
+++ b/internal/scheduler/loop.go
@@ -208,7 +208,17 @@
 
 func (l *Loop) attemptProgressed(op uint64, line workerconn.Line) {
 	l.opts.Log.Debug().Uint64("op", op).Str("state", line.State).Float64("share", line.Share).Msg("job line")
-	l.Send(reducer.AttemptProgressed{Op: op, Started: line.State == "started", Done: line.Share})
+	l.Send(progress(op, line))
+}
+
+// progress is what a job line reports. A share below 0 stands for an acknowledgement: in a worker's own line
+// it has no meaning.
+func progress(op uint64, line workerconn.Line) reducer.AttemptProgressed {
+	share := line.Share
+	if line.State != workerconn.StateAcknowledged {
+		share = max(share, 0)
+	}
+	return reducer.AttemptProgressed{Op: op, Started: line.State == "started", Done: share}
 }
 
 func (l *Loop) attemptEnded(startedAt time.Time, p *pendingOp, worker string, end workerconn.End) {
--- a/internal/workers/workerconn/exchange.go
+++ b/internal/workers/workerconn/exchange.go
@@ -42,6 +42,9 @@
 	maxWriteFailures = 25                   // of such, in a row
 )
 
+// StateAcknowledged is the state of the line that stands for an answer's head: the worker has the job.
+const StateAcknowledged = "taken"
+
 // Line is one job line of a worker.
 type Line struct {
 	ID     string          `json:"id"`
@@ -365,7 +368,7 @@
 		return resp, e
 	}
 	c.limited.allow(maxAnswerBytes)
-	note(Line{State: "taken", Share: -1})
+	note(Line{State: StateAcknowledged, Share: -1})
 	started, noted := false, time.Time{}
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(make([]byte, 0, 1024), maxLineBytes)
