The look at a client comes after the look at the endpoint list, before a write

Callers could see: an attempt begins for a client that has left, where the look at the list took long between the look at the client and the write.

Cause: before the first byte the client was looked at, then the list's socket. A slow second look made the first one old; the bound of 10 ms between look and write covered the first alone.

Evidence: TestTheLookAtTheClientComesAfterThatAtTheList, whose look at the list takes 150 ms, failed before this change (looked at 150 ms before).

The list is looked at first now, and the client last.

--- a/internal/workers/workerconn/exchange.go
+++ b/internal/workers/workerconn/exchange.go
@@ -244,11 +244,12 @@
 		defer x.mu.Unlock()
 		stale = false
 		for !x.written && x.closedAs == outcome.Unknown {
-			if heldBack = !x.clientWaits(limit) || n > 0 && time.Since(madeAt) > maxWriteTime; heldBack {
-				x.closedAs = outcome.CancelledUnsent
+			if stale = n == 0 && x.stale(); stale {
 				return true
 			}
-			if stale = n == 0 && x.stale(); stale {
+			// The look at the client comes last: the one at the endpoint list takes time of its own.
+			if heldBack = !x.clientWaits(limit) || n > 0 && time.Since(madeAt) > maxWriteTime; heldBack {
+				x.closedAs = outcome.CancelledUnsent
 				return true
 			}
 			if n == 0 {
--- a/internal/workers/workerconn/stale_test.go
+++ b/internal/workers/workerconn/stale_test.go
@@ -65,3 +65,39 @@
 		t.Errorf("a probe: %v", e.How)
 	}
 }
+
+// The look at the client comes last before a request is written: a look at the list that takes its time made it an old one.
+func TestTheLookAtTheClientComesAfterThatAtTheList(t *testing.T) {
+	const slow = 150 * time.Millisecond // of the look at the list
+	addr := fragmentpeer.Serve(t, func(c *net.TCPConn) {
+		if n, _ := c.Read(make([]byte, 4096)); n == 0 {
+			return
+		}
+		line := `{"id":"a1","state":"done","result":"x"}`
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(line), line)
+	})
+	p := pool(4)
+	p.Stale = func() bool {
+		time.Sleep(slow)
+		return false
+	}
+	var looked atomic.Pointer[time.Time]
+	wanted := func() bool {
+		now := time.Now()
+		looked.Store(&now)
+		return true
+	}
+	age := make(chan time.Duration, 1)
+	made := func(time.Duration) []byte {
+		age <- time.Since(*looked.Load())
+		return request
+	}
+	ends := make(chan End, 1)
+	p.Push(addr, "a1", made, time.Now().Add(20*time.Second), wanted, func() {}, func(Line) {}, func(e End) { ends <- e })
+	if e := <-ends; e.How != outcome.Done {
+		t.Fatal(e.How)
+	}
+	if got := <-age; got > slow/2 {
+		t.Errorf("the client was looked at %v before the request was made", got)
+	}
+}
