A process that ends answers half bodies, and new connections to the last moment

Cause: a body may take a second, the end comes after less; and a new connection was treated as one on which a request was served.

A body has to be whole 0.1 s before the end, or its client is told that it may try again. A new connection has its first request read; at the end accepting stops, and what was accepted has 0.1 s for its answers. The soak's crowd comes again after 0.5 s, as one after 50 ms was a flood.

--- a/cmd/woaddyke/lastread_test.go
+++ b/cmd/woaddyke/lastread_test.go
@@ -126,3 +126,28 @@
 		})
 	}
 }
+
+// A request whose body does not come whole is answered before its process ends, and its client may try again. It was closed with no answer.
+func TestAHalfBodyIsAnsweredAtTheEnd(t *testing.T) {
+	t.Parallel()
+	discovery := discoveryOf(t, `{"rev":1,"all":true,"targets":[{"uid":"w","endpoint":"127.0.0.1:1","state":"SERVING"}]}`)
+	listen := freeAddr(t)
+	const ttl = time.Second
+	p := startProcessOf(t, socketFolder(t), listen, discovery, 0, 256, paySettings(ttl))
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	time.Sleep(ttl * 7 / 10) // the client's: it comes late, and the end comes before the time for its body is over
+	c := dial(t, listen)
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	fmt.Fprint(c, "POST / HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: a\r\nX-Service-Class: pay\r\nX-Time-Left-Ms: 1000\r\nContent-Length: 9\r\n\r\nhalf")
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatalf("%v: %s", err, p.log)
+	}
+	if resp.StatusCode != http.StatusServiceUnavailable || !resp.Close {
+		t.Errorf("%s, closes %v", resp.Status, resp.Close)
+	}
+	if err := p.cmd.Wait(); err != nil {
+		t.Error(err)
+	}
+	requireCleanEnd(t, p.log.String())
+}
--- a/internal/frontend/clientconn/clientconn.go
+++ b/internal/frontend/clientconn/clientconn.go
@@ -43,10 +43,11 @@
 	most, full int // from the first on others give way to a newcomer; at the second it is closed unread
 	open       map[*conn]*entry
 	stands     standstill
-	paused     chan struct{}  // nil while connections are accepted; closed when they are again
-	parted     map[*conn]bool // told that their wait is over, and not closed yet
-	stopped    atomic.Bool    // no further request is read
-	closed     chan struct{}  // has one when a connection has been closed since it was emptied
+	paused     chan struct{}             // nil while connections are accepted; closed when they are again
+	parted     map[*conn]bool            // told that their wait is over, and not closed yet
+	stopped    atomic.Bool               // no further request is read
+	bodiesBy   atomic.Pointer[time.Time] // by when a body that has begun has to be whole then; nil before
+	closed     chan struct{}             // has one when a connection has been closed since it was emptied
 }
 
 // Reason is why this side ends a connection, or its wait for a request.
@@ -89,6 +90,7 @@
 	headBy   time.Time // by when the head that has begun has to be whole; zero while none has, or nobody reads it
 	parted   bool      // its wait is over
 	forfeit  bool      // nobody is owed an answer any more: where its requests begin and end is not known
+	used     bool      // a request was served on it
 	answered bool      // something of an answer to the request that is served has been written
 }
 
@@ -169,7 +171,7 @@
 	if c.bound() {
 		return nil
 	}
-	return c.Conn.SetReadDeadline(t)
+	return c.Conn.SetReadDeadline(c.limited(t))
 }
 
 // bound has a head that has begun be whole within its time, with the lock held; false where that is no earlier than what the server has
@@ -328,6 +330,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.requests.served()
+	c.used = true
 	c.arrived.forget(c.requests.answeredUpTo())
 	c.answered = false
 	c.headBy = time.Time{} // what came of the next one meanwhile was not read by anybody
@@ -525,10 +528,13 @@
 	}
 }
 
-// Close ends accepting for good.
+// Close ends accepting for good. It may be called again.
 func (g *Pool) Close() error {
 	err := g.Listener.Close()
 	g.Resume()
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
 	return err
 }
 
--- a/internal/frontend/clientconn/stop_reading_test.go
+++ b/internal/frontend/clientconn/stop_reading_test.go
@@ -27,7 +27,7 @@
 			if _, err := io.ReadFull(server, read); err != nil {
 				t.Fatal(err)
 			}
-			g.StopReading()
+			g.StopReading(time.Now().Add(time.Minute))
 			io.WriteString(client, rest+request)
 			c := server.(*conn)
 			got, b := "", make([]byte, 4096)
@@ -49,16 +49,23 @@
 	}
 }
 
-// A connection that waits for a request ends unread at once, also one whose request comes in that instant.
-func TestWaitingConnectionsEndUnread(t *testing.T) {
+// A kept connection that waits for a request ends unread at once, also one whose request comes in that instant; a new one has it read.
+func TestKeptConnectionsEndUnread(t *testing.T) {
 	g := listening(t, 9)
+	fresh, first := pair(t, g)
 	server, client := pair(t, g)
+	c := server.(*conn)
+	c.next() // one was served
+	io.WriteString(first, request)
 	io.WriteString(client, request)
 	for come := 0; come == 0; come, _ = workerconn.Peek(server) {
 		time.Sleep(time.Millisecond)
 	}
-	g.StopReading()
+	g.StopReading(time.Now().Add(time.Minute))
 	if n, err := server.Read(make([]byte, 99)); n != 0 || !errors.Is(err, io.EOF) {
-		t.Errorf("%d bytes, %v", n, err)
+		t.Errorf("kept: %d bytes, %v", n, err)
+	}
+	if n, err := fresh.Read(make([]byte, 99)); n != len(request) || err != nil {
+		t.Errorf("new: %d bytes, %v", n, err)
 	}
 }
--- a/internal/frontend/request.go
+++ b/internal/frontend/request.go
@@ -94,7 +94,7 @@
 		return nil, err
 	}
 	if op.request.Body, err = readBody(w, r); err != nil {
-		return nil, err
+		return nil, s.bodyRejection(err)
 	}
 	control := http.NewResponseController(w)
 	control.SetReadDeadline(time.Time{})
@@ -186,6 +186,16 @@
 	return body.Bytes(), nil
 }
 
+// bodyRejection is the rejection of a request whose body was not read. At the end of this process that is no
+// fault of its client, who may try again.
+func (s *Server) bodyRejection(err error) error {
+	rejection := asRejection(err)
+	if rejection.Status == http.StatusBadRequest && s.clients.StoppedReading() {
+		return &Rejection{http.StatusServiceUnavailable, "this scheduler ends: trying again is harmless", true}
+	}
+	return rejection
+}
+
 func bodyTooLarge() *Rejection {
 	return &Rejection{http.StatusRequestEntityTooLarge, "a body holds at most 64 KiB", true}
 }
--- a/internal/frontend/serve.go
+++ b/internal/frontend/serve.go
@@ -25,6 +25,13 @@
 	// shutdownMargin is added for the answers at the deadline, and again for their connections.
 	shutdownMargin = killGrace / 3
 
+	// bodyMargin is for the answer to a request whose body did not come whole before the end.
+	bodyMargin = shutdownMargin / 2
+
+	// lastAnswersMargin is for the connections that were accepted in the last moment.
+	lastAnswersMargin = shutdownMargin / 2
+	lastPollInterval  = 2 * time.Millisecond
+
 	// keepAliveFraction is the part of its last time for which this process keeps idle connections open:
 	// their clients may have no other scheduler.
 	keepAliveFraction = 0.6
@@ -130,10 +137,12 @@
 		s.clients.Pause()
 		s.peers.stopReceiving()
 	}
-	s.drainConnections(closeFrom, deadline, deadline.Add(shutdownMargin))
+	end := deadline.Add(shutdownMargin)
+	s.drainConnections(closeFrom, deadline, end)
+	s.endLastConnections(end.Add(lastAnswersMargin))
 	// Only now: http.Server drops requests that it has just read, and closes connections on which one has
 	// begun.
-	s.shutDownHTTP(server, deadline.Add(shutdownMargin))
+	s.shutDownHTTP(server, end.Add(lastAnswersMargin))
 	s.logStopped()
 }
 
@@ -166,7 +175,7 @@
 			s.clients.Part(s.clients.Count(), newConnectionGrace)
 		}
 		if time.Now().After(answersBy) {
-			s.clients.StopReading()
+			s.clients.StopReading(deadline.Add(-bodyMargin))
 		}
 		if (s.lifecycle.successor.Load() || time.Now().After(closeFrom)) && s.clients.Sockets() == 0 {
 			emptyPolls++
@@ -177,10 +186,20 @@
 	}
 }
 
+// endLastConnections accepts nothing more, and returns when what was accepted up to now has its answers, or at
+// the deadline.
+func (s *Server) endLastConnections(deadline time.Time) {
+	s.clients.StopReading(deadline.Add(-bodyMargin))
+	s.clients.Close()
+	for s.clients.Sockets() > 0 && time.Now().Before(deadline) {
+		s.clients.Part(s.clients.Count(), 0)
+		time.Sleep(lastPollInterval)
+	}
+}
+
 // shutDownHTTP ends the HTTP server. What is still open at the deadline is closed here, so that the last counts
 // of this process include it.
 func (s *Server) shutDownHTTP(server *http.Server, deadline time.Time) {
-	s.clients.StopReading()
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
--- a/internal/lab/play/ends.go
+++ b/internal/lab/play/ends.go
@@ -18,7 +18,7 @@
 	hupsInSeries = 5
 	hupPause     = 2 * time.Millisecond // between two of a series
 
-	crowdPause    = 50 * time.Millisecond // between two looks at a crowd whose connections are closed
+	crowdPause    = 500 * time.Millisecond // before another comes in place of one that was closed: it is a crowd, no flood
 	crowdDialTime = 200 * time.Millisecond
 	halfARequest  = "POST /api HTTP/1.1\r\nHost: api.internal\r\nX-Corr"
 )
