Load reports that find the scheduler's loop full are counted

Found while each non-blocking send was read for the dropped input of replicas: a load report of another scheduler that finds the inbox full was lost and not counted. It is lost as a datagram is, and TestALostLoadReportIsCounted holds the count, which the last line of a process shows (peer_messages_lost).

--- a/internal/frontend/peers.go
+++ b/internal/frontend/peers.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -26,6 +27,7 @@
 	sender    func(to int, text string)            // in place of the transport; nil without members
 	inherited *net.UDPConn                         // a predecessor's socket, nil without one
 	transport *peerTransport                       // nil without addresses in the configuration
+	lost      atomic.Uint64                        // messages that found no space in the loop's inbox
 	log       zerolog.Logger
 }
 
@@ -90,6 +92,7 @@
 	select {
 	case s.loop.Inbox() <- scheduler.Input{Event: event}:
 	default:
+		s.peers.lost.Add(1)
 	}
 }
 
--- /dev/null
+++ b/internal/frontend/peers_lost_test.go
@@ -0,0 +1,28 @@
+package frontend
+
+import (
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"woaddyke/internal/scheduler"
+	"woaddyke/internal/scheduler/reducer"
+)
+
+// A load report that finds the loop's inbox full is lost, as a datagram is, and counted.
+func TestALostLoadReportIsCounted(t *testing.T) {
+	f, err := New(testBootstrap(t, `{"rev":1,"all":true,"targets":[]}`), zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range cap(f.loop.Inbox()) { // nobody takes them: the loop does not run
+		f.loop.Inbox() <- scheduler.Query(func(scheduler.State) {})
+	}
+	const reports = 3
+	for range reports {
+		f.PeerInput(reducer.PeerMessage{Sender: 1, Text: "x"})
+	}
+	if got := f.peers.lost.Load(); got != reports {
+		t.Errorf("%d lost reports are counted, want %d", got, reports)
+	}
+}
--- a/internal/frontend/serve.go
+++ b/internal/frontend/serve.go
@@ -210,6 +210,6 @@
 
 func (s *Server) logStopped() {
 	open, dialed := s.workers.Counts()
-	s.log.Info().Int("open", open).Int("dialed", dialed).
+	s.log.Info().Int("open", open).Int("dialed", dialed).Uint64("peer_messages_lost", s.peers.lost.Load()).
 		Interface("violations", s.checker.Counts()).Msg("stopped")
 }
