Ops that came in a standstill are dated by it, however late they are read

Cause: what is first read within 0.25 s after a standstill counts as come at its beginning. The process had stood for 0.92 s and read that connection later than that, as it had much to do; its two ops were dated by the newest bytes.

Where the kernel dates the newest bytes into the standstill, all of them came in it or before, and are dated by its beginning.

--- a/internal/frontend/clientconn/arrivals.go
+++ b/internal/frontend/clientconn/arrivals.go
@@ -86,7 +86,7 @@
 func (c *conn) sawUnread(fd uintptr) {
 	unread := max(unreadBytes(fd), 1) // something lies there
 	now := time.Now()
-	since := c.of.stands.earliest(now)
+	since := c.of.stands.earliestOf(now, newestBytes(fd, now))
 	c.of.stands.want(now)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -94,11 +94,30 @@
 	c.arrived.saw(c.requests.offset+int64(unread), since)
 }
 
+// newestBytes is when the newest bytes of a connection came, as the kernel says; now where it does not.
+func newestBytes(fd uintptr, now time.Time) time.Time {
+	info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return now
+	}
+	return now.Add(-time.Duration(info.Last_data_recv) * time.Millisecond)
+}
+
+func (c *conn) newestBytes(now time.Time) (newest time.Time) {
+	newest = now
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return newest
+	}
+	raw.Control(func(fd uintptr) { newest = newestBytes(fd, now) })
+	return newest
+}
+
 // sawRead notes what has just been read, with the lock held. One request alone is dated by the kernel's word of its newest bytes.
 func (c *conn) sawRead(now time.Time) {
 	since := now
 	if c.requests.several() {
-		since = c.of.stands.earliest(now)
+		since = c.of.stands.earliestOf(now, c.newestBytes(now))
 		c.of.stands.want(now)
 		c.sawQueued()
 	}
--- a/internal/frontend/clientconn/standstill.go
+++ b/internal/frontend/clientconn/standstill.go
@@ -42,6 +42,18 @@
 	return now
 }
 
+// earliestOf is earliest for bytes of which the newest came at a moment. Where that lies in the last standstill all of them came in it or before,
+// however late they are read after it.
+func (s *standstill) earliestOf(now, newest time.Time) time.Time {
+	s.mu.Lock()
+	from, to := s.from, s.to
+	s.mu.Unlock()
+	if newest.After(from) && newest.Before(to) {
+		return from
+	}
+	return s.earliest(now)
+}
+
 // sign notes that the process runs.
 func (s *standstill) sign(now time.Time) {
 	s.mu.Lock()
--- a/internal/frontend/clientconn/standstill_test.go
+++ b/internal/frontend/clientconn/standstill_test.go
@@ -55,3 +55,23 @@
 		}
 	}
 }
+
+// A process that runs on may take longer to read what came while it stood than it is usually given: what the kernel dates into the standstill
+// came in it, whenever it is read.
+func TestWhatCameInAStandstillIsDatedByItHoweverLateItIsRead(t *testing.T) {
+	start := time.Now()
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	var s standstill
+	s.begin(at(0))
+	for ms := 0; ms <= 400; ms += 40 {
+		s.beat(at(ms))
+	}
+	for ms := 1500; ms <= 2200; ms += 40 { // it stood from 400 to 1,500
+		s.beat(at(ms))
+	}
+	for _, c := range []struct{ newest, want int }{{1200, 400}, {1499, 400}, {390, 2200}, {1600, 2200}, {2200, 2200}} {
+		if got := s.earliestOf(at(2200), at(c.newest)); !got.Equal(at(c.want)) {
+			t.Errorf("newest bytes at %d ms, read at 2,200 ms: since %v, not %d ms", c.newest, got.Sub(start), c.want)
+		}
+	}
+}
