Tests of claimers give a successor a console of its own

Both processes had the same one, so whether the successor started depended on which of the two was quicker: TestRepeatsAfterAPredecessorIsKilled failed in a run of the whole suite, its log shows the successor's end by 'address already in use'.

--- a/cmd/woaddyke/claimers_test.go
+++ b/cmd/woaddyke/claimers_test.go
@@ -28,6 +28,14 @@
 	return ids
 }
 
+// startSuccessor has a second process take the place of one, with a console of its own, and waits until it serves.
+func startSuccessor(t *testing.T, c *several.Cluster, p *several.Place) {
+	t.Helper()
+	p.Console = freeAddr(t)
+	c.Start(p)
+	c.Await("the successor serves", func() bool { return p.Get("/api/ready", nil) && votes(p) })
+}
+
 // awaitRepeats waits until each repeat at each of some places has a status, and fails the test for one that was granted.
 func awaitRepeats(t *testing.T, c *several.Cluster, b *bench, ids []string, want int, places ...*several.Place) {
 	t.Helper()
@@ -71,8 +79,7 @@
 	p := c.Places[0]
 	ids := startOpenOps(t, p, b)
 	predecessor, ended := p.Running()
-	c.Start(p)
-	c.Await("the successor serves", func() bool { return p.Get("/api/ready", nil) && votes(p) })
+	startSuccessor(t, c, p)
 	for _, at := range []*several.Place{c.Places[1], p} {
 		if status, text := post(at, "pay", ids[0], "x"); status != http.StatusServiceUnavailable {
 			t.Errorf("while the predecessor runs, at %s: %d %q", at.Name, status, text)
@@ -89,8 +96,7 @@
 	c, b := guarded(t, 3, true, "path = \"{dir}/copies.db\"\n")
 	p := c.Places[0]
 	ids := startOpenOps(t, p, b)
-	c.Start(p)
-	c.Await("the successor serves", func() bool { return p.Get("/api/ready", nil) && votes(p) })
+	startSuccessor(t, c, p)
 	close(b.go_)
 	awaitRepeats(t, c, b, ids, http.StatusOK, c.Places[1], p)
 }
