A successor in a hot restart knows the other members

Callers saw: after the old process of a hot restart was killed, repeats of its ids at other schedulers still got 503, with the mend of claims that state their process: the successor's report of the end went to nobody.

Cause: the members that a predecessor hands over are merged before anybody listens, so the replica of a successor knew of none until one of them changed.

--- a/cmd/woaddyke/cluster.go
+++ b/cmd/woaddyke/cluster.go
@@ -139,13 +139,23 @@
 	}
 	memberChanged := host.MemberChanged
 	host.MemberChanged = func(c membership.MemberChanged) {
-		p.replica.SetPeerIncarnation(c.Name, c.Incarnation)
-		p.replica.SetPeerDead(c.Name, c.State.Ended())
+		p.setReplicaPeer(c.MemberView)
 		memberChanged(c)
 	}
+	host.MembersRestored = func(members []membership.MemberView) {
+		for _, member := range members {
+			p.setReplicaPeer(member)
+		}
+	}
 	return nil
 }
 
+// setReplicaPeer tells the replica what is known of another member.
+func (p *process) setReplicaPeer(member membership.MemberView) {
+	p.replica.SetPeerIncarnation(member.Name, member.Incarnation)
+	p.replica.SetPeerDead(member.Name, member.State.Ended())
+}
+
 // requiresClaim tells whether an op of a category needs a claim before its first attempt.
 func (p *process) requiresClaim(category string) bool {
 	switch p.server.CategoryEffect(category) {
--- a/internal/cluster/mesh/mesh.go
+++ b/internal/cluster/mesh/mesh.go
@@ -49,6 +49,9 @@
 	UserMessage   func(number int, text string)
 	Stopped       func(replaced bool) // this process is no member any more
 
+	// MembersRestored gets the members that a predecessor handed over. It is called before the loop runs.
+	MembersRestored func([]membership.MemberView)
+
 	// Serving reports whether this process is a member, and as which incarnation.
 	Serving func(on bool, incarnation membership.Incarnation)
 
@@ -164,6 +167,9 @@
 		Msg("joining the cluster")
 	m.updateSnapshot()
 	m.startReaders()
+	if predecessor != nil && host.MembersRestored != nil {
+		host.MembersRestored(m.node.View())
+	}
 	if predecessor != nil && host.Serving != nil {
 		host.Serving(true, predecessor.Self.Incarnation)
 	}
