--- a/internal/lab/soak/draw.go
+++ b/internal/lab/soak/draw.go
@@ -85,7 +85,6 @@
 	{"mesh-delay", 0.5, 4, false, between(5, 60), 0},
 }
 
-// day is what all soaks share.
 // ofCrowds come in one of crowdedSeeds runs.
 var ofCrowds = []trouble{
 	{"scheduler-crowd", 1, 4, false, none, 0},
@@ -93,6 +92,7 @@
 
 const crowdedSeeds = 3
 
+// day is what all soaks share.
 const day = `
 settle_s = 1
 [rules]
