Replicas vote after the hold-off only with the records that others still have

Cause: startVoting gave the vote at the end of AmnesiaHoldOff whatever the others said. The hold-off is for the case that too few others vote, yet neither their votes nor the progress of catching up were looked at. A replica that was in the middle of catching up from two voters voted with a part of the records; the second one likewise, and both were a majority.

Why it works: a majority of an earlier incarnation includes one of any `required` others, and the vote now needs the records of that many others and of all that vote, in both cases. The hold-off remains what it is for: the ops of grants that nobody knows any more have ended by then.

A lost vote starts the hold-off and catching up anew.

The event "votes" names its reason.

--- a/internal/cluster/replication/catch_up.go
+++ b/internal/cluster/replication/catch_up.go
@@ -19,7 +19,8 @@
 	registrationPosition uint64      // position that must be reached for caughtUp
 	voting               bool        // as stated by the peer
 	ready                bool        // as stated by the peer
-	caughtUp             bool        // all changes up to registrationPosition are known, and the peer votes
+	recordsKnown         bool        // all changes up to registrationPosition are known
+	caughtUp             bool        // recordsKnown, and the peer votes
 }
 
 // restart restarts catching up at the first change in the log of an incarnation.
@@ -30,7 +31,7 @@
 // registerAgain makes this process register with the peer without delay.
 func (p *peerState) registerAgain(now Time) {
 	p.registeredAs = Incarnation{}
-	p.caughtUp, p.voting, p.ready = false, false, false
+	p.recordsKnown, p.caughtUp, p.voting, p.ready = false, false, false, false
 	p.nextSend = now
 }
 
@@ -38,7 +39,7 @@
 func (p *peerState) markRegistered(as Incarnation, answer Message) {
 	p.registeredAs = as
 	p.registrationPosition = answer.Next
-	p.caughtUp = false
+	p.recordsKnown, p.caughtUp = false, false
 	p.voting, p.ready = answer.Voting, answer.Ready
 	if p.incarnation != answer.Incarnation {
 		p.restart(answer.Incarnation)
@@ -53,8 +54,9 @@
 	if p.position < p.pagePosition {
 		p.position, p.cursorChanged = p.pagePosition, true
 	}
-	if !p.hasMore && p.voting && p.position >= p.registrationPosition {
-		p.caughtUp = true // this process knows all that the voting peer knew at the registration
+	if !p.hasMore && p.position >= p.registrationPosition {
+		p.recordsKnown = true // this process knows all that the peer knew at the registration
+		p.caughtUp = p.caughtUp || p.voting
 	}
 }
 
--- a/internal/cluster/replication/records.go
+++ b/internal/cluster/replication/records.go
@@ -50,7 +50,7 @@
 	c.persistIncarnation(Incarnation{})
 	c.catchUp.restartAll()
 	for _, peer := range c.catchUp.peers {
-		peer.caughtUp = false
+		peer.recordsKnown, peer.caughtUp = false, false
 	}
 }
 
--- a/internal/cluster/replication/registration.go
+++ b/internal/cluster/replication/registration.go
@@ -25,12 +25,13 @@
 // restart starts a new incarnation without a vote.
 func (r *registration) restart(as Incarnation) {
 	r.incarnation = as
-	r.registeredSince = 0
 	r.loseVote()
 }
 
+// loseVote takes the vote from this process. A hold-off starts anew.
 func (r *registration) loseVote() {
 	r.voting, r.votingSinceAdoption, r.ready = false, false, false
+	r.registeredSince = 0
 }
 
 // setVoter records the incarnation that votes under a name. It returns false for an incarnation older than
@@ -149,7 +150,9 @@
 	others     int // number of other replicas in the part
 	required   int // number of other replicas that always includes one of each majority of the part
 	registered int // number of other replicas that know this incarnation
-	caughtUp   int // number of other voters whose changes before the registration are known here
+	voting     int // number of them that vote
+	known      int // number of them whose changes before the registration are known here
+	caughtUp   int // number of them that vote and whose changes before the registration are known here
 }
 
 // progress returns the progress towards the vote. In a joint set, the old part decides, since no claim is
@@ -160,20 +163,31 @@
 	p.required = min(replicaset.ReadQuorum(len(p.part)), p.others)
 	for _, name := range p.part {
 		if peer := c.catchUp.peers[name]; peer != nil && peer.registeredAs == c.registration.incarnation {
-			p.registered++
-			if peer.voting && peer.caughtUp {
-				p.caughtUp++
-			}
+			p.add(peer)
 		}
 	}
 	return p
 }
 
+// add counts another replica that knows this incarnation.
+func (p *quorumProgress) add(peer *peerState) {
+	p.registered++
+	if peer.voting {
+		p.voting++
+	}
+	if peer.recordsKnown {
+		p.known++
+	}
+	if peer.voting && peer.caughtUp {
+		p.caughtUp++
+	}
+}
+
 // startVoting gives this replica its vote once that is safe. A grant of an earlier incarnation counts only
 // as part of a majority. Any quorumProgress.required other voters include one that knows this grant. These
 // voters knew the current incarnation before it pulled from them. Therefore no grant that counts is missed,
 // and no grant of an earlier incarnation counts together with one of this incarnation. If too few others
-// vote, this replica waits for AmnesiaHoldOff, until every earlier grant has expired.
+// vote, see mayVoteWithoutQuorum.
 func (c *Core) startVoting() {
 	settled := c.registration.voting || c.durability.failed
 	if !c.active.isReplica || settled && !c.active.set.Joint() {
@@ -191,27 +205,47 @@
 		c.voteFromStoredRecords()
 		return
 	}
-	if c.records.full() || p.caughtUp < p.required && !c.holdOffElapsed(p) {
+	if c.records.full() {
+		return
+	}
+	switch {
+	case p.caughtUp >= p.required:
+		c.vote("caught up with the replicas that vote")
+	case c.mayVoteWithoutQuorum(p):
+		c.vote("after the hold-off, as too few others vote")
+	default:
 		return
 	}
+	c.updateReadiness(p)
+}
+
+// vote gives this replica its vote, for a reason that operators see.
+func (c *Core) vote(reason string) {
 	c.registration.voting = true
 	c.persistIncarnation(c.registration.incarnation)
-	c.emit(Event{Description: "votes"})
-	c.updateReadiness(p)
+	c.emit(Event{Description: "votes", Subject: reason})
 }
 
 // voteFromStoredRecords gives this replica its vote based on its persisted records. The records contain all
 // its grants. No earlier process can still run, since only one process at a time has the store open.
 func (c *Core) voteFromStoredRecords() {
-	c.registration.voting, c.registration.votingSinceAdoption = true, true
+	c.registration.votingSinceAdoption = true
 	c.durability.persistedIncarnation = Incarnation{}
-	c.persistIncarnation(c.registration.incarnation)
-	c.emit(Event{Description: "votes", Subject: "on its stored records"})
+	c.vote("on its stored records")
 }
 
-// holdOffElapsed reports whether enough replicas have known this incarnation for AmnesiaHoldOff.
-func (c *Core) holdOffElapsed(p quorumProgress) bool {
-	return p.registered >= p.required && c.now-c.registration.registeredSince >= c.config.AmnesiaHoldOff
+// mayVoteWithoutQuorum reports whether this replica may vote although too few others do, because too many have
+// lost their records. Enough others must have known this incarnation for AmnesiaHoldOff, until no op of an
+// earlier grant runs any more. The records that the others still have must be known here: elapsed time does not
+// replace them, since an op that has run may be claimed again for as long as records are retained.
+func (c *Core) mayVoteWithoutQuorum(p quorumProgress) bool {
+	if p.voting >= p.required || p.registered < p.required {
+		return false
+	}
+	if p.known < p.required || p.caughtUp < p.voting {
+		return false
+	}
+	return c.now-c.registration.registeredSince >= c.config.AmnesiaHoldOff
 }
 
 // updateReadiness records, in a joint set, that this replica is ready. It is ready once it knows what a read
--- a/internal/cluster/replication/registration_test.go
+++ b/internal/cluster/replication/registration_test.go
@@ -40,3 +40,43 @@
 		t.Errorf("registration after the restart: %+v", r)
 	}
 }
+
+// A replica that has given up its vote, since it could not store a record, must not vote as soon as there is
+// space. It lacks the record, and the time for which others have known it does not replace the record.
+func TestAFullReplicaVotesAgainOnlyWithTheRecordsOfTheOthers(t *testing.T) {
+	config := Defaults()
+	config.Name, config.Replicas, config.MaxRecords = "a", []string{"a", "b", "c"}, 1
+	c := New(config, 0)
+	c.Step(1, Membership{Serving: true, Generation: 1})
+	own := Incarnation{1, config.Nonce}
+	peers := map[string]Incarnation{"b": {1, 2}, "c": {1, 3}}
+	receive := func(at Time, from string, m Message) {
+		m.SetID, m.Incarnation, m.LogIncarnation = c.active.id, peers[from], peers[from]
+		if m.Kind == Registered {
+			m.LogIncarnation = own
+		}
+		c.Step(at, MessageReceived{from, m})
+	}
+	for _, name := range []string{"b", "c"} {
+		receive(2, name, Message{Kind: Registered})
+		receive(3, name, Message{Kind: DigestPage})
+	}
+	c.Step(c.now+config.AmnesiaHoldOff, Tick{})
+	if !c.registration.voting {
+		t.Fatal("the replica does not vote after the hold-off although no other one votes")
+	}
+	stored := c.now
+	for n, key := range []string{"stored", "not stored"} {
+		outcome := Outcome{Claim: Claim{"x", uint64(n + 1)}, Stage: Claimed}
+		report := Record{Key: key, Fingerprint: 1, Outcomes: []Outcome{outcome}}
+		receive(stored, "b", Message{Kind: OutcomeReported, Record: report})
+	}
+	if c.registration.voting {
+		t.Fatal("the replica votes although it could not store a record")
+	}
+	c.Step(stored+config.Retention+2*second, Tick{}) // the stored record expires
+	c.Step(c.now+1, Tick{})
+	if c.records.full() || c.registration.voting {
+		t.Errorf("full %v, voting %v, without an answer of another replica", c.records.full(), c.registration.voting)
+	}
+}
