Replicas catch up at the rate of the settings and not at that of round trips

Cause: one request for records was in flight to a peer, and its answer holds 1,200 bytes, so each peer sent one such record in a round trip.

Change: several requests are in flight, as many as make up CatchUpRate over a round trip of 16 ms, each with about as many digests as the last answer had records and with an expiry of its own; up to three pages of digests are pulled ahead.

--- a/internal/cluster/replication/catch_up.go
+++ b/internal/cluster/replication/catch_up.go
@@ -6,14 +6,15 @@
 type peerState struct {
 	incarnation    Incarnation // the peer's incarnation, to whose log the positions belong
 	position       uint64      // all changes up to this position are known here
-	pagePosition   uint64      // the end of the current page; becomes position once nothing is missing
-	missing        []uint64    // digests of the peer's records that are not known here
-	requested      []uint64    // digests that are being fetched from the peer
+	pages          digestPages // pages of the changes after position, whose records are being fetched
+	hasMore        bool        // the peer has changes after these pages
+	pullExpiresAt  Time        // time until which the answer to a pull is awaited
+	fetches        []fetch     // requests for records that the peer has not answered
+	fetchSize      int         // digests in the next fetch: about as many records as fit one answer
 	waitsForOthers bool        // all missing records are being fetched from other replicas
 	cursorChanged  bool        // position has changed since the cursor was persisted
 	rateFreeAt     Time        // time at which CatchUpRate allows the next request
 	nextSend       Time
-	hasMore        bool // the peer has changes after the current page
 
 	registeredAs         Incarnation // incarnation of this process that the peer knows
 	registrationPosition uint64      // position that must be reached for caughtUp
@@ -25,7 +26,15 @@
 
 // restart restarts catching up at the first change in the log of an incarnation.
 func (p *peerState) restart(of Incarnation) {
-	p.incarnation, p.position, p.pagePosition, p.missing = of, 0, 0, nil
+	p.incarnation, p.position, p.pages, p.fetches = of, 0, nil, nil
+}
+
+// pulledTo returns the position up to which the digests of the changes are known here.
+func (p *peerState) pulledTo() uint64 {
+	if last := len(p.pages) - 1; last >= 0 {
+		return p.pages[last].end
+	}
+	return p.position
 }
 
 // registerAgain makes this process register with the peer without delay.
@@ -46,14 +55,21 @@
 	}
 }
 
-// advance moves the position to the end of the page once no record of the page is missing.
+// upToDate reports whether all changes of the pages that were pulled are known, and the peer had no others.
+func (p *peerState) upToDate() bool { return len(p.pages) == 0 && !p.hasMore }
+
+// advance moves the position to the end of each page of which no record is missing.
 func (p *peerState) advance() {
-	if len(p.missing) > 0 {
-		return
+	for p.pages.firstComplete() {
+		if end := p.pages[0].end; p.position < end {
+			p.position, p.cursorChanged = end, true
+		}
+		p.pages = p.pages[1:]
 	}
-	if p.position < p.pagePosition {
-		p.position, p.cursorChanged = p.pagePosition, true
+	if len(p.pages) > 0 {
+		return
 	}
+	p.fetches = nil // other replicas have sent what these would bring
 	if !p.hasMore && p.position >= p.registrationPosition {
 		p.recordsKnown = true // this process knows all that the peer knew at the registration
 		p.caughtUp = p.caughtUp || p.voting
@@ -77,32 +93,6 @@
 	}
 }
 
-// reserve selects missing digests that are not being fetched, and reserves them for the given time.
-func (u *catchUp) reserve(missing []uint64, now, reservation Time) (digests []uint64) {
-	for _, digest := range missing {
-		if u.fetching[digest] <= now {
-			digests = append(digests, digest)
-		}
-	}
-	digests = digests[:min(len(digests), digestsPerFetch)]
-	if len(digests) > 0 && len(u.fetching) > maxReplicas*digestsPerPage {
-		clear(u.fetching) // removes requests that were never answered
-	}
-	for _, digest := range digests {
-		u.fetching[digest] = now + reservation
-	}
-	return digests
-}
-
-// release ends the reservation of the digests that a peer was asked for. Records that did not fit the answer
-// may be fetched from any replica.
-func (u *catchUp) release(peer *peerState) {
-	for _, digest := range peer.requested {
-		delete(u.fetching, digest)
-	}
-	peer.requested = nil
-}
-
 // resumeWaiting resumes catching up with the peers whose missing records were being fetched from others.
 func (u *catchUp) resumeWaiting(now Time) {
 	for _, peer := range u.peers {
@@ -154,44 +144,41 @@
 	return c.now + c.config.PullInterval/2 + Time(c.random.Int64N(int64(c.config.PullInterval)))
 }
 
-// pull fetches missing records, or requests the next page of changes. If no answer arrives, the request is
-// repeated after a while.
+// pull requests the next page of changes, ahead of the records of the pages before it, and fetches missing
+// records. If no answer arrives, the request is repeated after a while.
 func (c *Core) pull(name string, peer *peerState) {
 	peer.nextSend = c.nextPull()
-	peer.missing = c.records.missing(peer.missing)
-	switch {
-	case len(peer.missing) > 0:
-		c.fetch(name, peer)
-	case peer.pagePosition > peer.position: // other replicas have sent all missing records
+	peer.pages.removeKnown(&c.records)
+	if peer.pages.firstComplete() { // other replicas have sent its records
 		c.continueCatchUp(name, peer, 0)
-	default:
-		c.send(name, Message{
-			Kind:           Pull,
-			Incarnation:    c.registration.incarnation,
-			LogIncarnation: peer.incarnation,
-			After:          peer.position,
-		})
+		return
+	}
+	complete := len(peer.pages) == 0
+	if complete || peer.hasMore && len(peer.pages) < maxPagesAhead {
+		c.pullPage(name, peer)
+	}
+	if !complete {
+		c.fetch(name, peer)
 	}
 }
 
-// fetch requests some of the missing records from a replica.
-func (c *Core) fetch(name string, peer *peerState) {
-	digests := c.catchUp.reserve(peer.missing, c.now, c.config.RetryInterval)
-	if len(digests) == 0 {
-		peer.waitsForOthers = true
-		peer.nextSend = c.now + c.config.RetryInterval
+// pullPage requests the next page of changes, unless its answer is awaited.
+func (c *Core) pullPage(name string, peer *peerState) {
+	if c.now < peer.pullExpiresAt {
 		return
 	}
-	peer.requested = digests
+	peer.pullExpiresAt = c.answerDue()
 	c.send(name, Message{
-		Kind:           Fetch,
-		RequestID:      uint64(max(c.now, 1)),
+		Kind:           Pull,
 		Incarnation:    c.registration.incarnation,
 		LogIncarnation: peer.incarnation,
-		Digests:        digests,
+		After:          peer.pulledTo(),
 	})
 }
 
+// answerDue returns the time at which the answer to a request of now counts as lost.
+func (c *Core) answerDue() Time { return c.now + catchUpRetries*c.config.RetryInterval }
+
 // handlePull answers with one page of digests of the records that changed after a position.
 func (c *Core) handlePull(in MessageReceived) {
 	after := in.After
@@ -226,12 +213,13 @@
 		peer.nextSend = c.now
 		return
 	}
-	if in.After != peer.position {
+	if in.After != peer.pulledTo() || len(peer.pages) >= maxPagesAhead {
 		return // the answer to an earlier pull
 	}
-	peer.pagePosition, peer.hasMore = in.Next, in.More
+	peer.pullExpiresAt, peer.hasMore = 0, in.More
 	peer.voting, peer.ready = in.Voting, in.Ready
-	peer.missing = c.records.missing(slices.Clone(in.Digests))
+	missing := c.records.missing(slices.Clone(in.Digests))
+	peer.pages = append(peer.pages, digestPage{in.Next, missing})
 	c.continueCatchUp(in.From, peer, 8*len(in.Digests))
 }
 
@@ -241,7 +229,7 @@
 	peer.rateFreeAt = max(peer.rateFreeAt, c.now) + Time(bytes)*second/Time(c.config.CatchUpRate)
 	peer.advance()
 	switch {
-	case len(peer.missing) == 0 && !peer.hasMore:
+	case peer.upToDate():
 		peer.nextSend = c.nextPull()
 		c.persistCursor(name, peer)
 	case peer.rateFreeAt > c.now+catchUpBurst:
@@ -297,16 +285,15 @@
 		return
 	}
 	bytes := c.mergeFetched(in.Records, min(Time(in.RequestID), c.now))
-	c.catchUp.release(peer)
+	expected := c.catchUp.endFetch(peer, in.Digests)
 	if len(in.Digests) > len(in.Records) {
 		// A record changed and got a later position in the peer's log before it was fetched. All that the
 		// peer knew at the registration is known here only after that position is reached. Otherwise this
 		// process could vote without knowing a claim that an earlier incarnation granted.
 		peer.registrationPosition = max(peer.registrationPosition, in.Next)
 	}
-	missingBefore := len(peer.missing)
-	peer.missing = c.records.missing(removeDigests(peer.missing, in.Digests))
-	if len(peer.missing) < missingBefore { // otherwise this answers an earlier request
+	peer.pages.remove(in.Digests)
+	if expected {
 		c.continueCatchUp(in.From, peer, bytes)
 	}
 	c.catchUp.resumeWaiting(c.now)
@@ -328,12 +315,3 @@
 	c.counts[countRecordsFetched] += uint64(len(records))
 	return bytes
 }
-
-// removeDigests removes digests from a list in place.
-func removeDigests(digests, removed []uint64) []uint64 {
-	isRemoved := map[uint64]bool{}
-	for _, digest := range removed {
-		isRemoved[digest] = true
-	}
-	return slices.DeleteFunc(digests, func(digest uint64) bool { return isRemoved[digest] })
-}
--- a/internal/cluster/replication/config.go
+++ b/internal/cluster/replication/config.go
@@ -53,8 +53,11 @@
 
 	fetchedPageBytes = 1200 // estimated size of the records in one message
 	digestsPerPage   = 128
-	digestsPerFetch  = 24     // about as many records as fit one answer; the rest may come from other replicas
-	catchUpBurst     = 5 * ms // time by which requests may run ahead of CatchUpRate
+	maxFetchSize     = 24      // digests in one request
+	catchUpBurst     = 5 * ms  // time by which requests may run ahead of CatchUpRate
+	catchUpWindow    = 16 * ms // round trip up to which the requests in flight allow CatchUpRate
+	catchUpRetries   = 4       // intervals of RetryInterval after which an answer counts as lost
+	maxPagesAhead    = 3       // pages of digests whose records are fetched at a time
 
 	maxOutcomeAge = 1 << 40 // maximum age of an outcome, in the unit of Time
 )
--- a/internal/cluster/replication/simulation/replica_restart_test.go
+++ b/internal/cluster/replication/simulation/replica_restart_test.go
@@ -1,6 +1,7 @@
 package simulation
 
 import (
+	"bytes"
 	"fmt"
 	"testing"
 
@@ -57,3 +58,49 @@
 	}
 	c.reportViolations(t, 1)
 }
+
+// reportEnded makes the replicas store ended ops with answers of the given size, as after their reports.
+func reportEnded(c *Cluster, replicas, ops, answerBytes int) {
+	result := bytes.Repeat([]byte("."), answerBytes)
+	for k := range ops {
+		record := replication.Record{Key: fmt.Sprint("ended", k), Fingerprint: 1, Outcomes: []replication.Outcome{{
+			Claim:          replication.Claim{Scheduler: "n3", Nonce: uint64(k + 1)},
+			Stage:          replication.Ended,
+			HTTPStatus:     200,
+			Result:         result,
+			ResultRetained: true,
+		}}}
+		for i := range replicas {
+			core := c.Core(i)
+			report := replication.Message{Kind: replication.OutcomeReported, SetID: core.SetID(), Record: record}
+			c.step(c.nodes[i], core, replication.MessageReceived{From: "n3", Message: report})
+		}
+	}
+}
+
+// CatchUpRate limits catch-up, and not the time that a message takes. An answer holds few records, so catch-up
+// would take a minute if each answer were awaited before the next request.
+func TestCatchUpIsNotLimitedByRoundTrips(t *testing.T) {
+	const ops, answerBytes = 10_500, 1000
+	for _, delay := range []Time{4 * Millisecond, 8 * Millisecond} {
+		c := startCluster(4, 3, 1)
+		reportEnded(c, 3, ops, answerBytes)
+		c.Run(c.Now() + 2*Second)
+		c.MeanDelay, c.SentRecords = delay, 0
+		c.Kill(0)
+		c.Start(0)
+		began := c.Now()
+		// Two replicas send records at CatchUpRate each, so the time for one of them leaves as much again.
+		due := Time(c.Core(1).Status().Bytes) * Second / Time(c.Config.CatchUpRate)
+		for !c.Core(0).Status().Voting && c.Now() < began+60*Second {
+			c.Run(c.Now() + 50*Millisecond)
+		}
+		if took := c.Now() - began; took > due {
+			t.Errorf("with %d ms a message, the replica votes after %d ms, want at most %d ms",
+				delay/Millisecond, took/Millisecond, due/Millisecond)
+		}
+		if got := c.Core(0).Status().Records; got != ops || c.SentRecords > ops*5/4 {
+			t.Errorf("%d records are known, and %d were sent, of %d", got, c.SentRecords, ops)
+		}
+	}
+}
--- a/internal/cluster/replication/status.go
+++ b/internal/cluster/replication/status.go
@@ -53,7 +53,7 @@
 	}
 	for _, name := range c.active.members {
 		if peer := c.catchUp.peers[name]; peer != nil {
-			s.Peers = append(s.Peers, PeerProgress{name, peer.position, peer.voting, !peer.hasMore})
+			s.Peers = append(s.Peers, PeerProgress{name, peer.position, peer.voting, peer.upToDate()})
 		}
 	}
 	return s
