The test of failing accepts counts failures from before it arms one

TestATransientAcceptFailureIsSurvived failed once beside other load with "host is down was not injected". It armed the failure and read the count of failures after that. The accept loop calls accept4 again by itself once it has accepted the connection of the check before; where that call comes between the two lines the failure is injected, and counted as one of before. The count is now read first. The check is as strict: one failure must be injected, and the client must be answered. By reading and by that one run; the order was not forced.

--- a/cmd/woaddyke/syscalls_test.go
+++ b/cmd/woaddyke/syscalls_test.go
@@ -101,8 +101,8 @@
 	held := postHeldOp(t, listen, received)
 	for addr, path := range map[string]string{listen: "/healthz", p.console: "/api/ready"} {
 		for _, errno := range transientAcceptErrnos {
+			before := s.Failed(syscall.SYS_ACCEPT4) // first, since a call may fail as soon as SetDecide returns
 			s.SetDecide(failOnce(syscall.SYS_ACCEPT4, errno))
-			before := s.Failed(syscall.SYS_ACCEPT4)
 			if err := checkAnswers(addr, path); err != nil {
 				t.Errorf("accept fails with %v: %v: %s", errno, err, p.log)
 				return
