Both processes of a hot restart announce the ids of their ops to each other

Cause: the ids in use went over once, with the state. Both processes admit ops after that, on the shared socket and on kept connections, and neither told the other. The reverse direction was open too: the old process ran ids that the new one had in hand.

Change: on the handover's connection each process announces the key of an op before it admits the op, then reads what the other has announced, and rejects an id that is among it. An op that can't be announced, or compared with what came, is nacked with Retry-After.

Wire: announcements come after the state, where older builds discard all bytes; the state says whether they come (golden file beside the old ones, which are unchanged). Learned became HandOver(sibling) in the loop.

--- a/cmd/woaddyke/hot_restart.go
+++ b/cmd/woaddyke/hot_restart.go
@@ -9,8 +9,10 @@
 	"time"
 
 	"woaddyke/internal/base/oserror"
+	"woaddyke/internal/config"
 	"woaddyke/internal/lifecycle/hotrestart"
 	"woaddyke/internal/lifecycle/hotrestart/transfer"
+	"woaddyke/internal/scheduler/reducer"
 )
 
 const (
@@ -26,6 +28,26 @@
 	peerSocket
 )
 
+// errNoAnnouncements means that the predecessor did not say in time which ops it had admitted since its state.
+var errNoAnnouncements = errors.New("handover: no announcements received from the predecessor")
+
+// sibling adapts the link to the other process of a hot restart to the scheduler's loop.
+type sibling struct{ *transfer.Link }
+
+// Announce informs the other process of an op.
+func (s sibling) Announce(key string, ttl time.Duration) error {
+	return s.Link.Announce(transfer.Announcement{Key: key, TTL: ttl})
+}
+
+// Announced returns the ops that the other process has announced since the last call.
+func (s sibling) Announced() (ids []reducer.AnnouncedID, err error) {
+	announced, err := s.Link.Announced()
+	for _, a := range announced {
+		ids = append(ids, reducer.AnnouncedID{Key: a.Key, TTL: config.RoundUp(int64(a.TTL))})
+	}
+	return ids, err
+}
+
 // requestHandover returns the handover of a predecessor, or nil without a predecessor. refused reports
 // whether a process of this address and name runs and refused to hand over its state.
 func (p *process) requestHandover() (handover *transfer.Handover, refused bool, err error) {
@@ -119,7 +141,10 @@
 	for _, f := range handover.Files {
 		f.Close() // the sockets in use are duplicates
 	}
-	p.server.RestoreState(state, peers)
+	if state.AnnouncesOps && !handover.Link.AwaitStart() {
+		return errNoAnnouncements
+	}
+	p.server.RestoreState(state, sibling{handover.Link}, peers)
 	return nil
 }
 
@@ -203,7 +228,7 @@
 }
 
 // HandOver answers a successor's request with the state and the sockets of this process.
-func (p *process) HandOver(message []byte) ([]byte, []syscall.Conn, error) {
+func (p *process) HandOver(message []byte, link *transfer.Link) ([]byte, []syscall.Conn, error) {
 	request, err := hotrestart.DecodeRequest(message)
 	if err != nil {
 		return nil, nil, err
@@ -211,7 +236,7 @@
 	if err := request.CheckSuccessorOf(p.handoverRequest()); err != nil {
 		return nil, nil, err
 	}
-	return p.server.HandOver(p.handOverMembership)
+	return p.server.HandOver(sibling{link}, p.handOverMembership)
 }
 
 // SetSuccessor adapts this process to the start or the end of a successor: the processes share the memory
--- a/internal/frontend/client_drain_test.go
+++ b/internal/frontend/client_drain_test.go
@@ -103,7 +103,7 @@
 	_, stop := serveUntil(t, predecessor)
 	<-predecessor.Ready()
 	predecessor.DrainClients()
-	text, sockets, err := predecessor.HandOver()
+	text, sockets, err := predecessor.HandOver(nil)
 	if err != nil || len(sockets) != 1 {
 		t.Fatalf("%d sockets, %v", len(sockets), err)
 	}
@@ -115,7 +115,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	successor.RestoreState(state, nil)
+	successor.RestoreState(state, nil, nil)
 	if !successor.drain.draining() {
 		t.Error("the successor does not drain clients")
 	}
@@ -149,7 +149,7 @@
 	defer stop()
 	<-server.Ready()
 	server.loop.Inbox() <- scheduler.Query(func(scheduler.State) { time.Sleep(time.Second) })
-	text, _, err := server.HandOver()
+	text, _, err := server.HandOver(nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/frontend/hot_restart.go
+++ b/internal/frontend/hot_restart.go
@@ -11,6 +11,7 @@
 	"woaddyke/internal/config"
 	"woaddyke/internal/lifecycle/clock"
 	"woaddyke/internal/lifecycle/hotrestart"
+	"woaddyke/internal/scheduler"
 	"woaddyke/internal/scheduler/reducer"
 	"woaddyke/internal/workers/discovery"
 )
@@ -21,9 +22,10 @@
 )
 
 // HandOver returns what a successor needs: an encoded state, and the sockets that this process listens on.
-// The functions in addParts add the state and sockets of other parts of the process. HandOver lowers the
-// descriptor limit of this process to its part: the successor gets the rest.
-func (s *Server) HandOver(addParts ...func(*hotrestart.State) []syscall.Conn) (
+// From that state on, this process announces its ops to the sibling, the successor, unless it is nil. The functions
+// in addParts add the state and sockets of other parts of the process. HandOver lowers the descriptor limit of
+// this process to its part: the successor gets the rest.
+func (s *Server) HandOver(sibling scheduler.Sibling, addParts ...func(*hotrestart.State) []syscall.Conn) (
 	text []byte, sockets []syscall.Conn, err error,
 ) {
 	listener, ok := s.clients.Listener.(syscall.Conn)
@@ -45,8 +47,9 @@
 		ClockOffset:     s.clock.Offset(),
 		KnownWorkers:    known,
 		ClientsDrained:  s.drain.draining(),
+		AnnouncesOps:    sibling != nil,
 	}
-	if err := s.addLearned(&state); err != nil {
+	if err := s.addLearned(&state, sibling); err != nil {
 		return nil, nil, fmt.Errorf("handover: %w", err)
 	}
 	for _, add := range addParts {
@@ -68,11 +71,11 @@
 
 // addLearned adds the start times of workers. It adds the learned state too, unless the loop is too busy to
 // return it.
-func (s *Server) addLearned(state *hotrestart.State) (err error) {
+func (s *Server) addLearned(state *hotrestart.State, sibling scheduler.Sibling) (err error) {
 	if state.WorkerStarts, err = json.Marshal(s.endpoints.workerStarts.Snapshot()); err != nil {
 		return err
 	}
-	learned, err := s.loop.Learned()
+	learned, err := s.loop.HandOver(sibling)
 	if err != nil {
 		s.log.Warn().Err(err).Msg("learned state not handed over")
 		return nil
@@ -105,9 +108,12 @@
 }
 
 // RestoreState takes over a predecessor's state, and its socket for peer messages, which is nil if it had
-// none. Call it before Serve.
-func (s *Server) RestoreState(state hotrestart.State, peers *net.UDPConn) {
+// none. This process announces its ops to the predecessor, unless that is nil. Call it before Serve.
+func (s *Server) RestoreState(state hotrestart.State, predecessor scheduler.Sibling, peers *net.UDPConn) {
 	s.peers.inherited = peers
+	if predecessor != nil {
+		s.loop.AddSibling(predecessor)
+	}
 	s.SetDescriptorLimit(state.DescriptorLimit)
 	if learned, err := inheritedLearnedState(state); err == nil {
 		learned.Shift(clockShift(s.clock, state))
--- a/internal/lifecycle/hotrestart/golden_test.go
+++ b/internal/lifecycle/hotrestart/golden_test.go
@@ -12,8 +12,10 @@
 func TestStateKeepsItsForm(t *testing.T) {
 	state := filled.Value[State](t)
 	state.Version = 3
+	requireGoldenState(t, "testdata/state_announces.json.golden", state)
+	state.AnnouncesOps = false // older builds do not send this field
 	requireGoldenState(t, "testdata/state_ended.json.golden", state)
-	state.EndedProcesses = nil // older builds do not send this field
+	state.EndedProcesses = nil // still older builds do not send this field
 	requireGoldenState(t, "testdata/state.json.golden", state)
 }
 
--- a/internal/lifecycle/hotrestart/hotrestart.go
+++ b/internal/lifecycle/hotrestart/hotrestart.go
@@ -34,6 +34,9 @@
 	// EndedProcesses says, for replication, which processes before the predecessor have ended. Older builds
 	// do not send it.
 	EndedProcesses json.RawMessage `json:"ended,omitempty"`
+	// AnnouncesOps says whether the predecessor announces the ops that it admits after this state. Older builds
+	// do not.
+	AnnouncesOps bool `json:"announces,omitempty"`
 }
 
 // Encode returns the state as a message.
--- a/internal/lifecycle/hotrestart/transfer/message.go
+++ b/internal/lifecycle/hotrestart/transfer/message.go
@@ -102,7 +102,7 @@
 		return nil, err
 	}
 	conn.SetDeadline(time.Now().Add(receiveTimeout))
-	handover := &Handover{PredecessorEnded: make(chan struct{}), conn: conn}
+	handover := &Handover{conn: conn}
 	if err := handover.read(); err != nil {
 		handover.closeFiles()
 		return nil, err
@@ -154,12 +154,6 @@
 	return nil
 }
 
-// waitForEnd returns when the other process has ended or has closed the connection. The other process sends
-// nothing more.
-func waitForEnd(conn *retryConn) {
-	io.Copy(io.Discard, conn) // an error also means the end
-}
-
 // checkSameUser checks that the other process belongs to the same user, so that other users of the machine
 // can neither receive nor hand over sockets.
 func checkSameUser(conn *retryConn) error {
--- a/internal/lifecycle/hotrestart/transfer/serve.go
+++ b/internal/lifecycle/hotrestart/transfer/serve.go
@@ -15,11 +15,12 @@
 )
 
 // Predecessor is a process that hands its state and sockets over. HandOver answers a successor's request; an
-// error refuses the request. SetSuccessor is called when a successor is accepted and when it has ended. The
+// error refuses the request. From the moment that the state describes, the process announces its ops on the
+// link. SetSuccessor is called when a successor is accepted and when it has ended. The
 // successor may have replaced the predecessor's socket at the path of Serve before it ended. So after
 // SetSuccessor(false), the predecessor must call Serve again to receive further requests.
 type Predecessor interface {
-	HandOver(request []byte) (state []byte, sockets []syscall.Conn, err error)
+	HandOver(request []byte, link *Link) (state []byte, sockets []syscall.Conn, err error)
 	SetSuccessor(present bool)
 }
 
@@ -65,12 +66,21 @@
 
 // serveSuccessor answers one request, and returns when the successor has ended.
 func serveSuccessor(conn *retryConn, predecessor Predecessor, log zerolog.Logger) {
-	accepted, err := handOver(conn, predecessor)
+	link, err := newLink(conn, false)
 	if err != nil {
 		log.Warn().Err(err).Msg("handover rejected")
+		conn.Close()
+		return
+	}
+	accepted, err := handOver(conn, predecessor, link)
+	if err != nil {
+		log.Warn().Err(err).Msg("handover rejected")
+		conn.Close()
 	} else {
 		log.Info().Msg("handed over")
-		waitForEnd(conn)
+	}
+	link.run()
+	if err == nil {
 		log.Info().Msg("successor has ended")
 	}
 	conn.Close()
@@ -82,7 +92,7 @@
 // handOver answers one request. accepted reports whether it has called SetSuccessor. It calls
 // SetSuccessor before it sends the state, since a successor that has the state may make this process end
 // immediately.
-func handOver(conn *retryConn, predecessor Predecessor) (accepted bool, err error) {
+func handOver(conn *retryConn, predecessor Predecessor, link *Link) (accepted bool, err error) {
 	if err := checkSameUser(conn); err != nil {
 		return false, err
 	}
@@ -90,11 +100,14 @@
 	if err != nil {
 		return false, err
 	}
-	state, sockets, err := predecessor.HandOver(request)
+	state, sockets, err := predecessor.HandOver(request, link)
 	if err != nil {
 		conn.Write(make([]byte, lengthSize)) // an empty state is a refusal
 		return false, err
 	}
 	predecessor.SetSuccessor(true)
-	return true, writeHandover(conn, state, sockets)
+	if err := writeHandover(conn, state, sockets); err != nil {
+		return true, err
+	}
+	return true, link.start()
 }
--- a/internal/lifecycle/hotrestart/transfer/transfer.go
+++ b/internal/lifecycle/hotrestart/transfer/transfer.go
@@ -39,8 +39,9 @@
 // Handover is what a successor received from its predecessor.
 type Handover struct {
 	State            []byte
-	Files            []*os.File    // the sockets, in the predecessor's order
-	PredecessorEnded chan struct{} // closed when the predecessor has ended
+	Files            []*os.File      // the sockets, in the predecessor's order
+	PredecessorEnded <-chan struct{} // closed when the predecessor has ended
+	Link             *Link           // informs the processes of each other's ops
 	conn             *retryConn
 }
 
@@ -73,16 +74,22 @@
 		conn.Close()
 		return nil, fmt.Errorf("handover: exchange with the predecessor: %w", err)
 	}
-	go func() {
-		defer close(handover.PredecessorEnded)
-		waitForEnd(conn)
-	}()
+	go handover.Link.run()
 	return handover, nil
 }
 
 func requestHandover(conn *retryConn, request []byte) (*Handover, error) {
+	link, err := newLink(conn, true)
+	if err != nil {
+		return nil, err
+	}
 	if err := writeRequest(conn, request); err != nil {
 		return nil, err
 	}
-	return readHandover(conn)
+	handover, err := readHandover(conn)
+	if err != nil {
+		return nil, err
+	}
+	handover.Link, handover.PredecessorEnded = link, link.ended
+	return handover, nil
 }
--- a/internal/lifecycle/hotrestart/transfer/transfer_test.go
+++ b/internal/lifecycle/hotrestart/transfer/transfer_test.go
@@ -22,7 +22,7 @@
 
 func (p *fakePredecessor) SetSuccessor(present bool) { p.successors <- present }
 
-func (p *fakePredecessor) HandOver(request []byte) ([]byte, []syscall.Conn, error) {
+func (p *fakePredecessor) HandOver(request []byte, _ *Link) ([]byte, []syscall.Conn, error) {
 	if p.refuses || string(request) != `me` {
 		return nil, nil, errors.New("not now")
 	}
--- a/internal/scheduler/loop.go
+++ b/internal/scheduler/loop.go
@@ -58,6 +58,8 @@
 		l.accept(m)
 	case Query:
 		m(State{Reducer: l.opts.Reducer, Submitted: l.submitted, Pending: len(l.pending)})
+	case siblingChanged:
+		l.siblingChanged(m)
 	}
 }
 
@@ -66,6 +68,10 @@
 	if s.Client.Disconnected() {
 		return
 	}
+	if !l.announce(s) {
+		s.Reply <- reducer.Respond{Op: s.Op.Op, Verdict: reducer.Nacked, RetryAfter: siblingRetryAfter}
+		return
+	}
 	l.pending[s.Op.Op] = &pendingOp{Submit: s}
 	l.submitted++
 	l.opts.Log.Debug().Uint64("op", s.Op.Op).Str("id", s.Op.ID).Str("category", s.Op.Category).
--- a/internal/scheduler/loop_test.go
+++ b/internal/scheduler/loop_test.go
@@ -207,14 +207,14 @@
 func TestLearnedTimesOutOnABusyLoop(t *testing.T) {
 	l := newLoop(t, "127.0.0.1:9")
 	start := time.Now()
-	if _, err := l.Learned(); !errors.Is(err, ErrBusy) {
+	if _, err := l.HandOver(nil); !errors.Is(err, ErrBusy) {
 		t.Errorf("a loop that doesn't run: %v, want %v", err, ErrBusy)
 	}
 	if waited := time.Since(start); waited < learnedTimeout {
 		t.Errorf("it timed out after %v, want at least %v", waited, learnedTimeout)
 	}
 	go l.Run(t.Context())
-	if _, err := l.Learned(); err != nil {
+	if _, err := l.HandOver(nil); err != nil {
 		t.Error(err)
 	}
 }
--- a/internal/scheduler/reducer/inputs.go
+++ b/internal/scheduler/reducer/inputs.go
@@ -121,3 +121,14 @@
 func (TimerFired) input()         {}
 func (SettingsChanged) input()    {}
 func (ShutdownStarted) input()    {}
+
+// AnnouncedID is the key of an op that another process of this scheduler has admitted.
+type AnnouncedID struct {
+	Key string
+	TTL dispatch.Time // time left until the op's TTL
+}
+
+// IDsAnnounced reserves the IDs of ops that another process of this scheduler has admitted.
+type IDsAnnounced struct{ IDs []AnnouncedID }
+
+func (IDsAnnounced) input() {}
--- a/internal/scheduler/reducer/op_ids.go
+++ b/internal/scheduler/reducer/op_ids.go
@@ -84,6 +84,17 @@
 	x.scheduleSweep()
 }
 
+// reserveUntil reserves the ID of an op that another process of this scheduler has admitted. An ID that is
+// reserved for longer stays so.
+func (x *idRegistry) reserveUntil(now dispatch.Time, key string, expiresAt dispatch.Time) {
+	id := opkey.PeerKey(key)
+	known, ok := x.byID[id]
+	if ok && (known.expiresAt == 0 || known.expiresAt >= expiresAt) {
+		return
+	}
+	x.release(now, id, expiresAt)
+}
+
 // expiries returns when the reservation of each ID expires; 0 for an open op.
 func (x *idRegistry) expiries() map[string]dispatch.Time {
 	all := make(map[string]dispatch.Time, len(x.byID))
--- a/internal/scheduler/reducer/op_ids_test.go
+++ b/internal/scheduler/reducer/op_ids_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 
+	"woaddyke/dispatch"
 	"woaddyke/internal/workers/outcome"
 )
 
@@ -61,3 +62,23 @@
 		t.Errorf("%d IDs take %d bytes, %v", len(learned.IDs), len(text), err)
 	}
 }
+
+// An announced ID is reserved until the TTL of its op. It must not free, or shorten, an own reservation: the ID of
+// an open op would then be usable while the op runs.
+func TestAnAnnouncedIDDoesNotShortenAReservation(t *testing.T) {
+	x := newIDRegistry()
+	x.reserve("open")
+	x.release(10, "longer", 100)
+	x.release(10, "shorter", 20)
+	for _, id := range []string{"open", "longer", "shorter", "new"} {
+		x.reserveUntil(10, id, 50)
+	}
+	for id, wantUntil := range map[string]dispatch.Time{"open": 1000, "longer": 100, "shorter": 50, "new": 50} {
+		if !x.isReserved(wantUntil, id) {
+			t.Errorf("%s is not reserved until %d", id, wantUntil)
+		}
+		if id != "open" && x.isReserved(wantUntil+1, id) {
+			t.Errorf("%s is reserved after %d", id, wantUntil)
+		}
+	}
+}
--- a/internal/scheduler/reducer/ops.go
+++ b/internal/scheduler/reducer/ops.go
@@ -24,20 +24,11 @@
 
 // admitOp passes an op to the dispatcher, or answers it immediately.
 func (r *Reducer) admitOp(now dispatch.Time, in OpArrived) []Effect {
-	category, ok := r.categoryIndex(now, in.Category)
-	if !ok {
-		return rejectOp(in, r.unknownCategoryVerdict(in.Category))
-	}
-	if in.Effect != "" && dispatch.Effect(in.Effect) != r.dispatcher.CategoryEffect(category) {
-		// The settings have changed since the frontend admitted the op, which would run under another effect.
-		return rejectOp(in, Nacked)
+	if verdict, rejected := r.rejection(now, in); rejected {
+		return rejectOp(in, verdict)
 	}
-	// Two ops with the same ID would run as duplicates. An answer to the first op does not change that: the
-	// first op may still run.
+	category, _ := r.categoryIndex(now, in.Category)
 	id := opkey.FromID(in.ID)
-	if r.ids.isReserved(now, id) {
-		return rejectOp(in, DuplicateID)
-	}
 	i := r.allocateOpIndex()
 	if !r.dispatcher.AddOp(i, r.opSpec(category, in)) {
 		r.freeOps = append(r.freeOps, i)
@@ -52,6 +43,37 @@
 	return nil
 }
 
+// Admits reports whether an op that arrived now would be admitted.
+func (r *Reducer) Admits(now dispatch.Time, in OpArrived) bool {
+	_, rejected := r.rejection(now, in)
+	return !rejected
+}
+
+// rejection returns the verdict for an op that is not admitted; rejected is false for an op that is.
+func (r *Reducer) rejection(now dispatch.Time, in OpArrived) (verdict Verdict, rejected bool) {
+	category, ok := r.categoryIndex(now, in.Category)
+	if !ok {
+		return r.unknownCategoryVerdict(in.Category), true
+	}
+	if in.Effect != "" && dispatch.Effect(in.Effect) != r.dispatcher.CategoryEffect(category) {
+		// The settings have changed since the frontend admitted the op, which would run under another effect.
+		return Nacked, true
+	}
+	// Two ops with the same ID would run as duplicates. An answer to the first op does not change that: the
+	// first op may still run.
+	if r.ids.isReserved(now, opkey.FromID(in.ID)) {
+		return DuplicateID, true
+	}
+	return 0, false
+}
+
+// reserveIDs reserves the IDs of ops that another process of this scheduler has admitted.
+func (r *Reducer) reserveIDs(now dispatch.Time, in IDsAnnounced) {
+	for _, announced := range in.IDs {
+		r.ids.reserveUntil(now, announced.Key, now+announced.TTL)
+	}
+}
+
 func rejectOp(in OpArrived, verdict Verdict) []Effect {
 	return []Effect{Respond{Op: in.Op, Verdict: verdict}}
 }
--- a/internal/scheduler/reducer/reducer.go
+++ b/internal/scheduler/reducer/reducer.go
@@ -104,6 +104,8 @@
 		r.changeSettings(now, in)
 	case StateRestored:
 		r.restoreState(in)
+	case IDsAnnounced:
+		r.reserveIDs(now, in)
 	case ShutdownStarted:
 		effects = r.startShutdown(now, in.Deadline)
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -42,7 +42,7 @@
 	ErrBusy = errors.New("the scheduler's loop is busy")
 )
 
-// Message is sent to the loop: an Input, a Submit or a Query.
+// Message is sent to the loop: an Input, a Submit, a Query or siblingChanged.
 type Message interface{ message() }
 
 // Input is an event for the reducer.
@@ -139,6 +139,7 @@
 	inFlight     map[uint64]*workerconn.Exchange // by op
 	timer        *time.Timer
 	checks       *checks
+	siblings     []Sibling // processes that admit ops beside this one
 }
 
 // New returns a loop that Run starts. Up to inboxSize messages may be sent before Run.
@@ -196,12 +197,19 @@
 // HasUnappliedLists reports whether an endpoint list was sent that the reducer has not applied yet.
 func (l *Loop) HasUnappliedLists() bool { return l.unappliedLists.Load() > 0 }
 
-// Learned returns the reducer's learned state, or ErrBusy if the loop does not answer within learnedTimeout.
-func (l *Loop) Learned() (reducer.LearnedState, error) {
+// HandOver returns the reducer's learned state, or ErrBusy if the loop does not answer within learnedTimeout.
+// From that state on, the loop announces its ops to the successor, if that is not nil.
+func (l *Loop) HandOver(successor Sibling) (reducer.LearnedState, error) {
 	learned := make(chan reducer.LearnedState, 1)
 	timeout := time.After(learnedTimeout)
+	handOver := Query(func(s State) {
+		if successor != nil {
+			l.addSibling(successor)
+		}
+		learned <- s.Reducer.Learned()
+	})
 	select {
-	case l.inbox <- Query(func(s State) { learned <- s.Reducer.Learned() }):
+	case l.inbox <- handOver:
 	case <-timeout:
 		return reducer.LearnedState{}, ErrBusy
 	}
