A claim keeps the fingerprint of its own request in replicated records

Cause: a record had one fingerprint for all its claims, and a merge took the greater of two. The release of the refused claim came with the stranger's fingerprint and replaced the owner's at replicas that had not answered by then.

Change: each claim has its request's fingerprint, and the record's follows from the claims that count: the ended one, else the unresolved ones. Wire and files keep their form; an unresolved claim of a request that does not hold the key carries its fingerprint behind its process, in the field that such claims do not use. A claimer reports another request (422, final) only where the other has ended or no majority is left, and "come back" where claims of two requests are unresolved. A claim bound to a group that drops repeats is granted to the same request only. The counter "two requests under one id" now counts two requests that have ended.

The simulation's checker asks whose answer each answer is.

The tests of the record's laws draw a fingerprint for each claim.

--- a/internal/cluster/replication/claims.go
+++ b/internal/cluster/replication/claims.go
@@ -195,7 +195,7 @@
 		incarnation: in.Incarnation,
 		voters:      in.Voters,
 		reason:      in.Reason,
-		record:      in.Record,
+		record:      in.Record.decodeFingerprints(),
 		grantedAt:   in.After,
 	}
 	c.evaluate(claim, false)
@@ -251,13 +251,13 @@
 
 // refusals summarizes the answers of the replicas that refused a claim.
 type refusals struct {
-	reason              RefusalReason // the most specific reason
-	record              Record        // the joined records of the replicas that refused
-	fingerprintMismatch bool          // the key was first used by another request
+	reason RefusalReason // the most specific reason
+	record Record        // the joined records of the replicas that refused
+	holder keyHolder     // the request that holds the key by these records
 }
 
 func (c *Core) refusals(claim *activeClaim) refusals {
-	all := refusals{record: Record{Key: claim.Key, Fingerprint: claim.Fingerprint}}
+	all := refusals{record: Record{Key: claim.Key}}
 	for _, name := range c.active.members {
 		answer, answered := claim.answers[name]
 		if !answered || answer.granted {
@@ -265,14 +265,22 @@
 		}
 		all.reason = max(all.reason, answer.reason)
 		if answer.reason == AlreadyClaimed {
-			all.fingerprintMismatch = all.fingerprintMismatch ||
-				answer.record.Fingerprint != claim.Fingerprint
 			all.record, _ = Join(all.record, answer.record)
 		}
 	}
+	all.holder = all.record.holder(claim.claim)
+	if !all.holder.ended && c.majorityPossible(claim) {
+		all.holder.contended = all.holder.contended || !all.holder.isRequest(claim.Fingerprint)
+	}
 	return all
 }
 
+// fingerprintMismatch reports whether the key certainly belongs to another request. A claim of another request
+// that too few replicas have granted is released soon, so it is not enough.
+func (r *refusals) fingerprintMismatch(claim *activeClaim) bool {
+	return !r.holder.contended && !r.holder.isRequest(claim.Fingerprint)
+}
+
 // hasResult reports whether the op has ended with a retained result.
 func (r *refusals) hasResult() bool {
 	end, ended := r.record.endedOutcome()
@@ -282,7 +290,7 @@
 // decision returns the result of a claim without a majority.
 func (c *Core) decision(claim *activeClaim, r *refusals) ClaimDecided {
 	decided := ClaimDecided{RequestID: claim.RequestID, Result: NoQuorum, Reason: r.reason}
-	if r.fingerprintMismatch {
+	if r.fingerprintMismatch(claim) {
 		decided.Result = FingerprintMismatch
 		return decided
 	}
@@ -295,7 +303,7 @@
 	}
 	if other, ok := r.record.findUnresolved(claim.claim); ok {
 		decided.Result, decided.Outcome = OutcomeUnknown, other
-		if c.inProgressElsewhere(claim, &r.record) {
+		if r.holder.contended || c.inProgressElsewhere(claim, &r.record) {
 			decided.Result = InProgress
 		}
 	}
@@ -315,7 +323,10 @@
 func (c *Core) bindToGroup(claim *activeClaim, r *refusals) bool {
 	other, unresolved := r.record.findUnresolved(claim.claim)
 	_, ended := r.record.endedOutcome()
-	if claim.DedupWindow == 0 || claim.group != "" || r.fingerprintMismatch || ended || !unresolved {
+	if claim.DedupWindow == 0 || claim.group != "" || ended || !unresolved {
+		return false
+	}
+	if r.holder.contended || !r.holder.isRequest(claim.Fingerprint) {
 		return false
 	}
 	if c.inProgressElsewhere(claim, &r.record) || !r.record.unresolvedOnlyIn(claim.claim, other.Group) {
--- a/internal/cluster/replication/grants.go
+++ b/internal/cluster/replication/grants.go
@@ -11,10 +11,6 @@
 		c.refuse(in, reason, r)
 		return
 	}
-	if r != nil && !r.hasUnreleasedClaim() {
-		r.Fingerprint = in.Record.Fingerprint // all former claims were released, so nothing ran
-		c.records.updateDigest(r)
-	}
 	granted := in.Record
 	granted.Outcomes = []Outcome{{
 		Claim:  requested.Claim,
@@ -52,6 +48,9 @@
 	if otherUnresolved && !known.unresolvedOnlyIn(requested.Claim, requested.Group) {
 		return AlreadyClaimed
 	}
+	if holder := known.holder(requested.Claim); !holder.isRequest(request.Fingerprint) {
+		return AlreadyClaimed // the group that drops repeats of one request does not drop another one
+	}
 	i, claimed := known.find(requested.Claim)
 	switch {
 	case claimed && known.Outcomes[i].Stage != Claimed:
--- a/internal/cluster/replication/record.go
+++ b/internal/cluster/replication/record.go
@@ -57,7 +57,8 @@
 	Group          string `cbor:"8,keyasint,omitzero"` // group in which the op may have run; "": unknown
 	Age            uint64 `cbor:"9,keyasint,omitzero"` // encoded: tenths of a ms since notRunBefore; 0: unknown
 
-	notRunBefore Time // the op did not run before this time, as the claim was not granted yet; 0: unknown
+	notRunBefore Time   // the op did not run before this time, as the claim was not granted yet; 0: unknown
+	fingerprint  uint64 // of the request that made the claim; of no use once the claim is released
 }
 
 // conflictingGroups replaces the group of a claim for which two groups were reported.
@@ -82,6 +83,10 @@
 		joined = b
 	}
 	joined.Voted = a.Voted || b.Voted
+	joined.fingerprint = max(a.fingerprint, b.fingerprint)
+	if a.fingerprint != b.fingerprint && a.fingerprint != 0 && b.fingerprint != 0 && joined.Stage != Released {
+		conflict = true // a claim is made by one request
+	}
 	joined.notRunBefore = max(a.notRunBefore, b.notRunBefore)
 	joined.Age = min(a.Age, b.Age)
 	if joined.Age == 0 {
@@ -121,7 +126,7 @@
 // Record is the known state of one op: the outcomes of all its known claims.
 type Record struct {
 	Key         string    `cbor:"1,keyasint,omitzero"`
-	Fingerprint uint64    `cbor:"2,keyasint,omitzero"` // fingerprint of the first request with this key
+	Fingerprint uint64    `cbor:"2,keyasint,omitzero"` // of the request that holds the key, see fingerprints.go
 	Age         uint64    `cbor:"3,keyasint,omitzero"` // on the wire: seconds since the record was first seen
 	Outcomes    []Outcome `cbor:"4,keyasint,omitzero"` // sorted by claim
 
@@ -184,12 +189,6 @@
 	return end, ended
 }
 
-// hasUnreleasedClaim reports whether a claim was not released. If such a record were forgotten, the op could
-// run twice.
-func (r *Record) hasUnreleasedClaim() bool {
-	return slices.ContainsFunc(r.Outcomes, func(o Outcome) bool { return o.Stage != Released })
-}
-
 // Estimated sizes of a record and of an outcome without their strings.
 const (
 	recordOverheadBytes  = 64
@@ -213,7 +212,7 @@
 		buffer = append(buffer, 0)
 		buffer = append(buffer, o.Scheduler...)
 		buffer = append(buffer, 0)
-		for _, n := range []uint64{r.Fingerprint, o.Nonce, uint64(o.Stage), uint64(o.HTTPStatus)} {
+		for _, n := range []uint64{r.fingerprintOf(&o), o.Nonce, uint64(o.Stage), uint64(o.HTTPStatus)} {
 			buffer = binary.LittleEndian.AppendUint64(buffer, n)
 		}
 		if o.ResultRetained {
@@ -228,16 +227,11 @@
 // Join merges two versions of a record, and reports whether they conflict. The merge is commutative,
 // associative and idempotent.
 func Join(a, b Record) (joined Record, conflict bool) {
-	joined = Record{
-		Key:         a.Key,
-		Fingerprint: max(a.Fingerprint, b.Fingerprint),
-		Age:         max(a.Age, b.Age),
-		Outcomes:    slices.Clone(a.Outcomes),
-	}
-	conflict = a.Fingerprint != b.Fingerprint
+	joined = Record{Key: a.Key, Age: max(a.Age, b.Age), Outcomes: slices.Clone(a.Outcomes)}
 	for _, o := range b.Outcomes {
 		_, outcomeConflict := joined.join(o)
 		conflict = conflict || outcomeConflict
 	}
+	joined.updateFingerprint()
 	return joined, conflict
 }
--- a/internal/cluster/replication/record_test.go
+++ b/internal/cluster/replication/record_test.go
@@ -10,10 +10,11 @@
 
 // drawRecord draws a record with a fixed key and up to four outcomes, of six possible claims.
 func drawRecord(t *rapid.T, label string) Record {
-	r := Record{Key: "k", Fingerprint: 1, Age: rapid.Uint64Range(0, 3).Draw(t, label)}
+	r := Record{Key: "k", Age: rapid.Uint64Range(0, 3).Draw(t, label)}
 	for range rapid.IntRange(0, 4).Draw(t, label) {
 		r.join(drawOutcome(t, label))
 	}
+	r.updateFingerprint()
 	return r
 }
 
@@ -24,6 +25,7 @@
 		Stage: Stage(rapid.IntRange(int(Claimed), int(Ended)).Draw(t, label)),
 		Voted: rapid.Bool().Draw(t, label),
 	}
+	o.fingerprint = 10*o.Nonce + uint64(len(scheduler)) // one request to a claim
 	if o.Stage != Ended {
 		return o
 	}
--- a/internal/cluster/replication/records.go
+++ b/internal/cluster/replication/records.go
@@ -19,11 +19,11 @@
 // later. Counted back from agesTrueAt, they give times that are not too late. If agesTrueAt is 0, the ages
 // are ignored, since the time that the record took to arrive is unknown.
 func (c *Core) mergeRecord(received Record, agesTrueAt Time) {
+	received = received.decodeFingerprints()
 	r, sizeBefore := c.records.byKey[received.Key], 0
 	switch {
 	case r != nil:
 		sizeBefore = r.size()
-		c.mergeFingerprint(r, &received)
 	case !c.records.fits(&received):
 		c.handleFullLog()
 		return
@@ -32,7 +32,11 @@
 		r = c.records.add(received.Key, received.Fingerprint, c.now-age)
 	}
 	changed := c.mergeOutcomes(r, received.Outcomes, agesTrueAt)
+	r.updateFingerprint()
 	c.records.update(r, sizeBefore)
+	if changed {
+		c.reportRequestConflict(r)
+	}
 	if !changed {
 		return
 	}
@@ -54,17 +58,12 @@
 	}
 }
 
-// mergeFingerprint chooses one of two different fingerprints. It reports a conflict if both requests may have
-// run.
-func (c *Core) mergeFingerprint(r, received *Record) {
-	if received.Fingerprint == r.Fingerprint {
-		return
-	}
-	if r.hasUnreleasedClaim() && received.hasUnreleasedClaim() {
+// reportRequestConflict reports that two requests have run under one key.
+func (c *Core) reportRequestConflict(r *Record) {
+	if r.endedByTwoRequests() {
 		c.count(countFingerprintConflict)
-		c.emit(Event{Description: "two requests under one id", Subject: received.Key, Warning: true})
+		c.emit(Event{Description: "two requests under one id", Subject: r.Key, Warning: true})
 	}
-	r.Fingerprint = max(r.Fingerprint, received.Fingerprint)
 }
 
 // mergeOutcomes merges outcomes into a record. It reports whether the record changed in a way that other
@@ -100,6 +99,7 @@
 			o.Age = uint64(max(c.now-o.notRunBefore, 0)) + 1
 		}
 	}
+	encoded.encodeFingerprints()
 	return encoded
 }
 
--- a/internal/cluster/replication/simulation/checker.go
+++ b/internal/cluster/replication/simulation/checker.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 
 	"woaddyke/internal/cluster/replication"
 )
@@ -51,9 +52,11 @@
 // claim is a claim that a scheduler has requested.
 type claim struct {
 	key         string
+	fingerprint uint64
 	scheduler   *node
 	core        *replication.Core
 	requestedAt Time
+	grantedAt   Time // 0: not granted
 }
 
 // processRunning reports whether the process that requested the claim still runs.
@@ -76,19 +79,25 @@
 
 func (k *checker) deduplicated(key string) bool { return k.DedupWindow > 0 && key[0] == 'd' }
 
+// ownerFingerprint is the fingerprint of the requests that Claim makes.
+const ownerFingerprint = 1
+
 // Claim makes a scheduler claim an op.
-func (c *Cluster) Claim(i int, key string) {
+func (c *Cluster) Claim(i int, key string) { c.ClaimAs(i, key, ownerFingerprint) }
+
+// ClaimAs makes a scheduler claim an op for a request with the given fingerprint.
+func (c *Cluster) ClaimAs(i int, key string, fingerprint uint64) {
 	n := c.nodes[i]
 	if !n.running || n.core == nil {
 		return
 	}
 	c.lastRequest++
 	id := c.lastRequest
-	in := replication.ClaimRequest{RequestID: id, Key: key, Fingerprint: 1, Timeout: 5 * Second}
+	in := replication.ClaimRequest{RequestID: id, Key: key, Fingerprint: fingerprint, Timeout: 5 * Second}
 	if key[0] == 'd' {
 		in.DedupWindow = c.DedupWindow
 	}
-	c.claims[id] = &claim{key, n, n.core, c.Now()}
+	c.claims[id] = &claim{key: key, fingerprint: fingerprint, scheduler: n, core: n.core, requestedAt: c.Now()}
 	c.step(n, n.core, in)
 }
 
@@ -116,12 +125,34 @@
 	switch d.Result {
 	case replication.Granted:
 		c.Granted++
+		cl.grantedAt = c.Now()
 		c.checkGrant(cl, d)
 	case replication.AlreadyAnswered:
 		c.checkAnswer(cl, d)
+	case replication.FingerprintMismatch:
+		c.checkMismatch(cl)
+	}
+}
+
+// checkMismatch checks that a request is not rejected as another one while its own key is held by its first
+// request.
+func (c *Cluster) checkMismatch(cl *claim) {
+	holder := c.claimNamed(c.holders[cl.key])
+	if holder != nil && holder.fingerprint == cl.fingerprint && holder.grantedAt < cl.requestedAt {
+		const format = "%s belongs to the request of claim %s, and its repeat is rejected as another request"
+		c.addViolation(format, cl.key, c.holders[cl.key])
 	}
 }
 
+// claimNamed returns the claim with a name, or nil if there is none.
+func (c *Cluster) claimNamed(name string) *claim {
+	id, err := strconv.ParseUint(name, 10, 64)
+	if err != nil {
+		return nil
+	}
+	return c.claims[id]
+}
+
 func (c *Cluster) checkGrant(cl *claim, d replication.ClaimDecided) {
 	name := fmt.Sprint(d.RequestID)
 	switch {
@@ -144,6 +175,9 @@
 // op. The worker group drops the push of a bound claim as a repeat.
 func (c *Cluster) checkAnswer(cl *claim, d replication.ClaimDecided) {
 	result := string(d.Outcome.Result)
+	if source := c.claimNamed(result); source == nil || source.fingerprint != cl.fingerprint {
+		c.addViolation("%s of claim %s is answered to another request", cl.key, result)
+	}
 	if c.boundByKey[cl.key][result] {
 		return
 	}
