A claim that is granted after its release is released again

Callers saw: an id that two schedulers had claimed at about the same time got 503 until its record expired, although nobody had it. Safe, as nothing ran twice.

Cause: a release is not reported to replicas that certainly have not recorded the claim: they were sent one request and refused it. A datagram may arrive twice; the copy came after the id had been given back and was granted.

Left: the late grant or that release may be lost.

--- a/internal/cluster/replication/claims.go
+++ b/internal/cluster/replication/claims.go
@@ -95,16 +95,18 @@
 
 // claimTable contains the claims of this scheduler and the outcome reports, by request ID.
 type claimTable struct {
-	pending map[uint64]*activeClaim
-	granted map[uint64]*activeClaim // claims of ops that have not ended
-	reports map[uint64]*outcomeReport
+	pending  map[uint64]*activeClaim
+	granted  map[uint64]*activeClaim // claims of ops that have not ended
+	reports  map[uint64]*outcomeReport
+	released releasedClaims
 }
 
 func newClaimTable() claimTable {
 	return claimTable{
-		pending: map[uint64]*activeClaim{},
-		granted: map[uint64]*activeClaim{},
-		reports: map[uint64]*outcomeReport{},
+		pending:  map[uint64]*activeClaim{},
+		granted:  map[uint64]*activeClaim{},
+		reports:  map[uint64]*outcomeReport{},
+		released: newReleasedClaims(),
 	}
 }
 
@@ -188,7 +190,11 @@
 func (c *Core) handleClaimAnswer(in MessageReceived) {
 	claim := c.claims.pending[in.RequestID&^boundClaimFlag]
 	if claim == nil || claim.wireID() != in.RequestID {
-		return // the claim was decided, or bound to a group after this request
+		// The claim was decided, or bound to a group after this request.
+		if in.Kind == ClaimGranted {
+			c.handleLateGrant(in)
+		}
+		return
 	}
 	claim.answers[in.From] = claimAnswer{
 		granted:     in.Kind == ClaimGranted,
--- a/internal/cluster/replication/counters.go
+++ b/internal/cluster/replication/counters.go
@@ -5,6 +5,7 @@
 const (
 	countGranted        = "granted"
 	countBound          = "bound to a group" // claims that were replaced by claims bound to a worker group
+	countLateGrant      = "granted late"     // grants of released claims, which were released again
 	countRecordsFetched = "pulled"
 	countRefusedPrefix  = "refused: " // followed by the reason
 
--- a/internal/cluster/replication/outcome_reports.go
+++ b/internal/cluster/replication/outcome_reports.go
@@ -66,7 +66,8 @@
 	})
 }
 
-// releaseClaim reports the release of a claim to all replicas that may have recorded the claim.
+// releaseClaim reports the release of a claim to all replicas that may have recorded the claim. Another one that
+// grants a late copy of the request is informed then.
 func (c *Core) releaseClaim(claim *activeClaim, requestID uint64) {
 	acknowledged := map[string]bool{}
 	for _, name := range c.active.members {
@@ -74,11 +75,11 @@
 			acknowledged[name] = true
 		}
 	}
-	c.report(&outcomeReport{
-		requestID:    requestID,
-		record:       claim.record(Outcome{Claim: claim.claim, Stage: Released}),
-		acknowledged: acknowledged,
-	})
+	release := claim.record(Outcome{Claim: claim.claim, Stage: Released})
+	if len(acknowledged) > 0 {
+		c.claims.released.add(claim.wireID(), release)
+	}
+	c.report(&outcomeReport{requestID: requestID, record: release, acknowledged: acknowledged})
 }
 
 // report starts reporting an outcome to the replicas that have not acknowledged it.
