A client that leaves behind a large request is seen to leave

Cause: the end of a connection arrives behind all data before it. Nothing is read of further requests while an op is served, so they fill the receive window, and the rest stays with the client, the end as well.

Change: from 32 KiB of unread bytes on, what lies behind the op is read ahead (read_ahead.go). Requests are retained for the server, at most 128 KiB for a connection and 8 MiB for all; of a request whose body is over the limit the head is retained and the body discarded, 16 MiB at most. What was read ahead is answered, also at a shutdown.

Left: who leaves behind more than these bounds, in requests of the allowed size, is noticed when the op ends.

--- a/cmd/woaddyke/large_pipelined_test.go
+++ b/cmd/woaddyke/large_pipelined_test.go
@@ -1,7 +1,10 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -28,3 +31,43 @@
 		close(worker.release)
 	}
 }
+
+// Requests that were read ahead must be answered in their order, each by itself. A body over the limit is rejected
+// after them.
+func TestRequestsThatWereReadAheadAreAnswered(t *testing.T) {
+	const pipelined, bodyBytes = 40, 2000
+	discovery, listen, received, free := startHoldingWorker(t)
+	p := startProcess(t, t.TempDir(), listen, discovery, 0)
+	c := dial(t, listen)
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	text := pipelinedOp("held", "")
+	body := strings.Repeat("x", bodyBytes)
+	for k := range pipelined {
+		op := pipelinedOp(fmt.Sprint("op-", k), "")
+		text += strings.Replace(op, "Content-Length: 0", fmt.Sprint("Content-Length: ", bodyBytes), 1) + body
+	}
+	text += strings.Replace(pipelinedOp("large", ""), "Content-Length: 0", "Content-Length: 1000000", 1)
+	go io.WriteString(c, text+strings.Repeat("x", 1_000_000))
+	<-received
+	time.Sleep(300 * time.Millisecond) // the client fills the window
+	close(free)
+	go func() {
+		for range received { // discards the ids
+		}
+	}()
+	answers := bufio.NewReader(c)
+	for k := range pipelined + 2 {
+		resp, err := http.ReadResponse(answers, nil)
+		if err != nil {
+			t.Fatalf("answer %d: %v: %s", k, err, p.log)
+		}
+		io.Copy(io.Discard, resp.Body)
+		want := http.StatusOK
+		if k == pipelined+1 {
+			want = http.StatusRequestEntityTooLarge
+		}
+		if resp.StatusCode != want {
+			t.Errorf("answer %d: %d, want %d", k, resp.StatusCode, want)
+		}
+	}
+}
--- a/internal/frontend/clientconn/clientconn.go
+++ b/internal/frontend/clientconn/clientconn.go
@@ -33,6 +33,7 @@
 	net.Listener
 	AdmissionTimeout time.Duration // limits a new connection's wait for a slot; accepting stops meanwhile
 	HeaderTimeout    time.Duration // limits the time to read a header: see applyHeaderDeadline; 0 for no limit
+	MaxBodyBytes     int           // a request with a larger body is rejected; 0: nothing is read ahead
 	// OnUnanswered is called when this side closes a connection on which a request with a complete header has
 	// no answer, and the client has not disconnected. All callbacks are optional and must be set before use.
 	OnUnanswered  func(addr string)
@@ -48,6 +49,7 @@
 	readingStopped       atomic.Bool               // StopReading was called
 	bodyDeadline         atomic.Pointer[time.Time] // set by StopReading for started bodies; nil before
 	connClosed           chan struct{}             // gets a signal for a closed connection; buffers one
+	readAheadBytes       atomic.Int64              // retained by all connections: see readAhead
 }
 
 // Reason says why this side closes a connection or decides to. If a request is received before the close, the
@@ -95,6 +97,7 @@
 	skipUnanswered  bool        // request boundaries are unknown, so missing answers are not reported
 	servedRequest   bool        // at least one request was served
 	responseStarted bool        // part of the response to the current request was written
+	ahead           readAhead
 }
 
 // Read reads from the connection. While the standard server serves a request, it watches for a disconnection
@@ -114,7 +117,13 @@
 	if b = b[:c.maxReadable(len(b))]; len(b) == 0 {
 		return 0, io.EOF
 	}
-	n, err := oserror.Read(c.Conn.Read, b)
+	n, err, done := c.takeReadAhead(b)
+	if n > 0 {
+		c.pool.cancelClose(c)
+	}
+	if !done {
+		n, err = oserror.Read(c.Conn.Read, b)
+	}
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
 		n, err = c.finalRead(b, err)
 	}
@@ -147,6 +156,7 @@
 	}
 	report := unanswered > 0 && !c.skipUnanswered
 	c.mu.Unlock()
+	c.dropReadAhead()
 	if report && c.pool.OnUnanswered != nil && c.peerOpen() {
 		c.pool.OnUnanswered(c.RemoteAddr().String())
 	}
@@ -270,6 +280,7 @@
 		var unread bool
 		if unread, closed = peerState(fd); unread && closed == nil {
 			c.recordUnread(fd)
+			closed = c.readUnread(fd)
 		}
 		return closed != nil
 	}); err != nil {
@@ -304,6 +315,9 @@
 
 // hasUnreadData reports whether the socket holds unread data.
 func (c *conn) hasUnreadData() bool {
+	if c.hasReadAhead() {
+		return true
+	}
 	n, err := workerconn.Peek(c.Conn)
 	if err == nil || errors.Is(err, syscall.EAGAIN) {
 		return n > 0
@@ -689,7 +703,7 @@
 	}
 	c.mu.Lock()
 	stopped := c.pool.readingStopped.Load()
-	further := len(c.parser.pending) > 1 || c.parser.started && !stopped
+	further := len(c.parser.pending) > 1 || c.parser.started && !stopped || len(c.ahead.retained) > 0
 	bodyRead := c.parser.state == inHeader && !stopped
 	c.mu.Unlock()
 	if further || !bodyRead {
--- /dev/null
+++ b/internal/frontend/clientconn/read_ahead.go
@@ -0,0 +1,162 @@
+package clientconn
+
+import (
+	"errors"
+	"io"
+	"slices"
+	"syscall"
+
+	"woaddyke/internal/base/oserror"
+)
+
+const (
+	// readAheadFrom is the number of unread bytes from which the rest of what the client has sent, and the end of
+	// its connection, may not fit the receive window.
+	readAheadFrom = 32 << 10
+
+	maxReadAheadBytes     = 128 << 10 // retained per connection
+	maxPoolReadAheadBytes = 8 << 20   // retained by all connections of a pool
+	maxDiscardedBytes     = 16 << 20  // discarded per connection
+
+	readAheadChunkBytes = 16 << 10
+)
+
+// readAhead holds bytes that were read from a socket while a request is served. The end of a connection arrives
+// only after all data before it, so a client that disconnects is noticed only if that data is read. The body
+// of a request that will be rejected as too large is discarded. Nothing behind it is served.
+type readAhead struct {
+	retained       []byte        // not read by the server yet
+	parser         requestParser // state after the retained bytes
+	started        bool
+	discarding     bool // the server gets no more bytes after the retained ones
+	discardedBytes int
+	bodyBytes      int // retained bytes of the current body
+}
+
+// readAheadAllowed reports whether more bytes may be read ahead, with the lock held.
+func (c *conn) readAheadAllowed() bool {
+	a := &c.ahead
+	if c.pool.MaxBodyBytes == 0 || c.pool.readingStopped.Load() {
+		return false
+	}
+	if a.discarding {
+		return a.discardedBytes < maxDiscardedBytes
+	}
+	return len(a.retained) < maxReadAheadBytes && c.pool.readAheadBytes.Load() < maxPoolReadAheadBytes &&
+		c.parser.state != unparsable && a.parser.state != unparsable
+}
+
+// readUnread reads what is unread in the socket, without waiting, if the end of the connection may be hidden
+// behind it. It returns io.EOF if the client has closed the connection.
+func (c *conn) readUnread(fd uintptr) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ahead.started && unreadBytes(fd) < readAheadFrom {
+		return nil
+	}
+	chunk := make([]byte, readAheadChunkBytes)
+	for c.readAheadAllowed() {
+		n, _, err := syscall.Recvfrom(int(fd), chunk, syscall.MSG_DONTWAIT)
+		switch {
+		case errors.Is(err, syscall.EINTR):
+		case errors.Is(err, syscall.EAGAIN) || oserror.IsLocal(err):
+			return nil
+		case err != nil:
+			return err
+		case n == 0:
+			return io.EOF
+		default:
+			c.retain(chunk[:n])
+		}
+	}
+	return nil
+}
+
+// retain stores bytes that were read ahead, up to the body of a request that will be rejected.
+func (c *conn) retain(data []byte) {
+	a := &c.ahead
+	if !a.started {
+		a.started = true
+		a.parser = c.parser
+		a.parser.pending = slices.Clone(c.parser.pending)
+	}
+	for len(data) > 0 && !a.discarding {
+		length := a.nextPiece(data)
+		if a.discarding = a.bodyRejected(length, c.pool.MaxBodyBytes); a.discarding {
+			break
+		}
+		a.parser.feed(data[:length])
+		a.retained = append(a.retained, data[:length]...)
+		c.pool.readAheadBytes.Add(int64(length))
+		data = data[length:]
+	}
+	if a.discarding {
+		a.discardedBytes += len(data)
+	}
+}
+
+// nextPiece returns the number of bytes that belong to the current body, or 1 outside a body.
+func (a *readAhead) nextPiece(data []byte) int {
+	if a.inBody() {
+		return int(min(int64(len(data)), a.parser.remaining))
+	}
+	return 1
+}
+
+func (a *readAhead) inBody() bool {
+	return a.parser.state == inBody || a.parser.state == inChunkData
+}
+
+// bodyRejected reports whether the current body is too large. length is the number of bytes that come next.
+func (a *readAhead) bodyRejected(length, maxBodyBytes int) bool {
+	if !a.inBody() {
+		if a.parser.state == inHeader {
+			a.bodyBytes = 0
+		}
+		return false
+	}
+	if a.parser.header.contentLength > int64(maxBodyBytes) {
+		return true
+	}
+	if a.bodyBytes > maxBodyBytes {
+		return true // of chunks; the server has enough to reject it
+	}
+	a.bodyBytes += length
+	return false
+}
+
+// hasReadAhead reports whether bytes were read ahead that the server has not read.
+func (c *conn) hasReadAhead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.ahead.retained) > 0
+}
+
+// takeReadAhead gives the server bytes that were read ahead. It returns done false if the next bytes come from
+// the socket, and io.EOF if those that would come next were discarded.
+func (c *conn) takeReadAhead(b []byte) (n int, err error, done bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a := &c.ahead
+	switch {
+	case len(a.retained) > 0:
+		n = copy(b, a.retained)
+		a.retained = a.retained[n:]
+		c.pool.readAheadBytes.Add(-int64(n))
+		return n, nil, true
+	case a.discarding:
+		return 0, io.EOF, true
+	}
+	if a.started {
+		*a = readAhead{}
+	}
+	return 0, nil, false
+}
+
+// dropReadAhead releases the retained bytes of a connection that is closed.
+func (c *conn) dropReadAhead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pool.readAheadBytes.Add(-int64(len(c.ahead.retained)))
+	c.ahead.retained = nil
+}
--- a/internal/frontend/clientconn/stop_reading.go
+++ b/internal/frontend/clientconn/stop_reading.go
@@ -73,8 +73,8 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.servedRequest && !c.parser.inRequest() {
-		return wanted
+	if !c.servedRequest && !c.parser.inRequest() || len(c.ahead.retained) > 0 {
+		return wanted // what was read ahead must be answered
 	}
 	return int(min(int64(wanted), c.parser.minRemaining()))
 }
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -120,6 +120,7 @@
 func (s *Server) newClientPool() *clientconn.Pool {
 	clients := clientconn.New(0, 0) // setLimits sets both bounds
 	clients.HeaderTimeout = headerTimeout
+	clients.MaxBodyBytes = maxBodyBytes
 	clients.OnAcceptError = s.acceptFailed
 	clients.OnEnded = func(reason clientconn.Reason, addr string) {
 		s.log.Debug().Str("why", string(reason)).Str("client", addr).Msg("client connection ended")
