A predecessor leaves clients whose ops need claims to its successor

Cause: not the successor's claims but the predecessor's. The sockets of the members go to the successor, so no answer to a claim reaches the predecessor, and it sends no claim; yet it accepted clients until SIGTERM.

Change: a successor signals on the handover's connection that it serves. With copies the predecessor then accepts nothing more, ends each connection with its next response, and nacks an op that needs a claim at once. If the successor dies it accepts again.

--- a/cmd/woaddyke/hot_restart.go
+++ b/cmd/woaddyke/hot_restart.go
@@ -107,6 +107,12 @@
 	}
 	p.setMemoryLimit(2)
 	p.log.Info().Int("sockets", state.DescriptorLimit).Msg("took over")
+	go func() {
+		<-p.server.Ready()
+		if err := handover.Link.SignalServing(); err != nil {
+			p.log.Warn().Err(err).Msg("predecessor not informed that this process serves")
+		}
+	}()
 	go func() {
 		<-handover.PredecessorEnded
 		p.server.SetDescriptorLimit(p.bootstrap.Limits.Descriptors)
@@ -236,6 +242,13 @@
 	if err := request.CheckSuccessorOf(p.handoverRequest()); err != nil {
 		return nil, nil, err
 	}
+	go func() {
+		select {
+		case <-link.Started():
+			p.server.SuccessorServes()
+		case <-link.Ended():
+		}
+	}()
 	return p.server.HandOver(sibling{link}, p.handOverMembership)
 }
 
--- a/internal/frontend/claims.go
+++ b/internal/frontend/claims.go
@@ -38,6 +38,7 @@
 type claimGate struct {
 	registry   ClaimRegistry // nil unless RequireClaims was called
 	isRequired func(category string) bool
+	suspended  func() bool // reports whether a successor has the cluster's messages
 }
 
 func (g *claimGate) required(category string) bool {
@@ -47,7 +48,7 @@
 // RequireClaims lets ops of the categories that isRequired selects run only with a claim. Call it before
 // Serve.
 func (s *Server) RequireClaims(registry ClaimRegistry, isRequired func(category string) bool) {
-	s.transport.claims = claimGate{registry, isRequired}
+	s.transport.claims = claimGate{registry, isRequired, s.HasSuccessor}
 }
 
 // grantedClaim is an op's claim. The zero value stands for an op that needs none.
@@ -62,6 +63,10 @@
 
 // claim requests an op's claim. If it is not granted, claim returns the response to the client.
 func (t *opTransport) claim(r *http.Request, op *pendingOp) (denied *http.Response) {
+	if t.claims.suspended() {
+		text := []byte("nacked: another process of this scheduler claims its ops\n")
+		return textResponse(r, http.StatusServiceUnavailable, text, claimRetryAfter)
+	}
 	timeLeft := time.Duration(op.TTL)*config.Tenth - time.Duration(t.clock.Now())
 	rule := t.settings.Load().rule(op.Category)
 	request := append(append([]byte(op.requestTarget), 0), op.request.Body...)
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -63,6 +63,7 @@
 	hasSuccessor             atomic.Bool   // another process is replacing this one
 	stoppingWithoutSuccessor atomic.Bool   // shutting down without a successor
 	closeAfterResponse       atomic.Bool   // each response closes its connection
+	clientsMove              atomic.Bool   // each response closes its connection, as the successor takes the clients
 }
 
 // healthy tells whether load balancers should send clients to this address. They should if there is a
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -115,7 +115,8 @@
 // request. If another request was already read from the connection, this response doesn't close it.
 func (s *Server) setConnectionClose(client context.Context, h http.Header, status int) {
 	badRequest := status/100 == 4
-	if (badRequest || s.lifecycle.closeAfterResponse.Load() || s.drain.draining()) &&
+	leaves := s.lifecycle.closeAfterResponse.Load() || s.lifecycle.clientsMove.Load() || s.drain.draining()
+	if (badRequest || leaves) &&
 		!clientconn.HasPipelinedRequest(client) {
 		h.Set("Connection", "close")
 	}
--- a/internal/frontend/hot_restart.go
+++ b/internal/frontend/hot_restart.go
@@ -138,11 +138,23 @@
 // HasSuccessor tells whether another process is replacing this one.
 func (s *Server) HasSuccessor() bool { return s.lifecycle.hasSuccessor.Load() }
 
+// SuccessorServes records that the successor serves clients. If ops need claims, this process then leaves all
+// new connections to the successor, and ends the open ones with their next response: the messages with which
+// an op is claimed go to the successor.
+func (s *Server) SuccessorServes() {
+	if s.transport.claims.registry == nil || !s.HasSuccessor() {
+		return
+	}
+	s.lifecycle.clientsMove.Store(true)
+	s.clients.Pause()
+}
+
 // SetSuccessor records whether another process is replacing this one. If that process has ended, this one
 // continues alone, and accepts clients again.
 func (s *Server) SetSuccessor(running bool) {
 	s.lifecycle.hasSuccessor.Store(running)
 	if !running {
+		s.lifecycle.clientsMove.Store(false)
 		s.SetDescriptorLimit(s.bootstrap.Limits.Descriptors)
 		s.clients.Resume()
 	}
--- a/internal/lifecycle/hotrestart/transfer/announcement.go
+++ b/internal/lifecycle/hotrestart/transfer/announcement.go
@@ -8,7 +8,8 @@
 
 // An announcement is sent as the length of its key in one byte, the TTL in milliseconds in four bytes, big
 // endian, and the key. An announcement without a key is the start marker, which a predecessor sends after all
-// that it announced while it handed over. Older builds discard all bytes after the state.
+// that it announced while it handed over, and a successor once it serves clients. Older builds discard all
+// bytes after the state.
 const announcementHeaderSize = 5
 
 // Announcement states that a process has admitted an op.
--- a/internal/lifecycle/hotrestart/transfer/link.go
+++ b/internal/lifecycle/hotrestart/transfer/link.go
@@ -38,7 +38,7 @@
 	conn    *retryConn
 	raw     syscall.RawConn
 	changed chan struct{} // receives a value after announcements have arrived; closed once the link has ended
-	started chan struct{} // closed when the other process has sent all that it announced before
+	started chan struct{} // closed when the other process has sent a start marker
 	ended   chan struct{} // closed when the other process has ended or has closed the link
 
 	mu        sync.Mutex
@@ -71,6 +71,15 @@
 // Changed receives a value after announcements have arrived. It is closed once the link has ended.
 func (l *Link) Changed() <-chan struct{} { return l.changed }
 
+// Started is closed in a predecessor when its successor has called SignalServing.
+func (l *Link) Started() <-chan struct{} { return l.started }
+
+// Ended is closed when the other process has ended.
+func (l *Link) Ended() <-chan struct{} { return l.ended }
+
+// SignalServing informs the predecessor that this process serves clients.
+func (l *Link) SignalServing() error { return l.Announce(Announcement{}) }
+
 // AwaitStart waits until all that the predecessor announced while it handed over has arrived, or until it has
 // ended. It returns false if neither happens in time.
 func (l *Link) AwaitStart() bool {
