A message between members holds the widest record that replicas store

Callers saw: nothing yet.

Cause: the bound of what is stored for an id and the bound of a message were set apart.

Change: maxServiceBytes is 60 KiB, below the size of a datagram. Pages of records stay at 1,200 bytes.

--- a/internal/cluster/mesh/wire.go
+++ b/internal/cluster/mesh/wire.go
@@ -27,7 +27,7 @@
 	version                     = 1
 	headerSize                  = 2 + 1 + 8
 	maxDatagramBytes            = 1900     // largest size of a membership message in a datagram
-	maxServiceBytes             = 8 << 10  // largest size of a service message, which IP may fragment
+	maxServiceBytes             = 60 << 10 // largest size of a service message, which IP may fragment
 	maxRecordBytes              = 640      // largest size of a member record in a message on a stream
 	maxFrameBytesWithoutRecords = 64 << 10 // largest size of a message on a stream, not counting its records
 	maxArrayElements            = 1 << 16  // most elements of an array in a body
