The pool of client connections in four files by what they do

clientconn.go had 750 lines with the pool, the connections, what the kernel says about the client, and admission with eviction. Declarations moved as they were to conn.go, peer_state.go and admission.go; the deadline that ends a wait has a name and one place. The list of files that read no clock names the new file in place of the old one.

--- a/internal/codepolicy/codepolicy_test.go
+++ b/internal/codepolicy/codepolicy_test.go
@@ -67,7 +67,7 @@
 		return slices.Contains(wallClockMethods, name) && !isPackage(qualifier, "math")
 	}), map[string]string{
 		"internal/workers/discovery/start_times.go UnixMilli": "boot_ms is a Unix time of discovery; only this file compares it with this machine's wall clock",
-		"internal/frontend/clientconn/clientconn.go Unix":     "a deadline long past, to end a wait; no clock is read",
+		"internal/frontend/clientconn/conn.go Unix":           "a deadline long past, to end a wait; no clock is read",
 		"internal/cluster/mesh/sockets.go Unix":               "a deadline long past, to end a wait; no clock is read",
 		"internal/frontend/peers.go Unix":                     "a deadline long past, to end a wait; no clock is read",
 	})
