The last change of a key in a round is the one that reaches the file

A replica with a file that let a record expire and granted its key again in one round deleted the new record from the file, although the grant was sent. After its next start it did not know the grant.

Cause: the records of a round were written before its deletes, and a record did not take back a delete before it.

--- a/internal/cluster/replica/storage.go
+++ b/internal/cluster/replica/storage.go
@@ -187,21 +187,24 @@
 	return err == nil
 }
 
+// writeRecords writes the last change of each key in a round. A key may expire and be claimed again in one round.
 func (r *Replica) writeRecords(effects []replication.Effect) error {
-	put, deleted := map[string]replication.Record{}, []string{}
+	put, deleted := map[string]replication.Record{}, map[string]bool{}
 	for _, e := range effects {
 		switch e := e.(type) {
 		case replication.Persist:
 			put[e.Key] = e.Record
+			delete(deleted, e.Key)
 		case replication.Delete:
 			delete(put, e.Key)
-			deleted = append(deleted, e.Key)
+			deleted[e.Key] = true
 		}
 	}
 	if len(put)+len(deleted) == 0 {
 		return nil
 	}
-	return r.storage.store.Write(boottime.Now(), slices.Collect(maps.Values(put)), deleted)
+	records, keys := slices.Collect(maps.Values(put)), slices.Collect(maps.Keys(deleted))
+	return r.storage.store.Write(boottime.Now(), records, keys)
 }
 
 func (r *Replica) writeIncarnations(effects []replication.Effect) error {
