Second reading: checks run once for an op, test set-ups shared, dead code gone

Behaviour is as before; found by reading the whole change again.

- An op's category and key are looked up once when it is admitted.
The check that announcements need had made both lookups run twice for each op, also without a second process (reducer.checkOp).
- Fingerprints of a received record are decoded outcome by outcome as they are merged, in place of a copy of all outcomes for each message.
- updateVoteForSet set registeredSince to what loseVote already leaves; Handover.PredecessorEnded was the link's Ended; a start marker had two spellings; bodyRejected counted bytes beside judging them and is split; a link that is read takes its lock once; bindToGroup asked for contended, which isRequest includes; mergeRecord tested one condition twice.
- Tests: one set-up for the two orders of a hot restart, which use pipelinedOp and dial; one widest record; claimResult and its variant with a fingerprint are one function; endedRecord and restartReplica where they stood again; one form of messages from peers in the replica's tests.
The assertions are the same; a replica that has no vote after 60 s ends the test of catching up at once.

--- a/cmd/woaddyke/handover_ids_test.go
+++ b/cmd/woaddyke/handover_ids_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"bufio"
-	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -21,11 +21,7 @@
 // dialKept opens a connection and sends an op on it, so that the only process that runs has accepted it.
 func dialKept(t *testing.T, listen, id string, received <-chan string) *keptConnection {
 	t.Helper()
-	conn, err := net.Dial("tcp", listen)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { conn.Close() })
+	conn := dial(t, listen)
 	conn.SetDeadline(time.Now().Add(20 * time.Second))
 	c := &keptConnection{t, conn, bufio.NewReader(conn)}
 	c.send(id)
@@ -38,10 +34,7 @@
 	return c
 }
 
-func (c *keptConnection) send(id string) {
-	fmt.Fprintf(c.conn, "POST / HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: %s\r\nX-Service-Class: pay\r\n"+
-		"X-Time-Left-Ms: 5000\r\nContent-Length: 0\r\n\r\n", id)
-}
+func (c *keptConnection) send(id string) { io.WriteString(c.conn, pipelinedOp(id, "")) }
 
 func (c *keptConnection) status() int {
 	c.t.Helper()
@@ -54,49 +47,74 @@
 	return resp.StatusCode
 }
 
-// stopAccepting sends a predecessor SIGTERM, so that its successor accepts all further clients.
-func stopAccepting(t *testing.T, predecessor testProcess) {
+// runningHotRestart is a scheduler with two processes that both serve.
+type runningHotRestart struct {
+	t           *testing.T
+	listen      string
+	predecessor testProcess
+	kept        *keptConnection // of the predecessor
+	received    chan string     // ids of the ops at the worker
+	free        chan bool       // closed to end the op "held"
+}
+
+// startHotRestart starts a process, connects a client to it, and starts its successor. The op "before" has been
+// served.
+func startHotRestart(t *testing.T) *runningHotRestart {
 	t.Helper()
-	predecessor.cmd.Process.Signal(syscall.SIGTERM)
+	discovery, listen, received, free := startHoldingWorker(t)
+	dir := shortTempDir(t)
+	h := &runningHotRestart{t: t, listen: listen, received: received, free: free}
+	h.predecessor = startProcess(t, dir, listen, discovery, 0)
+	h.kept = dialKept(t, listen, "before", received)
+	startProcess(t, dir, listen, discovery, 1)
+	return h
+}
+
+// stopAccepting sends the predecessor SIGTERM, so that the successor accepts all further clients.
+func (h *runningHotRestart) stopAccepting() {
+	h.t.Helper()
+	h.predecessor.cmd.Process.Signal(syscall.SIGTERM)
 	deadline := time.Now().Add(20 * time.Second)
-	for !strings.Contains(predecessor.log.String(), `"message":"stopping"`) {
+	for !strings.Contains(h.predecessor.log.String(), `"message":"stopping"`) {
 		if time.Now().After(deadline) {
-			t.Fatalf("the predecessor does not stop: %s", predecessor.log)
+			h.t.Fatalf("the predecessor does not stop: %s", h.predecessor.log)
 		}
 		time.Sleep(time.Millisecond)
 	}
 	time.Sleep(20 * time.Millisecond) // it accepts nothing more
 }
 
+// requireNoFurtherRun fails the test if the worker has received another op.
+func (h *runningHotRestart) requireNoFurtherRun() {
+	h.t.Helper()
+	select {
+	case id := <-h.received:
+		h.t.Errorf("%s has run twice", id)
+	default:
+	}
+}
+
 // In a hot restart, both processes admit ops for a while. An op that the predecessor admits after it has handed
 // over its state must not be admitted by the successor too, since an at-most-once op would run twice.
 func TestASuccessorRejectsIDsAdmittedAfterTheHandover(t *testing.T) {
 	t.Parallel()
-	discovery, listen, received, free := startHoldingWorker(t)
-	dir := shortTempDir(t)
-	predecessor := startProcess(t, dir, listen, discovery, 0)
-	kept := dialKept(t, listen, "before", received)
-	startProcess(t, dir, listen, discovery, 1)
-	kept.send("held")
-	if id := <-received; id != "held" {
+	h := startHotRestart(t)
+	h.kept.send("held")
+	if id := <-h.received; id != "held" {
 		t.Fatal(id)
 	}
-	stopAccepting(t, predecessor)
+	h.stopAccepting()
 	for _, id := range []string{"before", "held"} {
-		if status := postAt(t, listen, id, 5*time.Second); status != http.StatusConflict {
+		if status := postAt(t, h.listen, id, 5*time.Second); status != http.StatusConflict {
 			t.Errorf("%s at the successor: %d", id, status)
 		}
 	}
-	close(free)
-	if status := kept.status(); status != http.StatusOK {
+	close(h.free)
+	if status := h.kept.status(); status != http.StatusOK {
 		t.Errorf("the first client of the id: %d", status)
 	}
-	select {
-	case id := <-received:
-		t.Errorf("%s has run twice", id)
-	default:
-	}
-	if status := postAt(t, listen, "another", 5*time.Second); status != http.StatusOK {
+	h.requireNoFurtherRun()
+	if status := postAt(t, h.listen, "another", 5*time.Second); status != http.StatusOK {
 		t.Errorf("an unused id: %d", status)
 	}
 }
@@ -104,24 +122,16 @@
 // The reverse: a predecessor must not admit an op that its successor has admitted.
 func TestAPredecessorRejectsIDsOfItsSuccessor(t *testing.T) {
 	t.Parallel()
-	discovery, listen, received, free := startHoldingWorker(t)
-	dir := shortTempDir(t)
-	predecessor := startProcess(t, dir, listen, discovery, 0)
-	kept := dialKept(t, listen, "before", received)
-	startProcess(t, dir, listen, discovery, 1)
-	stopAccepting(t, predecessor)
-	held := postHeldOp(t, listen, received)
-	kept.send("held")
-	if status := kept.status(); status != http.StatusConflict {
+	h := startHotRestart(t)
+	h.stopAccepting()
+	held := postHeldOp(t, h.listen, h.received)
+	h.kept.send("held")
+	if status := h.kept.status(); status != http.StatusConflict {
 		t.Errorf("the id of an op of the successor at the predecessor: %d", status)
 	}
-	close(free)
+	close(h.free)
 	if status := <-held; status != http.StatusOK {
 		t.Errorf("the first client of the id: %d", status)
 	}
-	select {
-	case id := <-received:
-		t.Errorf("%s has run twice", id)
-	default:
-	}
+	h.requireNoFurtherRun()
 }
--- a/cmd/woaddyke/hot_restart.go
+++ b/cmd/woaddyke/hot_restart.go
@@ -114,7 +114,7 @@
 		}
 	}()
 	go func() {
-		<-handover.PredecessorEnded
+		<-handover.Link.Ended()
 		p.server.SetDescriptorLimit(p.bootstrap.Limits.Descriptors)
 		p.setMemoryLimit(1)
 		if p.replica != nil {
--- a/cmd/woaddyke/large_pipelined_test.go
+++ b/cmd/woaddyke/large_pipelined_test.go
@@ -10,6 +10,12 @@
 	"time"
 )
 
+// opWithBody formats an op with a body.
+func opWithBody(id string, bodyBytes int) string {
+	length := fmt.Sprint("Content-Length: ", bodyBytes)
+	return strings.Replace(pipelinedOp(id, ""), "Content-Length: 0", length, 1) + strings.Repeat("x", bodyBytes)
+}
+
 // A client sends an op and then more data than the window of its connection, and disconnects. The op must
 // be cancelled, although the end of the connection does not arrive until some data is read.
 func TestAClientThatLeavesBehindALargeRequestIsSeen(t *testing.T) {
@@ -20,7 +26,7 @@
 	fmt.Fprint(c, pipelinedOp("held", ""))
 	<-worker.started
 	go func() {
-		fmt.Fprint(c, strings.Replace(pipelinedOp("large", ""), "Content-Length: 0", "Content-Length: 8000000", 1)+strings.Repeat("x", 8_000_000))
+		fmt.Fprint(c, opWithBody("large", 8_000_000))
 	}()
 	time.Sleep(300 * time.Millisecond) // the client fills the window
 	c.Close()
@@ -41,13 +47,10 @@
 	c := dial(t, listen)
 	c.SetDeadline(time.Now().Add(20 * time.Second))
 	text := pipelinedOp("held", "")
-	body := strings.Repeat("x", bodyBytes)
 	for k := range pipelined {
-		op := pipelinedOp(fmt.Sprint("op-", k), "")
-		text += strings.Replace(op, "Content-Length: 0", fmt.Sprint("Content-Length: ", bodyBytes), 1) + body
+		text += opWithBody(fmt.Sprint("op-", k), bodyBytes)
 	}
-	text += strings.Replace(pipelinedOp("large", ""), "Content-Length: 0", "Content-Length: 1000000", 1)
-	go io.WriteString(c, text+strings.Repeat("x", 1_000_000))
+	go io.WriteString(c, text+opWithBody("large", 1_000_000))
 	<-received
 	time.Sleep(300 * time.Millisecond) // the client fills the window
 	close(free)
--- a/internal/cluster/mesh/wide_record_test.go
+++ b/internal/cluster/mesh/wide_record_test.go
@@ -10,10 +10,8 @@
 	"woaddyke/internal/cluster/replication"
 )
 
-// A replication record with 64 claims, the most that a replica merges, must fit a service message even if the
-// schedulers have names of 255 bytes, the longest that are allowed. A replica that catches up never receives
-// a record that does not fit.
-func TestTheWidestRecordFitsAMessage(t *testing.T) {
+// wideRecord returns a record with the most claims, by schedulers with the longest names.
+func wideRecord(stage replication.Stage, group string) replication.Record {
 	const claims, nameBytes = 64, 255
 	record := replication.Record{Key: "pay\x00key", Fingerprint: 1}
 	for i := range claims {
@@ -22,9 +20,18 @@
 				Scheduler: fmt.Sprintf("%03d", i) + strings.Repeat("n", nameBytes-3),
 				Nonce:     1 << 63,
 			},
-			Stage: replication.Released,
+			Stage: stage,
+			Group: group,
 		})
 	}
+	return record
+}
+
+// A replication record with 64 claims, the most that a replica merges, must fit a service message even if the
+// schedulers have names of 255 bytes, the longest that are allowed. A replica that catches up never receives
+// a record that does not fit.
+func TestTheWidestRecordFitsAMessage(t *testing.T) {
+	record := wideRecord(replication.Released, "")
 	message := serviceMessage{
 		Cluster:     "cluster",
 		Replication: &replication.Message{Kind: replication.Fetched, Records: []replication.Record{record}},
@@ -40,18 +47,8 @@
 
 // The same with the longest group names and a result, over the sockets of two members.
 func TestTheWidestRecordArrives(t *testing.T) {
-	const claims, nameBytes, groupBytes, resultBytes = 64, 255, 512, 2 << 10
-	record := replication.Record{Key: "pay\x00key", Fingerprint: 1}
-	for i := range claims {
-		record.Outcomes = append(record.Outcomes, replication.Outcome{
-			Claim: replication.Claim{
-				Scheduler: fmt.Sprintf("%03d", i) + strings.Repeat("n", nameBytes-3),
-				Nonce:     1 << 63,
-			},
-			Stage: replication.Claimed,
-			Group: strings.Repeat("g", groupBytes),
-		})
-	}
+	const groupBytes, resultBytes = 512, 2 << 10
+	record := wideRecord(replication.Claimed, strings.Repeat("g", groupBytes))
 	record.Outcomes[0].Stage, record.Outcomes[0].ResultRetained = replication.Ended, true
 	record.Outcomes[0].Result = make([]byte, resultBytes)
 	message := replication.Message{Kind: replication.Fetched, Records: []replication.Record{record}}
--- a/internal/cluster/replication/catch_up_test.go
+++ b/internal/cluster/replication/catch_up_test.go
@@ -10,14 +10,9 @@
 func TestARecordThatChangesDuringCatchUpDelaysTheVote(t *testing.T) {
 	c := newTestCore("a", "a", "b", "c")
 	c.Step(1, Membership{Serving: true, Generation: 1})
-	own := Incarnation{1, c.config.Nonce}
-	peers := map[string]Incarnation{"b": {1, 2}, "c": {1, 3}}
 	receive := func(from string, m Message) {
-		m.SetID, m.Incarnation, m.LogIncarnation, m.Voting = c.active.id, peers[from], peers[from], true
-		if m.Kind == Registered {
-			m.LogIncarnation = own
-		}
-		c.Step(c.now+1, MessageReceived{from, m})
+		m.Voting = true
+		c.Step(c.now+1, fromPeer(c, from, m))
 	}
 	for _, name := range []string{"b", "c"} {
 		receive(name, Message{Kind: Registered, Next: 1})
--- a/internal/cluster/replication/claims.go
+++ b/internal/cluster/replication/claims.go
@@ -332,7 +332,7 @@
 	if claim.DedupWindow == 0 || claim.group != "" || ended || !unresolved {
 		return false
 	}
-	if r.holder.contended || !r.holder.isRequest(claim.Fingerprint) {
+	if !r.holder.isRequest(claim.Fingerprint) {
 		return false
 	}
 	if c.inProgressElsewhere(claim, &r.record) || !r.record.unresolvedOnlyIn(claim.claim, other.Group) {
--- a/internal/cluster/replication/core_test.go
+++ b/internal/cluster/replication/core_test.go
@@ -13,6 +13,17 @@
 	return New(config, 0)
 }
 
+// fromPeer returns a message of the replica b or c under the set in force. If it is an answer to a registration,
+// it states the incarnation of the core.
+func fromPeer(c *Core, name string, m Message) MessageReceived {
+	peer := map[string]Incarnation{"b": {1, 2}, "c": {1, 3}}[name]
+	m.SetID, m.Incarnation, m.LogIncarnation = c.active.id, peer, peer
+	if m.Kind == Registered {
+		m.LogIncarnation = c.registration.incarnation
+	}
+	return MessageReceived{name, m}
+}
+
 // lastResult returns the result of the last claim that the effects decide, or 0 if they decide none.
 func lastResult(effects []Effect) (result ClaimResult) {
 	for _, e := range effects {
--- a/internal/cluster/replication/fingerprints.go
+++ b/internal/cluster/replication/fingerprints.go
@@ -98,18 +98,25 @@
 
 // decodeFingerprints returns a copy of a received record with the fingerprint of each outcome.
 func (r Record) decodeFingerprints() Record {
-	r.Outcomes = slices.Clone(r.Outcomes)
-	for i := range r.Outcomes {
-		o := &r.Outcomes[i]
-		o.fingerprint = r.Fingerprint
-		if !o.unresolved() || o.ResultRetained || len(o.Result) != processAndFingerprintBytes {
-			continue
-		}
-		o.fingerprint = binary.BigEndian.Uint64(o.Result[processBytes:])
-		o.Result = o.Result[:processBytes:processBytes]
-		if !slices.ContainsFunc(o.Result, func(b byte) bool { return b != 0 }) {
-			o.Result = nil
-		}
+	outcomes := make([]Outcome, len(r.Outcomes))
+	for i := range outcomes {
+		outcomes[i] = r.decodedOutcome(i)
 	}
+	r.Outcomes = outcomes
 	return r
 }
+
+// decodedOutcome returns an outcome of a received record with its fingerprint.
+func (r *Record) decodedOutcome(i int) Outcome {
+	o := r.Outcomes[i]
+	o.fingerprint = r.Fingerprint
+	if !o.unresolved() || o.ResultRetained || len(o.Result) != processAndFingerprintBytes {
+		return o
+	}
+	o.fingerprint = binary.BigEndian.Uint64(o.Result[processBytes:])
+	o.Result = o.Result[:processBytes:processBytes]
+	if !slices.ContainsFunc(o.Result, func(b byte) bool { return b != 0 }) {
+		o.Result = nil
+	}
+	return o
+}
--- a/internal/cluster/replication/records.go
+++ b/internal/cluster/replication/records.go
@@ -19,7 +19,6 @@
 // later. Counted back from agesTrueAt, they give times that are not too late. If agesTrueAt is 0, the ages
 // are ignored, since the time that the record took to arrive is unknown.
 func (c *Core) mergeRecord(received Record, agesTrueAt Time) {
-	received = received.decodeFingerprints()
 	r, sizeBefore := c.records.byKey[received.Key], 0
 	switch {
 	case r != nil:
@@ -31,15 +30,13 @@
 		age := Time(min(received.Age, uint64(c.config.Retention/second))) * second
 		r = c.records.add(received.Key, received.Fingerprint, c.now-age)
 	}
-	changed := c.mergeOutcomes(r, received.Outcomes, agesTrueAt)
+	changed := c.mergeOutcomes(r, &received, agesTrueAt)
 	r.updateFingerprint()
 	c.records.update(r, sizeBefore)
-	if changed {
-		c.reportRequestConflict(r)
-	}
 	if !changed {
 		return
 	}
+	c.reportRequestConflict(r)
 	c.records.appendChange(r)
 	if c.durability.enabled {
 		c.emit(Persist{c.withAges(r)})
@@ -66,10 +63,11 @@
 	}
 }
 
-// mergeOutcomes merges outcomes into a record. It reports whether the record changed in a way that other
-// replicas must learn.
-func (c *Core) mergeOutcomes(r *Record, outcomes []Outcome, agesTrueAt Time) (changed bool) {
-	for _, o := range outcomes {
+// mergeOutcomes merges the outcomes of a received record into a record. It reports whether the record changed in
+// a way that other replicas must learn.
+func (c *Core) mergeOutcomes(r, received *Record, agesTrueAt Time) (changed bool) {
+	for i := range received.Outcomes {
+		o := received.decodedOutcome(i)
 		if _, known := r.find(o.Claim); !known && len(r.Outcomes) >= 4*maxClaimsPerOp {
 			c.count(countTooManyClaims)
 			continue
--- a/internal/cluster/replication/registration_test.go
+++ b/internal/cluster/replication/registration_test.go
@@ -48,15 +48,7 @@
 	config.Name, config.Replicas, config.MaxRecords = "a", []string{"a", "b", "c"}, 1
 	c := New(config, 0)
 	c.Step(1, Membership{Serving: true, Generation: 1})
-	own := Incarnation{1, config.Nonce}
-	peers := map[string]Incarnation{"b": {1, 2}, "c": {1, 3}}
-	receive := func(at Time, from string, m Message) {
-		m.SetID, m.Incarnation, m.LogIncarnation = c.active.id, peers[from], peers[from]
-		if m.Kind == Registered {
-			m.LogIncarnation = own
-		}
-		c.Step(at, MessageReceived{from, m})
-	}
+	receive := func(at Time, from string, m Message) { c.Step(at, fromPeer(c, from, m)) }
 	for _, name := range []string{"b", "c"} {
 		receive(2, name, Message{Kind: Registered})
 		receive(3, name, Message{Kind: DigestPage})
--- a/internal/cluster/replication/replica_set.go
+++ b/internal/cluster/replication/replica_set.go
@@ -172,7 +172,6 @@
 		c.durability.persistedIncarnation = Incarnation{}
 		c.persistIncarnation(Incarnation{})
 	case !wasReplica:
-		r.registeredSince = 0 // the replicas of this set have not known this process so far
 		c.durability.persistedIncarnation = Incarnation{}
 	case r.voting:
 		c.persistIncarnation(r.incarnation) // the stored incarnation is valid for one set only
--- a/internal/cluster/replication/simulation/foreign_requests_test.go
+++ b/internal/cluster/replication/simulation/foreign_requests_test.go
@@ -28,11 +28,11 @@
 			ended := replication.OpEnded{RequestID: id, HTTPStatus: 200, Result: []byte(fmt.Sprint(id)), ResultRetained: true}
 			c.step(c.nodes[3], c.Core(3), ended)
 			c.Run(c.Now() + 2*Second)
-			if got := c.resultAs(4, "x", stranger); got != replication.FingerprintMismatch {
+			if got := c.claimResultAs(4, "x", stranger); got != replication.FingerprintMismatch {
 				t.Errorf("another request: %v", got)
 			}
 			for i := range 5 {
-				if got := c.resultAs(i, "x", ownerFingerprint); got != replication.AlreadyAnswered {
+				if got := c.claimResult(i, "x"); got != replication.AlreadyAnswered {
 					t.Errorf("the owner at n%d: %v", i, got)
 				}
 			}
@@ -41,19 +41,6 @@
 	}
 }
 
-// resultAs makes a scheduler claim an op for a request, and returns the result of the claim.
-func (c *Cluster) resultAs(i int, key string, fingerprint uint64) replication.ClaimResult {
-	c.ClaimAs(i, key, fingerprint)
-	id := int(c.lastRequest)
-	c.Run(c.Now() + Second)
-	for _, entry := range c.History {
-		if entry.Claim == id && entry.Step == stepDecided {
-			return entry.Result
-		}
-	}
-	return 0
-}
-
 // Several requests come under each key, at random schedulers and with lost and late messages and restarts. At
 // most one of them is granted, only its repeats get its answer, and none of these is rejected.
 func TestRandomRequestsUnderOneKeyKeepTheirAnswers(t *testing.T) {
--- a/internal/cluster/replication/simulation/replica_restart_test.go
+++ b/internal/cluster/replication/simulation/replica_restart_test.go
@@ -1,8 +1,8 @@
 package simulation
 
 import (
-	"bytes"
 	"fmt"
+	"strings"
 	"testing"
 
 	"woaddyke/internal/cluster/replication"
@@ -61,15 +61,9 @@
 
 // reportEnded makes the replicas store ended ops with answers of the given size, as after their reports.
 func reportEnded(c *Cluster, replicas, ops, answerBytes int) {
-	result := bytes.Repeat([]byte("."), answerBytes)
+	result := strings.Repeat(".", answerBytes)
 	for k := range ops {
-		record := replication.Record{Key: fmt.Sprint("ended", k), Fingerprint: 1, Outcomes: []replication.Outcome{{
-			Claim:          replication.Claim{Scheduler: "n3", Nonce: uint64(k + 1)},
-			Stage:          replication.Ended,
-			HTTPStatus:     200,
-			Result:         result,
-			ResultRetained: true,
-		}}}
+		record := endedRecord(k, uint64(k+1), result)
 		for i := range replicas {
 			core := c.Core(i)
 			report := replication.Message{Kind: replication.OutcomeReported, SetID: core.SetID(), Record: record}
@@ -87,14 +81,10 @@
 		reportEnded(c, 3, ops, answerBytes)
 		c.Run(c.Now() + 2*Second)
 		c.MeanDelay, c.SentRecords = delay, 0
-		c.Kill(0)
-		c.Start(0)
-		began := c.Now()
 		// Two replicas send records at CatchUpRate each, so the time for one of them leaves as much again.
 		due := Time(c.Core(1).Status().Bytes) * Second / Time(c.Config.CatchUpRate)
-		for !c.Core(0).Status().Voting && c.Now() < began+60*Second {
-			c.Run(c.Now() + 50*Millisecond)
-		}
+		began := c.Now()
+		restartReplica(t, c, 0)
 		if took := c.Now() - began; took > due {
 			t.Errorf("with %d ms a message, the replica votes after %d ms, want at most %d ms",
 				delay/Millisecond, took/Millisecond, due/Millisecond)
--- a/internal/cluster/replication/simulation/simulation_test.go
+++ b/internal/cluster/replication/simulation/simulation_test.go
@@ -21,8 +21,13 @@
 
 // claimResult makes a scheduler claim an op, and returns the result of the claim; 0 if there is none in time.
 func (c *Cluster) claimResult(i int, key string) replication.ClaimResult {
+	return c.claimResultAs(i, key, ownerFingerprint)
+}
+
+// claimResultAs is claimResult for a request with the given fingerprint.
+func (c *Cluster) claimResultAs(i int, key string, fingerprint uint64) replication.ClaimResult {
 	previousSteps := len(c.History)
-	c.Claim(i, key)
+	c.ClaimAs(i, key, fingerprint)
 	c.Run(c.Now() + Second)
 	for _, entry := range c.History[previousSteps:] {
 		if entry.Key == key && entry.Step == stepDecided && entry.Scheduler == c.nodes[i].name {
--- a/internal/frontend/clientconn/conn.go
+++ b/internal/frontend/clientconn/conn.go
@@ -89,8 +89,8 @@
 		unanswered--
 	}
 	report := unanswered > 0 && !c.skipUnanswered
-	c.mu.Unlock()
 	c.dropReadAhead()
+	c.mu.Unlock()
 	if report && c.pool.OnUnanswered != nil && c.peerOpen() {
 		c.pool.OnUnanswered(c.RemoteAddr().String())
 	}
--- a/internal/frontend/clientconn/read_ahead.go
+++ b/internal/frontend/clientconn/read_ahead.go
@@ -81,12 +81,11 @@
 		a.parser.pending = slices.Clone(c.parser.pending)
 	}
 	for len(data) > 0 && !a.discarding {
-		length := a.nextPiece(data)
-		if a.discarding = a.bodyRejected(length, c.pool.MaxBodyBytes); a.discarding {
+		if a.discarding = a.bodyRejected(c.pool.MaxBodyBytes); a.discarding {
 			break
 		}
-		a.parser.feed(data[:length])
-		a.retained = append(a.retained, data[:length]...)
+		length := a.nextPiece(data)
+		a.add(data[:length])
 		c.pool.readAheadBytes.Add(int64(length))
 		data = data[length:]
 	}
@@ -107,22 +106,22 @@
 	return a.parser.state == inBody || a.parser.state == inChunkData
 }
 
-// bodyRejected reports whether the current body is too large. length is the number of bytes that come next.
-func (a *readAhead) bodyRejected(length, maxBodyBytes int) bool {
-	if !a.inBody() {
-		if a.parser.state == inHeader {
-			a.bodyBytes = 0
-		}
-		return false
-	}
-	if a.parser.header.contentLength > int64(maxBodyBytes) {
-		return true
-	}
-	if a.bodyBytes > maxBodyBytes {
-		return true // of chunks; the server has enough to reject it
+// add retains bytes of a body, or one byte outside a body.
+func (a *readAhead) add(piece []byte) {
+	switch {
+	case a.inBody():
+		a.bodyBytes += len(piece)
+	case a.parser.state == inHeader:
+		a.bodyBytes = 0
 	}
-	a.bodyBytes += length
-	return false
+	a.parser.feed(piece)
+	a.retained = append(a.retained, piece...)
+}
+
+// bodyRejected reports whether the current body is too large. Of a body in chunks, so much is retained that the
+// server rejects it.
+func (a *readAhead) bodyRejected(maxBodyBytes int) bool {
+	return a.inBody() && (a.parser.header.contentLength > int64(maxBodyBytes) || a.bodyBytes > maxBodyBytes)
 }
 
 // hasReadAhead reports whether bytes were read ahead that the server has not read.
@@ -153,10 +152,8 @@
 	return 0, nil, false
 }
 
-// dropReadAhead releases the retained bytes of a connection that is closed.
+// dropReadAhead releases the retained bytes of a connection that is closed, with the lock held.
 func (c *conn) dropReadAhead() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.pool.readAheadBytes.Add(-int64(len(c.ahead.retained)))
 	c.ahead.retained = nil
 }
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -116,8 +116,7 @@
 func (s *Server) setConnectionClose(client context.Context, h http.Header, status int) {
 	badRequest := status/100 == 4
 	leaves := s.lifecycle.closeAfterResponse.Load() || s.lifecycle.clientsMove.Load() || s.drain.draining()
-	if (badRequest || leaves) &&
-		!clientconn.HasPipelinedRequest(client) {
+	if (badRequest || leaves) && !clientconn.HasPipelinedRequest(client) {
 		h.Set("Connection", "close")
 	}
 }
--- a/internal/lifecycle/hotrestart/transfer/announcement.go
+++ b/internal/lifecycle/hotrestart/transfer/announcement.go
@@ -27,7 +27,7 @@
 	return append(to, a.Key...)
 }
 
-func appendStartMarker(to []byte) []byte { return Announcement{}.append(to) }
+var startMarker = Announcement{}
 
 // decodeAnnouncement decodes the first announcement and returns its encoded length, which is 0 if it is not
 // complete.
--- a/internal/lifecycle/hotrestart/transfer/link.go
+++ b/internal/lifecycle/hotrestart/transfer/link.go
@@ -78,7 +78,7 @@
 func (l *Link) Ended() <-chan struct{} { return l.ended }
 
 // SignalServing informs the predecessor that this process serves clients.
-func (l *Link) SignalServing() error { return l.Announce(Announcement{}) }
+func (l *Link) SignalServing() error { return l.Announce(startMarker) }
 
 // AwaitStart waits until all that the predecessor announced while it handed over has arrived, or until it has
 // ended. It returns false if neither happens in time.
@@ -160,7 +160,7 @@
 	if len(waiting) > 0 {
 		return waiting, false
 	}
-	l.unsent = appendStartMarker(nil)
+	l.unsent = startMarker.append(nil)
 	l.open = true
 	return nil, true
 }
@@ -241,9 +241,9 @@
 	defer close(l.ended)
 	l.raw.Read(func(fd uintptr) (done bool) {
 		for failures := 1; ; failures++ {
-			err := l.readAndSignal(fd)
+			done, err := l.readAndSignal(fd)
 			if err == nil {
-				return l.hasFailed()
+				return done
 			}
 			time.Sleep(oserror.Backoff(failures)) // the socket does not become readable again for the same bytes
 		}
@@ -253,20 +253,15 @@
 	l.mu.Unlock()
 }
 
-func (l *Link) readAndSignal(fd uintptr) error {
+// readAndSignal reads what has arrived. It reports whether the link has ended, and an error as read does.
+func (l *Link) readAndSignal(fd uintptr) (done bool, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	err := l.read(fd, maxArrived)
+	err = l.read(fd, maxArrived)
 	if len(l.arrived) > 0 {
 		l.signalChange()
 	}
-	return err
-}
-
-func (l *Link) hasFailed() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.failed
+	return l.failed, err
 }
 
 func (l *Link) signalChange() {
--- a/internal/lifecycle/hotrestart/transfer/transfer.go
+++ b/internal/lifecycle/hotrestart/transfer/transfer.go
@@ -38,11 +38,10 @@
 
 // Handover is what a successor received from its predecessor.
 type Handover struct {
-	State            []byte
-	Files            []*os.File      // the sockets, in the predecessor's order
-	PredecessorEnded <-chan struct{} // closed when the predecessor has ended
-	Link             *Link           // informs the processes of each other's ops
-	conn             *retryConn
+	State []byte
+	Files []*os.File // the sockets, in the predecessor's order
+	Link  *Link      // informs the processes of each other's ops
+	conn  *retryConn
 }
 
 // Close abandons the handover. The predecessor goes on as if it had no successor.
@@ -90,6 +89,6 @@
 	if err != nil {
 		return nil, err
 	}
-	handover.Link, handover.PredecessorEnded = link, link.ended
+	handover.Link = link
 	return handover, nil
 }
--- a/internal/scheduler/reducer/ops.go
+++ b/internal/scheduler/reducer/ops.go
@@ -24,18 +24,17 @@
 
 // admitOp passes an op to the dispatcher, or answers it immediately.
 func (r *Reducer) admitOp(now dispatch.Time, in OpArrived) []Effect {
-	if verdict, rejected := r.rejection(now, in); rejected {
+	checked, verdict, ok := r.checkOp(now, in)
+	if !ok {
 		return rejectOp(in, verdict)
 	}
-	category, _ := r.categoryIndex(now, in.Category)
-	id := opkey.FromID(in.ID)
 	i := r.allocateOpIndex()
-	if !r.dispatcher.AddOp(i, r.opSpec(category, in)) {
+	if !r.dispatcher.AddOp(i, r.opSpec(checked.category, in)) {
 		r.freeOps = append(r.freeOps, i)
 		return rejectOp(in, UnknownCategory)
 	}
-	r.ops[i] = op{number: in.Op, id: id, ttl: in.TTL}
-	r.ids.reserve(id)
+	r.ops[i] = op{number: in.Op, id: checked.id, ttl: in.TTL}
+	r.ids.reserve(checked.id)
 	r.opsByNumber[in.Op] = i
 	if r.shutdownDeadline > 0 {
 		r.dispatcher.LimitDeadlines(r.shutdownDeadline)
@@ -45,26 +44,33 @@
 
 // Admits reports whether an op that arrived now would be admitted.
 func (r *Reducer) Admits(now dispatch.Time, in OpArrived) bool {
-	_, rejected := r.rejection(now, in)
-	return !rejected
+	_, _, ok := r.checkOp(now, in)
+	return ok
 }
 
-// rejection returns the verdict for an op that is not admitted; rejected is false for an op that is.
-func (r *Reducer) rejection(now dispatch.Time, in OpArrived) (verdict Verdict, rejected bool) {
-	category, ok := r.categoryIndex(now, in.Category)
-	if !ok {
-		return r.unknownCategoryVerdict(in.Category), true
+// checkedOp is an op that may be admitted.
+type checkedOp struct {
+	category int    // the dispatcher's index
+	id       string // key of the client's ID
+}
+
+// checkOp checks whether an op may be admitted. If ok is false, the verdict is its answer.
+func (r *Reducer) checkOp(now dispatch.Time, in OpArrived) (op checkedOp, verdict Verdict, ok bool) {
+	category, known := r.categoryIndex(now, in.Category)
+	if !known {
+		return checkedOp{}, r.unknownCategoryVerdict(in.Category), false
 	}
 	if in.Effect != "" && dispatch.Effect(in.Effect) != r.dispatcher.CategoryEffect(category) {
 		// The settings have changed since the frontend admitted the op, which would run under another effect.
-		return Nacked, true
+		return checkedOp{}, Nacked, false
 	}
 	// Two ops with the same ID would run as duplicates. An answer to the first op does not change that: the
 	// first op may still run.
-	if r.ids.isReserved(now, opkey.FromID(in.ID)) {
-		return DuplicateID, true
+	id := opkey.FromID(in.ID)
+	if r.ids.isReserved(now, id) {
+		return checkedOp{}, DuplicateID, false
 	}
-	return 0, false
+	return checkedOp{category, id}, 0, true
 }
 
 // reserveIDs reserves the IDs of ops that another process of this scheduler has admitted.
