A request with both lengths is rejected in HTTP/1.0 too, and hides none behind it

Callers saw: a request of HTTP/1.0 with Content-Length and Transfer-Encoding was served; behind it one of HTTP/1.1 with both was served as well, and the request hidden in its body reached a worker.

Cause: net/http drops Transfer-Encoding from HTTP/1.0 without a word, so the check for both lengths was not made, and the connection's parser, which went by the chunks, lost its place and answered for another request. It also lost it behind a Content-Length of over 64 bytes or in two lines and behind 64 pipelined requests, and then began anew at a place that the client chooses.

Change: the parser alone says how a body ends, the handler compares it with net/http's reading; ambiguous requests get 411 and the end of their connection; the parser never begins anew; its bound of pending requests is what net/http's buffer can hold.

--- a/internal/frontend/clientconn/request_parser.go
+++ b/internal/frontend/clientconn/request_parser.go
@@ -10,12 +10,18 @@
 	contentLengthPrefix    = "content-length:"
 	transferEncodingPrefix = "transfer-encoding:"
 	maxLinePrefix          = 64 // bytes of a line that are stored and parsed
-	maxPendingRequests     = 64 // requests of one connection with a complete header and no answer
+
+	serverBufferBytes = 4 << 10 // the standard server reads a connection in pieces of at most this size
+	minRequestBytes   = len("GET / HTTP/1.0\n\n")
+
+	// maxPendingRequests limits the requests of one connection with a complete header and no answer. The
+	// server reads on once it has taken all requests from its buffer, so no client can reach this limit.
+	maxPendingRequests = serverBufferBytes/minRequestBytes + 2
 )
 
-// parseState is the part of a request that comes next on a connection. A connection becomes unparsable if too
-// many requests are pending, or if the framing is invalid: the server rejects such a request and closes the
-// connection.
+// parseState is the part of a request that comes next on a connection. A connection becomes unparsable for good
+// if too many requests are pending, or if the framing is invalid: such a request is rejected, and its
+// connection closed.
 type parseState int
 
 const (
@@ -30,10 +36,10 @@
 
 // framing is what a request's header says about the length of the body.
 type framing struct {
-	contentLength    int64
-	hasContentLength bool // a Content-Length header is present
-	chunked          bool
-	headerEnd        int64 // offset in the connection's bytes at which the header ends
+	contentLength       int64 // negative if a Content-Length header is not a plain number
+	hasContentLength    bool  // a Content-Length header is present
+	hasTransferEncoding bool  // a Transfer-Encoding header is present; the server accepts only chunked
+	headerEnd           int64 // offset in the connection's bytes at which the header ends
 }
 
 // requestParser finds the boundaries of the requests on one connection as their bytes are read. The standard
@@ -133,15 +139,25 @@
 func (f *requestParser) parseHeaderLine(line []byte) {
 	if rest, ok := bytes.CutPrefix(line, []byte(contentLengthPrefix)); ok {
 		f.header.hasContentLength = true
-		length, err := strconv.ParseInt(string(bytes.TrimSpace(rest)), 10, 64)
-		if err != nil || length < 0 {
-			length = -1
-		}
-		f.header.contentLength = length
+		f.header.contentLength = f.parseContentLength(rest)
 	}
 	if bytes.HasPrefix(line, []byte(transferEncodingPrefix)) {
-		f.header.chunked = true
+		f.header.hasTransferEncoding = true
+	}
+}
+
+// parseContentLength returns the value of a Content-Length header, or a negative number if it is invalid, its
+// line is longer than the stored prefix, or it is continued on the next line. The server accepts some of these,
+// so the connection must end with such a request: its body would be parsed as further requests here.
+func (f *requestParser) parseContentLength(value []byte) int64 {
+	if f.lineLen > len(f.line) {
+		return -1
 	}
+	length, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+	if err != nil || length < 0 {
+		return -1
+	}
+	return length
 }
 
 func (f *requestParser) endHeader() {
@@ -154,7 +170,7 @@
 	f.pending = append(f.pending, header)
 	f.started, f.requestLineStarted = false, false
 	switch {
-	case header.chunked:
+	case header.hasTransferEncoding:
 		f.state = inChunkSize
 	case header.contentLength < 0:
 		f.state = unparsable
@@ -180,10 +196,10 @@
 }
 
 // requestDone removes the oldest pending request. If none is pending, the server has found a request that
-// this parser has not, and the parser starts over.
+// this parser has not, and the connection is unparsable: the parser can't tell where the next request begins.
 func (f *requestParser) requestDone() {
 	if len(f.pending) == 0 {
-		*f = requestParser{offset: f.offset}
+		*f = requestParser{offset: f.offset, state: unparsable}
 		return
 	}
 	f.pending = f.pending[1:]
@@ -206,15 +222,44 @@
 // inRequest reports whether a request has started and is not answered yet.
 func (f *requestParser) inRequest() bool { return f.started || len(f.pending) > 0 }
 
-// OnlyChunked reports whether a chunked request has no Content-Length header. With both, a proxy in front of
-// this server may have used either of them to find the end of the body, and the standard server drops the
-// Content-Length header. A request whose header was not parsed completely counts as having both.
-func OnlyChunked(ctx context.Context) bool {
+// BodyFraming says which headers determine the end of a request's body.
+type BodyFraming int
+
+// All framings of a body.
+const (
+	// FramingUnknown means that the request's header was not found in the connection's bytes.
+	FramingUnknown BodyFraming = iota
+	// FramingAmbiguous means that other servers may find the end of the body elsewhere.
+	FramingAmbiguous
+	// FramingLength means that Content-Length alone applies, or that there is no body.
+	FramingLength
+	// FramingTransferEncoding means that Transfer-Encoding alone applies.
+	FramingTransferEncoding
+)
+
+// FramingOf returns the framing of the oldest pending request on the connection of a context. The standard
+// server does not tell it: beside a Transfer-Encoding header it drops the Content-Length header, and from a
+// request of HTTP/1.0 it drops the Transfer-Encoding header. In both cases a proxy in front of this server may
+// have used the dropped one.
+func FramingOf(ctx context.Context) BodyFraming {
 	c, ok := FromContext(ctx).(*conn)
 	if !ok {
-		return false
+		return FramingUnknown
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.parser.pending) > 0 && !c.parser.pending[0].hasContentLength
+	if len(c.parser.pending) == 0 {
+		return FramingUnknown
+	}
+	return c.parser.pending[0].bodyFraming()
+}
+
+func (f framing) bodyFraming() BodyFraming {
+	switch {
+	case f.hasContentLength && f.hasTransferEncoding, f.contentLength < 0:
+		return FramingAmbiguous
+	case f.hasTransferEncoding:
+		return FramingTransferEncoding
+	}
+	return FramingLength
 }
--- a/internal/frontend/clientconn/request_parser_test.go
+++ b/internal/frontend/clientconn/request_parser_test.go
@@ -37,7 +37,7 @@
 				}
 			}
 			if len(f.pending) != 1 || f.pending[0].hasContentLength != form.hasContentLength ||
-				f.pending[0].chunked != form.chunked {
+				f.pending[0].hasTransferEncoding != form.chunked {
 				t.Fatalf("seed %d: %q: pending %+v", seed, form.text, f.pending)
 			}
 			f.requestDone()
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -22,15 +22,8 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrivedAt := time.Now()
 	limitTimes(w, r, arrivedAt)
-	if len(r.TransferEncoding) > 0 && !clientconn.OnlyChunked(r.Context()) {
-		// The request also had a Content-Length, which net/http has dropped. A peer that used it would
-		// treat what follows the last chunk as part of the body, so nothing more may be read from this
-		// connection (RFC 9112, 6.1).
-		s.answer(w, r, nil, &Rejection{
-			Status:     http.StatusLengthRequired,
-			Text:       "an op comes with a Content-Length or in chunks, not with both",
-			RestUnread: true,
-		})
+	if ambiguousBody(r) {
+		s.answer(w, r, nil, ambiguousLength())
 		return
 	}
 	if r.Method == http.MethodGet && r.URL.Path == "/healthz" {
@@ -45,6 +38,31 @@
 	s.answer(w, r, op, err)
 }
 
+// ambiguousBody reports whether another server, such as a proxy in front of this one, may find the end of a
+// request's body elsewhere than net/http, so that what follows could hide a request (RFC 9112, 6.1). In HTTP/1.0
+// a Transfer-Encoding header is always ambiguous, and net/http hides it there.
+func ambiguousBody(r *http.Request) bool {
+	hidesTransferEncoding := !r.ProtoAtLeast(1, 1)
+	switch clientconn.FramingOf(r.Context()) {
+	case clientconn.FramingLength:
+		return len(r.TransferEncoding) > 0
+	case clientconn.FramingTransferEncoding:
+		return hidesTransferEncoding
+	case clientconn.FramingUnknown:
+		return len(r.TransferEncoding) > 0 || hidesTransferEncoding
+	}
+	return true
+}
+
+// ambiguousLength is the rejection of a request with an ambiguous body.
+func ambiguousLength() *Rejection {
+	return &Rejection{
+		Status:     http.StatusLengthRequired,
+		Text:       "an op comes with one plain Content-Length or, in HTTP/1.1, in chunks, not with both",
+		RestUnread: true,
+	}
+}
+
 // limitTimes sets deadlines for reading a request's body and for writing its response. A request without a
 // body gets no read deadline: net/http is already reading from its connection to detect a disconnect.
 func limitTimes(w http.ResponseWriter, r *http.Request, arrivedAt time.Time) {
