Requests of hundreds of clients keep within the process's memory

Operators saw: with hundreds of clients that wrote slowly, stopped within a large request or sent very many short fields, a process passed its memory limit and was killed; others waited for over a second.

Cause: net/http bounds the bytes of a header and not its fields, which cost some hundred bytes each, three times for an op; requests had a limit each and none together; a client with more to read kept the processor for 10 ms.

Change: at most 100 fields in a header or trailer (400); the bytes of all unanswered requests hold at most an eighth of memory_mb beyond 4 KiB a connection, above it the oldest incomplete request is ended (503 with Retry-After, or a close); a connection with a large request yields the processor after each read.

--- a/cmd/woaddyke/process.go
+++ b/cmd/woaddyke/process.go
@@ -39,12 +39,15 @@
 	successorOffer io.Closer // the handover socket, on which successors are served
 }
 
-// setMemoryLimit sets the memory limit of the garbage collector for a number of processes that share the
-// configured memory. A quarter of the memory remains for stacks, for the program itself and for what the
-// kernel counts against it.
+// setMemoryLimit sets the memory limits of the garbage collector and of clients' requests for a number of
+// processes that share the configured memory. A quarter of the memory remains for the program itself and for
+// what the kernel counts against it.
 func (p *process) setMemoryLimit(processes int64) {
-	bytes := int64(p.bootstrap.Limits.MemoryMB) << 20
-	debug.SetMemoryLimit(bytes * 3 / 4 / processes)
+	bytes := int64(p.bootstrap.Limits.MemoryMB) << 20 / processes
+	debug.SetMemoryLimit(bytes * 3 / 4)
+	if p.server != nil {
+		p.server.SetMemoryLimit(bytes)
+	}
 }
 
 // limitDescriptors lowers the configured number of descriptors to the limit of the operating system.
--- a/internal/frontend/clientconn/clientconn.go
+++ b/internal/frontend/clientconn/clientconn.go
@@ -36,6 +36,7 @@
 	bodyDeadline         atomic.Pointer[time.Time] // set by StopReading for started bodies; nil before
 	connClosed           chan struct{}             // gets a signal for a closed connection; buffers one
 	readAheadBytes       atomic.Int64              // retained by all connections: see readAhead
+	requestMemory        requestMemory
 }
 
 // Reason says why this side closes a connection or decides to. If a request is received before the close, the
@@ -49,6 +50,8 @@
 	ReasonLimitReached  Reason = "connection limit reached"
 	ReasonHeaderTimeout Reason = "header timeout"
 	ReasonIdleTimeout   Reason = "idle timeout"
+	ReasonOutOfMemory   Reason = "requests hold too much memory"
+	ReasonTooManyFields Reason = "too many header fields"
 )
 
 // reportEnd calls OnEnded, if set, for a connection.
--- a/internal/frontend/clientconn/conn.go
+++ b/internal/frontend/clientconn/conn.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"os"
+	"runtime"
 	"sync"
 	"syscall"
 	"time"
@@ -31,6 +32,9 @@
 	skipUnanswered  bool        // request boundaries are unknown, so missing answers are not reported
 	servedRequest   bool        // at least one request was served
 	responseStarted bool        // part of the response to the current request was written
+	outOfMemory     bool        // the request that is being read was ended: see ErrOutOfMemory
+	countsMemory    bool        // the connection holds bytes that count for the pool
+	incomplete      incompleteRequest
 	ahead           readAhead
 }
 
@@ -48,6 +52,9 @@
 			return 0, err
 		}
 	}
+	if err := c.readError(); err != nil {
+		return 0, err
+	}
 	if b = b[:c.maxReadable(len(b))]; len(b) == 0 {
 		return 0, io.EOF
 	}
@@ -58,15 +65,48 @@
 	if !done {
 		n, err = oserror.Read(c.Conn.Read, b)
 	}
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.readError() == nil {
 		n, err = c.finalRead(b, err)
 	}
+	accepted, large := c.recordBytes(b[:n])
+	if large {
+		c.pool.endExcess()
+		runtime.Gosched() // a client that sends at full speed would use its whole time slice for each read
+	}
+	switch ended := c.readError(); {
+	case errors.Is(ended, ErrOutOfMemory):
+		c.pool.reportEnd(ReasonOutOfMemory, c)
+		return 0, ended
+	case ended != nil:
+		c.pool.reportEnd(ReasonTooManyFields, c)
+		return accepted, nil // with an error, the server would also give up the requests before this one
+	}
+	return n, err
+}
+
+// recordBytes parses bytes that were read, and records when they were received. It returns how many of them the
+// server may get, and whether the connection holds so many that they count for the pool.
+func (c *conn) recordBytes(b []byte) (accepted int, large bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.parser.feed(b[:n])
+	start := c.parser.offset
+	c.parser.feed(b)
 	c.recordRead(time.Now())
 	c.applyHeaderDeadline()
-	return n, err
+	return int(c.parser.offset - start), c.countMemory()
+}
+
+// readError returns the error with which all further reads fail, if there is one.
+func (c *conn) readError() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.outOfMemory:
+		return ErrOutOfMemory
+	case c.parser.tooManyFields:
+		return errTooManyFields
+	}
+	return nil
 }
 
 // Write retries if a local resource is exhausted for a moment, because the client waits for the answer.
@@ -91,6 +131,7 @@
 	report := unanswered > 0 && !c.skipUnanswered
 	c.dropReadAhead()
 	c.mu.Unlock()
+	c.pool.requestMemory.forget(c)
 	if report && c.pool.OnUnanswered != nil && c.peerOpen() {
 		c.pool.OnUnanswered(c.RemoteAddr().String())
 	}
@@ -102,7 +143,7 @@
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.readDeadline = t; c.closePending {
+	if c.readDeadline = t; c.closePending || c.outOfMemory {
 		return nil // the expired deadline set by requestClose stays until finalRead
 	}
 	if c.applyHeaderDeadline() {
@@ -200,6 +241,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.parser.requestDone()
+	c.countMemory()
 	c.servedRequest = true
 	c.receiveTimes.discard(c.parser.answeredOffset())
 	c.responseStarted = false
--- a/internal/frontend/clientconn/read_ahead.go
+++ b/internal/frontend/clientconn/read_ahead.go
@@ -43,6 +43,7 @@
 		return a.discardedBytes < maxDiscardedBytes
 	}
 	return len(a.retained) < maxReadAheadBytes && c.pool.readAheadBytes.Load() < maxPoolReadAheadBytes &&
+		c.pool.requestMemory.available() &&
 		c.parser.state != unparsable && a.parser.state != unparsable
 }
 
@@ -54,6 +55,7 @@
 	if !c.ahead.started && unreadBytes(fd) < readAheadFrom {
 		return nil
 	}
+	defer c.countMemory()
 	chunk := make([]byte, readAheadChunkBytes)
 	for c.readAheadAllowed() {
 		n, _, err := syscall.Recvfrom(int(fd), chunk, syscall.MSG_DONTWAIT)
--- a/internal/frontend/clientconn/request_parser.go
+++ b/internal/frontend/clientconn/request_parser.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"strconv"
 )
 
@@ -17,8 +18,16 @@
 	// maxPendingRequests limits the requests of one connection with a complete header and no answer. The
 	// server reads on once it has taken all requests from its buffer, so no client can reach this limit.
 	maxPendingRequests = serverBufferBytes/minRequestBytes + 2
+
+	// maxFields limits the fields of a header, and those of a trailer. The server needs some hundred bytes of
+	// memory for each, however short it is. Other proxies have the same default.
+	maxFields = 100
 )
 
+// errTooManyFields is the error of a read from a connection with a request of more than maxFields fields. The
+// standard server responds to it with 400.
+var errTooManyFields = fmt.Errorf("a header or trailer has more than %d fields", maxFields)
+
 // parseState is the part of a request that comes next on a connection. A connection becomes unparsable for good
 // if too many requests are pending, or if the framing is invalid: such a request is rejected, and its
 // connection closed.
@@ -40,6 +49,7 @@
 	hasContentLength    bool  // a Content-Length header is present
 	hasTransferEncoding bool  // a Transfer-Encoding header is present; the server accepts only chunked
 	headerEnd           int64 // offset in the connection's bytes at which the header ends
+	heldBytes           int64 // read of the header and of the body, without the framing of chunks
 }
 
 // requestParser finds the boundaries of the requests on one connection as their bytes are read. The standard
@@ -54,13 +64,17 @@
 	requestLineStarted bool                // in a header: a byte other than a line break has been read
 	header             framing
 	remaining          int64 // unread bytes of the body or of the chunk's data
+	fields             int   // complete lines of the current header or trailer
+	tooManyFields      bool  // parsing ended behind the first field beyond maxFields
 	offset             int64 // bytes read from the connection
+	requestStart       int64 // offset at which the current request begins
+	heldBytes          int64 // of the pending requests and of the current header
 	pending            []framing
 }
 
-// feed parses bytes as they are read.
+// feed parses bytes as they are read. It ends early if a request has too many fields.
 func (f *requestParser) feed(b []byte) {
-	for len(b) > 0 {
+	for len(b) > 0 && !f.tooManyFields {
 		switch f.state {
 		case unparsable:
 			f.offset += int64(len(b))
@@ -68,6 +82,7 @@
 		case inBody, inChunkData:
 			k := min(int64(len(b)), f.remaining)
 			f.offset += k
+			f.holdBody(k)
 			if b, f.remaining = b[k:], f.remaining-k; f.remaining == 0 {
 				f.endBody()
 			}
@@ -88,15 +103,25 @@
 	f.reset()
 }
 
+// holdBody counts bytes of a body for the newest pending request. Its answer may precede its body.
+func (f *requestParser) holdBody(bytes int64) {
+	if n := len(f.pending); n > 0 {
+		f.pending[n-1].heldBytes += bytes
+		f.heldBytes += bytes
+	}
+}
+
 // reset enters the header of the next request. Pending requests stay.
 func (f *requestParser) reset() {
-	*f = requestParser{pending: f.pending, offset: f.offset}
+	*f = requestParser{pending: f.pending, offset: f.offset, requestStart: f.offset, heldBytes: f.heldBytes}
 }
 
 // feedLineByte parses one byte of a header, a chunk size, a trailer or the line break after a chunk's data.
 func (f *requestParser) feedLineByte(c byte) {
 	if f.state == inHeader {
 		f.started = true
+		f.header.heldBytes++
+		f.heldBytes++
 	}
 	switch {
 	case c == '\n':
@@ -121,6 +146,7 @@
 	case inHeader:
 		if f.lineLen > 0 {
 			f.parseHeaderLine(line)
+			f.countField()
 		} else if f.requestLineStarted {
 			f.endHeader()
 		}
@@ -129,12 +155,21 @@
 	case afterChunkData:
 		f.state = inChunkSize
 	case inTrailer:
-		if f.lineLen == 0 {
+		if f.countField(); f.lineLen == 0 {
 			f.reset()
 		}
 	}
 }
 
+// countField counts a line of a header or trailer, and ends parsing if there are too many. The request line and
+// the empty line of a trailer count too, hence the one line more.
+func (f *requestParser) countField() {
+	if f.fields++; f.fields > maxFields+1 {
+		f.state = unparsable
+		f.tooManyFields = true
+	}
+}
+
 // parseHeaderLine records what a header line says about the body.
 func (f *requestParser) parseHeaderLine(line []byte) {
 	if rest, ok := bytes.CutPrefix(line, []byte(contentLengthPrefix)); ok {
@@ -168,7 +203,7 @@
 		return
 	}
 	f.pending = append(f.pending, header)
-	f.started, f.requestLineStarted = false, false
+	f.started, f.requestLineStarted, f.fields = false, false, 0
 	switch {
 	case header.hasTransferEncoding:
 		f.state = inChunkSize
@@ -202,6 +237,7 @@
 		*f = requestParser{offset: f.offset, state: unparsable}
 		return
 	}
+	f.heldBytes -= f.pending[0].heldBytes
 	f.pending = f.pending[1:]
 }
 
@@ -214,6 +250,14 @@
 	return f.offset
 }
 
+// readingOnlyRequest reports whether the one unanswered request is incomplete.
+func (f *requestParser) readingOnlyRequest() bool {
+	if len(f.pending) == 0 {
+		return f.started
+	}
+	return len(f.pending) == 1 && f.state != inHeader && f.state != unparsable
+}
+
 // pipelined reports whether part of a further request has been read behind an unanswered one.
 func (f *requestParser) pipelined() bool {
 	return len(f.pending) > 1 || len(f.pending) == 1 && f.started
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -112,6 +112,7 @@
 	s.transport.loop = s.loop
 	s.peers = newPeerMessages(s.loop, log)
 	s.SetDescriptorLimit(bootstrap.Limits.Descriptors)
+	s.SetMemoryLimit(int64(bootstrap.Limits.MemoryMB) << 20)
 	s.endpoints = newEndpointFeed(bootstrap, cached, starts, s.loop, log)
 	s.workers.Stale = s.endpoints.hasUnappliedUpdates
 	s.proxy = s.newProxy()
--- a/internal/frontend/op_transport.go
+++ b/internal/frontend/op_transport.go
@@ -136,8 +136,6 @@
 		Body:          io.NopCloser(bytes.NewReader(text)),
 	}
 	resp.Header.Set("Content-Length", strconv.Itoa(len(text)))
-	if retryAfter > 0 {
-		resp.Header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 4, 64))
-	}
+	setRetryAfter(resp.Header, retryAfter)
 	return resp
 }
--- a/internal/frontend/rejection.go
+++ b/internal/frontend/rejection.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strconv"
+	"time"
 
 	"woaddyke/internal/frontend/clientconn"
 )
@@ -13,6 +15,8 @@
 	Status     int
 	Text       string // for the client
 	RestUnread bool   // the end of the request was not found, so nothing more can be read from its connection
+
+	RetryAfter time.Duration // for the client; 0 for none
 }
 
 func (r *Rejection) Error() string { return r.Text }
@@ -30,6 +34,13 @@
 	return &Rejection{Status: http.StatusBadRequest, Text: fmt.Sprintf(format, args...)}
 }
 
+// setRetryAfter sets when a client may come back, if that is above 0.
+func setRetryAfter(h http.Header, after time.Duration) {
+	if after > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 4, 64))
+	}
+}
+
 // reject sends the response for a rejection, and logs it.
 func (s *Server) reject(w http.ResponseWriter, r *http.Request, rejection *Rejection) {
 	s.log.Debug().Str("error", rejection.Text).Int("status", rejection.Status).Msg("request rejected")
@@ -37,6 +48,7 @@
 		clientconn.SkipUnansweredCheck(r.Context())
 		w.Header().Set("Connection", "close")
 	}
+	setRetryAfter(w.Header(), rejection.RetryAfter)
 	s.setConnectionClose(r.Context(), w.Header(), rejection.Status)
 	http.Error(w, rejection.Text, rejection.Status)
 }
--- a/internal/frontend/request.go
+++ b/internal/frontend/request.go
@@ -34,6 +34,10 @@
 	// responseTravelTime is subtracted from the time left, since the client's time also runs while the
 	// response is on the network.
 	responseTravelTime = 10 * time.Millisecond
+
+	// outOfMemoryRetryAfter is told to the client of a request that was ended for lack of memory. Within this
+	// time each body that is being read is either complete or given up.
+	outOfMemoryRetryAfter = bodyTimeout
 )
 
 // pendingOp is an op whose client waits for the answer.
@@ -184,7 +188,10 @@
 		if errors.As(err, &tooLarge) {
 			return nil, bodyTooLarge()
 		}
-		return nil, &Rejection{http.StatusBadRequest, "the body did not come whole", true}
+		if errors.Is(err, clientconn.ErrOutOfMemory) {
+			return nil, outOfMemory()
+		}
+		return nil, &Rejection{Status: http.StatusBadRequest, Text: "the body did not come whole", RestUnread: true}
 	}
 	return body.Bytes(), nil
 }
@@ -194,13 +201,26 @@
 func (s *Server) bodyRejection(err error) error {
 	rejection := asRejection(err)
 	if rejection.Status == http.StatusBadRequest && s.clients.StoppedReading() {
-		return &Rejection{http.StatusServiceUnavailable, "this scheduler ends: trying again is harmless", true}
+		return &Rejection{
+			Status:     http.StatusServiceUnavailable,
+			Text:       "this scheduler ends: trying again is harmless",
+			RestUnread: true,
+		}
 	}
 	return rejection
 }
 
 func bodyTooLarge() *Rejection {
-	return &Rejection{http.StatusRequestEntityTooLarge, "a body holds at most 64 KiB", true}
+	return &Rejection{Status: http.StatusRequestEntityTooLarge, Text: "a body holds at most 64 KiB", RestUnread: true}
+}
+
+func outOfMemory() *Rejection {
+	return &Rejection{
+		Status:     http.StatusServiceUnavailable,
+		Text:       "requests hold too much memory: trying again is harmless",
+		RestUnread: true,
+		RetryAfter: outOfMemoryRetryAfter,
+	}
 }
 
 // requestHead returns the head of the request to workers, without the time left.
