Finished ops are freed where silence has no timeout

Operators saw: memory grew without end while one client sent small requests under ever new names.

Cause: deadlines.Queue drops an op that has ended only when its deadline comes to the top of a heap. Where workers report no starts, or no progress, the span is unlimited, so two heaps held every op that the process had ever served.

Change: the queue drops items that no longer count when their number has doubled since the last time. Overdue and Next return the same, so decisions don't change.

TestItemsThatNoLongerCountAreFreed failed before: the queue held all items that were ever added.

--- a/internal/base/deadlines/deadlines.go
+++ b/internal/base/deadlines/deadlines.go
@@ -4,6 +4,9 @@
 // costs nothing. Instead the queue asks for the state of an item when the item reaches the top of a heap.
 package deadlines
 
+// minSweepSize is the number of items below which items that no longer count are not freed early.
+const minSweepSize = 64
+
 // StateFunc returns the state of an item: its base, its limit and whether it counts. Next ignores a deadline
 // that is not before the limit. A limit only shrinks. An item that does not count never counts again.
 type StateFunc[T any, M ~int64] func(T) (base, limit M, counts bool)
@@ -14,6 +17,7 @@
 	byBase    heap[T] // all items, for Overdue
 	pending   heap[T] // items with deadlines before their limits, by base, for Next
 	postponed heap[T] // items with deadlines not before their limits, by base minus limit
+	sweepAt   int     // number of items in byBase that starts a sweep
 }
 
 // New returns an empty queue.
@@ -25,10 +29,33 @@
 	if !counts {
 		return
 	}
+	if len(q.byBase) >= max(q.sweepAt, minSweepSize) {
+		q.sweep()
+	}
 	q.byBase.push(int64(base), item)
 	q.pending.push(int64(base), item)
 }
 
+// sweep removes the items that no longer count, and schedules the next sweep for twice the number that remains.
+// With a long span such items would stay until their deadlines, and with an unlimited one for good.
+func (q *Queue[T, M]) sweep() {
+	q.byBase = sweepHeap(q, q.byBase)
+	q.pending = sweepHeap(q, q.pending)
+	q.postponed = sweepHeap(q, q.postponed)
+	q.sweepAt = 2 * len(q.byBase)
+}
+
+// sweepHeap returns a heap of the items that still count.
+func sweepHeap[T any, M ~int64](q *Queue[T, M], all heap[T]) heap[T] {
+	var counting heap[T]
+	for _, e := range all {
+		if _, _, counts := q.state(e.item); counts {
+			counting.push(e.key, e.item)
+		}
+	}
+	return counting
+}
+
 // Overdue removes and returns the items whose deadline has passed, in no particular order.
 func (q *Queue[T, M]) Overdue(now, span M) (overdue []T) {
 	for len(q.byBase) > 0 && M(q.byBase[0].key)+span <= now {
--- a/internal/base/deadlines/deadlines_test.go
+++ b/internal/base/deadlines/deadlines_test.go
@@ -64,3 +64,27 @@
 		}
 	}
 }
+
+// Items that no longer count must be freed, whatever the span is. With an unlimited span, each item was once kept for
+// good, so that a process held every op that it had ever served.
+func TestItemsThatNoLongerCountAreFreed(t *testing.T) {
+	const unlimited, added, counting = int64(1) << 60, 100_000, 40
+	queue := New(func(i *item) (int64, int64, bool) { return i.base, i.limit, !i.removed })
+	var all []*item
+	for n := range int64(added) {
+		i := &item{base: n, limit: n + 50}
+		queue.Add(i)
+		if all = append(all, i); len(all) > counting {
+			all[0].removed = true
+			all = all[1:]
+		}
+		queue.Overdue(n, unlimited)
+		queue.Next(unlimited)
+		if held := len(queue.byBase) + len(queue.pending) + len(queue.postponed); held > 3*2*max(counting, minSweepSize) {
+			t.Fatalf("%d entries are held after %d items, of which %d count", held, n+1, counting)
+		}
+	}
+	if found := queue.Overdue(added, 0); len(found) != counting {
+		t.Errorf("%d items are overdue, want %d", len(found), counting)
+	}
+}
