A client that is rejected before its body is read gives its slot back when it leaves

Callers saw: while one client announced bodies of 60 MB and came again as soon as it was rejected, most others were reset unread.

Cause: net/http keeps a connection that it closes over an unread body for half a second, also if the client has left; 4,000 a second hold more slots than there are.

Change: such a request is answered on the connection taken over from net/http, which lingers until the client has closed it or a new connection needs the slot. A connection with pipelined requests yields the processor after each.

--- a/internal/frontend/clientconn/admission.go
+++ b/internal/frontend/clientconn/admission.go
@@ -134,6 +134,8 @@
 func (g *Pool) tryAdmit(nc *conn) (admitted, closePending bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	for len(g.open)+len(g.lingering) >= g.softLimit && g.closeLingering() {
+	}
 	for len(g.open) >= g.softLimit && g.evictOldest() {
 	}
 	if len(g.open) >= g.hardLimit || len(g.closePending) > 0 && len(g.open)+len(g.closePending) >= g.hardLimit {
--- a/internal/frontend/clientconn/clientconn.go
+++ b/internal/frontend/clientconn/clientconn.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"runtime"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -32,6 +33,7 @@
 	stalls               stallDetector
 	resumed              chan struct{}             // not nil while accepting is paused; closed by Resume
 	closePending         map[*conn]bool            // about to be closed, not in open: see requestClose
+	lingering            map[*conn]time.Time       // since when; not in open: see Linger
 	readingStopped       atomic.Bool               // StopReading was called
 	bodyDeadline         atomic.Pointer[time.Time] // set by StopReading for started bodies; nil before
 	connClosed           chan struct{}             // gets a signal for a closed connection; buffers one
@@ -82,6 +84,7 @@
 		hardLimit:    hardLimit,
 		open:         map[*conn]*connStatus{},
 		closePending: map[*conn]bool{},
+		lingering:    map[*conn]time.Time{},
 		connClosed:   make(chan struct{}, 1),
 	}
 }
@@ -113,7 +116,7 @@
 func (g *Pool) Sockets() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return len(g.open) + len(g.closePending)
+	return len(g.open) + len(g.closePending) + len(g.lingering)
 }
 
 // CloseIdle closes at most maxCount connections that have waited for a request for at least minIdle, the
@@ -190,19 +193,26 @@
 
 // Track updates the state of a connection. It is the server's ConnState callback.
 func (g *Pool) Track(nc net.Conn, state http.ConnState) {
+	c, _ := nc.(*conn)
+	g.track(c, state)
+	if state == http.StateIdle && c != nil && c.requestStarted() {
+		runtime.Gosched() // a client that pipelines at full speed would use its whole time slice
+	}
+}
+
+func (g *Pool) track(c *conn, state http.ConnState) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	c, _ := nc.(*conn)
 	if state == http.StateActive {
 		g.cancelCloseLocked(c) // the header was read just before requestClose
 	}
 	x := g.open[c]
 	if state == http.StateClosed || state == http.StateHijacked {
 		delete(g.closePending, c)
-		select {
-		case g.connClosed <- struct{}{}:
-		default:
-		}
+		g.signalClosed()
+	}
+	if state == http.StateHijacked {
+		g.startLinger(c)
 	}
 	switch {
 	case x == nil || state == http.StateNew:
@@ -217,6 +227,14 @@
 	}
 }
 
+// signalClosed wakes a new connection that waits for a slot.
+func (g *Pool) signalClosed() {
+	select {
+	case g.connClosed <- struct{}{}:
+	default:
+	}
+}
+
 // HasPipelinedRequest reports whether at least part of a further request has been received behind the current
 // request.
 func HasPipelinedRequest(ctx context.Context) bool {
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -92,7 +92,8 @@
 // recordedResponse records the status of a response.
 type recordedResponse struct {
 	http.ResponseWriter
-	status int
+	status   int
+	hijacked bool // the response was written to the connection itself
 }
 
 func (r *recordedResponse) WriteHeader(status int) {
@@ -106,7 +107,7 @@
 // finish flushes the response and returns how the request ended for its client.
 func (r *recordedResponse) finish(client context.Context) metrics.RequestEnd {
 	disconnected := client.Err() != nil // read first: a client that disconnects later has its response
-	if err := http.NewResponseController(r).Flush(); err != nil || disconnected {
+	if !r.hijacked && http.NewResponseController(r).Flush() != nil || disconnected {
 		return metrics.Disconnected
 	}
 	switch r.status {
--- a/internal/frontend/rejection.go
+++ b/internal/frontend/rejection.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -34,6 +35,35 @@
 	return &Rejection{Status: http.StatusBadRequest, Text: fmt.Sprintf(format, args...)}
 }
 
+// bodyUnread reports whether more than an allowed body is still to be read of a rejected request. A smaller rest
+// is discarded, so that the connection can be used for the next request.
+func bodyUnread(r *http.Request) bool {
+	if r.ContentLength == 0 || r.Header.Get("Expect") != "" { // reading would ask the client for its body
+		return false
+	}
+	if r.ContentLength > maxBodyBytes {
+		return true
+	}
+	n, err := io.CopyN(io.Discard, r.Body, maxBodyBytes+1)
+	return n > maxBodyBytes || err != io.EOF && !errors.Is(err, http.ErrBodyReadAfterClose)
+}
+
+// rejectAndLinger sends the response for a rejection, after which the connection is closed once its client has
+// closed it. It returns false if the connection can't be taken from the HTTP server.
+func (s *Server) rejectAndLinger(w http.ResponseWriter, r *http.Request, rejection *Rejection) bool {
+	nc, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return false
+	}
+	if recorded, ok := w.(*recordedResponse); ok {
+		recorded.status, recorded.hijacked = rejection.Status, true
+	}
+	response := textResponse(r, rejection.Status, []byte(rejection.Text+"\n"), rejection.RetryAfter)
+	response.Close = true
+	s.clients.Linger(nc, response.Write)
+	return true
+}
+
 // setRetryAfter sets when a client may come back, if that is above 0.
 func setRetryAfter(h http.Header, after time.Duration) {
 	if after > 0 {
@@ -44,8 +74,11 @@
 // reject sends the response for a rejection, and logs it.
 func (s *Server) reject(w http.ResponseWriter, r *http.Request, rejection *Rejection) {
 	s.log.Debug().Str("error", rejection.Text).Int("status", rejection.Status).Msg("request rejected")
-	if rejection.RestUnread {
+	if rejection.RestUnread || bodyUnread(r) {
 		clientconn.SkipUnansweredCheck(r.Context())
+		if s.rejectAndLinger(w, r, rejection) {
+			return
+		}
 		w.Header().Set("Connection", "close")
 	}
 	setRetryAfter(w.Header(), rejection.RetryAfter)
