A client that leaves any number of requests behind its op is seen to leave

Callers saw: an attempt began 0.35 s after its client had closed with 500 requests unread behind it; of 500 requests sent at once those past the first 64 were taken for new.

Cause: reading ahead ended at 64 requests and at 128 KiB of a connection. Past that the end of the connection was hidden and requests had no date.

Where that is used up, the header of the next request is read and the rest discarded; that request gets 503 with Retry-After.

--- a/internal/frontend/clientconn/clientconn.go
+++ b/internal/frontend/clientconn/clientconn.go
@@ -37,7 +37,6 @@
 	readingStopped       atomic.Bool               // StopReading was called
 	bodyDeadline         atomic.Pointer[time.Time] // set by StopReading for started bodies; nil before
 	connClosed           chan struct{}             // gets a signal for a closed connection; buffers one
-	readAheadBytes       atomic.Int64              // retained by all connections: see readAhead
 	requestMemory        requestMemory
 }
 
@@ -244,7 +243,7 @@
 	}
 	c.mu.Lock()
 	stopped := c.pool.readingStopped.Load()
-	further := len(c.parser.pending) > 1 || c.parser.started && !stopped || len(c.ahead.retained) > 0
+	further := len(c.parser.pending) > 1 || c.parser.started && !stopped || c.ahead.retained.length > 0
 	bodyRead := c.parser.state == inHeader && !stopped
 	c.mu.Unlock()
 	if further || !bodyRead {
--- a/internal/frontend/clientconn/read_ahead.go
+++ b/internal/frontend/clientconn/read_ahead.go
@@ -1,9 +1,11 @@
 package clientconn
 
 import (
+	"bytes"
+	"context"
 	"errors"
 	"io"
-	"slices"
+	"runtime"
 	"syscall"
 
 	"woaddyke/internal/base/oserror"
@@ -14,23 +16,26 @@
 	// its connection, may not fit the receive window.
 	readAheadFrom = 32 << 10
 
-	maxReadAheadBytes     = 128 << 10 // retained per connection
-	maxPoolReadAheadBytes = 8 << 20   // retained by all connections of a pool
-	maxDiscardedBytes     = 16 << 20  // discarded per connection
+	maxDiscardedBytes = 16 << 20 // per connection
 
 	readAheadChunkBytes = 16 << 10
 )
 
 // readAhead holds bytes that were read from a socket while a request is served. The end of a connection arrives
 // only after all data before it, so a client that disconnects is noticed only if that data is read. The body
-// of a request that will be rejected as too large is discarded. Nothing behind it is served.
+// of a request that will be rejected as too large is discarded, and so is what follows the header of a request
+// for which no memory is left. Nothing behind such a request is served.
 type readAhead struct {
-	retained       []byte        // not read by the server yet
-	parser         requestParser // state after the retained bytes
+	retained       byteQueue     // not read by the server yet
+	parser         requestParser // state after the retained bytes; it tracks no pending requests
 	started        bool
 	discarding     bool // the server gets no more bytes after the retained ones
 	discardedBytes int
 	bodyBytes      int // retained bytes of the current body
+
+	// cutHeaderEnd is the offset at which the header of the first request ends for which no memory was left; 0
+	// for none. The server gets this header, so that it can reject the request.
+	cutHeaderEnd int64
 }
 
 // readAheadAllowed reports whether more bytes may be read ahead, with the lock held.
@@ -42,36 +47,54 @@
 	if a.discarding {
 		return a.discardedBytes < maxDiscardedBytes
 	}
-	return len(a.retained) < maxReadAheadBytes && c.pool.readAheadBytes.Load() < maxPoolReadAheadBytes &&
-		c.pool.requestMemory.available() &&
-		c.parser.state != unparsable && a.parser.state != unparsable
+	return c.parser.state != unparsable && a.parser.state != unparsable
 }
 
 // readUnread reads what is unread in the socket, without waiting, if the end of the connection may be hidden
 // behind it. It returns io.EOF if the client has closed the connection.
 func (c *conn) readUnread(fd uintptr) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.ahead.started && unreadBytes(fd) < readAheadFrom {
+	if !c.readsAhead() && unreadBytes(fd) < readAheadFrom {
 		return nil
 	}
-	defer c.countMemory()
 	chunk := make([]byte, readAheadChunkBytes)
+	for {
+		n, err := c.readAheadChunk(fd, chunk)
+		if n == 0 {
+			return err
+		}
+		runtime.Gosched() // a client that sends at full speed would use its whole time slice
+	}
+}
+
+// readsAhead reports whether bytes are being read ahead.
+func (c *conn) readsAhead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ahead.started
+}
+
+// readAheadChunk reads what is unread, at most as much as the chunk holds, and returns how much that is. If it is
+// 0, err is the end of the connection, or nil if there may be more later.
+func (c *conn) readAheadChunk(fd uintptr, chunk []byte) (n int, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	for c.readAheadAllowed() {
 		n, _, err := syscall.Recvfrom(int(fd), chunk, syscall.MSG_DONTWAIT)
 		switch {
 		case errors.Is(err, syscall.EINTR):
 		case errors.Is(err, syscall.EAGAIN) || oserror.IsLocal(err):
-			return nil
+			return 0, nil
 		case err != nil:
-			return err
+			return 0, err
 		case n == 0:
-			return io.EOF
+			return 0, io.EOF
 		default:
 			c.retain(chunk[:n])
+			c.countMemory()
+			return n, nil
 		}
 	}
-	return nil
+	return 0, nil
 }
 
 // retain stores bytes that were read ahead, up to the body of a request that will be rejected.
@@ -80,15 +103,19 @@
 	if !a.started {
 		a.started = true
 		a.parser = c.parser
-		a.parser.pending = slices.Clone(c.parser.pending)
+		a.parser.pending, a.parser.untracked = nil, true
 	}
+	outOfMemory := !c.pool.requestMemory.available()
+	start := a.parser.offset
 	for len(data) > 0 && !a.discarding {
-		if a.discarding = a.bodyRejected(c.pool.MaxBodyBytes); a.discarding {
+		if outOfMemory && (a.parser.inBodyPart() || a.parser.lastHeaderEnd > start) {
+			a.cutHeaderEnd = a.parser.lastHeaderEnd
+		}
+		if a.discarding = a.cutHeaderEnd > 0 || a.bodyRejected(c.pool.MaxBodyBytes); a.discarding {
 			break
 		}
 		length := a.nextPiece(data)
 		a.add(data[:length])
-		c.pool.readAheadBytes.Add(int64(length))
 		data = data[length:]
 	}
 	if a.discarding {
@@ -96,19 +123,35 @@
 	}
 }
 
-// nextPiece returns the number of bytes that belong to the current body, or 1 outside a body.
+// nextPiece returns the number of bytes that belong to the current body, or to the current line outside a body.
 func (a *readAhead) nextPiece(data []byte) int {
 	if a.inBody() {
 		return int(min(int64(len(data)), a.parser.remaining))
 	}
-	return 1
+	if end := bytes.IndexByte(data, '\n'); end >= 0 {
+		return end + 1
+	}
+	return len(data)
+}
+
+// CutForMemory reports whether the request of a context was not read completely, because the bytes that clients
+// sent ahead of their answers held too much memory. Nothing behind it can be served.
+func CutForMemory(ctx context.Context) bool {
+	c, ok := FromContext(ctx).(*conn)
+	if !ok {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cut := c.ahead.cutHeaderEnd
+	return cut > 0 && len(c.parser.pending) > 0 && c.parser.pending[0].headerEnd >= cut
 }
 
 func (a *readAhead) inBody() bool {
 	return a.parser.state == inBody || a.parser.state == inChunkData
 }
 
-// add retains bytes of a body, or one byte outside a body.
+// add retains bytes of a body, or of one line outside a body.
 func (a *readAhead) add(piece []byte) {
 	switch {
 	case a.inBody():
@@ -117,7 +160,7 @@
 		a.bodyBytes = 0
 	}
 	a.parser.feed(piece)
-	a.retained = append(a.retained, piece...)
+	a.retained.write(piece)
 }
 
 // bodyRejected reports whether the current body is too large. Of a body in chunks, so much is retained that the
@@ -130,7 +173,7 @@
 func (c *conn) hasReadAhead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.ahead.retained) > 0
+	return c.ahead.retained.length > 0
 }
 
 // takeReadAhead gives the server bytes that were read ahead. It returns done false if the next bytes come from
@@ -140,11 +183,8 @@
 	defer c.mu.Unlock()
 	a := &c.ahead
 	switch {
-	case len(a.retained) > 0:
-		n = copy(b, a.retained)
-		a.retained = a.retained[n:]
-		c.pool.readAheadBytes.Add(-int64(n))
-		return n, nil, true
+	case a.retained.length > 0:
+		return a.retained.read(b), nil, true
 	case a.discarding:
 		return 0, io.EOF, true
 	}
@@ -156,6 +196,5 @@
 
 // dropReadAhead releases the retained bytes of a connection that is closed, with the lock held.
 func (c *conn) dropReadAhead() {
-	c.pool.readAheadBytes.Add(-int64(len(c.ahead.retained)))
-	c.ahead.retained = nil
+	c.ahead.retained = byteQueue{}
 }
--- a/internal/frontend/clientconn/read_ahead_test.go
+++ b/internal/frontend/clientconn/read_ahead_test.go
@@ -1,6 +1,8 @@
 package clientconn
 
 import (
+	"bytes"
+	"math/rand/v2"
 	"strings"
 	"testing"
 )
@@ -39,7 +41,7 @@
 				c.retain([]byte(rest[:n]))
 				rest = rest[n:]
 			}
-			retained := string(c.ahead.retained)
+			retained := bytesIn(c.ahead.retained)
 			if !strings.HasPrefix(retained, x.least) || !strings.HasPrefix(x.most, retained) {
 				t.Errorf("%s in pieces of %d: retained %d bytes, want %d to %d",
 					x.name, pieceBytes, len(retained), len(x.least), len(x.most))
@@ -47,14 +49,41 @@
 			if c.ahead.discarding != x.discarding {
 				t.Errorf("%s in pieces of %d: discarding %v", x.name, pieceBytes, c.ahead.discarding)
 			}
-			if got := c.pool.readAheadBytes.Load(); got != int64(len(retained)) {
+			if got := c.ahead.retained.length; got != len(retained) {
 				t.Errorf("%s: %d bytes are counted, %d retained", x.name, got, len(retained))
 			}
 			b := make([]byte, len(x.sent))
 			n, _, _ := c.takeReadAhead(b)
-			if string(b[:n]) != retained || c.pool.readAheadBytes.Load() != 0 {
+			if string(b[:n]) != retained || c.ahead.retained.length != 0 {
 				t.Errorf("%s: the server reads %d bytes", x.name, n)
 			}
 		}
 	}
 }
+
+// bytesIn returns the bytes of a queue without reading them.
+func bytesIn(q byteQueue) string { return string(bytes.Join(q.chunks, nil)) }
+
+// Bytes leave the queue in their order, whatever the sizes of writes and reads are.
+func TestAByteQueueKeepsTheOrder(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	var q byteQueue
+	var written, read []byte
+	for range 2000 {
+		piece := make([]byte, random.IntN(3*queueChunkBytes))
+		for k := range piece {
+			piece[k] = byte(random.Uint32())
+		}
+		written = append(written, piece...)
+		q.write(piece)
+		b := make([]byte, random.IntN(4*queueChunkBytes))
+		read = append(read, b[:q.read(b)]...)
+		if q.length != len(written)-len(read) {
+			t.Fatalf("%d bytes are counted, want %d", q.length, len(written)-len(read))
+		}
+	}
+	rest := make([]byte, q.length)
+	if read = append(read, rest[:q.read(rest)]...); !bytes.Equal(read, written) {
+		t.Error("the bytes that were read are not those that were written")
+	}
+}
--- a/internal/frontend/clientconn/receive_times.go
+++ b/internal/frontend/clientconn/receive_times.go
@@ -93,7 +93,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.applyPreAcceptBytes()
-	c.receiveTimes.record(c.parser.offset+int64(len(c.ahead.retained)+unread), receivedAt)
+	c.receiveTimes.record(c.parser.offset+int64(c.ahead.retained.length+unread), receivedAt)
 }
 
 // lastReceiveTime returns the kernel's time at which a connection last received data, or now if that is not
--- a/internal/frontend/clientconn/request_memory.go
+++ b/internal/frontend/clientconn/request_memory.go
@@ -127,7 +127,7 @@
 // countMemory tells the pool what this connection holds, with the lock held. It reports whether that is so much
 // that it counts.
 func (c *conn) countMemory() (counts bool) {
-	held := c.parser.heldBytes + int64(len(c.ahead.retained))
+	held := c.parser.heldBytes + int64(c.ahead.retained.length)
 	counts = held > freeRequestBytes
 	if counts || c.countsMemory {
 		c.pool.requestMemory.set(c, held, c.incompleteRequest())
--- a/internal/frontend/clientconn/request_parser.go
+++ b/internal/frontend/clientconn/request_parser.go
@@ -68,7 +68,9 @@
 	tooManyFields      bool  // parsing ended behind the first field beyond maxFields
 	offset             int64 // bytes read from the connection
 	requestStart       int64 // offset at which the current request begins
+	lastHeaderEnd      int64 // offset at which the newest complete header ends
 	heldBytes          int64 // of the pending requests and of the current header
+	untracked          bool  // complete headers are not added to pending
 	pending            []framing
 }
 
@@ -87,9 +89,13 @@
 				f.endBody()
 			}
 		default:
-			f.offset++
-			f.feedLineByte(b[0])
-			b = b[1:]
+			piece := b
+			if end := bytes.IndexByte(b, '\n'); end >= 0 {
+				piece = b[:end+1]
+			}
+			f.offset += int64(len(piece))
+			f.feedLine(piece)
+			b = b[len(piece):]
 		}
 	}
 }
@@ -113,30 +119,49 @@
 
 // reset enters the header of the next request. Pending requests stay.
 func (f *requestParser) reset() {
-	*f = requestParser{pending: f.pending, offset: f.offset, requestStart: f.offset, heldBytes: f.heldBytes}
+	*f = requestParser{
+		pending:       f.pending,
+		untracked:     f.untracked,
+		offset:        f.offset,
+		requestStart:  f.offset,
+		lastHeaderEnd: f.lastHeaderEnd,
+		heldBytes:     f.heldBytes,
+	}
 }
 
-// feedLineByte parses one byte of a header, a chunk size, a trailer or the line break after a chunk's data.
-func (f *requestParser) feedLineByte(c byte) {
+// feedLine parses a part of one line of a header, a chunk size, a trailer or the line break after a chunk's data. It
+// ignores carriage returns.
+func (f *requestParser) feedLine(piece []byte) {
 	if f.state == inHeader {
 		f.started = true
-		f.header.heldBytes++
-		f.heldBytes++
+		f.header.heldBytes += int64(len(piece))
+		f.heldBytes += int64(len(piece))
 	}
-	switch {
-	case c == '\n':
+	text, complete := bytes.CutSuffix(piece, []byte{'\n'})
+	f.storePrefix(text)
+	f.lineLen += len(text) - bytes.Count(text, []byte{'\r'})
+	f.requestLineStarted = f.requestLineStarted || f.state == inHeader && f.lineLen > 0
+	if complete {
 		f.endLine()
 		f.lineLen = 0
-	case c == '\r':
-	default:
-		if f.lineLen < len(f.line) {
-			if c >= 'A' && c <= 'Z' {
-				c += 'a' - 'A'
-			}
-			f.line[f.lineLen] = c
+	}
+}
+
+// storePrefix appends text to the stored part of the current line, in lower case.
+func (f *requestParser) storePrefix(text []byte) {
+	stored := f.lineLen
+	for _, c := range text {
+		if stored >= len(f.line) {
+			return
+		}
+		if c == '\r' {
+			continue
 		}
-		f.lineLen++
-		f.requestLineStarted = f.requestLineStarted || f.state == inHeader
+		if c >= 'A' && c <= 'Z' {
+			c += 'a' - 'A'
+		}
+		f.line[stored] = c
+		stored++
 	}
 }
 
@@ -198,11 +223,14 @@
 func (f *requestParser) endHeader() {
 	header := f.header
 	header.headerEnd = f.offset
+	f.lastHeaderEnd = f.offset
 	if len(f.pending) == maxPendingRequests {
 		f.state = unparsable
 		return
 	}
-	f.pending = append(f.pending, header)
+	if !f.untracked {
+		f.pending = append(f.pending, header)
+	}
 	f.started, f.requestLineStarted, f.fields = false, false, 0
 	switch {
 	case header.hasTransferEncoding:
@@ -250,12 +278,15 @@
 	return f.offset
 }
 
+// inBodyPart reports whether the header of the current request is complete, and the request's end not reached.
+func (f *requestParser) inBodyPart() bool { return f.state != inHeader && f.state != unparsable }
+
 // readingOnlyRequest reports whether the one unanswered request is incomplete.
 func (f *requestParser) readingOnlyRequest() bool {
 	if len(f.pending) == 0 {
 		return f.started
 	}
-	return len(f.pending) == 1 && f.state != inHeader && f.state != unparsable
+	return len(f.pending) == 1 && f.inBodyPart()
 }
 
 // pipelined reports whether part of a further request has been read behind an unanswered one.
--- a/internal/frontend/clientconn/stop_reading.go
+++ b/internal/frontend/clientconn/stop_reading.go
@@ -73,7 +73,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.servedRequest && !c.parser.inRequest() || len(c.ahead.retained) > 0 {
+	if !c.servedRequest && !c.parser.inRequest() || c.ahead.retained.length > 0 {
 		return wanted // what was read ahead must be answered
 	}
 	return int(min(int64(wanted), c.parser.minRemaining()))
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -26,6 +26,10 @@
 		s.answer(w, r, nil, ambiguousLength())
 		return
 	}
+	if clientconn.CutForMemory(r.Context()) {
+		s.answer(w, r, nil, outOfMemory())
+		return
+	}
 	if r.Method == http.MethodGet && r.URL.Path == "/healthz" {
 		s.health(w, r)
 		return
