An incomplete body gives its slot to a new connection

Callers saw: beside 200 connections with half a body none of 20 new clients was answered.

Cause: a connection whose head is complete counted as active for the second that its body may take, and only waiting ones give way; above the soft limit those were the other new connections.

Change: at the hard limit the body that has been awaited longest is ended, 503 with Retry-After; above the soft limit it goes in place of a client that has just connected.

--- a/internal/frontend/clientconn/admission.go
+++ b/internal/frontend/clientconn/admission.go
@@ -138,6 +138,9 @@
 	}
 	for len(g.open) >= g.softLimit && g.evictOldest() {
 	}
+	if len(g.open) >= g.hardLimit {
+		g.evictIncomplete(time.Now())
+	}
 	if len(g.open) >= g.hardLimit || len(g.closePending) > 0 && len(g.open)+len(g.closePending) >= g.hardLimit {
 		return false, len(g.closePending) > 0
 	}
@@ -145,14 +148,19 @@
 	return true, false
 }
 
-// evictOldest evicts the eviction candidate, with the lock held. It returns false if there is none.
+// evictOldest evicts the eviction candidate, with the lock held. It returns false if there is none. A client that
+// has just connected is spared where an incomplete body has been awaited for longer.
 func (g *Pool) evictOldest() bool {
 	old := g.evictionCandidate()
-	if old != nil {
-		g.reportEnd(ReasonEvicted, old)
-		g.requestClose(old)
+	if old == nil {
+		return false
+	}
+	if x := g.open[old]; !x.served && g.evictIncomplete(x.stateSince) {
+		return true
 	}
-	return old != nil
+	g.reportEnd(ReasonEvicted, old)
+	g.requestClose(old)
+	return true
 }
 
 // evictionCandidate returns the connection to evict, nil if there is none. It chooses the connection that has
--- a/internal/frontend/clientconn/conn.go
+++ b/internal/frontend/clientconn/conn.go
@@ -32,7 +32,7 @@
 	skipUnanswered  bool        // request boundaries are unknown, so missing answers are not reported
 	servedRequest   bool        // at least one request was served
 	responseStarted bool        // part of the response to the current request was written
-	outOfMemory     bool        // the request that is being read was ended: see ErrOutOfMemory
+	ended           error       // why the request that is being read was ended: see endIncomplete; nil if it was not
 	countsMemory    bool        // the connection holds bytes that count for the pool
 	incomplete      incompleteRequest
 	ahead           readAhead
@@ -73,11 +73,12 @@
 		c.pool.endExcess()
 		runtime.Gosched() // a client that sends at full speed would use its whole time slice for each read
 	}
-	switch ended := c.readError(); {
-	case errors.Is(ended, ErrOutOfMemory):
-		c.pool.reportEnd(ReasonOutOfMemory, c)
-		return 0, ended
-	case ended != nil:
+	var ended *endedError
+	switch failure := c.readError(); {
+	case errors.As(failure, &ended):
+		c.pool.reportEnd(ended.reason, c)
+		return 0, failure
+	case failure != nil:
 		c.pool.reportEnd(ReasonTooManyFields, c)
 		return accepted, nil // with an error, the server would also give up the requests before this one
 	}
@@ -101,8 +102,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case c.outOfMemory:
-		return ErrOutOfMemory
+	case c.ended != nil:
+		return c.ended
 	case c.parser.tooManyFields:
 		return errTooManyFields
 	}
@@ -143,8 +144,8 @@
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.readDeadline = t; c.closePending || c.outOfMemory {
-		return nil // the expired deadline set by requestClose stays until finalRead
+	if c.readDeadline = t; c.closePending || c.ended != nil {
+		return nil // the expired deadline set by requestClose or endIncomplete stays
 	}
 	if c.applyHeaderDeadline() {
 		return nil
--- a/internal/frontend/clientconn/request_memory.go
+++ b/internal/frontend/clientconn/request_memory.go
@@ -9,17 +9,6 @@
 // connection with small requests is thus never affected by those with large ones.
 const freeRequestBytes = 4 << 10
 
-// ErrOutOfMemory is the error of a read from a connection whose incomplete request was ended, because all
-// connections together held too many bytes of requests. It counts as a timeout, so that the standard server
-// closes a connection without a response if not even the header is complete.
-var ErrOutOfMemory error = outOfMemoryError{}
-
-type outOfMemoryError struct{}
-
-func (outOfMemoryError) Error() string   { return "requests hold too much memory" }
-func (outOfMemoryError) Timeout() bool   { return true }
-func (outOfMemoryError) Temporary() bool { return false }
-
 // requestMemory limits the bytes of unanswered requests that the connections of a pool hold, beyond
 // freeRequestBytes each. Above the limit, the incomplete request that was begun first is ended. A complete
 // request is never ended.
@@ -139,7 +128,7 @@
 // endExcess ends requests if all connections hold too much. The caller holds no lock of a connection.
 func (g *Pool) endExcess() {
 	for _, x := range g.requestMemory.takeExcess() {
-		x.conn.endIncomplete(x.request)
+		x.conn.endIncomplete(x.request.startOffset, ErrOutOfMemory)
 	}
 }
 
@@ -154,14 +143,3 @@
 	}
 	return c.incomplete
 }
-
-// endIncomplete makes reads fail with ErrOutOfMemory if a request is still incomplete.
-func (c *conn) endIncomplete(request incompleteRequest) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.parser.readingOnlyRequest() || c.parser.requestStart != request.startOffset {
-		return
-	}
-	c.outOfMemory = true
-	c.Conn.SetReadDeadline(longPast)
-}
--- a/internal/frontend/request.go
+++ b/internal/frontend/request.go
@@ -35,9 +35,9 @@
 	// response is on the network.
 	responseTravelTime = 10 * time.Millisecond
 
-	// outOfMemoryRetryAfter is told to the client of a request that was ended for lack of memory. Within this
-	// time each body that is being read is either complete or given up.
-	outOfMemoryRetryAfter = bodyTimeout
+	// incompleteBodyRetryAfter is told to the client of a request that was ended while its body was read. Within
+	// this time each body that is being read is either complete or given up.
+	incompleteBodyRetryAfter = bodyTimeout
 )
 
 // pendingOp is an op whose client waits for the answer.
@@ -188,8 +188,11 @@
 		if errors.As(err, &tooLarge) {
 			return nil, bodyTooLarge()
 		}
-		if errors.Is(err, clientconn.ErrOutOfMemory) {
+		switch {
+		case errors.Is(err, clientconn.ErrOutOfMemory):
 			return nil, outOfMemory()
+		case errors.Is(err, clientconn.ErrEvicted):
+			return nil, evicted()
 		}
 		return nil, &Rejection{Status: http.StatusBadRequest, Text: "the body did not come whole", RestUnread: true}
 	}
@@ -215,11 +218,19 @@
 }
 
 func outOfMemory() *Rejection {
+	return incompleteBodyEnded("requests hold too much memory: trying again is harmless")
+}
+
+func evicted() *Rejection {
+	return incompleteBodyEnded("other clients need the connection: trying again is harmless")
+}
+
+func incompleteBodyEnded(text string) *Rejection {
 	return &Rejection{
 		Status:     http.StatusServiceUnavailable,
-		Text:       "requests hold too much memory: trying again is harmless",
+		Text:       text,
 		RestUnread: true,
-		RetryAfter: outOfMemoryRetryAfter,
+		RetryAfter: incompleteBodyRetryAfter,
 	}
 }
 
