Tests of floods allow for the time in which the process waited for a core

Cause: the form of pipelined large bodies failed once beside several other test programs (one in ten answers took 1.7 s of 1 s); alone it takes 0.2 s. The bound is one of this program's own work, and other processes had its core.

Change: the bound grows by the share of its time in which the process waited for a core (schedstat). On an idle machine it is what it was.

--- a/cmd/woaddyke/flood_test.go
+++ b/cmd/woaddyke/flood_test.go
@@ -199,7 +199,7 @@
 	if peak > testMemoryMB {
 		t.Errorf("the peak memory is %.1f MB, want at most %d", peak, testMemoryMB)
 	}
-	if late := times[len(times)*9/10]; late > maxSoundAnswerTime || failed > 0 {
-		t.Errorf("%d of %d ops failed, one in ten took %v or more; want none, and at most %v", failed, len(times), late, maxSoundAnswerTime)
+	if late, limit := times[len(times)*9/10], maxAnswerTime(t, s.process); late > limit || failed > 0 {
+		t.Errorf("%d of %d ops failed, one in ten took %v or more; want none, and at most %v", failed, len(times), late, limit)
 	}
 }
--- a/cmd/woaddyke/memory_test.go
+++ b/cmd/woaddyke/memory_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -132,6 +133,30 @@
 	return kb / 1024
 }
 
+// schedulingTimes returns for how long the threads of a process have run, and waited for a core.
+func schedulingTimes(t *testing.T, p testProcess) (ran, waited time.Duration) {
+	t.Helper()
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", p.cmd.Process.Pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, path := range threads {
+		text, _ := os.ReadFile(path) // fails if the thread has ended
+		var threadRan, threadWaited time.Duration
+		fmt.Sscan(string(text), &threadRan, &threadWaited)
+		ran, waited = ran+threadRan, waited+threadWaited
+	}
+	return ran, waited
+}
+
+// maxAnswerTime returns the time in which nine of ten sound ops must be answered. It grows with the time for which
+// the process waited for a core, because other processes ran.
+func maxAnswerTime(t *testing.T, p testProcess) time.Duration {
+	t.Helper()
+	ran, waited := schedulingTimes(t, p)
+	return time.Duration(float64(maxSoundAnswerTime) * float64(ran+waited) / float64(ran))
+}
+
 // Hundreds of clients at once send requests that cost memory. The process must stay within its memory, and serve
 // other clients without delay.
 func TestHeavyRequestsKeepWithinTheMemory(t *testing.T) {
@@ -191,8 +216,8 @@
 			if peak > testMemoryMB {
 				t.Errorf("the peak memory is %.1f MB, want at most %d", peak, testMemoryMB)
 			}
-			if late := times[len(times)*9/10]; late > maxSoundAnswerTime {
-				t.Errorf("one in ten answers to sound ops took %v or more, want at most %v", late, maxSoundAnswerTime)
+			if late, limit := times[len(times)*9/10], maxAnswerTime(t, p); late > limit {
+				t.Errorf("one in ten answers to sound ops took %v or more, want at most %v", late, limit)
 			}
 		})
 	}
