--- a/internal/frontend/clientconn/admission.go
+++ b/internal/frontend/clientconn/admission.go
@@ -41,6 +41,7 @@
 		}
 		failures = 0
 		if c := (&conn{Conn: nc, pool: g}); g.admitOrWait(c) {
+			g.stalls.keepTicking(time.Now(), g.hasConnections)
 			c.recordPreAcceptBytes()
 			return c, nil
 		}
--- a/internal/frontend/clientconn/clientconn.go
+++ b/internal/frontend/clientconn/clientconn.go
@@ -111,6 +111,8 @@
 	return len(g.open)
 }
 
+func (g *Pool) hasConnections() bool { return g.Count() > 0 }
+
 // Sockets returns the number of descriptors in use, including those of connections about to be closed.
 func (g *Pool) Sockets() int {
 	g.mu.Lock()
--- a/internal/frontend/clientconn/receive_times.go
+++ b/internal/frontend/clientconn/receive_times.go
@@ -89,7 +89,6 @@
 	unread := max(unreadBytes(fd), 1) // at least 1: the caller saw unread data
 	now := time.Now()
 	receivedAt := c.pool.stalls.earliestReceiveOf(now, lastReceiveTime(fd, now))
-	c.pool.stalls.keepTicking(now)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.applyPreAcceptBytes()
@@ -122,7 +121,6 @@
 	receivedAt := now
 	if c.parser.pipelined() {
 		receivedAt = c.pool.stalls.earliestReceiveOf(now, c.lastReceiveTime(now))
-		c.pool.stalls.keepTicking(now)
 		c.applyPreAcceptBytes()
 	}
 	c.receiveTimes.record(c.parser.offset, receivedAt)
--- a/internal/frontend/clientconn/stall_detector_test.go
+++ b/internal/frontend/clientconn/stall_detector_test.go
@@ -80,3 +80,23 @@
 		}
 	}
 }
+
+// A later stall must not hide an earlier one: bytes that were received in either are dated to its start, and two
+// stalls with a short time between them count as one, as the bytes of the first may not have been read yet.
+func TestALaterStallHidesNoEarlierOne(t *testing.T) {
+	start := time.Now()
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	var s stallDetector
+	s.extendTicks(at(0))
+	for _, ms := range []int{0, 40, 900, 940, 1030, 1070, 1110, 1150, 1190, 1230, 1270, 1310, 2000, 2040} {
+		s.tick(at(ms)) // stalled from 40 to 900, from 940 to 1,030 and from 1,310 to 2,000 ms
+	}
+	for _, c := range []struct{ newest, want int }{{500, 40}, {920, 40}, {1000, 40}, {1100, 1310}, {1500, 1310}} {
+		if got := s.earliestReceiveOf(at(2050), at(c.newest)); !got.Equal(at(c.want)) {
+			t.Errorf("newest bytes at %d ms, read at 2,050 ms: got %v, want %d ms", c.newest, got.Sub(start), c.want)
+		}
+	}
+	if len(s.stalls) != 2 {
+		t.Errorf("%d stalls are remembered, want 2", len(s.stalls))
+	}
+}
