A request that arrived while the process stood still is read before it is given up

Callers saw: requests whose rest arrived within a stall of 1.9 s were reset, or answered 400.

Cause: the deadlines of a head and of a body passed while the process could not read, and the read then failed though data was there. The socket was read once more only if no request had started.

Change: if the process may not have run when a deadline expired, what lies in the socket is read first. Otherwise a request that has started gets no more time, as before.

--- a/internal/frontend/clientconn/conn.go
+++ b/internal/frontend/clientconn/conn.go
@@ -184,13 +184,13 @@
 	c.Conn.SetReadDeadline(longPast)
 }
 
-// finalRead reads once more, without waiting, after requestClose or after the server's own deadline has
-// expired. If it finds data, the connection stays open. Without this read, a request that was received
-// between the last check for data and the close was lost. With it, a request can be lost only in the instant
-// of the close.
+// finalRead reads once more, without waiting, after requestClose or after a deadline has expired. If it finds
+// data, the connection stays open. Without this read, a request that was received between the last check for
+// data and the close was lost. With it, a request can be lost only in the instant of the close. A request that
+// has started gets no more time, unless the process could not read when its deadline expired.
 func (c *conn) finalRead(b []byte, timeout error) (n int, err error) {
 	c.mu.Lock()
-	eligible := c.closePending || !c.parser.inRequest() // a started header gets no more time
+	eligible := c.closePending || !c.parser.inRequest() || c.deadlineInStall(time.Now())
 	why := ReasonIdleTimeout
 	if c.parser.started {
 		why = ReasonHeaderTimeout
@@ -221,6 +221,16 @@
 	return n, nil
 }
 
+// deadlineInStall reports whether the process may not have run when the current read deadline expired, with the
+// lock held. What was received until then is in the socket.
+func (c *conn) deadlineInStall(now time.Time) bool {
+	deadline := c.capDeadline(c.readDeadline)
+	if !c.headerDeadline.IsZero() && c.headerDeadline.Before(deadline) {
+		deadline = c.headerDeadline
+	}
+	return !deadline.IsZero() && c.pool.stalls.earliestReceive(now).Before(deadline)
+}
+
 // cancelClose restores the server's read deadline after requestClose.
 func (c *conn) cancelClose() {
 	c.mu.Lock()
