A process that stood still at the end of its shutdown writes its last answers

Callers saw: a scheduler stood still from 2.3 s to 3.55 s after SIGTERM and then closed the connections of ops that it had taken.

Cause: the steps of the shutdown go by the clock. After the stall all were over at once, before the loop had ended the ops and their answers were written.

--- a/internal/frontend/serve.go
+++ b/internal/frontend/serve.go
@@ -142,6 +142,7 @@
 	}
 	end := deadline.Add(shutdownMargin)
 	s.drainConnections(closeFrom, deadline, end)
+	s.loop.Send(reducer.ShutdownStarted{Deadline: config.RoundDown(s.clock.FromTime(deadline))})
 	s.endLastConnections(end.Add(lastAnswersMargin))
 	// This must come last: http.Server.Shutdown drops requests that it has just read, and closes connections
 	// on which a request has begun.
@@ -191,11 +192,14 @@
 }
 
 // endLastConnections stops accepting, and returns when the connections accepted so far are closed, or at the
-// deadline.
+// deadline. If the process stood still, it gets the time for its last answers after that: all ops are answered by
+// now, but the answers may not be written.
 func (s *Server) endLastConnections(deadline time.Time) {
+	s.lifecycle.closeAfterResponse.Store(true)
 	s.clients.StopReading(deadline.Add(-bodyMargin))
 	s.clients.Close()
-	for s.clients.Sockets() > 0 && time.Now().Before(deadline) {
+	ran := runningTime{limit: lastAnswersMargin}
+	for s.clients.Sockets() > 0 && (time.Now().Before(deadline) || !ran.reached(time.Now())) {
 		s.clients.CloseIdle(s.clients.Count(), 0)
 		time.Sleep(lastPollInterval)
 	}
