A scheduler that was told to end holds its ops until it can push no more

Callers saw: repeats of an op whose scheduler got SIGTERM were pushed by another one while the first push was out, or answered 502; repeats after its answer got 502 instead of the result.

From the moment of leaving the mesh sent and took no message of a service, so the outcomes of those ops never reached the replicas.

Change: a member that has left holds its ops for the longest TTL and a second, which a shutdown can't outlast, or until a later process has its name. It still sends and receives messages of replication; the core claims and votes for nobody then. What is queued when the replica is closed is sent.

--- a/cmd/woaddyke/cluster.go
+++ b/cmd/woaddyke/cluster.go
@@ -2,6 +2,7 @@
 
 import (
 	"syscall"
+	"time"
 
 	"woaddyke/internal/cluster/drainstate"
 	"woaddyke/internal/cluster/membership"
@@ -118,6 +119,10 @@
 	return counts
 }
 
+// leaveSlack is added to the longest TTL for the time in which a scheduler that was told to end may hold ops: its
+// shutdown lasts no longer than that TTL and a fraction of a second, and its clock may differ.
+const leaveSlack = time.Second
+
 // createReplica creates the replica if the features file has a [copies] table, and adds the callbacks of the
 // replica to host.
 func (p *process) createReplica(state hotrestart.State, host *mesh.Host) (err error) {
@@ -125,6 +130,7 @@
 	if table == nil {
 		return nil
 	}
+	table.SetLeaveTime(p.bootstrap.LongestTTL() + leaveSlack)
 	name, seed := p.bootstrap.Name, p.bootstrap.SeedValue
 	p.replica, err = replica.New(table, name, seed, state.Successions, mesh.Now(), p.log)
 	if err != nil {
@@ -155,6 +161,10 @@
 // ended.
 func (p *process) setReplicaPeer(member membership.MemberView) {
 	p.replica.SetPeerIncarnation(member.Name, member.Incarnation)
+	if member.State == membership.Left {
+		p.replica.SetPeerLeft(member.Name)
+		return
+	}
 	p.replica.SetPeerDead(member.Name, member.State.Ended())
 }
 
--- a/internal/cluster/mesh/services.go
+++ b/internal/cluster/mesh/services.go
@@ -11,7 +11,7 @@
 )
 
 // receiveService passes a service message to the host if its sender is the process that is known under the
-// sender's name. While this process is not a member, it ignores the message.
+// sender's name. While this process does not take part in the service, it ignores the message.
 func (m *Mesh) receiveService(data []byte, from netip.Addr) {
 	message, err := m.decodeServiceDatagram(data, from)
 	if err == nil {
@@ -21,7 +21,7 @@
 		m.dropped.add(err)
 		return
 	}
-	if m.known.Load().self.State != membership.Alive {
+	if !m.takesPart(message) {
 		return
 	}
 	sender := message.From
@@ -37,6 +37,18 @@
 	}
 }
 
+// takesPart reports whether this process sends and receives a service message. One that has left still holds ops,
+// whose outcomes the replicas must learn. It requests no claims and grants none.
+func (m *Mesh) takesPart(message serviceMessage) bool {
+	switch m.known.Load().self.State {
+	case membership.Alive:
+		return true
+	case membership.Left:
+		return message.Replication != nil
+	}
+	return false
+}
+
 func (m *Mesh) decodeServiceDatagram(data []byte, from netip.Addr) (serviceMessage, error) {
 	if !m.config.isAllowed(from) {
 		return serviceMessage{}, errOutsideNetworks
@@ -102,7 +114,7 @@
 func (m *Mesh) sendService(to string, message serviceMessage) {
 	known := m.known.Load()
 	receiver, ok := known.byName[to]
-	if !ok || known.self.State != membership.Alive {
+	if !ok || !m.takesPart(message) {
 		return
 	}
 	addr, err := netip.ParseAddrPort(receiver.Addr)
--- a/internal/cluster/replica/config.go
+++ b/internal/cluster/replica/config.go
@@ -47,8 +47,14 @@
 	Path string `toml:"path"`
 	// Sync delays a grant until its record is synced to disk.
 	Sync bool `toml:"sync"`
+
+	leaveTime time.Duration // see SetLeaveTime
 }
 
+// SetLeaveTime sets how long another scheduler may still push and answer ops after it has left the members. It is
+// derived from the settings, and no key of the file.
+func (c *Config) SetLeaveTime(leaveTime time.Duration) { c.leaveTime = leaveTime }
+
 // maxResultBytes limits a result so that a message with the result fits a datagram of the mesh.
 const maxResultBytes = 2 << 10
 
@@ -120,6 +126,7 @@
 		Retention:       timeOf(c.Retention),
 		AmnesiaHoldOff:  timeOf(c.AmnesiaHoldOff),
 		CatchUpRate:     c.CatchUpRate,
+		LeaveTime:       membership.TimeOf(c.leaveTime),
 		MaxRecords:      c.MaxRecords,
 		MaxBytes:        c.MaxBytes,
 	}
--- a/internal/cluster/replica/membership.go
+++ b/internal/cluster/replica/membership.go
@@ -156,6 +156,13 @@
 	r.queue.stateChanges.Put(input{replication: known})
 }
 
+// SetPeerLeft records that another member has left the cluster by itself. It may still hold ops: see
+// Config.SetLeaveTime.
+func (r *Replica) SetPeerLeft(name string) {
+	r.queue.stateChanges.Put(input{replication: replication.PeerStatus{Name: name, Dead: true, Leaving: true}})
+	r.queue.stateChanges.Put(input{replicaSet: replicaset.PeerStatus{Name: name}})
+}
+
 // SetPeerDead sets whether another member is dead.
 func (r *Replica) SetPeerDead(name string, dead bool) {
 	r.queue.stateChanges.Put(input{replication: replication.PeerStatus{Name: name, Dead: dead}})
--- a/internal/cluster/replica/replica.go
+++ b/internal/cluster/replica/replica.go
@@ -119,6 +119,18 @@
 	<-r.ended
 }
 
+// handleLastInputs handles what is queued at the end, so that the outcomes of the last ops are sent.
+func (r *Replica) handleLastInputs() {
+	for range maxQueuedInputs {
+		select {
+		case in := <-r.queue.inputs:
+			r.handleInputs(in)
+		default:
+			return
+		}
+	}
+}
+
 func (r *Replica) loop() {
 	defer close(r.ended)
 	defer r.storage.close()
@@ -127,6 +139,7 @@
 	for {
 		select {
 		case <-r.quit:
+			r.handleLastInputs()
 			return
 		case call := <-r.calls:
 			call()
--- a/internal/cluster/replication/claims.go
+++ b/internal/cluster/replication/claims.go
@@ -319,7 +319,7 @@
 // inProgressElsewhere reports whether another claim of the op belongs to a process that has not ended.
 func (c *Core) inProgressElsewhere(claim *activeClaim, record *Record) bool {
 	return slices.ContainsFunc(record.Outcomes, func(o Outcome) bool {
-		return o.Stage == Claimed && o.Claim != claim.claim && !c.members.claimerEnded(&o)
+		return o.Stage == Claimed && o.Claim != claim.claim && !c.members.claimerEnded(&o, c.now)
 	})
 }
 
--- a/internal/cluster/replication/config.go
+++ b/internal/cluster/replication/config.go
@@ -24,6 +24,7 @@
 	Retention       Time   // time for which a record is stored after it was first seen
 	AmnesiaHoldOff  Time   // wait before a replica that lost its records and can't catch up votes
 	CatchUpRate     int    // bytes per second that are requested of each replica during catch-up
+	LeaveTime       Time   // maximum time for which a scheduler still holds ops after it has left the members
 	MaxRecords      int
 	MaxBytes        int // maximum estimated size of all records
 }
--- a/internal/cluster/replication/inputs.go
+++ b/internal/cluster/replication/inputs.go
@@ -53,7 +53,10 @@
 // reports and replica sets are sent.
 type PeerStatus struct {
 	Name string
-	Dead bool
+	Dead bool // it gets no messages any more
+	// Leaving says that a member with Dead set has left by itself. It may still push and answer ops for
+	// Config.LeaveTime.
+	Leaving bool
 }
 
 // PeerProcess states which process of another scheduler the members know.
--- a/internal/cluster/replication/process.go
+++ b/internal/cluster/replication/process.go
@@ -72,9 +72,11 @@
 	return process.Nonce != p.newest.Nonce && process.compare(p.newest) < 0
 }
 
-// claimerEnded reports whether the process that made a claim no longer runs.
-func (v *memberView) claimerEnded(o *Outcome) bool {
-	if v.dead[o.Scheduler] {
+// claimerEnded reports whether the process that made a claim can no longer push or answer the op. A scheduler that
+// was told to end leaves the members at once, but answers its ops first.
+func (v *memberView) claimerEnded(o *Outcome, now Time) bool {
+	until, leaves := v.holdsOpsUntil[o.Scheduler]
+	if v.dead[o.Scheduler] || leaves && now >= until {
 		return true
 	}
 	known := v.processes[o.Scheduler]
--- a/internal/cluster/replication/replica_set.go
+++ b/internal/cluster/replication/replica_set.go
@@ -23,27 +23,37 @@
 // memberView is the status of the other schedulers, and the known processes of all schedulers.
 type memberView struct {
 	dead              map[string]bool
-	alive             []string // sorted
+	holdsOpsUntil     map[string]Time // of members that have left
+	alive             []string        // sorted
 	processes         map[string]*schedulerProcesses
 	nextSetGossip     Time
 	nextProcessGossip Time
 }
 
 func newMemberView() memberView {
-	return memberView{dead: map[string]bool{}, processes: map[string]*schedulerProcesses{}}
+	return memberView{
+		dead:          map[string]bool{},
+		holdsOpsUntil: map[string]Time{},
+		processes:     map[string]*schedulerProcesses{},
+	}
 }
 
-// update records the status of a member.
-func (v *memberView) update(in PeerStatus) {
+// update records the status of a member. One that has left holds its ops until a time.
+func (v *memberView) update(in PeerStatus, leftHoldsUntil Time) {
 	i, known := slices.BinarySearch(v.alive, in.Name)
 	if in.Dead {
-		v.dead[in.Name] = true
+		if !in.Leaving {
+			v.dead[in.Name] = true
+		} else if _, leaves := v.holdsOpsUntil[in.Name]; !leaves {
+			v.holdsOpsUntil[in.Name] = leftHoldsUntil
+		}
 		if known {
 			v.alive = slices.Delete(v.alive, i, i+1)
 		}
 		return
 	}
 	delete(v.dead, in.Name)
+	delete(v.holdsOpsUntil, in.Name)
 	if !known && len(v.alive) < maxAliveMembers {
 		v.alive = slices.Insert(v.alive, i, in.Name)
 	}
@@ -76,7 +86,7 @@
 // handlePeerStatus records whether a member is alive. A member that returns may use its configured set, so it
 // is sent the set in force.
 func (c *Core) handlePeerStatus(in PeerStatus) {
-	c.members.update(in)
+	c.members.update(in, c.now+c.config.LeaveTime)
 	if in.Dead {
 		return
 	}
