Two tests of connections to workers no longer hang on what the machine does

Cause: the server of the tests of fragments read a variable that only the network orders with the test, so a stray connection gave a data race.

Change: the script of the moment is an atomic pointer, here and in the tests of discovery. The socket is filled until it takes nothing for twenty milliseconds. What is checked is as it was.

--- a/internal/workers/discovery/fragments_test.go
+++ b/internal/workers/discovery/fragments_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"reflect"
+	"sync/atomic"
 	"testing"
 
 	"github.com/rs/zerolog"
@@ -27,8 +28,11 @@
 	}
 	response += "0\r\n\r\n"
 	var way fragmentpeer.Script
-	addr := fragmentpeer.ServeScripts(t, func() fragmentpeer.Script { return way })
+	var current atomic.Pointer[fragmentpeer.Script] // any connection to the server reads it
+	addr := fragmentpeer.ServeScripts(t, func() fragmentpeer.Script { return *current.Load() })
 	watch := func() (received []reducer.Input, rev int64) {
+		script := way
+		current.Store(&script)
 		client := NewClient(addr, EndpointList{Rev: 40}, singleSchedulerTimeouts, 7, newEmptyStartTimes(), func(in reducer.Input) { received = append(received, in) }, zerolog.Nop())
 		if _, err := client.watch(context.Background()); err == nil {
 			t.Errorf("%s: no error from a watch that ended", way.Name)
--- a/internal/workers/workerconn/fragments_test.go
+++ b/internal/workers/workerconn/fragments_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,21 +26,23 @@
 func TestFragmentedResponsesAreReadCorrectly(t *testing.T) {
 	const started, done = `{"id":"a1","state":"started"}`, `{"id":"a1","state":"done","result":"x y"}`
 	complete := chunkedResponse(started, done)
-	var way fragmentpeer.Script
-	addr := fragmentpeer.ServeScripts(t, func() fragmentpeer.Script { return way })
+	var current atomic.Pointer[fragmentpeer.Script] // any connection to the server reads it
+	addr := fragmentpeer.ServeScripts(t, func() fragmentpeer.Script { return *current.Load() })
 	push := func() End {
 		ends := make(chan End, 1)
 		newTestPool(1).Push(addr, "a1", fixedRequest([]byte("POST / HTTP/1.1\r\n\r\n")), time.Now().Add(20*time.Second), alwaysWanted, func() {}, func(JobLine) {},
 			func(e End) { ends <- e })
 		return <-ends
 	}
-	for _, way = range fragmentpeer.CompleteScripts(complete) {
+	for _, way := range fragmentpeer.CompleteScripts(complete) {
+		current.Store(&way)
 		if e := push(); e.Ending != outcome.Done || string(e.Result) != "x y" {
 			t.Errorf("%s: %v, %q", way.Name, e.Ending, e.Result)
 		}
 	}
 	lastLineEnd := strings.Index(complete, done) + len(done)
-	for _, way = range fragmentpeer.TruncatedScripts(complete) {
+	for _, way := range fragmentpeer.TruncatedScripts(complete) {
+		current.Store(&way)
 		switch e := push(); {
 		case len(way.Text()) >= lastLineEnd:
 			if e.Ending != outcome.Done || string(e.Result) != "x y" {
@@ -56,7 +59,8 @@
 		"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n":                              outcome.ServerError,
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 400 No\r\nContent-Length: 0\r\n\r\n": outcome.Rejected,
 	} {
-		for _, way = range fragmentpeer.CompleteScripts(text) {
+		for _, way := range fragmentpeer.CompleteScripts(text) {
+			current.Store(&way)
 			if e := push(); e.Ending != want {
 				t.Errorf("%q %s: %v, want %v", text, way.Name, e.Ending, want)
 			}
@@ -68,19 +72,21 @@
 func TestFragmentedLoadReportsAreReadCorrectly(t *testing.T) {
 	const report = `{"pending":12,"busy_reqs":3}`
 	complete := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(report), report)
-	var way fragmentpeer.Script
-	addr := fragmentpeer.ServeScripts(t, func() fragmentpeer.Script { return way })
+	var current atomic.Pointer[fragmentpeer.Script] // any connection to the server reads it
+	addr := fragmentpeer.ServeScripts(t, func() fragmentpeer.Script { return *current.Load() })
 	probe := func() End {
 		ends := make(chan End, 1)
 		newTestPool(1).Probe(addr, []byte("GET /load HTTP/1.1\r\n\r\n"), time.Now().Add(20*time.Second), func(e End) { ends <- e })
 		return <-ends
 	}
-	for _, way = range fragmentpeer.CompleteScripts(complete) {
+	for _, way := range fragmentpeer.CompleteScripts(complete) {
+		current.Store(&way)
 		if e := probe(); e.Ending != outcome.Done || string(e.Load) != report {
 			t.Errorf("%s: %v, %q", way.Name, e.Ending, e.Load)
 		}
 	}
-	for _, way = range fragmentpeer.TruncatedScripts(complete) {
+	for _, way := range fragmentpeer.TruncatedScripts(complete) {
+		current.Store(&way)
 		if e := probe(); e.Ending == outcome.Done {
 			t.Errorf("%s: %v, %q", way.Name, e.Ending, e.Load)
 		}
--- a/internal/workers/workerconn/write_test.go
+++ b/internal/workers/workerconn/write_test.go
@@ -29,18 +29,31 @@
 			return c, err
 		}
 		return c, raw.Write(func(fd uintptr) bool {
-			for {
-				if _, err := syscall.Write(int(fd), make([]byte, 64<<10)); err != nil {
-					if err != syscall.EAGAIN {
-						t.Error(err)
-					}
-					return true
-				}
-			}
+			fillBuffers(t, int(fd))
+			return true
 		})
 	}
 }
 
+// fillBuffers writes to a socket until it takes nothing more for a while. What the kernel has moved to the worker's side
+// makes room again, so the first write that would block does not show that the buffers are full.
+func fillBuffers(t *testing.T, fd int) {
+	const fullPolls, pollInterval = 10, 2 * time.Millisecond
+	for blocked := 0; blocked < fullPolls; {
+		_, err := syscall.Write(fd, make([]byte, 64<<10))
+		switch {
+		case err == nil:
+			blocked = 0
+		case err == syscall.EAGAIN:
+			blocked++
+			time.Sleep(pollInterval)
+		default:
+			t.Error(err)
+			return
+		}
+	}
+}
+
 // Guards against a write that blocks because the worker reads slowly, and that continues once the worker
 // reads again, long after the client disconnected. A worker starts a request when it has the last byte, so a
 // push that is aborted before that never ran.
