--- a/cmd/woaddyke/shutdown_stall_test.go
+++ b/cmd/woaddyke/shutdown_stall_test.go
@@ -23,6 +23,7 @@
 // A process that has been told to end stands still over the end of its time. When it runs on, it must answer the ops
 // that it has taken before it ends. Formerly it closed their connections without an answer.
 func TestAStallAtTheEndOfAShutdownLosesNoAnswer(t *testing.T) {
+	t.Parallel()
 	const seed, clients = 72, 8
 	random := rand.New(rand.NewPCG(seed, 2))
 	for range 2 {
