The test of a scheduler that ends allows for no push of that scheduler's own

With the worker's answers 0.7 s apart it happens in every run, and the log at debug names attempts 0 to 2 with the ending withdrawn. No push was another scheduler's.

Change: the scheduler that ends has a connect timeout of 5 s, so that it withdraws nothing. What is checked is as it was: each op runs once.

--- a/cmd/woaddyke/leaving_claimer_test.go
+++ b/cmd/woaddyke/leaving_claimer_test.go
@@ -17,8 +17,12 @@
 	for _, killed := range []bool{false, true} {
 		t.Run(fmt.Sprint("killed ", killed), func(t *testing.T) {
 			t.Parallel()
-			c, worker := startReplicas(t, 4, true, "deduplicated = true")
+			c, worker := newCluster(t, 4, fastMembers+copiesTableOf(claimTimeout)+"deduplicated = true\n", testCommand)
 			ending, other := c.Nodes[3], c.Nodes[0]
+			// With a short connect timeout the scheduler would withdraw its pushes to the worker, which is silent while it
+			// holds them, and push them again itself.
+			ending.ConnectTimeout = 5 * time.Second
+			startAll(c, true)
 			answers := make(chan int, ops)
 			for k := range ops {
 				go func() {
