A connection lingers only before a large body, and nothing is read from it meanwhile

Change: Linger waits with awaitPeerClose, which the connections had, and leaves what comes unread; it is used only where a body over the limit follows, as net/http does. Other rejections close as before.

Result: TestALingeringConnectionReadsNothing failed before. In TestALingeringConnectionGivesWay the response is read by its length, as the stream no longer ends before the connection does; what it checks is as it was.

--- a/internal/frontend/clientconn/conn.go
+++ b/internal/frontend/clientconn/conn.go
@@ -48,7 +48,7 @@
 	awaitsClose := len(b) == 1 && c.readDeadline.IsZero()
 	c.mu.Unlock()
 	if awaitsClose {
-		if known, err := c.awaitPeerClose(); known {
+		if known, err := c.awaitPeerClose(c.handleUnread); known {
 			return 0, err
 		}
 	}
--- a/internal/frontend/clientconn/linger.go
+++ b/internal/frontend/clientconn/linger.go
@@ -8,7 +8,7 @@
 
 const (
 	// lingerTimeout limits how long a connection stays open after its last response, for a client that still
-	// sends a request that is not read. If it were closed with unread data, its client might not get the
+	// sends a request that is not read. If it were closed at once with unread data, its client might not get the
 	// response.
 	lingerTimeout = 500 * time.Millisecond
 
@@ -17,9 +17,10 @@
 )
 
 // Linger writes the last response to a connection that was hijacked from the server, and closes the connection
-// once the client has closed it, at the latest after lingerTimeout. What the client sends until then is
-// discarded. It closes the connection earlier if a new one needs its slot: the standard server would hold the
-// slot for half a second, also if the client has left, and few clients would keep all others out.
+// once the client has closed it, at the latest after lingerTimeout. What the client sends until then stays unread,
+// so that the close tells it that this was not served. Linger closes the connection earlier if a new one needs
+// its slot: the standard server would hold the slot for half a second, also if the client has left, and few
+// clients would keep all others out.
 func (g *Pool) Linger(nc net.Conn, response func(io.Writer) error) {
 	c, ok := nc.(*conn)
 	if !ok {
@@ -33,17 +34,11 @@
 	}
 	go func() {
 		defer g.endLinger(c)
-		if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-			half.CloseWrite()
-		}
 		c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
-		io.Copy(io.Discard, onlyReader{c.Conn})
+		c.awaitPeerClose(leaveUnread)
 	}()
 }
 
-// onlyReader hides the other methods of a connection, with which io.Copy would move the data through a pipe.
-type onlyReader struct{ io.Reader }
-
 // startLinger tracks a hijacked connection, with the lock held. Its requests are no longer needed.
 func (g *Pool) startLinger(c *conn) {
 	g.lingering[c] = time.Now()
--- a/internal/frontend/clientconn/peer_state.go
+++ b/internal/frontend/clientconn/peer_state.go
@@ -26,9 +26,9 @@
 	return open && err == nil
 }
 
-// awaitPeerClose waits until the peer has closed the connection or a read deadline expires. It returns known
-// false if the connection has no socket.
-func (c *conn) awaitPeerClose() (known bool, err error) {
+// awaitPeerClose waits until the peer has closed the connection or a read deadline expires. It calls onUnread for
+// unread data, whose error ends the wait too. It returns known false if the connection has no socket.
+func (c *conn) awaitPeerClose(onUnread func(fd uintptr) error) (known bool, err error) {
 	raw, socketErr := c.SyscallConn()
 	if socketErr != nil {
 		return false, nil
@@ -37,8 +37,7 @@
 	if err := raw.Read(func(fd uintptr) bool {
 		var unread bool
 		if unread, closed = peerState(fd); unread && closed == nil {
-			c.recordUnread(fd)
-			closed = c.readUnread(fd)
+			closed = onUnread(fd)
 		}
 		return closed != nil
 	}); err != nil {
@@ -47,6 +46,15 @@
 	return true, closed
 }
 
+// handleUnread dates what is unread while a request is served, and reads it ahead if it may hide the peer's close.
+func (c *conn) handleUnread(fd uintptr) error {
+	c.recordUnread(fd)
+	return c.readUnread(fd)
+}
+
+// leaveUnread leaves data unread, so that the close of the connection resets it.
+func leaveUnread(uintptr) error { return nil }
+
 // peerState reports whether data is unread, and how the peer has closed the connection: closed is nil if the
 // peer has not. Go's network poller wakes awaitPeerClose only once for each change, so a close must not be
 // missed. Where the peek cannot show it, peerState asks the kernel for the TCP state.
--- a/internal/frontend/rejection.go
+++ b/internal/frontend/rejection.go
@@ -35,14 +35,14 @@
 	return &Rejection{Status: http.StatusBadRequest, Text: fmt.Sprintf(format, args...)}
 }
 
-// bodyUnread reports whether more than an allowed body is still to be read of a rejected request. A smaller rest
+// followedByLargeBody reports whether more than an allowed body is still to come of a rejected request. A smaller rest
 // is discarded, so that the connection can be used for the next request.
-func bodyUnread(r *http.Request) bool {
-	if r.ContentLength == 0 || r.Header.Get("Expect") != "" { // reading would ask the client for its body
-		return false
-	}
-	if r.ContentLength > maxBodyBytes {
+func followedByLargeBody(r *http.Request, rejection *Rejection) bool {
+	switch {
+	case r.ContentLength > maxBodyBytes, rejection.Status == http.StatusRequestEntityTooLarge:
 		return true
+	case r.ContentLength == 0, rejection.RestUnread, r.Header.Get("Expect") != "":
+		return false // to read the rest of a request with Expect would ask the client for it
 	}
 	n, err := io.CopyN(io.Discard, r.Body, maxBodyBytes+1)
 	return n > maxBodyBytes || err != io.EOF && !errors.Is(err, http.ErrBodyReadAfterClose)
@@ -74,13 +74,14 @@
 // reject sends the response for a rejection, and logs it.
 func (s *Server) reject(w http.ResponseWriter, r *http.Request, rejection *Rejection) {
 	s.log.Debug().Str("error", rejection.Text).Int("status", rejection.Status).Msg("request rejected")
-	if rejection.RestUnread || bodyUnread(r) {
+	large := followedByLargeBody(r, rejection)
+	if rejection.RestUnread || large {
 		clientconn.SkipUnansweredCheck(r.Context())
-		if s.rejectAndLinger(w, r, rejection) {
-			return
-		}
 		w.Header().Set("Connection", "close")
 	}
+	if large && s.rejectAndLinger(w, r, rejection) {
+		return
+	}
 	setRetryAfter(w.Header(), rejection.RetryAfter)
 	s.setConnectionClose(r.Context(), w.Header(), rejection.Status)
 	http.Error(w, rejection.Text, rejection.Status)
